--- /dev/null
+++ b/crates/daisymast_matrix/src/checkers/configuration.rs
@@ -0,0 +1,126 @@
+//! A configuration never reverts, is in force everywhere in time, and what it drops stops.
+
+use daisymast_types::collections::{FastMap, FastSet};
+use daisymast_types::ids::{Generation, InstanceId, JobName, TaskKey, WorkerId};
+
+use crate::checkers::Violation;
+use crate::trace::{Seen, Trace};
+
+/// Times from which the rules on liveness apply.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Bounds {
+    /// Virtual time from which all faults are over, with the time to recover added. From then on
+    /// the newest generation is in force everywhere and nothing undeclared runs. Zero switches the
+    /// rules on liveness off.
+    pub settled_ms: u64,
+}
+
+pub(crate) fn check(trace: &Trace, bounds: &Bounds) -> Vec<Violation> {
+    let mut found = reverts(trace);
+    if bounds.settled_ms > 0 {
+        found.extend(behind(trace, bounds.settled_ms));
+        found.extend(undeclared(trace, bounds.settled_ms));
+    }
+    found
+}
+
+fn reverts(trace: &Trace) -> Vec<Violation> {
+    let mut force: FastMap<InstanceId, Generation> = FastMap::default();
+    let mut found = Vec::new();
+    for (at, seen) in &trace.seen {
+        match seen {
+            Seen::InstanceRestarted { instance } => {
+                force.remove(instance);
+            }
+            Seen::InForce {
+                instance,
+                generation,
+            } => {
+                let before = force
+                    .insert(instance.clone(), *generation)
+                    .unwrap_or_default();
+                if *generation < before {
+                    let detail = format!("{instance} falls from {before} to {generation}");
+                    found.push(Violation {
+                        rule: "no revert",
+                        at: *at,
+                        detail,
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// Instances that have not the newest accepted generation at `settled`.
+fn behind(trace: &Trace, settled: u64) -> Vec<Violation> {
+    let mut newest = Generation::default();
+    let mut force: FastMap<InstanceId, Generation> = FastMap::default();
+    for (_, seen) in trace.seen.iter().filter(|(at, _)| *at <= settled) {
+        match seen {
+            Seen::Accepted { generation, .. } => newest = newest.max(*generation),
+            Seen::InstanceRestarted { instance } => {
+                force.insert(instance.clone(), Generation::default());
+            }
+            Seen::Drained { instance } => {
+                force.remove(instance);
+            }
+            Seen::InForce {
+                instance,
+                generation,
+            } => {
+                force.insert(instance.clone(), *generation);
+            }
+            _ => {}
+        }
+    }
+    force
+        .iter()
+        .filter(|(_, generation)| **generation < newest)
+        .map(|(instance, generation)| Violation {
+            rule: "in force",
+            at: settled,
+            detail: format!("{instance} has generation {generation}, accepted is {newest}"),
+        })
+        .collect()
+}
+
+/// Tasks that run at `settled` though the newest manifest does not declare their job.
+fn undeclared(trace: &Trace, settled: u64) -> Vec<Violation> {
+    let mut newest = Generation::default();
+    let mut declared: Option<FastSet<JobName>> = None;
+    let mut running: FastMap<(WorkerId, TaskKey), JobName> = FastMap::default();
+    for (_, seen) in trace.seen.iter().filter(|(at, _)| *at <= settled) {
+        match seen {
+            Seen::Accepted {
+                generation,
+                declared: names,
+            } if *generation >= newest => {
+                newest = *generation;
+                declared = Some(names.iter().cloned().collect());
+            }
+            Seen::TaskStarted { worker, spec } => {
+                running.insert((worker.clone(), spec.key), spec.job.clone());
+            }
+            Seen::TaskEnded { worker, key, .. } => {
+                running.remove(&(worker.clone(), *key));
+            }
+            Seen::WorkerDied { worker } => running.retain(|(place, _), _| place != worker),
+            _ => {}
+        }
+    }
+    let Some(declared) = declared else {
+        return Vec::new();
+    };
+    running
+        .iter()
+        .filter(|(_, job)| !declared.contains(*job))
+        .map(|((worker, key), job)| Violation {
+            rule: "undeclared stops",
+            at: settled,
+            detail: format!("{job} {key} still runs on {worker}"),
+        })
+        .collect()
+}
