Add the HTTP server, the pooled client and keyed authentication

Cause: no crate speaks HTTP yet; every daemon needs a bounded server and a client whose outcomes are typed.

Conclusion: the platform and worker clients can build on it.

--- /dev/null
+++ b/crates/daisymast_http/src/auth.rs
@@ -0,0 +1,143 @@
+//! Keyed digests that authenticate operators and instances.
+//!
+//! The digest covers time, method, path and body. It neither hides the content nor stops a repeat
+//! within the time window, so the network between instances has to be private.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use daisymast_types::time::UnixMillis;
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+
+/// Header that carries the time and the digest.
+pub const HEADER: &str = "x-daisymast-digest";
+/// Largest difference between the clocks of sender and receiver plus the transfer time.
+pub const TIME_WINDOW: Duration = Duration::from_secs(30);
+/// Shortest key, in bytes: the output size of SHA-256, as RFC 2104 advises.
+pub const KEY_BYTES_MIN: usize = 32;
+
+/// Shared key. Its `Debug` output does not contain the key.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Key(Vec<u8>);
+
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Key(..)")
+    }
+}
+
+impl FromStr for Key {
+    type Err = AuthError;
+
+    fn from_str(text: &str) -> Result<Self, AuthError> {
+        if text.len() < KEY_BYTES_MIN {
+            return Err(AuthError::ShortKey(text.len()));
+        }
+        Ok(Self(text.as_bytes().to_vec()))
+    }
+}
+
+/// Why a message was not accepted as authentic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AuthError {
+    /// The header is absent.
+    #[error("header {HEADER} is missing")]
+    Missing,
+    /// The header does not have the form `time:digest`.
+    #[error("header {HEADER} is malformed")]
+    Malformed,
+    /// The time lies outside of the window around the receiver's clock.
+    #[error("message time is {0} ms off, allowed are {window} ms", window = TIME_WINDOW.as_millis())]
+    Time(u64),
+    /// The digest does not match.
+    #[error("digest does not match")]
+    Digest,
+    /// The key is too short.
+    #[error("key has {0} bytes, at least {KEY_BYTES_MIN} are needed")]
+    ShortKey(usize),
+}
+
+/// Parts of a message that the digest covers.
+#[derive(Clone, Copy, Debug)]
+pub struct Message<'a> {
+    /// Method, such as `POST`.
+    pub method: &'a str,
+    /// Path with the query string.
+    pub path: &'a str,
+    /// Whole body.
+    pub body: &'a [u8],
+}
+
+/// Value of [`HEADER`] for `message` sent at `now`.
+///
+/// ```
+/// use daisymast_http::auth;
+/// use daisymast_types::time::UnixMillis;
+/// let key: auth::Key = "0123456789abcdef0123456789abcdef".parse().unwrap();
+/// let message = auth::Message { method: "POST", path: "/v1/peer", body: b"{}" };
+/// let header = auth::sign(&key, UnixMillis(1_000), message);
+/// assert_eq!(auth::verify(&key, UnixMillis(2_000), message, Some(&header)), Ok(()));
+/// ```
+pub fn sign(key: &Key, now: UnixMillis, message: Message<'_>) -> String {
+    let tag = mac(key, now, message).finalize().into_bytes();
+    let mut header = format!("{}:", now.0);
+    for byte in tag {
+        header.push_str(&format!("{byte:02x}"));
+    }
+    header
+}
+
+/// Checks the value of [`HEADER`] against `message`, with the digests compared in constant time.
+///
+/// # Errors
+///
+/// Fails if the header is missing or malformed, if its time lies outside of [`TIME_WINDOW`] around
+/// `now`, or if the digest was not made with `key` from the same message.
+pub fn verify(
+    key: &Key,
+    now: UnixMillis,
+    message: Message<'_>,
+    header: Option<&str>,
+) -> Result<(), AuthError> {
+    let header = header.ok_or(AuthError::Missing)?;
+    let (time, digest) = header.split_once(':').ok_or(AuthError::Malformed)?;
+    let time = UnixMillis(time.parse().map_err(|_| AuthError::Malformed)?);
+    let tag = parse_hex(digest).ok_or(AuthError::Malformed)?;
+    mac(key, time, message)
+        .verify_slice(&tag)
+        .map_err(|_| AuthError::Digest)?;
+    let off = time.0.abs_diff(now.0);
+    if u128::from(off) > TIME_WINDOW.as_millis() {
+        return Err(AuthError::Time(off));
+    }
+    Ok(())
+}
+
+/// Each part is preceded by its length, so that no two messages have the same input.
+fn mac(key: &Key, time: UnixMillis, message: Message<'_>) -> Hmac<Sha256> {
+    #[expect(clippy::expect_used, reason = "HMAC takes keys of any length")]
+    let mut mac = Hmac::<Sha256>::new_from_slice(&key.0).expect("key of any length");
+    mac.update(&time.0.to_be_bytes());
+    for part in [
+        message.method.as_bytes(),
+        message.path.as_bytes(),
+        message.body,
+    ] {
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part);
+    }
+    mac
+}
+
+fn parse_hex(text: &str) -> Option<Vec<u8>> {
+    let digit = |byte: u8| char::from(byte).to_digit(16);
+    text.as_bytes()
+        .chunks(2)
+        .map(|pair| match pair {
+            [high, low] => u8::try_from(digit(*high)? * 16 + digit(*low)?).ok(),
+            _ => None,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/daisymast_http/src/client/pool.rs
@@ -0,0 +1,116 @@
+//! Kept connections, bounded for each address.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use bytes::Bytes;
+use daisymast_types::collections::FastMap;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+use super::Settings;
+use crate::executor;
+
+/// An open connection. Dropping it closes the socket.
+#[derive(Debug)]
+pub(super) struct Connection {
+    pub(super) sender: http1::SendRequest<Full<Bytes>>,
+    _driver: smol::Task<()>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+#[derive(Debug)]
+pub(super) struct Pool {
+    executor: executor::Executor,
+    settings: Settings,
+    idle: Mutex<FastMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    pub(super) fn new(executor: executor::Executor, settings: Settings) -> Self {
+        Self {
+            executor,
+            settings,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// The most recently used idle connection that is still open, or a new one.
+    pub(super) async fn take(&self, address: SocketAddr) -> io::Result<Connection> {
+        while let Some(mut connection) = self.pop(address) {
+            if connection.sender.ready().await.is_ok() {
+                return Ok(connection);
+            }
+        }
+        self.open(address).await
+    }
+
+    /// Keeps a connection whose exchange is complete.
+    pub(super) fn put(&self, address: SocketAddr, connection: Connection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let mut idle = self.lock();
+        let now = Instant::now();
+        // Addresses come and go with instances, so the entries of unused ones are dropped here.
+        idle.retain(|_, kept| {
+            kept.retain(|one| self.is_usable(one, now));
+            !kept.is_empty()
+        });
+        let kept = idle.entry(address).or_default();
+        if kept.len() < self.settings.idle_connections {
+            kept.push(Idle {
+                connection,
+                since: now,
+            });
+        }
+    }
+
+    pub(super) fn idle(&self, address: SocketAddr) -> usize {
+        self.lock().get(&address).map_or(0, Vec::len)
+    }
+
+    fn pop(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.lock();
+        let kept = idle.get_mut(&address)?;
+        let now = Instant::now();
+        while let Some(one) = kept.pop() {
+            if self.is_usable(&one, now) {
+                return Some(one.connection);
+            }
+        }
+        None
+    }
+
+    fn is_usable(&self, one: &Idle, now: Instant) -> bool {
+        now.duration_since(one.since) < self.settings.idle_age && !one.connection.sender.is_closed()
+    }
+
+    async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, driver) = http1::handshake(FuturesIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        // A failure of the connection reaches the exchange through its sender.
+        let driver = self.executor.spawn(async move { drop(driver.await) });
+        Ok(Connection {
+            sender,
+            _driver: driver,
+        })
+    }
+
+    /// The map is valid after each statement, so a panic elsewhere does not spoil it.
+    fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/daisymast_http/tests/auth.rs
@@ -0,0 +1,132 @@
+//! Guards against messages of unknown origin.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+mod common;
+
+use common::{call, client, listener, run};
+use daisymast_http::auth::{self, AuthError, Key, Message};
+use daisymast_http::client::wall_clock;
+use daisymast_http::server::{Limits, Request, Response, Server};
+use daisymast_types::time::UnixMillis;
+
+const NOW: UnixMillis = UnixMillis(1_800_000_000_000);
+
+fn key(text: &str) -> Key {
+    text.repeat(32).parse().unwrap()
+}
+
+fn message(body: &[u8]) -> Message<'_> {
+    Message {
+        method: "POST",
+        path: "/v1/peer",
+        body,
+    }
+}
+
+/// Guards against a sender without the key.
+#[test]
+fn wrong_key_is_refused() {
+    let header = auth::sign(&key("a"), NOW, message(b"x"));
+    assert_eq!(
+        auth::verify(&key("a"), NOW, message(b"x"), Some(&header)),
+        Ok(())
+    );
+    let wrong = auth::verify(&key("b"), NOW, message(b"x"), Some(&header));
+    assert_eq!(wrong, Err(AuthError::Digest));
+}
+
+/// Guards against a recorded message that is sent again later.
+#[test]
+fn old_time_is_refused() {
+    let header = auth::sign(&key("a"), NOW, message(b"x"));
+    let at = |now| auth::verify(&key("a"), UnixMillis(now), message(b"x"), Some(&header));
+    assert_eq!(at(NOW.0 + 30_000), Ok(()));
+    assert_eq!(at(NOW.0 + 30_001), Err(AuthError::Time(30_001)));
+    assert_eq!(at(NOW.0 - 30_001), Err(AuthError::Time(30_001)));
+    let moved = header.replacen("1800000000000", "1800000030001", 1);
+    let now = UnixMillis(NOW.0 + 30_001);
+    let moved = auth::verify(&key("a"), now, message(b"x"), Some(&moved));
+    assert_eq!(moved, Err(AuthError::Digest));
+}
+
+/// Guards against a changed message, also where bytes move from one part to the next.
+#[test]
+fn changed_message_is_refused() {
+    let header = auth::sign(&key("a"), NOW, message(b"x"));
+    let other = [
+        Message {
+            method: "PUT",
+            ..message(b"x")
+        },
+        Message {
+            path: "/v1/peerx",
+            ..message(b"")
+        },
+        message(b"y"),
+    ];
+    for changed in other {
+        let result = auth::verify(&key("a"), NOW, changed, Some(&header));
+        assert_eq!(result, Err(AuthError::Digest), "{changed:?}");
+    }
+}
+
+/// Guards against a panic or an acceptance on a header that no sender of ours makes.
+#[test]
+fn malformed_header_is_refused() {
+    let verify = |header| auth::verify(&key("a"), NOW, message(b"x"), header);
+    assert_eq!(verify(None), Err(AuthError::Missing));
+    for header in [
+        "",
+        ":",
+        "1",
+        "a:00",
+        "1800000000000:0",
+        "1800000000000:zz",
+        "1:é",
+    ] {
+        assert_eq!(verify(Some(header)), Err(AuthError::Malformed), "{header}");
+    }
+    for header in ["1800000000000:", "1800000000000:00"] {
+        assert_eq!(verify(Some(header)), Err(AuthError::Digest), "{header}");
+    }
+}
+
+/// Guards against a key in a log line, and against one that can be guessed.
+#[test]
+fn key_is_not_printed_and_not_short() {
+    assert_eq!(format!("{:?}", key("secret")), "Key(..)");
+    assert_eq!("short".parse::<Key>(), Err(AuthError::ShortKey(5)));
+}
+
+/// Guards against a client and a server that cover different parts of the message.
+#[test]
+fn signed_call_is_accepted_by_the_server() {
+    run(async |executor| {
+        let handler = |request: Request| async move {
+            let target = request.target();
+            let message = Message {
+                method: request.method.as_str(),
+                path: &target,
+                body: &request.body,
+            };
+            let header = request.header(auth::HEADER);
+            match auth::verify(&key("a"), wall_clock(), message, header) {
+                Ok(()) => Response::text(200, "accepted"),
+                Err(error) => Response::text(401, error.to_string()),
+            }
+        };
+        let server =
+            Server::start(&executor, listener().await, Limits::default(), handler).unwrap();
+        let client = client(&executor);
+        let mut call = call(server.address());
+        call.path = "/v1/peer?zone=austin";
+        let status = async |key: Option<&Key>| {
+            let answer = client.post(&call.signed(key), "", "{}".into()).await;
+            answer.done().unwrap().status.as_u16()
+        };
+        assert_eq!(status(Some(&key("a"))).await, 200);
+        assert_eq!(status(Some(&key("b"))).await, 401);
+        assert_eq!(status(None).await, 401);
+    });
+}
--- /dev/null
+++ b/crates/daisymast_http/tests/client.rs
@@ -0,0 +1,215 @@
+//! Guards against an answer for the wrong exchange and an outcome that claims too much.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+mod common;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{bounded, call, client, echo, listener, run, until};
+use daisymast_http::server::{Limits, Response, Server};
+use daisymast_http::{json, msgpack};
+use daisymast_protocol::outcome::Outcome;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+
+const SHORT: Duration = Duration::from_millis(100);
+
+/// Guards against a late answer that is delivered to the next exchange on the pool.
+#[test]
+fn late_answer_is_not_delivered_to_the_next_exchange() {
+    run(async |executor| {
+        let (release, held) = async_channel::unbounded::<()>();
+        let handler = move |request: daisymast_http::server::Request| {
+            let held = held.clone();
+            async move {
+                if request.body == "slow" {
+                    let _ = held.recv().await;
+                }
+                Response::text(200, request.body)
+            }
+        };
+        let server =
+            Server::start(&executor, listener().await, Limits::default(), handler).unwrap();
+        let client = client(&executor);
+        let call = call(server.address());
+        // The first exchange leaves a kept connection, which the slow one then uses.
+        assert!(matches!(
+            client.post(&call, "", Bytes::from("a")).await,
+            Outcome::Done(_)
+        ));
+        assert_eq!(client.idle_connections(call.address), 1);
+        let mut short = call;
+        short.timeout = SHORT;
+        let late = client.post(&short, "", Bytes::from("slow")).await;
+        let Outcome::Unknown(error) = late else {
+            panic!("{late:?}")
+        };
+        assert_eq!(error.step, "test step");
+        assert_eq!(error.peer, "test peer");
+        assert_eq!(client.idle_connections(call.address), 0);
+        release.send(()).await.unwrap();
+        for body in ["b", "c"] {
+            let answer = client
+                .post(&call, "", Bytes::from(body))
+                .await
+                .done()
+                .unwrap();
+            assert_eq!(answer.body, body);
+        }
+    });
+}
+
+/// Guards against a connection that is kept after its exchange was dropped half way.
+#[test]
+fn dropped_exchange_closes_its_connection() {
+    run(async |executor| {
+        let (started, start) = async_channel::unbounded::<()>();
+        let handler = move |_request| {
+            let started = started.clone();
+            async move {
+                started.send(()).await.unwrap();
+                std::future::pending().await
+            }
+        };
+        let server =
+            Server::start(&executor, listener().await, Limits::default(), handler).unwrap();
+        let client = client(&executor);
+        let call = call(server.address());
+        let exchange = async {
+            let _ = client.post(&call, "", Bytes::new()).await;
+        };
+        let give_up = async { start.recv().await.unwrap() };
+        bounded(smol::future::or(exchange, give_up)).await;
+        until("close", || server.counters().open_connections() == 0).await;
+        assert_eq!(client.idle_connections(call.address), 0);
+    });
+}
+
+/// Guards against an unknown outcome where the peer certainly saw nothing.
+#[test]
+fn refused_connection_has_no_effect() {
+    run(async |executor| {
+        let address = listener().await.local_addr().unwrap();
+        let outcome = client(&executor).get(&call(address)).await;
+        assert!(matches!(outcome, Outcome::NoEffect(_)), "{outcome:?}");
+    });
+}
+
+/// Guards against a claim of no effect where the peer may have acted before it closed.
+#[test]
+fn connection_lost_after_sending_is_unknown() {
+    run(async |executor| {
+        let listener = listener().await;
+        let call = call(listener.local_addr().unwrap());
+        let peer = executor.spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut byte = [0; 1];
+            stream.read_exact(&mut byte).await.unwrap();
+        });
+        let outcome = client(&executor).post(&call, "", Bytes::from("x")).await;
+        assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+        bounded(peer).await;
+    });
+}
+
+/// Guards against an incomplete answer that passes as a whole one.
+#[test]
+fn truncated_answer_is_unknown() {
+    run(async |executor| {
+        let listener = listener().await;
+        let call = call(listener.local_addr().unwrap());
+        let peer = executor.spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut bytes = [0; 1024];
+            let _ = stream.read(&mut bytes).await.unwrap();
+            let half = b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf";
+            stream.write_all(half).await.unwrap();
+        });
+        let outcome = client(&executor).get(&call).await;
+        assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+        bounded(peer).await;
+    });
+}
+
+/// Guards against a failed call only because the peer closed an idle connection.
+#[test]
+fn closed_idle_connection_is_replaced() {
+    run(async |executor| {
+        let limits = Limits::default().with_header_timeout(Duration::from_millis(50));
+        let server = echo(&executor, limits).await;
+        let client = client(&executor);
+        let call = call(server.address());
+        for _ in 0..3 {
+            let outcome = client.post(&call, "", Bytes::from("a")).await;
+            assert!(matches!(outcome, Outcome::Done(_)), "{outcome:?}");
+            until("idle close", || server.counters().open_connections() == 0).await;
+        }
+    });
+}
+
+/// Guards against a pool that grows with the number of calls at one time.
+#[test]
+fn idle_connections_are_bounded() {
+    run(async |executor| {
+        let server = echo(&executor, Limits::default()).await;
+        let settings = daisymast_http::client::Settings {
+            idle_connections: 2,
+            ..Default::default()
+        };
+        let client = std::sync::Arc::new(daisymast_http::client::Client::new(
+            executor.clone(),
+            settings,
+        ));
+        let call = call(server.address());
+        let mut exchanges = Vec::new();
+        for _ in 0..8 {
+            let client = client.clone();
+            exchanges.push(executor.spawn(async move { client.get(&call).await.done().is_some() }));
+        }
+        for exchange in exchanges {
+            assert!(bounded(exchange).await);
+        }
+        assert!(client.idle_connections(call.address) <= 2);
+    });
+}
+
+/// Guards against an answer that fills the memory.
+#[test]
+fn oversized_answer_is_refused_while_reading() {
+    run(async |executor| {
+        let server = echo(&executor, Limits::default()).await;
+        let settings = daisymast_http::client::Settings {
+            body_bytes: 8,
+            ..Default::default()
+        };
+        let client = daisymast_http::client::Client::new(executor.clone(), settings);
+        let call = call(server.address());
+        let outcome = client.post(&call, "", Bytes::from("more than eight")).await;
+        assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+        assert_eq!(client.idle_connections(call.address), 0);
+    });
+}
+
+/// Guards against a decode error that does not name the step and the peer.
+#[test]
+fn typed_exchange_names_step_and_peer_of_a_decode_error() {
+    run(async |executor| {
+        let server = echo(&executor, Limits::default()).await;
+        let client = client(&executor);
+        let call = call(server.address());
+        let sum: Outcome<(u32, String)> = json::post(&client, &call, &(1, "a")).await;
+        assert_eq!(sum, Outcome::Done((1, "a".to_owned())));
+        let sum: Outcome<(u32, String)> = msgpack::post(&client, &call, &(1, "a")).await;
+        assert_eq!(sum, Outcome::Done((1, "a".to_owned())));
+        let wrong: Outcome<Vec<u32>> = json::post(&client, &call, &"text").await;
+        let Outcome::Unknown(error) = wrong else {
+            panic!("{wrong:?}")
+        };
+        let text = error.to_string();
+        assert!(
+            text.starts_with("test step at test peer: answer does not decode"),
+            "{text}"
+        );
+    });
+}
--- /dev/null
+++ b/crates/daisymast_http/tests/common/mod.rs
@@ -0,0 +1,74 @@
+//! Helpers of the tests: a server on a free port, raw connections and bounded waits.
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use daisymast_http::executor::{self, Executor};
+use daisymast_http::{client, server};
+use smol::Timer;
+use smol::future;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::{TcpListener, TcpStream};
+
+/// Bound of every wait in the tests; far above what a loaded machine needs.
+pub(crate) const BOUND: Duration = Duration::from_secs(20);
+
+pub(crate) async fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.expect("bind")
+}
+
+/// A server that answers with the body it got.
+pub(crate) async fn echo(executor: &Executor, limits: server::Limits) -> server::Server {
+    server::Server::start(executor, listener().await, limits, async |request| {
+        server::Response::text(200, request.body)
+    })
+    .expect("start")
+}
+
+pub(crate) fn client(executor: &Executor) -> client::Client {
+    client::Client::new(executor.clone(), client::Settings::default())
+}
+
+pub(crate) fn call(address: SocketAddr) -> client::Call<'static> {
+    client::Call::new(address, "/v1/echo", BOUND).named("test step", "test peer")
+}
+
+/// Sends raw bytes and reads until the server closes the connection.
+pub(crate) async fn raw(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    // The server may refuse and close before everything is written.
+    let _ = stream.write_all(bytes).await;
+    read_all(&mut stream).await
+}
+
+/// Reads until the other side closes the connection.
+pub(crate) async fn read_all(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    let read = async {
+        let _ = stream.read_to_end(&mut answer).await;
+    };
+    bounded(read).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+pub(crate) async fn bounded<T>(step: impl Future<Output = T>) -> T {
+    future::or(step, async {
+        Timer::after(BOUND).await;
+        panic!("not done within {BOUND:?}")
+    })
+    .await
+}
+
+/// Waits until `condition` holds, for at most [`BOUND`].
+pub(crate) async fn until(what: &str, condition: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < BOUND, "{what} not seen within {BOUND:?}");
+        Timer::after(Duration::from_millis(2)).await;
+    }
+}
+
+pub(crate) fn run<T>(test: impl AsyncFnOnce(Executor) -> T) -> T {
+    executor::run(2, test)
+}
--- /dev/null
+++ b/crates/daisymast_http/tests/limits.rs
@@ -0,0 +1,128 @@
+//! Guards against a caller that uses up an instance by what it sends or fails to send.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+mod common;
+
+use std::time::Duration;
+
+use common::{bounded, echo, raw, read_all, run, until};
+use daisymast_http::server::Limits;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpStream;
+
+/// Guards against a request that breaks off and is handed to the handler in part.
+#[test]
+fn truncated_request_does_not_reach_the_handler() {
+    run(async |executor| {
+        let server = echo(&executor, Limits::default()).await;
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        let head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 100\r\n\r\nhalf";
+        stream.write_all(head).await.unwrap();
+        stream.shutdown(std::net::Shutdown::Write).unwrap();
+        read_all(&mut stream).await;
+        let counters = server.counters();
+        until("broken body", || counters.malformed.get() >= 1).await;
+        until("close", || counters.open_connections() == 0).await;
+        assert_eq!(counters.requests.get(), 0);
+    });
+}
+
+/// Guards against a body that fills the memory, whether it tells its length or not.
+#[test]
+fn oversized_body_is_refused() {
+    run(async |executor| {
+        let server = echo(&executor, Limits::default().with_body_bytes(64)).await;
+        let told = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 65\r\n\r\n";
+        let answer = raw(server.address(), told).await;
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+
+        let mut chunked =
+            b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+        for _ in 0..3 {
+            chunked.extend_from_slice(b"20\r\n");
+            chunked.extend_from_slice(&[b'x'; 32]);
+            chunked.extend_from_slice(b"\r\n");
+        }
+        let answer = raw(server.address(), &chunked).await;
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+        assert_eq!(server.counters().bodies_too_large.get(), 2);
+        assert_eq!(server.counters().requests.get(), 0);
+    });
+}
+
+/// Guards against a body at the limit being refused.
+#[test]
+fn body_at_the_limit_is_accepted() {
+    run(async |executor| {
+        let server = echo(&executor, Limits::default().with_body_bytes(4)).await;
+        let request =
+            b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 4\r\n\r\nfull";
+        let answer = raw(server.address(), request).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(answer.ends_with("full"), "{answer}");
+    });
+}
+
+/// Guards against a header that fills the memory.
+#[test]
+fn header_flood_is_refused() {
+    run(async |executor| {
+        let server = echo(&executor, Limits::default()).await;
+        let mut flood = b"GET / HTTP/1.1\r\nhost: a\r\n".to_vec();
+        for number in 0..40 {
+            flood.extend_from_slice(format!("x-{number}: {}\r\n", "y".repeat(1_000)).as_bytes());
+        }
+        flood.extend_from_slice(b"\r\n");
+        let answer = raw(server.address(), &flood).await;
+        // The refusal is lost if the kernel resets the connection for the unread rest.
+        assert!(
+            answer.is_empty() || answer.starts_with("HTTP/1.1 431"),
+            "{answer}"
+        );
+        let counters = server.counters();
+        until("refusal", || counters.headers_too_large.get() == 1).await;
+        assert_eq!(counters.requests.get(), 0);
+    });
+}
+
+/// Guards against senders that hold connections by sending a header or a body slowly.
+#[test]
+fn slow_sender_is_disconnected() {
+    run(async |executor| {
+        let short = Duration::from_millis(50);
+        let limits = Limits::default()
+            .with_header_timeout(short)
+            .with_body_timeout(short);
+        let server = echo(&executor, limits).await;
+        let mut head = TcpStream::connect(server.address()).await.unwrap();
+        head.write_all(b"POST / HTTP/1.1\r\nho").await.unwrap();
+        read_all(&mut head).await;
+        let counters = server.counters();
+        until("header timeout", || counters.header_timeouts.get() == 1).await;
+
+        let mut body = TcpStream::connect(server.address()).await.unwrap();
+        let start = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nslow";
+        body.write_all(start).await.unwrap();
+        let answer = read_all(&mut body).await;
+        assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+        assert_eq!(counters.body_timeouts.get(), 1);
+        assert_eq!(counters.requests.get(), 0);
+    });
+}
+
+/// Guards against more open connections than the listener may hold.
+#[test]
+fn connections_above_the_limit_are_closed() {
+    run(async |executor| {
+        let server = echo(&executor, Limits::default().with_connections(1)).await;
+        let counters = server.counters();
+        let first = TcpStream::connect(server.address()).await.unwrap();
+        until("first", || counters.open_connections() == 1).await;
+        let mut second = TcpStream::connect(server.address()).await.unwrap();
+        assert_eq!(read_all(&mut second).await, "");
+        assert_eq!(counters.connections_refused.get(), 1);
+        drop(first);
+        bounded(until("close", || counters.open_connections() == 0)).await;
+    });
+}
--- /dev/null
+++ b/crates/daisymast_http/tests/shutdown.rs
@@ -0,0 +1,94 @@
+//! Guards against a shutdown that cuts off a request or never ends.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+mod common;
+
+use bytes::Bytes;
+use common::{bounded, call, client, echo, listener, run, until};
+use daisymast_http::server::{Limits, Request, Response, Server};
+use daisymast_protocol::outcome::Outcome;
+
+/// Guards against a shutdown that cuts off a request in flight.
+#[test]
+fn request_in_flight_is_answered() {
+    run(async |executor| {
+        let (started, start) = async_channel::unbounded::<()>();
+        let (release, held) = async_channel::unbounded::<()>();
+        let handler = move |request: Request| {
+            let (started, held) = (started.clone(), held.clone());
+            async move {
+                started.send(()).await.unwrap();
+                held.recv().await.unwrap();
+                Response::text(200, request.body)
+            }
+        };
+        let server =
+            Server::start(&executor, listener().await, Limits::default(), handler).unwrap();
+        let call = call(server.address());
+        let client = client(&executor);
+        let exchange =
+            executor.spawn(async move { client.post(&call, "", Bytes::from("a")).await });
+        bounded(start.recv()).await.unwrap();
+        let counters = server.counters().clone();
+        let shutdown = executor.spawn(server.shutdown());
+        // The listener is gone, the exchange is not.
+        bounded(async {
+            while smol::net::TcpStream::connect(call.address).await.is_ok() {
+                smol::future::yield_now().await;
+            }
+        })
+        .await;
+        until("backlog closed", || counters.open_connections() == 1).await;
+        assert!(!shutdown.is_finished());
+        release.send(()).await.unwrap();
+        let answer = bounded(exchange).await.done().unwrap();
+        assert_eq!(answer.body, "a");
+        bounded(shutdown).await;
+    });
+}
+
+/// Guards against a shutdown that waits for idle connections.
+#[test]
+fn idle_connections_end() {
+    run(async |executor| {
+        let server = echo(&executor, Limits::default()).await;
+        let call = call(server.address());
+        let client = client(&executor);
+        assert!(client.get(&call).await.done().is_some());
+        let counters = server.counters().clone();
+        assert_eq!(counters.open_connections(), 1);
+        bounded(server.shutdown()).await;
+        assert_eq!(counters.open_connections(), 0);
+        let refused = client.get(&call).await;
+        assert!(matches!(refused, Outcome::NoEffect(_)), "{refused:?}");
+    });
+}
+
+/// Guards against lost requests that were sent on kept connections as the shutdown began.
+#[test]
+fn requests_that_race_with_the_shutdown_are_answered() {
+    run(async |executor| {
+        let server = echo(&executor, Limits::default()).await;
+        let call = call(server.address());
+        let mut loops = Vec::new();
+        for _ in 0..8 {
+            let client = client(&executor);
+            loops.push(executor.spawn(async move {
+                loop {
+                    match client.post(&call, "", Bytes::from("a")).await {
+                        Outcome::Done(_) => {}
+                        Outcome::NoEffect(_) => return,
+                        Outcome::Unknown(error) => panic!("request was cut off: {error}"),
+                    }
+                }
+            }));
+        }
+        let counters = server.counters().clone();
+        until("load", || counters.requests.get() > 100).await;
+        bounded(server.shutdown()).await;
+        for one in loops {
+            bounded(one).await;
+        }
+    });
+}
