Parse, check and compare release manifests

Cause: a submission must be refused as a whole, with every fault named at once. Change: parse() collects one type fault for each item and all broken rules; duplicate fields, deep nesting, too many items and too long texts are refused; diff() lists added, removed and changed items with their fields; Record is the value of the store key. Conclusion: configuration and the operator command can build on one parser.

--- a/crates/daisymast_manifest/src/lib.rs
+++ b/crates/daisymast_manifest/src/lib.rs
@@ -1,3 +1,10 @@
 //! The release manifest aggregate: parsing, checks, differences and generations.
 
+pub mod diff;
+pub mod fault;
 pub mod manifest;
+pub mod parse;
+pub mod record;
+
+mod json;
+mod rules;
--- /dev/null
+++ b/crates/daisymast_manifest/tests/faults.rs
@@ -0,0 +1,123 @@
+//! Fault reports of manifests: each test guards against a faulty manifest that is applied, or whose
+//! faults have to be found one after another.
+
+use daisymast_manifest::parse;
+
+const GOOD: &str = r#"{
+    "release": "r41",
+    "teams": [{"name": "crews", "quota": {"millicores": 64000, "memory_mib": 131072}}],
+    "services": [{"name": "quote-lookup", "team": "crews", "urgency": "urgent", "replicas": 6,
+                  "size": {"millicores": 1000, "memory_mib": 512}, "zones": ["Austin", "Waco"]}],
+    "batches": [{"name": "invoices", "team": "crews", "every_s": 3600, "offset_s": 60, "tasks": 4,
+                 "size": {"millicores": 500, "memory_mib": 256}, "exclusive": true,
+                 "run_s": 30, "deadline_s": 600}],
+    "gang_jobs": [{"name": "route-survey", "team": "crews", "tasks": 8,
+                   "size": {"millicores": 2000, "memory_mib": 1024}, "run_s": 20}]
+}"#;
+
+fn faults(text: &str) -> String {
+    match parse::parse(text) {
+        Ok(manifest) => panic!("accepted: {manifest:?}"),
+        Err(faults) => faults.to_string(),
+    }
+}
+
+#[test]
+fn valid_manifest_is_accepted() {
+    let manifest = parse::parse(GOOD).expect("a valid manifest");
+    assert_eq!(manifest.services.len(), 1);
+    assert_eq!(manifest.batches[0].offset_s, 60);
+    assert_eq!(manifest.gang_jobs[0].tasks, 8);
+}
+
+#[test]
+fn all_type_faults_come_at_once() {
+    let text = GOOD
+        .replace("\"replicas\": 6", "\"replicas\": \"six\"")
+        .replace("\"every_s\": 3600", "\"every_s\": -1")
+        .replace("\"urgent\"", "\"urgent\", \"extra\": 1")
+        .replace("\"run_s\": 20", "\"run_s\": 2.5")
+        .replace("\"release\": \"r41\"", "\"release\": 41, \"servcies\": []");
+    insta::assert_snapshot!(faults(&text));
+}
+
+#[test]
+fn all_broken_rules_come_at_once() {
+    let text = GOOD
+        .replace("\"r41\"", "\"r 41\"")
+        .replace("\"crews\", \"quota\"", "\"staff\", \"quota\"")
+        .replace("\"quote-lookup\"", "\"Quote Lookup\"")
+        .replace("\"route-survey\"", "\"invoices\"")
+        .replace("\"replicas\": 6", "\"replicas\": 1001")
+        .replace("\"Waco\"", "\"Austin\", \"\"")
+        .replace(
+            "\"millicores\": 500, \"memory_mib\": 256",
+            "\"millicores\": 0, \"memory_mib\": 0",
+        )
+        .replace("\"offset_s\": 60", "\"offset_s\": 3600")
+        .replace("\"deadline_s\": 600", "\"deadline_s\": 29")
+        .replace("\"tasks\": 8", "\"tasks\": 10001")
+        .replace("\"tasks\": 4", "\"tasks\": 0");
+    insta::assert_snapshot!(faults(&text));
+}
+
+#[test]
+fn zero_period_is_refused() {
+    let text = GOOD.replace("\"every_s\": 3600, \"offset_s\": 60", "\"every_s\": 0");
+    insta::assert_snapshot!(faults(&text));
+}
+
+#[test]
+fn long_and_empty_names_are_refused() {
+    let long = format!("\"{}\"", "a".repeat(65));
+    let text = GOOD
+        .replace("\"quote-lookup\"", &long)
+        .replace("\"invoices\"", "\"\"");
+    insta::assert_snapshot!(faults(&text));
+    let longest = format!("\"{}\"", "a".repeat(64));
+    assert!(parse::parse(&GOOD.replace("\"quote-lookup\"", &longest)).is_ok());
+}
+
+#[test]
+fn duplicate_fields_are_refused() {
+    let inner = GOOD.replace("\"replicas\": 6", "\"replicas\": 6, \"replicas\": 60");
+    let outer = GOOD.replace(
+        "\"release\": \"r41\"",
+        "\"release\": \"r41\", \"release\": \"r40\"",
+    );
+    insta::assert_snapshot!(format!("{}\n{}", faults(&inner), faults(&outer)));
+}
+
+#[test]
+fn deep_nesting_and_broken_json_are_refused() {
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let texts = [
+        "",
+        "[]",
+        "{",
+        "{\"release\": \"r\"} x",
+        "{\"teams\": 3}",
+        deep.as_str(),
+    ];
+    let report: Vec<String> = texts.iter().map(|text| faults(text)).collect();
+    insta::assert_snapshot!(report.join("\n"));
+}
+
+#[test]
+fn size_and_counts_are_bounded() {
+    let large = format!("{{\"release\": \"{}\"}}", "a".repeat(512 * 1024));
+    let team = "{\"name\": \"t\", \"quota\": {\"millicores\": 1, \"memory_mib\": 1}}";
+    let many = format!(
+        "{{\"release\": \"r\", \"teams\": [{}]}}",
+        vec![team; 201].join(",")
+    );
+    let report = format!("{}\n{}", faults(&large), faults(&many));
+    let lines: Vec<&str> = report.lines().collect();
+    insta::assert_snapshot!([&lines[..3], &lines[lines.len() - 1..]].concat().join("\n"));
+}
+
+#[test]
+fn unknown_team_is_not_reported_when_a_team_has_a_type_fault() {
+    let text = GOOD.replace("\"millicores\": 64000", "\"millicores\": \"many\"");
+    assert_eq!(faults(&text).lines().count(), 1);
+}
