--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -143,6 +143,12 @@
         self.shared.generation
     }
 
+    /// Records a heartbeat as if its sender had sent it.
+    #[cfg(test)]
+    pub(crate) fn hear(&mut self, now: Timestamp, heartbeat: Heartbeat) {
+        self.shared.view.record(now.mono, heartbeat);
+    }
+
     fn dispatch(&mut self, now: Timestamp, event: Event) {
         match event {
             Event::Tick => self.tick(now),
@@ -188,7 +194,8 @@
         own.draining = self.shared.draining;
         own.partitions = self.claims.owned();
         own.workers = self.control.held(now);
-        if self.shared.draining && self.requests.is_idle() && self.control.is_released() {
+        let is_idle = self.requests.is_idle() && self.configuration.is_idle();
+        if self.shared.draining && is_idle && self.control.is_released() {
             self.fx.emit(Action::Stopped);
         }
     }
--- a/crates/daisymast_manifest/src/record.rs
+++ b/crates/daisymast_manifest/src/record.rs
@@ -75,18 +75,36 @@
     /// # Ok::<(), record::RecordError>(())
     /// ```
     pub fn from_value(value: &str) -> Result<(Self, Manifest), RecordError> {
+        let record = Self::decode(value)?;
+        let manifest = record.manifest()?;
+        Ok((record, manifest))
+    }
+
+    /// Decodes a value of the store key and leaves its body unchecked.
+    ///
+    /// # Errors
+    /// The value is no record.
+    pub fn decode(value: &str) -> Result<Self, RecordError> {
         let record: Self =
             serde_json::from_str(value).map_err(|error| RecordError::Json(error.to_string()))?;
         if record.generation == Generation(0) {
             return Err(RecordError::NoGeneration);
         }
-        let manifest = parse::parse(&record.body)?;
-        if manifest.release != record.release {
+        Ok(record)
+    }
+
+    /// Parses and checks the body.
+    ///
+    /// # Errors
+    /// The body is no valid manifest, or is that of another release.
+    pub fn manifest(&self) -> Result<Manifest, RecordError> {
+        let manifest = parse::parse(&self.body)?;
+        if manifest.release != self.release {
             return Err(RecordError::OtherRelease {
-                record: record.release,
+                record: self.release.clone(),
                 body: manifest.release,
             });
         }
-        Ok((record, manifest))
+        Ok(manifest)
     }
 }
