Serve callers' requests: claim, endpoint, outcome, answer

Cause: the request path was a stub, so no caller got an answer.

Change: `requests` follows each request in one state enum from validation over the claim, the choice of an endpoint, the outcome at the worker and the settlement to exactly one answer. `NotRun` is given only where nothing was sent, where each attempt was refused without effect, or where the worker confirmed that it never ran the request. A request without an endpoint in the own zone is forwarded once and takes its claim with it; the receiver settles it.

`Endpoint`, `Serve` and `Resolve` name the start (`boot`) of the worker's process. A worker that restarted does not remember what ran before, so its `NeverRan` would permit a second run. The holder has to refuse `Serve` with `StaleLease` and answer `Resolve` with `Uncertain` if its lease is of another start. `Forward` says whether the claim was acknowledged.

--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -205,8 +205,8 @@
             PeerRequest::Claim { .. }
             | PeerRequest::Settle { .. }
             | PeerRequest::ClaimStatus { .. } => self.claims.on_peer(&mut cx, token, request),
-            PeerRequest::Forward { request } => {
-                self.requests.on_forward(&mut cx, token, request);
+            PeerRequest::Forward { request, claimed } => {
+                self.requests.on_forward(&mut cx, token, request, claimed);
             }
             PeerRequest::Endpoints { .. }
             | PeerRequest::Serve { .. }
--- /dev/null
+++ b/crates/daisymast_engine/src/requests/endpoints.rs
@@ -0,0 +1,184 @@
+//! Endpoints of the own zone: a short-lived cache, and the choice among them.
+
+use std::time::Duration;
+
+use daisymast_protocol::peer::Endpoint;
+use daisymast_types::collections::FastMap;
+use daisymast_types::hashing;
+use daisymast_types::ids::{InstanceId, JobName, RequestId, WorkerId};
+use daisymast_types::time::Monotonic;
+
+use super::exchange::Key;
+
+/// Age up to which a list is used as it is.
+pub(crate) const FRESH: Duration = Duration::from_millis(200);
+/// Age up to which a list is used while a newer one is fetched, so that one silent instance delays
+/// no request.
+pub(crate) const USABLE: Duration = Duration::from_secs(1);
+/// Time for the reply of one instance.
+pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(100);
+/// Factor on the expected wait at a worker without a free slot.
+const FULL_PENALTY: u64 = 8;
+
+/// An endpoint and the instance that holds its worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Known {
+    pub(crate) holder: InstanceId,
+    pub(crate) endpoint: Endpoint,
+}
+
+/// Endpoints of one service.
+#[derive(Debug, Default)]
+struct List {
+    fetched: Option<Monotonic>,
+    known: Vec<Known>,
+    /// Replies that are still missing.
+    missing: usize,
+    arriving: Vec<Known>,
+    waiting: Vec<Key>,
+}
+
+/// Endpoints of all services that were asked for.
+#[derive(Debug, Default)]
+pub(crate) struct Endpoints {
+    lists: FastMap<JobName, List>,
+    /// Requests of this instance that are at a worker now.
+    in_flight: FastMap<WorkerId, u32>,
+}
+
+/// What to do before a list can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Readiness {
+    Fresh,
+    /// Usable, but a newer list has to be fetched.
+    Stale,
+    /// Not usable; a list has to be fetched.
+    Absent,
+    /// Not usable, but a fetch is under way.
+    Fetching,
+}
+
+impl Endpoints {
+    pub(crate) fn readiness(&self, now: Monotonic, service: &JobName) -> Readiness {
+        let Some(list) = self.lists.get(service) else {
+            return Readiness::Absent;
+        };
+        let age = list.fetched.map(|fetched| now - fetched);
+        let fetching = list.missing > 0;
+        match age {
+            Some(age) if age < FRESH => Readiness::Fresh,
+            Some(age) if age < USABLE && !list.known.is_empty() && fetching => Readiness::Fresh,
+            Some(age) if age < USABLE && !list.known.is_empty() => Readiness::Stale,
+            _ if fetching => Readiness::Fetching,
+            _ => Readiness::Absent,
+        }
+    }
+
+    /// Notes that `count` instances were asked.
+    pub(crate) fn begin(&mut self, service: &JobName, count: usize) {
+        let list = self.lists.entry(service.clone()).or_default();
+        list.missing = count;
+        list.arriving.clear();
+    }
+
+    /// Lets an exchange wait for the list.
+    pub(crate) fn wait(&mut self, service: &JobName, key: Key) {
+        let list = self.lists.entry(service.clone()).or_default();
+        list.waiting.push(key);
+    }
+
+    /// Takes the reply of one instance. With the last one the list is complete, and the exchanges
+    /// that waited for it are returned.
+    pub(crate) fn arrived(
+        &mut self,
+        now: Monotonic,
+        service: &JobName,
+        holder: &InstanceId,
+        found: Vec<Endpoint>,
+    ) -> Vec<Key> {
+        let Some(list) = self.lists.get_mut(service) else {
+            return Vec::new();
+        };
+        list.arriving
+            .extend(found.into_iter().map(|endpoint| Known {
+                holder: holder.clone(),
+                endpoint,
+            }));
+        list.missing = list.missing.saturating_sub(1);
+        if list.missing > 0 {
+            return Vec::new();
+        }
+        list.known = std::mem::take(&mut list.arriving);
+        list.known
+            .sort_by(|a, b| a.endpoint.worker.cmp(&b.endpoint.worker));
+        list.fetched = Some(now);
+        std::mem::take(&mut list.waiting)
+    }
+
+    /// Drops the lists of services that are no longer declared and that nothing waits for.
+    pub(crate) fn retain(&mut self, declared: impl Fn(&JobName) -> bool) {
+        self.lists.retain(|service, list| {
+            declared(service) || list.missing > 0 || !list.waiting.is_empty()
+        });
+    }
+
+    /// Chooses among the endpoints that were not tried: the better of two that the hash of the id
+    /// and the attempt selects.
+    pub(crate) fn choose(
+        &self,
+        service: &JobName,
+        id: &RequestId,
+        attempt: u32,
+        tried: &[WorkerId],
+    ) -> Option<Known> {
+        let open: Vec<&Known> = self
+            .lists
+            .get(service)?
+            .known
+            .iter()
+            .filter(|known| !tried.contains(&known.endpoint.worker))
+            .collect();
+        let count = u64::try_from(open.len()).ok().filter(|count| *count > 0)?;
+        let hash = hashing::stable_pair(id.as_str().as_bytes(), &attempt.to_le_bytes());
+        let first = hash % count;
+        let second = (first + 1 + (hash >> 32) % count.saturating_sub(1).max(1)) % count;
+        [first, second]
+            .into_iter()
+            .filter_map(|index| open.get(usize::try_from(index).ok()?))
+            .min_by_key(|known| self.expected_wait(&known.endpoint))
+            .map(|known| (*known).clone())
+    }
+
+    pub(crate) fn sent(&mut self, worker: &WorkerId) {
+        *self.in_flight.entry(worker.clone()).or_default() += 1;
+    }
+
+    pub(crate) fn returned(&mut self, worker: &WorkerId) {
+        if let Some(count) = self.in_flight.get_mut(worker) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.in_flight.remove(worker);
+            }
+        }
+    }
+
+    /// Changes the holder of a worker until the next list arrives.
+    pub(crate) fn moved(&mut self, service: &JobName, worker: &WorkerId, holder: &InstanceId) {
+        if let Some(list) = self.lists.get_mut(service) {
+            for known in &mut list.known {
+                if known.endpoint.worker == *worker {
+                    known.holder = holder.clone();
+                }
+            }
+        }
+    }
+
+    fn expected_wait(&self, endpoint: &Endpoint) -> u64 {
+        let own = u64::from(self.in_flight.get(&endpoint.worker).copied().unwrap_or(0));
+        let wait = endpoint.service_us.max(1).saturating_mul(own + 1);
+        if endpoint.free_slots == 0 {
+            return wait.saturating_mul(FULL_PENALTY);
+        }
+        wait / u64::from(endpoint.free_slots)
+    }
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/requests/tests.rs
@@ -0,0 +1,8 @@
+//! Tests of the request path on a virtual clock, with the other instances played by the tests.
+
+mod rig;
+
+mod claims;
+mod deadlines;
+mod endings;
+mod forwards;
--- a/crates/daisymast_protocol/src/peer.rs
+++ b/crates/daisymast_protocol/src/peer.rs
@@ -51,6 +51,9 @@
     Serve {
         /// Worker with the replica.
         worker: WorkerId,
+        /// Start of the worker's process, from its endpoint. The holder refuses the request with
+        /// `StaleLease` if its lease is of another start.
+        boot: BootId,
         /// The request.
         request: CallerRequest,
     },
@@ -58,11 +61,17 @@
     Forward {
         /// The request, with the remaining time as its timeout.
         request: CallerRequest,
+        /// Whether the sender's claim of the request was acknowledged. The receiver then runs the
+        /// request under that claim and settles it.
+        claimed: bool,
     },
     /// Asks the holder what became of a request on a worker.
     Resolve {
         /// Worker in question.
         worker: WorkerId,
+        /// Start of the worker's process that got the request. A worker that restarted since does
+        /// not remember what ran, so the holder then answers `Uncertain`, never `NeverRan`.
+        boot: BootId,
         /// Request in question.
         id: RequestId,
     },
@@ -201,6 +210,8 @@
 pub struct Endpoint {
     /// Worker of the replica.
     pub worker: WorkerId,
+    /// Start of the worker's process.
+    pub boot: BootId,
     /// Free request slots of the worker.
     pub free_slots: u32,
     /// Smoothed service time in microseconds.
@@ -236,7 +247,7 @@
     Served(Answer),
     /// Answers `Serve` or `Start`: refused, nothing took effect.
     Refused(Refusal),
-    /// Answers `Serve` or `Start`: the outcome at the worker is unknown.
+    /// Answers `Serve`, `Start` or `Resolve`: the outcome at the worker is unknown.
     Uncertain,
     /// Answers `Forward`.
     Forwarded(CallerReply),
