--- /dev/null
+++ b/crates/daisymast_membership/src/lease.rs
@@ -0,0 +1,131 @@
+//! The holder's side of one control lease.
+
+use std::time::Duration;
+
+use daisymast_protocol::limits;
+use daisymast_protocol::worker::{LeaseStamp, WorkerMillis};
+use daisymast_types::time::Monotonic;
+
+/// Divisor of the drift allowance: an elapsed time is taken to be shorter by a thousandth, which is
+/// above the drift of ordinary quartz clocks, so that the estimate stays behind the worker's clock.
+const DRIFT_DIVISOR: u32 = 1_000;
+
+/// One control lease as its holder knows it.
+///
+/// ```
+/// use std::time::Duration;
+/// use daisymast_membership::lease;
+/// use daisymast_protocol::worker;
+/// use daisymast_types::{ids, time};
+/// let sent = time::Monotonic::from_millis(100);
+/// let arrived = time::Monotonic::from_millis(400);
+/// let stamp = worker::LeaseStamp { boot: ids::BootId(7), epoch: ids::Epoch(1) };
+/// let mut lease = lease::Lease::default();
+/// lease.granted(sent, arrived, stamp, worker::WorkerMillis(5_000));
+/// assert_eq!(lease.stamp(time::Monotonic::from_millis(2_099)), Some(stamp));
+/// assert_eq!(lease.stamp(time::Monotonic::from_millis(2_100)), None);
+/// let deadline = lease.not_after(arrived, Duration::from_millis(500));
+/// assert_eq!(deadline, Some(worker::WorkerMillis(5_500)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Lease {
+    state: Option<Held>,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    stamp: LeaseStamp,
+    valid_until: Monotonic,
+    clock: WorkerMillis,
+    clock_at: Monotonic,
+}
+
+impl Lease {
+    /// Records a grant that was asked for at `sent` and arrived at `arrived`.
+    pub fn granted(
+        &mut self,
+        sent: Monotonic,
+        arrived: Monotonic,
+        stamp: LeaseStamp,
+        clock: WorkerMillis,
+    ) {
+        if self.held_stamp() == Some(stamp) {
+            self.renewed(sent, arrived, clock);
+            return;
+        }
+        self.state = Some(Held {
+            stamp,
+            valid_until: sent + validity(),
+            clock,
+            clock_at: arrived,
+        });
+    }
+
+    /// Records a successful renewal. The validity counts from the time of sending, since the worker
+    /// may have renewed the lease at any moment after that.
+    pub fn renewed(&mut self, sent: Monotonic, arrived: Monotonic, clock: WorkerMillis) {
+        let Some(held) = &mut self.state else {
+            return;
+        };
+        held.valid_until = held.valid_until.max(sent + validity());
+        // A reply of a long poll may carry an old reading. Each reading gives a lower bound, so the
+        // highest estimate is the best one.
+        if clock >= held.estimate(arrived) {
+            held.clock = clock;
+            held.clock_at = arrived;
+        }
+    }
+
+    /// Drops the lease: it was refused, released or ran out.
+    pub fn drop_lease(&mut self) {
+        self.state = None;
+    }
+
+    /// The stamp, if the holder may act under it at `now`.
+    pub fn stamp(&self, now: Monotonic) -> Option<LeaseStamp> {
+        self.state
+            .as_ref()
+            .filter(|held| now < held.valid_until)
+            .map(|held| held.stamp)
+    }
+
+    /// The stamp of the last grant, whether it is still valid or not.
+    pub fn held_stamp(&self) -> Option<LeaseStamp> {
+        self.state.as_ref().map(|held| held.stamp)
+    }
+
+    /// Time from which the holder may no longer act, if the lease was granted.
+    pub fn valid_until(&self) -> Option<Monotonic> {
+        self.state.as_ref().map(|held| held.valid_until)
+    }
+
+    /// Estimate of the worker's clock at `now`, never ahead of the clock itself as long as the two
+    /// clocks drift by less than a thousandth.
+    pub fn clock(&self, now: Monotonic) -> Option<WorkerMillis> {
+        self.state.as_ref().map(|held| held.estimate(now))
+    }
+
+    /// Worker time from which a message is refused that is sent at `now` with a deadline of
+    /// `timeout`. Nothing if the holder may not act at `now`.
+    pub fn not_after(&self, now: Monotonic, timeout: Duration) -> Option<WorkerMillis> {
+        self.stamp(now)?;
+        let estimate = self.clock(now)?;
+        Some(WorkerMillis(estimate.0.saturating_add(millis(timeout))))
+    }
+}
+
+impl Held {
+    fn estimate(&self, now: Monotonic) -> WorkerMillis {
+        let elapsed = now - self.clock_at;
+        let certain = elapsed.saturating_sub(elapsed / DRIFT_DIVISOR);
+        WorkerMillis(self.clock.0.saturating_add(millis(certain)))
+    }
+}
+
+fn validity() -> Duration {
+    limits::CONTROL_LEASE_TTL.saturating_sub(limits::CONTROL_LEASE_MARGIN)
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/daisymast_membership/src/view.rs
+++ b/crates/daisymast_membership/src/view.rs
@@ -48,10 +48,12 @@
         &mut self.own
     }
 
-    /// Records a heartbeat of another instance.
+    /// Records a heartbeat of another instance that was alive at `now`. One that is older than the
+    /// last one changes nothing.
     pub fn record(&mut self, now: Monotonic, heartbeat: Heartbeat) {
-        if heartbeat.instance != self.own.instance {
-            let id = heartbeat.instance.clone();
+        let id = heartbeat.instance.clone();
+        let is_newer = self.heard(&id).is_none_or(|heard| heard <= now);
+        if id != self.own.instance && is_newer {
             self.members.insert(
                 id,
                 Member {
@@ -62,6 +64,16 @@
         }
     }
 
+    /// Time at which an instance was heard last.
+    pub fn heard(&self, instance: &InstanceId) -> Option<Monotonic> {
+        self.members.get(instance).map(|member| member.heard)
+    }
+
+    /// Drops what is known of an instance that is gone.
+    pub fn forget(&mut self, instance: &InstanceId) {
+        self.members.remove(instance);
+    }
+
     /// Other instances that were heard lately.
     pub fn peers(&self, now: Monotonic) -> impl Iterator<Item = &Heartbeat> {
         self.members
