--- a/crates/daisymast_engine/src/control.rs
+++ b/crates/daisymast_engine/src/control.rs
@@ -1,64 +1,337 @@
 //! Holds control leases of workers and acts for other components and instances on those workers.
 
+mod handover;
+mod leases;
+mod mirror;
+mod polls;
+mod preferences;
+mod quarantine;
+mod serving;
+mod sweep;
+mod tasks;
+mod worker;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::peer::{PeerReply, PeerRequest};
-use daisymast_protocol::worker::WorkerReply;
-use daisymast_types::ids::{InstanceId, JobName, Token, WorkerId};
-use daisymast_types::time::Timestamp;
+use daisymast_protocol::task::TaskState;
+use daisymast_protocol::worker::{LeaseStamp, Refusal, WorkerReply, WorkerRequest};
+use daisymast_types::collections::FastMap;
+use daisymast_types::ids::{InstanceId, JobName, RequestId, TaskKey, Token, WorkerId};
+use daisymast_types::quantities::Resources;
+use daisymast_types::time::{Monotonic, Timestamp};
 
+use crate::effects;
 use crate::shared::Context;
+use mirror::Change;
+use polls::Polls;
+use preferences::Preferences;
+use sweep::Declared;
+use worker::Worker;
+
+/// Time for the reply to a call that a worker answers at once.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What to do with a reply.
 #[derive(Debug)]
-pub(crate) enum Step {}
+pub(crate) enum Step {
+    /// The control lease was asked for.
+    Acquire { worker: WorkerId, sent: Monotonic },
+    /// The control lease was renewed.
+    Renew { worker: WorkerId, sent: Monotonic },
+    /// The control lease was given back.
+    Release { worker: WorkerId },
+    /// The holder was asked to give the lease back.
+    HandOver { worker: WorkerId },
+    /// A request was sent to a replica.
+    Serve {
+        worker: WorkerId,
+        token: Token,
+        id: RequestId,
+        service: JobName,
+        sent: Monotonic,
+    },
+    /// A task was started.
+    Start {
+        worker: WorkerId,
+        token: Token,
+        task: TaskKey,
+    },
+    /// A task was stopped, for a peer or because it is declared no longer.
+    Stop {
+        worker: WorkerId,
+        token: Option<Token>,
+    },
+    /// The worker was asked what became of a request.
+    Resolve {
+        worker: WorkerId,
+        token: Token,
+        id: RequestId,
+    },
+    /// The worker was asked what became of a task.
+    ResolveTask {
+        worker: WorkerId,
+        token: Token,
+        task: TaskKey,
+    },
+    /// The worker was told to drop ended tasks.
+    Forget {
+        worker: WorkerId,
+        tasks: Vec<TaskKey>,
+    },
+}
 
 #[derive(Debug, Default)]
-pub(crate) struct Control {}
+pub(crate) struct Control {
+    workers: FastMap<WorkerId, Worker>,
+    preferences: Preferences,
+    polls: Polls,
+    declared: Declared,
+}
 
 impl Control {
-    pub(crate) fn on_tick(&mut self, _cx: &mut Context<'_>) {}
+    pub(crate) fn on_tick(&mut self, cx: &mut Context<'_>) {
+        self.refresh(cx);
+        self.polls.expire(cx.now.mono);
+        for worker in self.names() {
+            self.manage(cx, &worker);
+        }
+    }
+
+    /// Stops undeclared tasks. Called when all starts of the tick are sent.
+    pub(crate) fn on_tick_end(&mut self, cx: &mut Context<'_>) {
+        self.sweep(cx);
+    }
 
     /// Answers `Endpoints`, `Serve`, `Resolve`, `Start`, `Capacity`, `PollRuns`, `Stop`,
     /// `ResolveTask`, `Reserve`, `Unreserve` and `HandOver`.
     pub(crate) fn on_peer(
         &mut self,
-        _cx: &mut Context<'_>,
-        _token: Token,
-        _from: &InstanceId,
-        _request: PeerRequest,
+        cx: &mut Context<'_>,
+        token: Token,
+        from: &InstanceId,
+        request: PeerRequest,
     ) {
+        let answer = match request {
+            PeerRequest::Endpoints { service } => Some(self.endpoints(cx, &service)),
+            PeerRequest::Serve { worker, request } => self.serve(cx, token, worker, request),
+            PeerRequest::Resolve { worker, id } => self.resolve(cx, token, worker, id),
+            PeerRequest::Start { worker, task } => self.start(cx, token, worker, task),
+            PeerRequest::Capacity => Some(self.capacity(cx)),
+            PeerRequest::PollRuns {
+                partition,
+                epoch,
+                runs,
+                recorded,
+            } => Some(self.poll_runs(cx, (partition, epoch), &runs, &recorded)),
+            PeerRequest::Stop { worker, task } => self.stop(cx, token, worker, task),
+            PeerRequest::ResolveTask { worker, task } => self.resolve_task(cx, token, worker, task),
+            PeerRequest::Reserve { worker, run, size } => {
+                Some(self.reserve(cx, &worker, run, size))
+            }
+            PeerRequest::Unreserve { worker, run } => Some(self.unreserve(cx, &worker, run)),
+            PeerRequest::HandOver { worker } => Some(self.hand_over(cx, from, &worker)),
+            _ => None,
+        };
+        if let Some(answer) = answer {
+            cx.fx.answer_peer(token, answer);
+        }
     }
 
     pub(crate) fn on_worker(
         &mut self,
-        _cx: &mut Context<'_>,
+        cx: &mut Context<'_>,
         step: Step,
-        _outcome: Outcome<WorkerReply>,
+        outcome: Outcome<WorkerReply>,
     ) {
-        match step {}
+        let worker = step.worker().clone();
+        if step.is_call() {
+            if let Some(state) = self.workers.get_mut(&worker) {
+                state.calls = state.calls.saturating_sub(1);
+            }
+            self.note_refusal(cx, &worker, &outcome);
+        }
+        match step {
+            Step::Acquire { sent, .. } => self.acquired(cx, &worker, sent, outcome),
+            Step::Renew { sent, .. } => self.renewed(cx, &worker, sent, outcome),
+            Step::Release { .. } => self.released(cx, &worker, outcome),
+            Step::Serve {
+                token,
+                id,
+                service,
+                sent,
+                ..
+            } => self.served(cx, &worker, (token, sent), (&id, &service), outcome),
+            Step::Start { token, task, .. } => self.started(cx, &worker, token, task, outcome),
+            Step::Stop { token, .. } => self.stopped(cx, token, outcome),
+            Step::Resolve { token, id, .. } => self.resolved(cx, token, &id, outcome),
+            Step::ResolveTask { token, task, .. } => {
+                self.task_resolved(cx, &worker, token, task, outcome);
+            }
+            Step::Forget { tasks, .. } => self.forgotten(&worker, &tasks, &outcome),
+            Step::HandOver { .. } => {}
+        }
+        self.manage(cx, &worker);
     }
 
     pub(crate) fn on_peer_reply(
         &mut self,
-        _cx: &mut Context<'_>,
+        cx: &mut Context<'_>,
         step: Step,
-        _outcome: Outcome<PeerReply>,
+        outcome: Outcome<PeerReply>,
     ) {
-        match step {}
+        if let Step::HandOver { worker } = step {
+            self.hand_over_answered(cx, &worker, &outcome);
+        }
     }
 
     /// Workers whose control lease this instance may use now.
-    pub(crate) fn held(&self, _now: Timestamp) -> Vec<WorkerId> {
-        Vec::new()
+    pub(crate) fn held(&self, now: Timestamp) -> Vec<WorkerId> {
+        let mut held: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.acting(now.mono).is_some())
+            .map(|(id, _)| id.clone())
+            .collect();
+        held.sort_unstable();
+        held
     }
 
     /// Running tasks by job on the held workers, sorted by job.
     pub(crate) fn running(&self) -> Vec<(JobName, u32)> {
-        Vec::new()
+        let mut counts: BTreeMap<&JobName, u32> = BTreeMap::new();
+        for worker in self.workers.values() {
+            if worker.lease.held_stamp().is_some() {
+                for (job, count) in worker.mirror.running() {
+                    *counts.entry(job).or_default() += count;
+                }
+            }
+        }
+        counts
+            .into_iter()
+            .map(|(job, count)| (job.clone(), count))
+            .collect()
     }
 
     /// Whether no control lease is held any longer, nor a call to a worker open.
     pub(crate) fn is_released(&self) -> bool {
-        true
+        self.workers.values().all(Worker::is_quiet)
+    }
+
+    /// Workers in a stable order, so that a run on a virtual clock can be repeated.
+    fn names(&self) -> Vec<WorkerId> {
+        let mut names: Vec<WorkerId> = self.workers.keys().cloned().collect();
+        names.sort_unstable();
+        names
+    }
+
+    /// The worker and its lease, if this instance may act on it now.
+    fn acting(&mut self, now: Monotonic, worker: &WorkerId) -> Option<(&mut Worker, LeaseStamp)> {
+        let state = self.workers.get_mut(worker)?;
+        let stamp = state.acting(now)?;
+        Some((state, stamp))
+    }
+
+    /// Answer to a request for a worker that is not held.
+    fn not_holder(&self, cx: &Context<'_>, worker: &WorkerId) -> PeerReply {
+        PeerReply::NotHolder {
+            holder: self.rival(cx, worker),
+        }
+    }
+
+    /// Another instance that holds the worker as far as is known.
+    fn rival(&self, cx: &Context<'_>, worker: &WorkerId) -> Option<InstanceId> {
+        cx.shared
+            .view
+            .holder(cx.now.mono, worker)
+            .filter(|holder| *holder != cx.config.instance)
+            .or_else(|| self.workers.get(worker)?.rival.clone())
+    }
+
+    /// Sends a call that is counted until its reply, so that the lease is not released meanwhile.
+    fn call(
+        &mut self,
+        cx: &mut Context<'_>,
+        step: Step,
+        request: WorkerRequest,
+        timeout: Duration,
+    ) {
+        let worker = step.worker().clone();
+        if let Some(state) = self.workers.get_mut(&worker) {
+            state.calls += 1;
+        }
+        let step = effects::Step::Control(step);
+        cx.fx
+            .call_worker(cx.shared, step, &worker, request, timeout);
+    }
+
+    /// Drops a lease that the worker says is not the current one.
+    fn note_refusal(
+        &mut self,
+        cx: &mut Context<'_>,
+        worker: &WorkerId,
+        outcome: &Outcome<WorkerReply>,
+    ) {
+        let stale = WorkerReply::Refused {
+            reason: Refusal::StaleLease,
+        };
+        if matches!(outcome, Outcome::Done(reply) if *reply == stale) {
+            self.lose(cx, worker, "refused by the worker");
+        }
+    }
+
+    /// Takes in what is new of the tasks of a worker.
+    fn note_changes(&mut self, cx: &mut Context<'_>, worker: &WorkerId, changes: &[Change]) {
+        let Some(state) = self.workers.get_mut(worker) else {
+            return;
+        };
+        for change in changes {
+            let detail = format!("{} on {worker}", change.job);
+            let Some(ended) = change.ended else {
+                cx.fx
+                    .record("task.started", &change.task.to_string(), detail);
+                state.sweep_at = cx.now.mono;
+                continue;
+            };
+            let detail = format!("{detail}: {ended:?}").to_lowercase();
+            let step = match ended {
+                TaskState::Stopped => "task.stopped",
+                _ => "task.ended",
+            };
+            cx.fx.record(step, &change.task.to_string(), detail);
+            if let Some(event) = state.quarantine.ended(cx.now.mono, ended) {
+                cx.fx.record(event, worker.as_str(), String::new());
+            }
+        }
+    }
+}
+
+impl Step {
+    fn worker(&self) -> &WorkerId {
+        match self {
+            Self::Acquire { worker, .. }
+            | Self::Renew { worker, .. }
+            | Self::Release { worker }
+            | Self::HandOver { worker }
+            | Self::Serve { worker, .. }
+            | Self::Start { worker, .. }
+            | Self::Stop { worker, .. }
+            | Self::Resolve { worker, .. }
+            | Self::ResolveTask { worker, .. }
+            | Self::Forget { worker, .. } => worker,
+        }
+    }
+
+    /// Whether the step was sent by [`Control::call`].
+    fn is_call(&self) -> bool {
+        !matches!(
+            self,
+            Self::Acquire { .. }
+                | Self::Renew { .. }
+                | Self::Release { .. }
+                | Self::HandOver { .. }
+        )
     }
 }
--- /dev/null
+++ b/crates/daisymast_engine/src/control/handover.rs
@@ -0,0 +1,95 @@
+//! Moves control leases between live instances.
+
+use std::time::Duration;
+
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::peer::{PeerReply, PeerRequest};
+use daisymast_protocol::worker::Refusal;
+use daisymast_types::ids::{InstanceId, WorkerId};
+
+use super::worker::ReleaseWish;
+use super::{Control, Step};
+use crate::effects;
+use crate::shared::Context;
+
+/// Time for which an instance must be preferred until it asks for a hand-over, time between two
+/// requests, and time for which the holder looks for a moment without open calls. It keeps a view
+/// that changes back and forth from moving leases.
+const HAND_OVER: Duration = Duration::from_secs(2);
+/// Time for the reply to a request for a hand-over.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Control {
+    /// Takes the wish of the preferred holder to get a lease.
+    pub(super) fn hand_over(
+        &mut self,
+        cx: &mut Context<'_>,
+        from: &InstanceId,
+        worker: &WorkerId,
+    ) -> PeerReply {
+        let now = cx.now.mono;
+        let is_preferred =
+            self.preferences.holders.get(worker) == Some(from) && cx.shared.view.is_live(now, from);
+        let Some((state, _)) = self.acting(now, worker) else {
+            return self.not_holder(cx, worker);
+        };
+        if !is_preferred {
+            return PeerReply::Refused(Refusal::Invalid);
+        }
+        if state.release.is_none() {
+            state.release = Some(ReleaseWish {
+                since: now,
+                until: Some(now + HAND_OVER),
+            });
+        }
+        self.manage(cx, worker);
+        PeerReply::Ok
+    }
+
+    /// Asks a live holder for a lease of which this instance is the preferred holder.
+    pub(super) fn ask_holder(&mut self, cx: &mut Context<'_>, worker: &WorkerId) {
+        let now = cx.now.mono;
+        let Some(state) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let is_settled = state
+            .preferred_since
+            .is_some_and(|since| now - since >= HAND_OVER);
+        if !is_settled || now < state.next_ask {
+            return;
+        }
+        state.next_ask = now + HAND_OVER;
+        let holder = self.rival(cx, worker);
+        let Some(holder) = holder.filter(|holder| cx.shared.view.is_live(now, holder)) else {
+            return;
+        };
+        let step = effects::Step::Control(Step::HandOver {
+            worker: worker.clone(),
+        });
+        let request = PeerRequest::HandOver {
+            worker: worker.clone(),
+        };
+        cx.fx
+            .call_peer(cx.shared, step, &holder, request, HAND_OVER_TIMEOUT);
+    }
+
+    pub(super) fn hand_over_answered(
+        &mut self,
+        cx: &mut Context<'_>,
+        worker: &WorkerId,
+        outcome: &Outcome<PeerReply>,
+    ) {
+        let now = cx.now.mono;
+        let Some(state) = self.workers.get_mut(worker) else {
+            return;
+        };
+        match outcome {
+            Outcome::Done(PeerReply::Ok) => {
+                state.eager_until = now + HAND_OVER;
+                state.next_exchange = state.next_exchange.min(now);
+            }
+            Outcome::Done(PeerReply::NotHolder { holder }) => state.rival.clone_from(holder),
+            Outcome::Done(_) | Outcome::NoEffect(_) | Outcome::Unknown(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/control/mirror.rs
@@ -0,0 +1,270 @@
+//! Copy of a worker's tasks and free capacity at its holder.
+
+use std::time::Duration;
+
+use daisymast_protocol::task::{TaskReport, TaskSpec, TaskState};
+use daisymast_protocol::worker::{Grant, WorkerMillis};
+use daisymast_types::collections::FastMap;
+use daisymast_types::ids::{JobName, RunKey, TaskKey};
+use daisymast_types::quantities::Resources;
+use daisymast_types::time::Monotonic;
+
+/// Weight of an older service time against a new one.
+const SMOOTHING: u64 = 7;
+
+/// A start that was sent and of which the worker has not reported yet.
+#[derive(Clone, Debug)]
+pub(super) struct Pending {
+    pub(super) spec: TaskSpec,
+    /// Worker time from which the start can no longer take effect.
+    pub(super) not_after: WorkerMillis,
+    /// Whether its reply is still awaited.
+    pub(super) is_open: bool,
+}
+
+/// A task and the time at which it was first seen in its state.
+#[derive(Clone, Debug)]
+pub(super) struct Tracked {
+    pub(super) report: TaskReport,
+    pub(super) seen: Monotonic,
+}
+
+/// A task that started or ended since the last report.
+#[derive(Clone, Debug)]
+pub(super) struct Change {
+    pub(super) task: TaskKey,
+    pub(super) job: JobName,
+    /// How it ended; nothing if it started.
+    pub(super) ended: Option<TaskState>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reservation {
+    size: Resources,
+    until: Monotonic,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Mirror {
+    pub(super) capacity: Resources,
+    pub(super) slots: u32,
+    pub(super) seq: u64,
+    pub(super) leaving: bool,
+    /// Requests that were sent and are not answered.
+    pub(super) serving: u32,
+    tasks: FastMap<TaskKey, Tracked>,
+    pending: FastMap<TaskKey, Pending>,
+    reservations: FastMap<RunKey, Reservation>,
+    used: Resources,
+    running: FastMap<JobName, u32>,
+    service_us: FastMap<JobName, u64>,
+}
+
+impl Mirror {
+    /// Takes the worker's state from a grant. Starts that were sent under another lease can no
+    /// longer take effect; under the same lease they are still awaited.
+    pub(super) fn reset(&mut self, now: Monotonic, grant: &Grant, is_same: bool) -> Vec<Change> {
+        let known = std::mem::take(&mut self.tasks);
+        if !is_same {
+            self.pending.clear();
+            self.reservations.clear();
+        }
+        self.running.clear();
+        self.used = Resources::ZERO;
+        self.capacity = grant.capacity;
+        self.slots = grant.slots;
+        self.seq = grant.seq;
+        self.leaving = grant.leaving;
+        let mut changes = Vec::new();
+        for report in &grant.tasks {
+            let was_ended = known
+                .get(&report.spec.key)
+                .is_some_and(|task| task.report.state.is_ended());
+            let change = self.apply(now, report.clone());
+            // The tasks that a new holder finds running did not start now.
+            changes.extend(change.filter(|change| change.ended.is_some() && !was_ended));
+        }
+        changes
+    }
+
+    /// Takes in the changes of a renewal, in their order.
+    pub(super) fn renew(
+        &mut self,
+        now: Monotonic,
+        seq: u64,
+        leaving: bool,
+        changes: Vec<TaskReport>,
+    ) -> Vec<Change> {
+        self.seq = seq;
+        self.leaving = leaving;
+        let changes = changes.into_iter();
+        changes
+            .filter_map(|report| self.apply(now, report))
+            .collect()
+    }
+
+    /// Takes in one report of the worker.
+    pub(super) fn apply(&mut self, now: Monotonic, report: TaskReport) -> Option<Change> {
+        let task = report.spec.key;
+        let old = self.tasks.get(&task).map(|known| known.report.state);
+        if old == Some(report.state) || old.is_some_and(TaskState::is_ended) {
+            return None;
+        }
+        self.pending.remove(&task);
+        if old.is_some() {
+            self.discount(&task);
+        }
+        let job = report.spec.job.clone();
+        let ended = report.state.is_ended().then_some(report.state);
+        if ended.is_none() {
+            self.used += report.spec.size;
+            *self.running.entry(job.clone()).or_default() += 1;
+        }
+        self.tasks.insert(task, Tracked { report, seen: now });
+        Some(Change { task, job, ended })
+    }
+
+    /// Drops ended tasks whose results are recorded.
+    pub(super) fn forget(&mut self, tasks: &[TaskKey]) {
+        for task in tasks {
+            if self.is_ended(task) {
+                self.tasks.remove(task);
+            }
+        }
+    }
+
+    /// Settles starts of unknown outcome: a start whose deadline has passed at the worker, and that
+    /// the worker did not report, took no effect.
+    pub(super) fn settle(&mut self, clock: WorkerMillis) {
+        self.pending
+            .retain(|_, start| start.is_open || clock <= start.not_after);
+    }
+
+    /// Capacity that is free for `run`: reservations of other runs count as used.
+    pub(super) fn free(&self, now: Monotonic, run: Option<RunKey>) -> Resources {
+        let mut used = self.used;
+        for start in self.pending.values() {
+            used += start.spec.size;
+        }
+        for (owner, reservation) in &self.reservations {
+            if Some(*owner) != run && now < reservation.until {
+                used += reservation.size;
+            }
+        }
+        self.capacity.saturating_sub(used)
+    }
+
+    /// Debits a start that is sent now and uses up the reservation of its run.
+    pub(super) fn debit(&mut self, task: TaskKey, start: Pending) {
+        if let Some(reservation) = self.reservations.get_mut(&task.run) {
+            reservation.size = reservation.size.saturating_sub(start.spec.size);
+        }
+        self.pending.insert(task, start);
+    }
+
+    /// Takes a start back that surely took no effect.
+    pub(super) fn credit(&mut self, task: &TaskKey) {
+        self.pending.remove(task);
+    }
+
+    /// Marks a start whose outcome is unknown. Its debit stays until the worker settles it.
+    pub(super) fn keep_debit(&mut self, task: &TaskKey) {
+        if let Some(start) = self.pending.get_mut(task) {
+            start.is_open = false;
+        }
+    }
+
+    pub(super) fn pending(&self, task: &TaskKey) -> Option<&Pending> {
+        self.pending.get(task)
+    }
+
+    /// Reserves capacity, replacing an earlier reservation of the same run.
+    pub(super) fn reserve(&mut self, run: RunKey, size: Resources, until: Monotonic) {
+        self.reservations.insert(run, Reservation { size, until });
+    }
+
+    pub(super) fn unreserve(&mut self, run: RunKey) {
+        self.reservations.remove(&run);
+    }
+
+    /// Drops expired reservations.
+    pub(super) fn expire(&mut self, now: Monotonic) {
+        self.reservations
+            .retain(|_, reservation| now < reservation.until);
+    }
+
+    /// Number of reservations and of starts that wait for a report.
+    pub(super) fn debits(&self) -> usize {
+        self.reservations.len() + self.pending.len()
+    }
+
+    pub(super) fn knows(&self, task: &TaskKey) -> bool {
+        self.tasks.contains_key(task) || self.pending.contains_key(task)
+    }
+
+    pub(super) fn is_ended(&self, task: &TaskKey) -> bool {
+        self.tasks
+            .get(task)
+            .is_some_and(|known| known.report.state.is_ended())
+    }
+
+    pub(super) fn task(&self, task: &TaskKey) -> Option<&Tracked> {
+        self.tasks.get(task)
+    }
+
+    pub(super) fn tasks(&self) -> impl Iterator<Item = &Tracked> {
+        self.tasks.values()
+    }
+
+    /// Runs with a task that runs here or may have been started here.
+    pub(super) fn runs(&self) -> impl Iterator<Item = RunKey> {
+        let running = self
+            .tasks
+            .iter()
+            .filter(|(_, known)| known.report.spec.exclusive && !known.report.state.is_ended())
+            .map(|(task, _)| task.run);
+        running.chain(self.pending.keys().map(|task| task.run))
+    }
+
+    /// Running tasks by job.
+    pub(super) fn running(&self) -> impl Iterator<Item = (&JobName, u32)> {
+        self.running.iter().map(|(job, count)| (job, *count))
+    }
+
+    pub(super) fn has_replica(&self, service: &JobName) -> bool {
+        self.running.contains_key(service)
+    }
+
+    pub(super) fn free_slots(&self) -> u32 {
+        self.slots.saturating_sub(self.serving)
+    }
+
+    /// Takes in the time of one served request.
+    pub(super) fn note_service(&mut self, service: &JobName, span: Duration) {
+        let sample = u64::try_from(span.as_micros()).unwrap_or(u64::MAX >> 4);
+        if self.has_replica(service) {
+            let smoothed = self.service_us.entry(service.clone()).or_insert(sample);
+            *smoothed = (smoothed.saturating_mul(SMOOTHING) + sample) / (SMOOTHING + 1);
+        }
+    }
+
+    /// Smoothed service time in microseconds, zero if none is known.
+    pub(super) fn service_us(&self, service: &JobName) -> u64 {
+        self.service_us.get(service).copied().unwrap_or(0)
+    }
+
+    fn discount(&mut self, task: &TaskKey) {
+        let Some(known) = self.tasks.get(task) else {
+            return;
+        };
+        let spec = &known.report.spec;
+        self.used = self.used.saturating_sub(spec.size);
+        if let Some(count) = self.running.get_mut(&spec.job) {
+            *count -= 1;
+            if *count == 0 {
+                self.running.remove(&spec.job);
+                self.service_us.remove(&spec.job);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/control/polls.rs
@@ -0,0 +1,144 @@
+//! Runs whose owners ask for them, and the states of their tasks.
+
+use std::time::Duration;
+
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::peer::PeerReply;
+use daisymast_protocol::task::TaskReport;
+use daisymast_protocol::worker::{WorkerReply, WorkerRequest};
+use daisymast_types::collections::{FastMap, FastSet};
+use daisymast_types::ids::{Epoch, Partition, RunKey, TaskKey, WorkerId};
+use daisymast_types::time::Monotonic;
+
+use super::mirror::Mirror;
+use super::{CALL_TIMEOUT, Control, Step};
+use crate::shared::Context;
+
+/// Time for which a run is kept after the last poll of its owner. Owners count on it when they
+/// compute from which time a task has certainly expired.
+const KEEP: Duration = Duration::from_secs(3);
+/// Runs that are kept at most.
+const MAX_RUNS: usize = 65_536;
+/// Ended tasks that one `Forget` names.
+const FORGET_BATCH: usize = 256;
+
+/// Polls of run owners.
+#[derive(Debug, Default)]
+pub(super) struct Polls {
+    /// Highest epoch seen of each partition.
+    epochs: FastMap<Partition, Epoch>,
+    /// Time until which a run is kept.
+    kept: FastMap<RunKey, Monotonic>,
+    next_expiry: Monotonic,
+}
+
+impl Polls {
+    /// Runs of the worker that the next renewal extends.
+    pub(super) fn keep_runs(&self, now: Monotonic, mirror: &Mirror) -> Vec<RunKey> {
+        let mut runs: Vec<RunKey> = mirror
+            .runs()
+            .filter(|run| self.kept.get(run).is_some_and(|until| now < *until))
+            .collect();
+        runs.sort_unstable();
+        runs.dedup();
+        runs
+    }
+
+    /// Drops runs that are kept no longer.
+    pub(super) fn expire(&mut self, now: Monotonic) {
+        if now >= self.next_expiry {
+            self.next_expiry = now + KEEP;
+            self.kept.retain(|_, until| now < *until);
+        }
+    }
+}
+
+impl Control {
+    /// Extends runs and returns their tasks on held workers.
+    pub(super) fn poll_runs(
+        &mut self,
+        cx: &mut Context<'_>,
+        (partition, epoch): (Partition, Epoch),
+        runs: &[RunKey],
+        recorded: &[TaskKey],
+    ) -> PeerReply {
+        let now = cx.now.mono;
+        let seen = self.polls.epochs.entry(partition).or_default();
+        if epoch < *seen {
+            return PeerReply::StaleEpoch;
+        }
+        *seen = epoch;
+        for run in runs {
+            if self.polls.kept.len() < MAX_RUNS || self.polls.kept.contains_key(run) {
+                self.polls.kept.insert(*run, now + KEEP);
+            }
+        }
+        self.forget_recorded(cx, recorded);
+        let wanted: FastSet<RunKey> = runs.iter().copied().collect();
+        let mut found: Vec<(WorkerId, TaskReport)> = Vec::new();
+        for (id, worker) in &self.workers {
+            if worker.acting(now).is_some() {
+                let tasks = worker.mirror.tasks();
+                let tasks = tasks.filter(|task| wanted.contains(&task.report.spec.key.run));
+                found.extend(tasks.map(|task| (id.clone(), task.report.clone())));
+            }
+        }
+        found.sort_by(|a, b| (a.1.spec.key, &a.0).cmp(&(b.1.spec.key, &b.0)));
+        PeerReply::Runs(found)
+    }
+
+    /// Lets workers drop ended tasks whose results are recorded.
+    fn forget_recorded(&mut self, cx: &mut Context<'_>, recorded: &[TaskKey]) {
+        if recorded.is_empty() {
+            return;
+        }
+        for worker in self.names() {
+            let ended: Vec<TaskKey> = self.workers.get(&worker).map_or_else(Vec::new, |state| {
+                let known = recorded.iter().copied();
+                known.filter(|task| state.mirror.is_ended(task)).collect()
+            });
+            self.forget(cx, &worker, ended);
+        }
+    }
+
+    /// Lets a worker drop ended tasks.
+    pub(super) fn forget(&mut self, cx: &mut Context<'_>, worker: &WorkerId, tasks: Vec<TaskKey>) {
+        let Some((state, stamp)) = self.acting(cx.now.mono, worker) else {
+            return;
+        };
+        let tasks: Vec<TaskKey> = tasks
+            .into_iter()
+            .filter(|task| state.forgetting.insert(*task))
+            .collect();
+        for batch in tasks.chunks(FORGET_BATCH) {
+            let tasks = batch.to_vec();
+            let step = Step::Forget {
+                worker: worker.clone(),
+                tasks: tasks.clone(),
+            };
+            self.call(
+                cx,
+                step,
+                WorkerRequest::Forget { stamp, tasks },
+                CALL_TIMEOUT,
+            );
+        }
+    }
+
+    pub(super) fn forgotten(
+        &mut self,
+        worker: &WorkerId,
+        tasks: &[TaskKey],
+        outcome: &Outcome<WorkerReply>,
+    ) {
+        let Some(state) = self.workers.get_mut(worker) else {
+            return;
+        };
+        for task in tasks {
+            state.forgetting.remove(task);
+        }
+        if *outcome == Outcome::Done(WorkerReply::Ok) {
+            state.mirror.forget(tasks);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/control/preferences.rs
@@ -0,0 +1,80 @@
+//! Preferred holders of the workers of the own zone.
+
+use std::time::Duration;
+
+use daisymast_membership::assignment;
+use daisymast_membership::rendezvous::Candidate;
+use daisymast_types::collections::FastMap;
+use daisymast_types::ids::{InstanceId, WorkerId};
+use daisymast_types::time::Monotonic;
+
+use super::Control;
+use crate::shared::Context;
+
+/// Time between two computations of the preferred holders.
+const REFRESH: Duration = Duration::from_millis(200);
+/// Time after the start in which other instances of the zone can make themselves known, so that a
+/// new instance does not take leases that it would have to hand over again.
+const STARTUP_WAIT: Duration = Duration::from_millis(1_200);
+
+/// The last computation and what it was based on.
+#[derive(Debug, Default)]
+pub(super) struct Preferences {
+    pub(super) holders: FastMap<WorkerId, InstanceId>,
+    candidates: Vec<Candidate>,
+    workers: Vec<WorkerId>,
+    next: Monotonic,
+    started: Option<Monotonic>,
+}
+
+impl Preferences {
+    /// Whether the instance started so lately that other instances may not be heard yet.
+    pub(super) fn is_early(&self, cx: &Context<'_>) -> bool {
+        let is_young = self
+            .started
+            .is_none_or(|started| cx.now.mono - started < STARTUP_WAIT);
+        is_young
+            && cx.shared.instances.iter().any(|(instance, (zone, _))| {
+                *zone == cx.config.zone && *instance != cx.config.instance
+            })
+    }
+}
+
+impl Control {
+    /// Computes the preferred holders again if the view has changed.
+    pub(super) fn refresh(&mut self, cx: &mut Context<'_>) {
+        let now = cx.now.mono;
+        self.preferences.started.get_or_insert(now);
+        if now < self.preferences.next {
+            return;
+        }
+        self.preferences.next = now + REFRESH;
+        let zone = &cx.config.zone;
+        let candidates = cx.shared.view.candidates(now, Some(zone));
+        let mut workers: Vec<WorkerId> = cx
+            .shared
+            .workers
+            .iter()
+            .filter(|(_, known)| known.zone == *zone)
+            .map(|(worker, _)| worker.clone())
+            .collect();
+        workers.sort_unstable();
+        if candidates != self.preferences.candidates || workers != self.preferences.workers {
+            self.preferences.holders = assignment::assign(&workers, &candidates);
+            self.preferences.candidates = candidates;
+            self.workers
+                .retain(|id, worker| !worker.is_quiet() || workers.binary_search(id).is_ok());
+            for worker in &workers {
+                self.workers.entry(worker.clone()).or_default();
+            }
+            self.preferences.workers = workers;
+        }
+        for (id, worker) in &mut self.workers {
+            if self.preferences.holders.get(id) != Some(&cx.config.instance) {
+                worker.preferred_since = None;
+            } else if worker.preferred_since.is_none() {
+                worker.preferred_since = Some(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/control/quarantine.rs
@@ -0,0 +1,74 @@
+//! Keeps work away from a worker that fails most of what it starts.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use daisymast_protocol::task::TaskState;
+use daisymast_types::time::Monotonic;
+
+/// Ends of tasks that are taken into account.
+const WINDOW: usize = 10;
+/// Ends from which a judgement is possible.
+const MIN_ENDS: usize = 5;
+/// Time between two probe starts.
+const PROBE_INTERVAL: Duration = Duration::from_secs(10);
+/// Successes without a failure between them that end the quarantine.
+const RESET_SUCCESSES: u32 = 3;
+
+#[derive(Debug, Default)]
+pub(super) struct Quarantine {
+    /// Whether each of the recent ends was a failure.
+    recent: VecDeque<bool>,
+    is_active: bool,
+    successes: u32,
+    next_probe: Monotonic,
+}
+
+impl Quarantine {
+    /// Records the end of a task. Returns the name of the change of state, if there is one.
+    pub(super) fn ended(&mut self, now: Monotonic, state: TaskState) -> Option<&'static str> {
+        let failed = match state {
+            TaskState::Failed => true,
+            TaskState::Succeeded => false,
+            TaskState::Running | TaskState::Stopped | TaskState::Expired => return None,
+        };
+        if self.recent.len() == WINDOW {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(failed);
+        self.successes = if failed { 0 } else { self.successes + 1 };
+        if self.is_active {
+            return self.leave();
+        }
+        let failures = self.recent.iter().filter(|&&failed| failed).count();
+        if self.recent.len() < MIN_ENDS || failures * 2 <= self.recent.len() {
+            return None;
+        }
+        self.is_active = true;
+        self.next_probe = now + PROBE_INTERVAL;
+        Some("worker.quarantined")
+    }
+
+    /// Whether a start may be sent now.
+    pub(super) fn allows_start(&self, now: Monotonic) -> bool {
+        !self.is_active || now >= self.next_probe
+    }
+
+    pub(super) fn is_active(&self) -> bool {
+        self.is_active
+    }
+
+    /// Records that a start was sent.
+    pub(super) fn started(&mut self, now: Monotonic) {
+        self.next_probe = now + PROBE_INTERVAL;
+    }
+
+    fn leave(&mut self) -> Option<&'static str> {
+        if self.successes < RESET_SUCCESSES {
+            return None;
+        }
+        self.is_active = false;
+        self.recent.clear();
+        Some("worker.reinstated")
+    }
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/control/serving.rs
@@ -0,0 +1,178 @@
+//! Hands requests to replicas on held workers.
+
+use std::time::Duration;
+
+use daisymast_protocol::caller::CallerRequest;
+use daisymast_protocol::limits;
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::peer::{Endpoint, PeerReply};
+use daisymast_protocol::worker::{Answer, Fate, Refusal, ServeRequest, WorkerReply, WorkerRequest};
+use daisymast_types::hashing;
+use daisymast_types::ids::{JobName, RequestId, Token, WorkerId};
+use daisymast_types::time::Monotonic;
+
+use super::worker::Worker;
+use super::{CALL_TIMEOUT, Control, Step};
+use crate::shared::Context;
+
+impl Control {
+    /// Replicas of a service on held workers that take requests now.
+    pub(super) fn endpoints(&self, cx: &Context<'_>, service: &JobName) -> PeerReply {
+        let now = cx.now.mono;
+        let mut found: Vec<Endpoint> = self
+            .workers
+            .iter()
+            .filter(|(id, worker)| {
+                worker.mirror.has_replica(service)
+                    && worker.acting(now).is_some()
+                    && worker.mirror.free_slots() > 0
+                    && !worker.quarantine.is_active()
+                    && !is_leaving(cx, worker, id)
+            })
+            .map(|(id, worker)| Endpoint {
+                worker: id.clone(),
+                free_slots: worker.mirror.free_slots(),
+                service_us: worker.mirror.service_us(service),
+            })
+            .collect();
+        found.sort_by(|a, b| a.worker.cmp(&b.worker));
+        PeerReply::Endpoints(found)
+    }
+
+    /// Sends a request to a replica, or answers at once why not.
+    pub(super) fn serve(
+        &mut self,
+        cx: &mut Context<'_>,
+        token: Token,
+        worker: WorkerId,
+        request: CallerRequest,
+    ) -> Option<PeerReply> {
+        let now = cx.now.mono;
+        let timeout = Duration::from_millis(request.timeout_ms).min(limits::REQUEST_TIMEOUT_MAX);
+        let Some((state, stamp)) = self.acting(now, &worker) else {
+            return Some(self.not_holder(cx, &worker));
+        };
+        if let Some(refusal) = serve_refusal(cx, state, &worker, &request.service, timeout) {
+            return Some(PeerReply::Refused(refusal));
+        }
+        let not_after = state.lease.not_after(now, timeout).unwrap_or_default();
+        state.mirror.serving += 1;
+        let step = Step::Serve {
+            worker,
+            token,
+            id: request.id.clone(),
+            service: request.service.clone(),
+            sent: now,
+        };
+        let request = WorkerRequest::Serve {
+            stamp,
+            not_after,
+            request: ServeRequest {
+                id: request.id,
+                service: request.service,
+                idempotent: request.idempotent,
+                body: request.body,
+            },
+        };
+        self.call(cx, step, request, timeout);
+        None
+    }
+
+    pub(super) fn served(
+        &mut self,
+        cx: &mut Context<'_>,
+        worker: &WorkerId,
+        (token, sent): (Token, Monotonic),
+        (id, service): (&RequestId, &JobName),
+        outcome: Outcome<WorkerReply>,
+    ) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.mirror.serving = state.mirror.serving.saturating_sub(1);
+        }
+        let reply = match outcome {
+            Outcome::Done(WorkerReply::Served { answer }) if is_intact(&answer, id) => {
+                if let Some(state) = self.workers.get_mut(worker) {
+                    state.mirror.note_service(service, cx.now.mono - sent);
+                }
+                PeerReply::Served(answer)
+            }
+            Outcome::Done(WorkerReply::Refused {
+                reason: Refusal::StaleLease,
+            }) => self.not_holder(cx, worker),
+            Outcome::Done(WorkerReply::Refused { reason }) => PeerReply::Refused(reason),
+            Outcome::Done(_) | Outcome::Unknown(_) => PeerReply::Uncertain,
+            Outcome::NoEffect(_) => PeerReply::Refused(Refusal::NoSlot),
+        };
+        cx.fx.answer_peer(token, reply);
+    }
+
+    /// Asks the worker what became of a request.
+    pub(super) fn resolve(
+        &mut self,
+        cx: &mut Context<'_>,
+        token: Token,
+        worker: WorkerId,
+        id: RequestId,
+    ) -> Option<PeerReply> {
+        if self.acting(cx.now.mono, &worker).is_none() {
+            return Some(self.not_holder(cx, &worker));
+        }
+        let request = WorkerRequest::Resolve { id: id.clone() };
+        let step = Step::Resolve { worker, token, id };
+        self.call(cx, step, request, CALL_TIMEOUT);
+        None
+    }
+
+    #[expect(clippy::unused_self, reason = "same shape as the other replies")]
+    pub(super) fn resolved(
+        &self,
+        cx: &mut Context<'_>,
+        token: Token,
+        id: &RequestId,
+        outcome: Outcome<WorkerReply>,
+    ) {
+        let reply = match outcome {
+            Outcome::Done(WorkerReply::Resolved { fate }) => match fate {
+                Fate::Answered { answer } if !is_intact(&answer, id) => PeerReply::Uncertain,
+                fate => PeerReply::Fate(fate),
+            },
+            Outcome::Done(_) | Outcome::NoEffect(_) | Outcome::Unknown(_) => PeerReply::Uncertain,
+        };
+        cx.fx.answer_peer(token, reply);
+    }
+}
+
+/// Why a request cannot be sent now.
+fn serve_refusal(
+    cx: &Context<'_>,
+    state: &Worker,
+    worker: &WorkerId,
+    service: &JobName,
+    timeout: Duration,
+) -> Option<Refusal> {
+    if is_leaving(cx, state, worker) {
+        Some(Refusal::Leaving)
+    } else if !state.mirror.has_replica(service) {
+        Some(Refusal::NoReplica)
+    } else if state.mirror.free_slots() == 0 {
+        Some(Refusal::NoSlot)
+    } else if timeout.is_zero() {
+        Some(Refusal::Late)
+    } else {
+        None
+    }
+}
+
+/// Whether the worker itself or the platform's list says that it is leaving.
+pub(super) fn is_leaving(cx: &Context<'_>, worker: &Worker, id: &WorkerId) -> bool {
+    let listed = cx.shared.workers.get(id);
+    worker.mirror.leaving || listed.is_some_and(|known| known.leaving)
+}
+
+/// Whether an answer is whole and belongs to the request.
+fn is_intact(answer: &Answer, id: &RequestId) -> bool {
+    let length = u64::try_from(answer.body.len()).unwrap_or(u64::MAX);
+    answer.id == *id
+        && answer.length == length
+        && answer.digest == format!("{:032x}", hashing::digest(answer.body.as_bytes()))
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/control/sweep.rs
@@ -0,0 +1,131 @@
+//! Stops tasks that the manifest in force declares no longer.
+
+use std::time::Duration;
+
+use daisymast_protocol::task::Kind;
+use daisymast_types::collections::FastSet;
+use daisymast_types::ids::{Generation, JobName, TaskKey, WorkerId};
+use daisymast_types::time::Monotonic;
+
+use super::Control;
+use super::mirror::Tracked;
+use crate::config;
+use crate::shared::Context;
+
+/// Time between two comparisons of a worker with the manifest when nothing has changed. It repeats
+/// stops whose message was lost.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Least time between two stops on one worker, which keeps them at 20 a second together with the
+/// one stop that a late tick makes up for.
+const STOP_SPACING: Duration = Duration::from_millis(53);
+/// Age up to which an undeclared task is left alone: its starter may have a newer manifest.
+const GRACE: Duration = Duration::from_secs(2);
+/// Time for which the result of a task is kept that nobody asks for.
+const RESULT_KEEP: Duration = Duration::from_secs(60);
+
+/// Names of the jobs that the manifest in force declares.
+#[derive(Debug, Default)]
+pub(super) struct Declared {
+    generation: Option<Generation>,
+    jobs: FastSet<JobName>,
+}
+
+impl Control {
+    /// Sends the stops that are due.
+    pub(super) fn sweep(&mut self, cx: &mut Context<'_>) {
+        if !self.adopt_manifest(cx) {
+            return;
+        }
+        let now = cx.now.mono;
+        let is_behind = cx
+            .shared
+            .view
+            .newest(now)
+            .is_some_and(|(generation, _)| generation > cx.shared.generation);
+        for worker in self.names() {
+            let Some((state, _)) = self.acting(now, &worker) else {
+                continue;
+            };
+            if now >= state.sweep_at {
+                let forgets = self.compare(now, &worker);
+                self.forget(cx, &worker, forgets);
+            }
+            if !is_behind {
+                self.stop_undeclared(cx, &worker);
+            }
+        }
+    }
+
+    /// Takes over the manifest in force. Returns whether there is one.
+    fn adopt_manifest(&mut self, cx: &Context<'_>) -> bool {
+        let Some(manifest) = &cx.shared.manifest else {
+            return false;
+        };
+        if self.declared.generation != Some(cx.shared.generation) {
+            self.declared.generation = Some(cx.shared.generation);
+            let services = manifest.services.iter().map(|job| &job.name);
+            let batches = manifest.batches.iter().map(|job| &job.name);
+            let gangs = manifest.gang_jobs.iter().map(|job| &job.name);
+            self.declared.jobs = services.chain(batches).chain(gangs).cloned().collect();
+            for worker in self.workers.values_mut() {
+                worker.sweep_at = cx.now.mono;
+            }
+        }
+        true
+    }
+
+    /// Finds what is to be stopped on a worker. Returns the ended tasks whose results nobody needs.
+    fn compare(&mut self, now: Monotonic, worker: &WorkerId) -> Vec<TaskKey> {
+        let mut forgets = Vec::new();
+        let Some(state) = self.workers.get_mut(worker) else {
+            return forgets;
+        };
+        state.sweep_at = now + SWEEP_INTERVAL;
+        state.undeclared.clear();
+        let mut undeclared = Vec::new();
+        for task in state.mirror.tasks() {
+            let spec = &task.report.spec;
+            let is_declared = self.declared.jobs.contains(&spec.job);
+            if task.report.state.is_ended() {
+                let is_old = now - task.seen >= RESULT_KEEP;
+                if spec.kind == Kind::Service || (!is_declared && is_old) {
+                    forgets.push(spec.key);
+                }
+            } else if !is_declared {
+                let wait = GRACE.saturating_sub(age(now, task));
+                if wait.is_zero() {
+                    undeclared.push(spec.key);
+                } else {
+                    state.sweep_at = state.sweep_at.min(now + wait);
+                }
+            }
+        }
+        undeclared.sort_unstable();
+        state.undeclared.extend(undeclared);
+        forgets.sort_unstable();
+        forgets
+    }
+
+    fn stop_undeclared(&mut self, cx: &mut Context<'_>, worker: &WorkerId) {
+        let now = cx.now.mono;
+        while let Some(state) = self.workers.get_mut(worker) {
+            if now < state.next_stop {
+                return;
+            }
+            let Some(task) = state.undeclared.pop_front() else {
+                return;
+            };
+            // A late tick may make up for one stop, not for more.
+            let earliest = Monotonic::ZERO + (now - (Monotonic::ZERO + config::TICK));
+            state.next_stop = state.next_stop.max(earliest) + STOP_SPACING;
+            if !state.mirror.is_ended(&task) {
+                self.send_stop(cx, worker, task, None, false);
+            }
+        }
+    }
+}
+
+/// Age of a running task.
+fn age(now: Monotonic, task: &Tracked) -> Duration {
+    Duration::from_millis(task.report.elapsed_ms) + (now - task.seen)
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/control/tasks.rs
@@ -0,0 +1,305 @@
+//! Starts, stops and resolves tasks on held workers, and reserves capacity there.
+
+use std::time::Duration;
+
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::peer::{PeerReply, WorkerCapacity};
+use daisymast_protocol::task::{Kind, TaskReport, TaskSpec, TaskState};
+use daisymast_protocol::worker::{Fate, Refusal, WorkerReply, WorkerRequest};
+use daisymast_types::ids::{RunKey, TaskKey, Token, WorkerId};
+
+use super::mirror::Pending;
+use super::serving::is_leaving;
+use super::worker::Worker;
+use super::{CALL_TIMEOUT, Control, Resources, Step};
+use crate::shared::Context;
+
+/// Time for which a reservation holds.
+const RESERVATION_TTL: Duration = Duration::from_secs(2);
+/// Reservations and unreported starts of one worker.
+const MAX_DEBITS: usize = 256;
+
+impl Control {
+    /// Free capacity of the held workers.
+    pub(super) fn capacity(&self, cx: &Context<'_>) -> PeerReply {
+        let now = cx.now.mono;
+        let mut found: Vec<WorkerCapacity> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.acting(now).is_some())
+            .map(|(id, worker)| WorkerCapacity {
+                worker: id.clone(),
+                capacity: worker.mirror.capacity,
+                free: worker.mirror.free(now, None),
+                open: worker.quarantine.allows_start(now) && !is_leaving(cx, worker, id),
+            })
+            .collect();
+        found.sort_by(|a, b| a.worker.cmp(&b.worker));
+        PeerReply::Capacity(found)
+    }
+
+    /// Sends a start and debits its size, or answers at once why not.
+    pub(super) fn start(
+        &mut self,
+        cx: &mut Context<'_>,
+        token: Token,
+        worker: WorkerId,
+        task: TaskSpec,
+    ) -> Option<PeerReply> {
+        let now = cx.now.mono;
+        let Some((state, stamp)) = self.acting(now, &worker) else {
+            return Some(self.not_holder(cx, &worker));
+        };
+        if let Some(refusal) = start_refusal(cx, state, &worker, &task) {
+            return Some(PeerReply::Refused(refusal));
+        }
+        let not_after = state.lease.not_after(now, CALL_TIMEOUT).unwrap_or_default();
+        let pending = Pending {
+            spec: task.clone(),
+            not_after,
+            is_open: true,
+        };
+        state.mirror.debit(task.key, pending);
+        state.quarantine.started(now);
+        let step = Step::Start {
+            worker,
+            token,
+            task: task.key,
+        };
+        let request = WorkerRequest::Start {
+            stamp,
+            not_after,
+            task,
+        };
+        self.call(cx, step, request, CALL_TIMEOUT);
+        None
+    }
+
+    pub(super) fn started(
+        &mut self,
+        cx: &mut Context<'_>,
+        worker: &WorkerId,
+        token: Token,
+        task: TaskKey,
+        outcome: Outcome<WorkerReply>,
+    ) {
+        let reply = match outcome {
+            Outcome::Done(WorkerReply::Ok) => {
+                self.note_started(cx, worker, task);
+                PeerReply::Ok
+            }
+            Outcome::Done(WorkerReply::Refused { reason }) => {
+                self.credit(worker, task);
+                match reason {
+                    Refusal::StaleLease => self.not_holder(cx, worker),
+                    reason => PeerReply::Refused(reason),
+                }
+            }
+            Outcome::NoEffect(_) => {
+                self.credit(worker, task);
+                PeerReply::Refused(Refusal::NoCapacity)
+            }
+            Outcome::Done(_) | Outcome::Unknown(_) => {
+                if let Some(state) = self.workers.get_mut(worker) {
+                    state.mirror.keep_debit(&task);
+                }
+                PeerReply::Uncertain
+            }
+        };
+        cx.fx.answer_peer(token, reply);
+    }
+
+    /// Sends a stop.
+    pub(super) fn stop(
+        &mut self,
+        cx: &mut Context<'_>,
+        token: Token,
+        worker: WorkerId,
+        task: TaskKey,
+    ) -> Option<PeerReply> {
+        if self.acting(cx.now.mono, &worker).is_none() {
+            return Some(self.not_holder(cx, &worker));
+        }
+        self.send_stop(cx, &worker, task, Some(token), true);
+        None
+    }
+
+    /// Sends a stop under a valid lease. Services have no progress to save.
+    pub(super) fn send_stop(
+        &mut self,
+        cx: &mut Context<'_>,
+        worker: &WorkerId,
+        task: TaskKey,
+        token: Option<Token>,
+        keeps_progress: bool,
+    ) {
+        let Some((state, stamp)) = self.acting(cx.now.mono, worker) else {
+            return;
+        };
+        let kind = state.mirror.task(&task).map(|known| known.report.spec.kind);
+        let request = WorkerRequest::Stop {
+            stamp,
+            task,
+            checkpoint: keeps_progress && kind != Some(Kind::Service),
+        };
+        let worker = worker.clone();
+        self.call(cx, Step::Stop { worker, token }, request, CALL_TIMEOUT);
+    }
+
+    #[expect(clippy::unused_self, reason = "same shape as the other replies")]
+    pub(super) fn stopped(
+        &self,
+        cx: &mut Context<'_>,
+        token: Option<Token>,
+        outcome: Outcome<WorkerReply>,
+    ) {
+        let Some(token) = token else { return };
+        let reply = match outcome {
+            Outcome::Done(WorkerReply::Ok) => PeerReply::Ok,
+            Outcome::Done(WorkerReply::Refused {
+                reason: Refusal::StaleLease,
+            }) => PeerReply::NotHolder { holder: None },
+            Outcome::Done(WorkerReply::Refused { reason }) => PeerReply::Refused(reason),
+            Outcome::Done(_) | Outcome::NoEffect(_) | Outcome::Unknown(_) => PeerReply::Uncertain,
+        };
+        cx.fx.answer_peer(token, reply);
+    }
+
+    /// Asks the worker what became of a task attempt.
+    pub(super) fn resolve_task(
+        &mut self,
+        cx: &mut Context<'_>,
+        token: Token,
+        worker: WorkerId,
+        task: TaskKey,
+    ) -> Option<PeerReply> {
+        if self.acting(cx.now.mono, &worker).is_none() {
+            return Some(self.not_holder(cx, &worker));
+        }
+        let request = WorkerRequest::ResolveTask { task };
+        let step = Step::ResolveTask {
+            worker,
+            token,
+            task,
+        };
+        self.call(cx, step, request, CALL_TIMEOUT);
+        None
+    }
+
+    pub(super) fn task_resolved(
+        &mut self,
+        cx: &mut Context<'_>,
+        worker: &WorkerId,
+        token: Token,
+        task: TaskKey,
+        outcome: Outcome<WorkerReply>,
+    ) {
+        let Outcome::Done(WorkerReply::Resolved { fate }) = outcome else {
+            cx.fx.answer_peer(token, PeerReply::Uncertain);
+            return;
+        };
+        match &fate {
+            Fate::NeverRan => self.credit(worker, task),
+            Fate::Running => self.note_started(cx, worker, task),
+            Fate::Ended { report } if report.spec.key == task => {
+                self.note_report(cx, worker, report.clone());
+            }
+            Fate::Ended { .. } | Fate::Answered { .. } | Fate::Failed => {}
+        }
+        cx.fx.answer_peer(token, PeerReply::Fate(fate));
+    }
+
+    /// Reserves capacity for a run. A repeat replaces the earlier reservation.
+    pub(super) fn reserve(
+        &mut self,
+        cx: &mut Context<'_>,
+        worker: &WorkerId,
+        run: RunKey,
+        size: Resources,
+    ) -> PeerReply {
+        let now = cx.now.mono;
+        let Some((state, _)) = self.acting(now, worker) else {
+            return self.not_holder(cx, worker);
+        };
+        if is_leaving(cx, state, worker) {
+            return PeerReply::Refused(Refusal::Leaving);
+        }
+        state.mirror.expire(now);
+        let has_room = size.fits_in(state.mirror.free(now, Some(run)))
+            && state.mirror.debits() < MAX_DEBITS
+            && !state.quarantine.is_active();
+        if !has_room {
+            return PeerReply::Refused(Refusal::NoCapacity);
+        }
+        state.mirror.reserve(run, size, now + RESERVATION_TTL);
+        PeerReply::Ok
+    }
+
+    pub(super) fn unreserve(
+        &mut self,
+        cx: &mut Context<'_>,
+        worker: &WorkerId,
+        run: RunKey,
+    ) -> PeerReply {
+        let Some((state, _)) = self.acting(cx.now.mono, worker) else {
+            return self.not_holder(cx, worker);
+        };
+        state.mirror.unreserve(run);
+        PeerReply::Ok
+    }
+
+    /// Takes a start back that surely took no effect.
+    fn credit(&mut self, worker: &WorkerId, task: TaskKey) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.mirror.credit(&task);
+        }
+    }
+
+    /// Turns a start into a running task.
+    fn note_started(&mut self, cx: &mut Context<'_>, worker: &WorkerId, task: TaskKey) {
+        let pending = self
+            .workers
+            .get(worker)
+            .and_then(|state| state.mirror.pending(&task));
+        if let Some(pending) = pending {
+            let report = TaskReport {
+                spec: pending.spec.clone(),
+                state: TaskState::Running,
+                elapsed_ms: 0,
+            };
+            self.note_report(cx, worker, report);
+        }
+    }
+
+    fn note_report(&mut self, cx: &mut Context<'_>, worker: &WorkerId, report: TaskReport) {
+        let Some(state) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if let Some(change) = state.mirror.apply(cx.now.mono, report) {
+            self.note_changes(cx, worker, &[change]);
+        }
+    }
+}
+
+/// Why a task cannot be started now.
+fn start_refusal(
+    cx: &Context<'_>,
+    state: &Worker,
+    worker: &WorkerId,
+    task: &TaskSpec,
+) -> Option<Refusal> {
+    let now = cx.now.mono;
+    let has_room = task
+        .size
+        .fits_in(state.mirror.free(now, Some(task.key.run)))
+        && state.mirror.debits() < MAX_DEBITS;
+    if is_leaving(cx, state, worker) {
+        Some(Refusal::Leaving)
+    } else if state.mirror.knows(&task.key) {
+        Some(Refusal::Duplicate)
+    } else if !has_room || !state.quarantine.allows_start(now) {
+        Some(Refusal::NoCapacity)
+    } else {
+        None
+    }
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/control/worker.rs
@@ -0,0 +1,98 @@
+//! One worker of the own zone, as this instance sees it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use daisymast_membership::lease::Lease;
+use daisymast_protocol::worker::LeaseStamp;
+use daisymast_types::collections::FastSet;
+use daisymast_types::ids::{InstanceId, TaskKey};
+use daisymast_types::time::Monotonic;
+
+use super::mirror::Mirror;
+use super::quarantine::Quarantine;
+
+/// Time for which a draining holder waits for a moment without open calls before it refuses new
+/// ones. Without this bound a busy worker would never be handed over.
+const QUIET_WAIT: Duration = Duration::from_secs(5);
+
+/// Lease exchange that is open. There is one at a time, so replies cannot overtake each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Exchange {
+    #[default]
+    None,
+    Acquire,
+    Renew,
+    Release,
+}
+
+/// Wish to release the lease at the next moment without open calls.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReleaseWish {
+    pub(super) since: Monotonic,
+    /// End of the wish; nothing while the instance drains.
+    pub(super) until: Option<Monotonic>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Worker {
+    pub(super) lease: Lease,
+    /// Stamp of the last grant, to which the mirror belongs.
+    pub(super) stamp: Option<LeaseStamp>,
+    pub(super) mirror: Mirror,
+    pub(super) quarantine: Quarantine,
+    pub(super) exchange: Exchange,
+    /// Time of the next acquisition or renewal.
+    pub(super) next_exchange: Monotonic,
+    /// Whether the last renewal failed, so that the next one must be answered at once.
+    pub(super) is_retry: bool,
+    /// Open calls other than lease exchanges.
+    pub(super) calls: u32,
+    pub(super) release: Option<ReleaseWish>,
+    /// Holder that the worker named last.
+    pub(super) rival: Option<InstanceId>,
+    /// Since when this instance is the preferred holder.
+    pub(super) preferred_since: Option<Monotonic>,
+    /// Time of the next request for a hand-over.
+    pub(super) next_ask: Monotonic,
+    /// Time until which a hand-over is expected, so that acquisitions are tried often.
+    pub(super) eager_until: Monotonic,
+    /// Time of the next comparison with the manifest.
+    pub(super) sweep_at: Monotonic,
+    /// Tasks that are declared no longer and not yet stopped.
+    pub(super) undeclared: VecDeque<TaskKey>,
+    pub(super) next_stop: Monotonic,
+    /// Ended tasks whose `Forget` is open.
+    pub(super) forgetting: FastSet<TaskKey>,
+}
+
+impl Worker {
+    /// The stamp, if this instance may send new calls under it.
+    pub(super) fn acting(&self, now: Monotonic) -> Option<LeaseStamp> {
+        let closes = self.exchange == Exchange::Release
+            || self
+                .release
+                .is_some_and(|wish| wish.until.is_none() && now - wish.since >= QUIET_WAIT);
+        if closes { None } else { self.lease.stamp(now) }
+    }
+
+    /// Starts a wish to release when the instance drains, and ends one whose time is over.
+    pub(super) fn update_wish(&mut self, now: Monotonic, is_draining: bool) {
+        let is_lasting = self.release.is_some_and(|wish| wish.until.is_none());
+        if is_draining && !is_lasting {
+            self.release = Some(ReleaseWish {
+                since: now,
+                until: None,
+            });
+        }
+        let until = self.release.and_then(|wish| wish.until);
+        if until.is_some_and(|until| now >= until) {
+            self.release = None;
+        }
+    }
+
+    /// Whether no lease is held and no call is open.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.lease.held_stamp().is_none() && self.calls == 0 && self.exchange == Exchange::None
+    }
+}
--- a/crates/daisymast_engine/src/heartbeat.rs
+++ b/crates/daisymast_engine/src/heartbeat.rs
@@ -1,45 +1,252 @@
 //! Discovers instances and workers and exchanges heartbeats.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
 use daisymast_protocol::outcome::Outcome;
-use daisymast_protocol::peer::{Heartbeat, PeerReply};
-use daisymast_protocol::store::StoreReply;
-use daisymast_types::ids::Token;
+use daisymast_protocol::peer::{Heartbeat, PeerReply, PeerRequest};
+use daisymast_protocol::store::{Member, MemberId, StoreReply, StoreRequest};
+use daisymast_types::collections::{FastMap, FastSet};
+use daisymast_types::ids::{InstanceId, Token, WorkerId, Zone};
+use daisymast_types::time::Monotonic;
+
+use crate::effects;
+use crate::shared::{Context, KnownWorker};
 
-use crate::shared::Context;
+/// Time between two heartbeats.
+const INTERVAL: Duration = Duration::from_millis(500);
+/// Time for the reply to a heartbeat.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// Instances of each other zone that get a heartbeat.
+const OTHERS_PER_ZONE: usize = 2;
+/// Time between two reads of the platform's list, without the jitter.
+const POLL_INTERVAL: Duration = Duration::from_secs(5);
+/// Largest jitter of a read of the list.
+const POLL_JITTER: Duration = Duration::from_secs(1);
+/// Time for the reply to a read of the list.
+const POLL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a machine must be absent from the list, and silent or not held, until it is
+/// dropped. The list lags and may miss machines for a while.
+const GONE_AFTER: Duration = Duration::from_secs(300);
+/// Instances that are remembered at most.
+const MAX_INSTANCES: usize = 1_024;
+/// Workers that are remembered at most.
+const MAX_WORKERS: usize = 4_096;
 
 /// What to do with a reply.
 #[derive(Debug)]
-pub(crate) enum Step {}
+pub(crate) enum Step {
+    /// A heartbeat was sent to an instance.
+    Beat { to: InstanceId, sent: Monotonic },
+    /// The platform's list was asked for.
+    Poll,
+}
 
 #[derive(Debug, Default)]
-pub(crate) struct Heartbeats {}
+pub(crate) struct Heartbeats {
+    next_beat: Monotonic,
+    next_poll: Monotonic,
+    is_polling: bool,
+    rounds: usize,
+    /// Instances whose reply is awaited; they get no second heartbeat meanwhile.
+    waiting: FastSet<InstanceId>,
+    /// Since when a known machine is absent from the list.
+    absent_instances: FastMap<InstanceId, Monotonic>,
+    absent_workers: FastMap<WorkerId, Monotonic>,
+}
 
 impl Heartbeats {
-    pub(crate) fn on_tick(&mut self, _cx: &mut Context<'_>) {}
+    pub(crate) fn on_tick(&mut self, cx: &mut Context<'_>) {
+        if cx.now.mono >= self.next_beat {
+            self.next_beat = cx.now.mono + INTERVAL;
+            self.beat(cx);
+        }
+        if cx.now.mono >= self.next_poll && !self.is_polling {
+            self.is_polling = true;
+            let step = effects::Step::Heartbeat(Step::Poll);
+            cx.fx.call_store(step, StoreRequest::Members, POLL_TIMEOUT);
+        }
+    }
 
     pub(crate) fn on_heartbeat(
         &mut self,
-        _cx: &mut Context<'_>,
-        _token: Token,
-        _heartbeat: Heartbeat,
+        cx: &mut Context<'_>,
+        token: Token,
+        heartbeat: Heartbeat,
     ) {
+        let now = cx.now.mono;
+        learn(cx, now, heartbeat);
+        let own = cx.shared.view.own().clone();
+        cx.fx.answer_peer(token, PeerReply::Heartbeat(own));
     }
 
     pub(crate) fn on_store(
         &mut self,
-        _cx: &mut Context<'_>,
+        cx: &mut Context<'_>,
         step: Step,
-        _outcome: Outcome<StoreReply>,
+        outcome: Outcome<StoreReply>,
     ) {
-        match step {}
+        let Step::Poll = step else { return };
+        self.is_polling = false;
+        self.next_poll = cx.now.mono + POLL_INTERVAL + cx.fx.jitter(POLL_JITTER);
+        let Outcome::Done(StoreReply::Members { members }) = outcome else {
+            return;
+        };
+        // An empty list is a fault of the platform, not the end of the whole fleet.
+        if !members.is_empty() {
+            let listed = adopt(cx, members);
+            self.expire_instances(cx, &listed);
+            self.expire_workers(cx, &listed);
+        }
     }
 
     pub(crate) fn on_peer_reply(
         &mut self,
-        _cx: &mut Context<'_>,
+        cx: &mut Context<'_>,
         step: Step,
-        _outcome: Outcome<PeerReply>,
+        outcome: Outcome<PeerReply>,
     ) {
-        match step {}
+        let Step::Beat { to, sent } = step else {
+            return;
+        };
+        self.waiting.remove(&to);
+        if let Outcome::Done(PeerReply::Heartbeat(heartbeat)) = outcome {
+            // The reply was written after `sent`, but perhaps long before it is read here.
+            learn(cx, sent, heartbeat);
+        }
+    }
+
+    /// Sends the own heartbeat to the whole own zone and to rotating instances of other zones.
+    fn beat(&mut self, cx: &mut Context<'_>) {
+        let mut zones: BTreeMap<&Zone, Vec<&InstanceId>> = BTreeMap::new();
+        for (instance, (zone, _)) in &cx.shared.instances {
+            if *instance != cx.config.instance {
+                zones.entry(zone).or_default().push(instance);
+            }
+        }
+        let mut targets: Vec<InstanceId> = Vec::new();
+        for (zone, mut instances) in zones {
+            instances.sort_unstable();
+            if *zone == cx.config.zone {
+                targets.extend(instances.into_iter().cloned());
+            } else {
+                let first = self.rounds.wrapping_mul(OTHERS_PER_ZONE);
+                let count = instances.len().min(OTHERS_PER_ZONE);
+                let chosen = (0..count).map(|n| instances[(first + n) % instances.len()].clone());
+                targets.extend(chosen);
+            }
+        }
+        self.rounds = self.rounds.wrapping_add(1);
+        for to in targets {
+            self.send(cx, to);
+        }
+    }
+
+    fn send(&mut self, cx: &mut Context<'_>, to: InstanceId) {
+        if !self.waiting.insert(to.clone()) {
+            return;
+        }
+        let step = effects::Step::Heartbeat(Step::Beat {
+            to: to.clone(),
+            sent: cx.now.mono,
+        });
+        let request = PeerRequest::Heartbeat(cx.shared.view.own().clone());
+        cx.fx.call_peer(cx.shared, step, &to, request, TIMEOUT);
+    }
+
+    fn expire_instances(&mut self, cx: &mut Context<'_>, listed: &Listed) {
+        let now = cx.now.mono;
+        let known: Vec<InstanceId> = cx.shared.instances.keys().cloned().collect();
+        for instance in known {
+            let heard = cx.shared.view.heard(&instance);
+            let is_silent = heard.is_none_or(|heard| now - heard >= GONE_AFTER);
+            if listed.instances.contains(&instance) || !is_silent {
+                self.absent_instances.remove(&instance);
+                continue;
+            }
+            let since = *self.absent_instances.entry(instance.clone()).or_insert(now);
+            if now - since >= GONE_AFTER {
+                self.absent_instances.remove(&instance);
+                cx.shared.instances.remove(&instance);
+                cx.shared.view.forget(&instance);
+            }
+        }
+    }
+
+    fn expire_workers(&mut self, cx: &mut Context<'_>, listed: &Listed) {
+        let now = cx.now.mono;
+        let known: Vec<WorkerId> = cx.shared.workers.keys().cloned().collect();
+        for worker in known {
+            if listed.workers.contains(&worker) {
+                self.absent_workers.remove(&worker);
+                continue;
+            }
+            if cx.shared.view.holder(now, &worker).is_some() {
+                self.absent_workers.remove(&worker);
+                continue;
+            }
+            let since = *self.absent_workers.entry(worker.clone()).or_insert(now);
+            if now - since >= GONE_AFTER {
+                self.absent_workers.remove(&worker);
+                cx.shared.workers.remove(&worker);
+            }
+        }
+    }
+}
+
+/// Machines of one read of the platform's list.
+#[derive(Default)]
+struct Listed {
+    instances: FastSet<InstanceId>,
+    workers: FastSet<WorkerId>,
+}
+
+/// Records a heartbeat of an instance that was alive at `alive`.
+fn learn(cx: &mut Context<'_>, alive: Monotonic, heartbeat: Heartbeat) {
+    if heartbeat.instance == cx.config.instance {
+        return;
+    }
+    let known = &mut cx.shared.instances;
+    if known.len() >= MAX_INSTANCES && !known.contains_key(&heartbeat.instance) {
+        return;
+    }
+    // A late heartbeat must not bring back an old address.
+    if cx.shared.view.heard(&heartbeat.instance) <= Some(alive) {
+        let place = (heartbeat.zone.clone(), heartbeat.address.clone());
+        known.insert(heartbeat.instance.clone(), place);
+    }
+    cx.shared.view.record(alive, heartbeat);
+}
+
+/// Takes over what the platform's list says.
+fn adopt(cx: &mut Context<'_>, members: Vec<Member>) -> Listed {
+    let mut listed = Listed::default();
+    for member in members {
+        match member.who {
+            MemberId::Instance(instance) => {
+                listed.instances.insert(instance.clone());
+                // The list lags, so the address that an instance itself told lately counts.
+                let is_live = cx.shared.view.is_live(cx.now.mono, &instance);
+                let has_room = cx.shared.instances.len() < MAX_INSTANCES;
+                if !is_live && (has_room || cx.shared.instances.contains_key(&instance)) {
+                    let place = (member.zone, member.address);
+                    cx.shared.instances.insert(instance, place);
+                }
+            }
+            MemberId::Worker(worker, rack) => {
+                listed.workers.insert(worker.clone());
+                let has_room = cx.shared.workers.len() < MAX_WORKERS;
+                if has_room || cx.shared.workers.contains_key(&worker) {
+                    let known = KnownWorker {
+                        zone: member.zone,
+                        rack,
+                        address: member.address,
+                        leaving: member.leaving,
+                    };
+                    cx.shared.workers.insert(worker, known);
+                }
+            }
+        }
     }
+    listed
 }
--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -1,5 +1,10 @@
 //! Routes events to the components of an instance.
 
+#[cfg(test)]
+use std::sync::Arc;
+
+#[cfg(test)]
+use daisymast_manifest::manifest::Manifest;
 use daisymast_membership::view::View;
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::peer::{Heartbeat, PeerReply, PeerRequest};
@@ -126,9 +131,15 @@
     /// ```
     pub fn on_event(&mut self, now: Timestamp, event: Event) -> Vec<Action> {
         self.fx.begin(now);
+        let is_tick = matches!(event, Event::Tick);
         self.dispatch(now, event);
-        while let Some(local) = self.fx.next_local() {
-            self.dispatch(now, local);
+        self.drain_local(now);
+        if is_tick {
+            // Starts come before stops of undeclared work, so a wave of cancellations delays no
+            // start. Starts at the own instance are among the local events.
+            let mut cx = context!(self, now);
+            self.control.on_tick_end(&mut cx);
+            self.drain_local(now);
         }
         self.fx.take_actions()
     }
@@ -172,7 +183,19 @@
         }
     }
 
-    /// Starts come before stops of undeclared work, so a wave of cancellations delays no start.
+    /// Puts a manifest in force without the store.
+    #[cfg(test)]
+    pub(crate) fn force_manifest(&mut self, generation: Generation, manifest: Manifest) {
+        self.shared.generation = generation;
+        self.shared.manifest = Some(Arc::new(manifest));
+    }
+
+    fn drain_local(&mut self, now: Timestamp) {
+        while let Some(local) = self.fx.next_local() {
+            self.dispatch(now, local);
+        }
+    }
+
     fn tick(&mut self, now: Timestamp) {
         self.fx.expire_local();
         let mut cx = context!(self, now);
