Check the start of a worker's process when handing it requests

Cause: the request path names the start (boot) of the worker's process that it chose, since a worker that restarted has forgotten what ran; the control plane did not know that field yet.

Change: endpoints carry the boot of the lease; a request for another boot is refused as StaleLease and a question after its fate is answered as uncertain. The store of the configuration tests counts reads of the manifest key only, because the heartbeat component now polls the list of members through the same store; the bounds of the tests stay as they were.

Conclusion: the request path and the control plane work on the same messages.

--- a/crates/daisymast_engine/src/configuration/tests/rig.rs
+++ b/crates/daisymast_engine/src/configuration/tests/rig.rs
@@ -105,6 +105,11 @@
                 Some(Outcome::Unknown(error))
             }
             StoreRequest::Watch { seen, .. } if seen == self.revision() => None,
+            // Other components poll the list and the ledger; those are no reads of the manifest.
+            StoreRequest::Members | StoreRequest::List { .. } => {
+                let error = CallError::new("read", "platform", "not part of this store");
+                Some(Outcome::NoEffect(error))
+            }
             _ => {
                 self.reads += 1;
                 let entry = self.entry.clone();
--- a/crates/daisymast_engine/src/control.rs
+++ b/crates/daisymast_engine/src/control.rs
@@ -116,8 +116,14 @@
     ) {
         let answer = match request {
             PeerRequest::Endpoints { service } => Some(self.endpoints(cx, &service)),
-            PeerRequest::Serve { worker, request } => self.serve(cx, token, worker, request),
-            PeerRequest::Resolve { worker, id } => self.resolve(cx, token, worker, id),
+            PeerRequest::Serve {
+                worker,
+                boot,
+                request,
+            } => self.serve(cx, token, (worker, boot), request),
+            PeerRequest::Resolve { worker, boot, id } => {
+                self.resolve(cx, token, (worker, boot), id)
+            }
             PeerRequest::Start { worker, task } => self.start(cx, token, worker, task),
             PeerRequest::Capacity => Some(self.capacity(cx)),
             PeerRequest::PollRuns {
--- a/crates/daisymast_engine/src/control/serving.rs
+++ b/crates/daisymast_engine/src/control/serving.rs
@@ -8,7 +8,7 @@
 use daisymast_protocol::peer::{Endpoint, PeerReply};
 use daisymast_protocol::worker::{Answer, Fate, Refusal, ServeRequest, WorkerReply, WorkerRequest};
 use daisymast_types::hashing;
-use daisymast_types::ids::{JobName, RequestId, Token, WorkerId};
+use daisymast_types::ids::{BootId, JobName, RequestId, Token, WorkerId};
 use daisymast_types::time::Monotonic;
 
 use super::worker::Worker;
@@ -24,15 +24,18 @@
             .iter()
             .filter(|(id, worker)| {
                 worker.mirror.has_replica(service)
-                    && worker.acting(now).is_some()
                     && worker.mirror.free_slots() > 0
                     && !worker.quarantine.is_active()
                     && !is_leaving(cx, worker, id)
             })
-            .map(|(id, worker)| Endpoint {
-                worker: id.clone(),
-                free_slots: worker.mirror.free_slots(),
-                service_us: worker.mirror.service_us(service),
+            .filter_map(|(id, worker)| {
+                let stamp = worker.acting(now)?;
+                Some(Endpoint {
+                    worker: id.clone(),
+                    boot: stamp.boot,
+                    free_slots: worker.mirror.free_slots(),
+                    service_us: worker.mirror.service_us(service),
+                })
             })
             .collect();
         found.sort_by(|a, b| a.worker.cmp(&b.worker));
@@ -44,7 +47,7 @@
         &mut self,
         cx: &mut Context<'_>,
         token: Token,
-        worker: WorkerId,
+        (worker, boot): (WorkerId, BootId),
         request: CallerRequest,
     ) -> Option<PeerReply> {
         let now = cx.now.mono;
@@ -52,6 +55,9 @@
         let Some((state, stamp)) = self.acting(now, &worker) else {
             return Some(self.not_holder(cx, &worker));
         };
+        if stamp.boot != boot {
+            return Some(PeerReply::Refused(Refusal::StaleLease));
+        }
         if let Some(refusal) = serve_refusal(cx, state, &worker, &request.service, timeout) {
             return Some(PeerReply::Refused(refusal));
         }
@@ -106,16 +112,20 @@
         cx.fx.answer_peer(token, reply);
     }
 
-    /// Asks the worker what became of a request.
+    /// Asks the worker what became of a request. A worker that restarted since the request was sent
+    /// does not remember it, so its word would be worth nothing.
     pub(super) fn resolve(
         &mut self,
         cx: &mut Context<'_>,
         token: Token,
-        worker: WorkerId,
+        (worker, boot): (WorkerId, BootId),
         id: RequestId,
     ) -> Option<PeerReply> {
-        if self.acting(cx.now.mono, &worker).is_none() {
+        let Some((_, stamp)) = self.acting(cx.now.mono, &worker) else {
             return Some(self.not_holder(cx, &worker));
+        };
+        if stamp.boot != boot {
+            return Some(PeerReply::Uncertain);
         }
         let request = WorkerRequest::Resolve { id: id.clone() };
         let step = Step::Resolve { worker, token, id };
