Let a stand-in close a connection without an answer

Cause: stand-ins have to simulate a reply that is lost after its effect, and a status of 500 does not exercise the connection pool of the caller.

Change: server::Response::abort closes the connection. The pool drops old connections of unused addresses once per idle age instead of at each exchange.

Conclusion: lost replies reach callers as broken connections.

--- a/crates/daisymast_http/src/client/pool.rs
+++ b/crates/daisymast_http/src/client/pool.rs
@@ -32,7 +32,14 @@
 pub(super) struct Pool {
     executor: executor::Executor,
     settings: Settings,
-    idle: Mutex<FastMap<SocketAddr, Vec<Idle>>>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    idle: FastMap<SocketAddr, Vec<Idle>>,
+    /// When connections that had become too old were last dropped.
+    swept: Instant,
 }
 
 impl Pool {
@@ -40,7 +47,10 @@
         Self {
             executor,
             settings,
-            idle: Mutex::default(),
+            state: Mutex::new(State {
+                idle: FastMap::default(),
+                swept: Instant::now(),
+            }),
         }
     }
 
@@ -59,14 +69,17 @@
         if connection.sender.is_closed() {
             return;
         }
-        let mut idle = self.lock();
+        let mut state = self.lock();
         let now = Instant::now();
         // Addresses come and go with instances, so the entries of unused ones are dropped here.
-        idle.retain(|_, kept| {
-            kept.retain(|one| self.is_usable(one, now));
-            !kept.is_empty()
-        });
-        let kept = idle.entry(address).or_default();
+        if now.duration_since(state.swept) >= self.settings.idle_age {
+            state.swept = now;
+            state.idle.retain(|_, kept| {
+                kept.retain(|one| self.is_usable(one, now));
+                !kept.is_empty()
+            });
+        }
+        let kept = state.idle.entry(address).or_default();
         if kept.len() < self.settings.idle_connections {
             kept.push(Idle {
                 connection,
@@ -76,12 +89,12 @@
     }
 
     pub(super) fn idle(&self, address: SocketAddr) -> usize {
-        self.lock().get(&address).map_or(0, Vec::len)
+        self.lock().idle.get(&address).map_or(0, Vec::len)
     }
 
     fn pop(&self, address: SocketAddr) -> Option<Connection> {
-        let mut idle = self.lock();
-        let kept = idle.get_mut(&address)?;
+        let mut state = self.lock();
+        let kept = state.idle.get_mut(&address)?;
         let now = Instant::now();
         while let Some(one) = kept.pop() {
             if self.is_usable(&one, now) {
@@ -109,8 +122,8 @@
         })
     }
 
-    /// The map is valid after each statement, so a panic elsewhere does not spoil it.
-    fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, Vec<Idle>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The state is valid after each statement, so a panic elsewhere does not spoil it.
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/daisymast_http/src/server.rs
+++ b/crates/daisymast_http/src/server.rs
@@ -64,6 +64,7 @@
     pub content_type: &'static str,
     /// Whole body.
     pub body: Bytes,
+    aborted: bool,
 }
 
 impl Response {
@@ -79,6 +80,15 @@
             status: StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
             content_type,
             body: body.into(),
+            aborted: false,
+        }
+    }
+
+    /// Closes the connection without an answer, for stand-ins that simulate a lost answer.
+    pub fn abort() -> Self {
+        Self {
+            aborted: true,
+            ..Self::text(500, Bytes::new())
         }
     }
 
--- a/crates/daisymast_http/src/server/connection.rs
+++ b/crates/daisymast_http/src/server/connection.rs
@@ -1,7 +1,7 @@
 //! One connection of a server.
 
-use std::convert::Infallible;
 use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -47,10 +47,8 @@
 {
     // Answers are small; waiting to fill a packet would delay them.
     drop(stream.set_nodelay(true));
-    let answer = service::service_fn(|request| async move {
-        let response = exchange(shared, request, peer).await;
-        Ok::<_, Infallible>(response)
-    });
+    let answer =
+        service::service_fn(|request| async move { exchange(shared, request, peer).await });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(shared.limits.header_timeout)
@@ -89,7 +87,7 @@
     shared: &Shared<H>,
     request: http::Request<Incoming>,
     peer: SocketAddr,
-) -> http::Response<Full<Bytes>>
+) -> io::Result<http::Response<Full<Bytes>>>
 where
     H: Fn(Request) -> F,
     F: Future<Output = Response>,
@@ -99,9 +97,12 @@
         Ok(body) => {
             shared.counters.requests.add();
             let response = (shared.handler)(whole(head, body, peer)).await;
-            encode(response, shared.stopped.is_closed())
+            if response.aborted {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            Ok(encode(response, shared.stopped.is_closed()))
         }
-        Err(refusal) => encode(refusal, true),
+        Err(refusal) => Ok(encode(refusal, true)),
     }
 }
 
--- a/crates/daisymast_http/tests/client.rs
+++ b/crates/daisymast_http/tests/client.rs
@@ -113,6 +113,18 @@
     });
 }
 
+/// Guards against an aborted answer that a stand-in uses as a lost one, but that arrives.
+#[test]
+fn aborted_answer_is_unknown() {
+    run(async |executor| {
+        let abort = async |_| Response::abort();
+        let server = Server::start(&executor, listener().await, Limits::default(), abort).unwrap();
+        let outcome = client(&executor).get(&call(server.address())).await;
+        assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+        assert_eq!(server.counters().requests.get(), 1);
+    });
+}
+
 /// Guards against an incomplete answer that passes as a whole one.
 #[test]
 fn truncated_answer_is_unknown() {
