Add the platform model, its client and the stand-in daemon

Cause: instances need a store and an instance list to run against, in tests without I/O as well as over HTTP.

Change: PlatformModel with compare-and-swap, watches, a lagging list, counts and fault switches; StoreClient; the daemon daisymast-platform.

--- a/crates/daisymast_platform/src/lib.rs
+++ b/crates/daisymast_platform/src/lib.rs
@@ -1,1 +1,6 @@
 //! Platform store and instance list: model, client and stand-in daemon.
+
+pub mod client;
+pub mod daemon;
+pub mod model;
+pub mod settings;
--- /dev/null
+++ b/crates/daisymast_platform/src/model.rs
@@ -0,0 +1,309 @@
+//! The platform as a state machine without I/O.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use daisymast_protocol::store::{Entry, Member, MemberId, StoreReply, StoreRequest, WATCH_WAIT};
+use daisymast_types::ids::Revision;
+use daisymast_types::time::Monotonic;
+use serde::{Deserialize, Serialize};
+
+use members::MemberList;
+use state::State;
+
+mod members;
+mod state;
+
+pub use state::Snapshot;
+
+/// Watches that may wait at one time.
+pub const WAITERS_MAX: usize = 65_536;
+
+/// Number of a watch that is answered later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WaiterId(pub u64);
+
+/// What becomes of one call.
+#[must_use = "the caller waits for it"]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ModelReply {
+    /// The reply, to be delivered after the delay.
+    Answer {
+        /// The reply.
+        reply: StoreReply,
+        /// Time until the caller gets it.
+        delay: Duration,
+    },
+    /// The call is answered later by [`PlatformModel::on_tick`].
+    Waiting(WaiterId),
+    /// The write took effect, but the caller gets no reply.
+    Lost,
+    /// The platform cannot be reached; the call took no effect and the caller gets no reply.
+    Unreachable,
+}
+
+/// Switches for faults of the platform.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Answers nobody.
+    pub down: bool,
+    /// Delays each reply, in milliseconds.
+    pub slow_ms: u64,
+    /// Number of writes to come that take effect while their replies are lost.
+    pub lose_writes: u32,
+    /// Callers that cannot reach the platform.
+    pub refuse: Vec<String>,
+}
+
+/// Calls since the start. A pending watch counts as one call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// All calls that reached the platform.
+    pub calls: u64,
+    /// Reads, watches and lists among them.
+    pub reads: u64,
+    /// Writes and deletions among them, whether the compare held or not.
+    pub writes: u64,
+    /// Writes and deletions whose compare failed.
+    pub conflicts: u64,
+    /// Calls that were refused.
+    pub refused: u64,
+    /// Calls that found the platform unreachable.
+    pub unreachable: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Waiter {
+    key: String,
+    seen: Revision,
+    deadline: Monotonic,
+}
+
+/// Key-value service and lagging list of instances.
+///
+/// ```
+/// use daisymast_platform::model;
+/// use daisymast_protocol::store::{StoreReply, StoreRequest};
+/// use daisymast_types::ids::Revision;
+/// use daisymast_types::time::Monotonic;
+///
+/// let mut platform = model::PlatformModel::default();
+/// let put = StoreRequest::Put {
+///     key: "manifest".to_owned(),
+///     value: "{}".to_owned(),
+///     expect: Revision(0),
+/// };
+/// let model::ModelReply::Answer { reply, .. } = platform.on_request(Monotonic::ZERO, put) else {
+///     panic!("the platform is reachable");
+/// };
+/// assert_eq!(reply, StoreReply::Written { revision: Revision(1) });
+/// ```
+#[derive(Debug, Default)]
+pub struct PlatformModel {
+    state: State,
+    members: MemberList,
+    waiters: BTreeMap<WaiterId, Waiter>,
+    next_waiter: u64,
+    /// Whether watches are answered at once.
+    stopping: bool,
+    faults: Faults,
+    counts: Counts,
+}
+
+impl PlatformModel {
+    /// A platform without keys whose list lags by `member_lag`.
+    pub fn new(member_lag: Duration) -> Self {
+        Self {
+            members: MemberList::new(member_lag),
+            ..Self::default()
+        }
+    }
+
+    /// Handles a call of an unnamed caller.
+    pub fn on_request(&mut self, now: Monotonic, request: StoreRequest) -> ModelReply {
+        self.on_request_from(now, "", request)
+    }
+
+    /// Handles a call of a named caller, so that [`Faults::refuse`] can apply.
+    pub fn on_request_from(
+        &mut self,
+        now: Monotonic,
+        caller: &str,
+        request: StoreRequest,
+    ) -> ModelReply {
+        if self.faults.down || self.faults.refuse.iter().any(|name| name == caller) {
+            self.counts.unreachable += 1;
+            return ModelReply::Unreachable;
+        }
+        self.counts.calls += 1;
+        if request.is_write() {
+            self.counts.writes += 1;
+        } else {
+            self.counts.reads += 1;
+        }
+        match request {
+            StoreRequest::Get { key } => self.answer(StoreReply::Value {
+                entry: self.state.get(&key).cloned(),
+            }),
+            StoreRequest::List { prefix } => {
+                let reply = self.state.list(&prefix);
+                self.answer_counted(reply)
+            }
+            StoreRequest::Put { key, value, expect } => {
+                let reply = self.state.put(key, value, expect);
+                self.answer_write(reply)
+            }
+            StoreRequest::Delete { key, expect } => {
+                let reply = self.state.delete(&key, expect);
+                self.answer_write(reply)
+            }
+            StoreRequest::Watch { key, seen, wait_ms } => self.watch(now, key, seen, wait_ms),
+            StoreRequest::Members => {
+                let members = self.members.visible(now);
+                self.answer(StoreReply::Members { members })
+            }
+        }
+    }
+
+    /// Answers the watches that a write, the passing of time or a fault has resolved. The shell
+    /// calls this after each request and at least every few milliseconds.
+    pub fn on_tick(&mut self, now: Monotonic) -> Vec<(WaiterId, ModelReply)> {
+        if self.waiters.is_empty() {
+            return Vec::new();
+        }
+        let mut resolved = Vec::new();
+        for (id, waiter) in &self.waiters {
+            if self.faults.down {
+                resolved.push((*id, ModelReply::Unreachable));
+                continue;
+            }
+            let entry = self.state.get(&waiter.key);
+            let over = now >= waiter.deadline || self.stopping;
+            if revision(entry) != waiter.seen || over {
+                let entry = entry.cloned();
+                resolved.push((*id, self.answer(StoreReply::Value { entry })));
+            }
+        }
+        for (id, _) in &resolved {
+            self.waiters.remove(id);
+        }
+        resolved
+    }
+
+    /// Forgets a watch whose caller is gone.
+    pub fn cancel(&mut self, waiter: WaiterId) {
+        self.waiters.remove(&waiter);
+    }
+
+    /// Answers all watches at the next tick and later ones at once, for a shutdown.
+    pub fn stop_watches(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Watches that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Adds a member to the list or changes it, visible after the lag.
+    pub fn register(&mut self, now: Monotonic, member: Member) {
+        self.members.register(now, member);
+    }
+
+    /// Removes a member from the list, visible after the lag.
+    pub fn remove(&mut self, now: Monotonic, who: MemberId) {
+        self.members.remove(now, who);
+    }
+
+    /// Sets all fault switches.
+    pub fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
+    /// Fault switches as they stand.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Copy of all keys, for [`Self::restore`].
+    pub fn snapshot(&self) -> Snapshot {
+        self.state.snapshot()
+    }
+
+    /// Sets all keys and their revisions back to a snapshot, as a restore from a backup does.
+    pub fn restore(&mut self, snapshot: &Snapshot) {
+        self.state = State::from_snapshot(snapshot);
+    }
+
+    /// One key, without counting as a call.
+    pub fn get(&self, key: &str) -> Option<&Entry> {
+        self.state.get(key)
+    }
+
+    /// All keys in order, without counting as a call.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.state.entries()
+    }
+
+    /// Calls since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    fn watch(&mut self, now: Monotonic, key: String, seen: Revision, wait_ms: u64) -> ModelReply {
+        let entry = self.state.get(&key);
+        if revision(entry) != seen || wait_ms == 0 || self.stopping {
+            let entry = entry.cloned();
+            return self.answer(StoreReply::Value { entry });
+        }
+        if self.waiters.len() >= WAITERS_MAX {
+            return self.answer_counted(refused(&format!("{WAITERS_MAX} watches wait already")));
+        }
+        let id = WaiterId(self.next_waiter);
+        self.next_waiter += 1;
+        let deadline = now + Duration::from_millis(wait_ms).min(WATCH_WAIT);
+        let waiter = Waiter {
+            key,
+            seen,
+            deadline,
+        };
+        self.waiters.insert(id, waiter);
+        ModelReply::Waiting(id)
+    }
+
+    fn answer_write(&mut self, reply: StoreReply) -> ModelReply {
+        let took_effect = matches!(reply, StoreReply::Written { .. });
+        if took_effect && self.faults.lose_writes > 0 {
+            self.faults.lose_writes -= 1;
+            return ModelReply::Lost;
+        }
+        self.answer_counted(reply)
+    }
+
+    fn answer_counted(&mut self, reply: StoreReply) -> ModelReply {
+        match reply {
+            StoreReply::Conflict { .. } => self.counts.conflicts += 1,
+            StoreReply::Refused { .. } => self.counts.refused += 1,
+            _ => {}
+        }
+        self.answer(reply)
+    }
+
+    fn answer(&self, reply: StoreReply) -> ModelReply {
+        ModelReply::Answer {
+            reply,
+            delay: Duration::from_millis(self.faults.slow_ms),
+        }
+    }
+}
+
+fn revision(entry: Option<&Entry>) -> Revision {
+    entry.map_or(Revision(0), |entry| entry.revision)
+}
+
+fn refused(reason: &str) -> StoreReply {
+    StoreReply::Refused {
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/daisymast_platform/src/model/members.rs
@@ -0,0 +1,83 @@
+//! List of instances and workers that shows changes after a lag.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use daisymast_protocol::store::{Member, MemberId};
+use daisymast_types::ids::{InstanceId, WorkerId};
+use daisymast_types::time::Monotonic;
+
+/// Changes that wait for their lag. Older ones become visible early when there are more.
+const PENDING_MAX: usize = 65_536;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Who {
+    Instance(InstanceId),
+    Worker(WorkerId),
+}
+
+impl From<&MemberId> for Who {
+    fn from(id: &MemberId) -> Self {
+        match id {
+            MemberId::Instance(id) => Self::Instance(id.clone()),
+            MemberId::Worker(id, _) => Self::Worker(id.clone()),
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Change {
+    Register(Member),
+    Remove(MemberId),
+}
+
+#[derive(Debug, Default)]
+pub(super) struct MemberList {
+    lag: Duration,
+    visible: BTreeMap<Who, Member>,
+    /// Changes in the order of the time at which they become visible.
+    pending: VecDeque<(Monotonic, Change)>,
+}
+
+impl MemberList {
+    pub(super) fn new(lag: Duration) -> Self {
+        Self {
+            lag,
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn register(&mut self, now: Monotonic, member: Member) {
+        self.add(now, Change::Register(member));
+    }
+
+    pub(super) fn remove(&mut self, now: Monotonic, who: MemberId) {
+        self.add(now, Change::Remove(who));
+    }
+
+    pub(super) fn visible(&mut self, now: Monotonic) -> Vec<Member> {
+        while self.pending.front().is_some_and(|(due, _)| *due <= now) {
+            self.apply_first();
+        }
+        self.visible.values().cloned().collect()
+    }
+
+    fn add(&mut self, now: Monotonic, change: Change) {
+        if self.pending.len() >= PENDING_MAX {
+            self.apply_first();
+        }
+        self.pending.push_back((now + self.lag, change));
+    }
+
+    fn apply_first(&mut self) {
+        match self.pending.pop_front() {
+            Some((_, Change::Register(member))) => {
+                self.visible.insert(Who::from(&member.who), member);
+            }
+            Some((_, Change::Remove(who))) => {
+                self.visible.remove(&Who::from(&who));
+            }
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_platform/tests/model.rs
@@ -0,0 +1,315 @@
+//! Guards against a stand-in that is kinder or stricter than the platform that it stands for.
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+use std::time::Duration;
+
+use daisymast_platform::model::{Faults, ModelReply, PlatformModel};
+use daisymast_protocol::limits;
+use daisymast_protocol::store::{Entry, Member, MemberId, StoreReply, StoreRequest};
+use daisymast_types::ids::{Revision, Zone};
+use daisymast_types::time::Monotonic;
+use proptest::prelude::{ProptestConfig, Strategy, prop, proptest};
+use proptest::test_runner::RngSeed;
+
+const START: Monotonic = Monotonic::ZERO;
+
+fn put(value: &str, expect: u64) -> StoreRequest {
+    put_key("k", value, expect)
+}
+
+fn put_key(key: &str, value: &str, expect: u64) -> StoreRequest {
+    StoreRequest::Put {
+        key: key.to_owned(),
+        value: value.to_owned(),
+        expect: Revision(expect),
+    }
+}
+
+fn delete(expect: u64) -> StoreRequest {
+    StoreRequest::Delete {
+        key: "k".to_owned(),
+        expect: Revision(expect),
+    }
+}
+
+fn watch(seen: u64, wait_ms: u64) -> StoreRequest {
+    StoreRequest::Watch {
+        key: "k".to_owned(),
+        seen: Revision(seen),
+        wait_ms,
+    }
+}
+
+fn entry(value: &str, revision: u64) -> Entry {
+    Entry {
+        key: "k".to_owned(),
+        value: value.to_owned(),
+        revision: Revision(revision),
+    }
+}
+
+fn written(revision: u64) -> StoreReply {
+    StoreReply::Written {
+        revision: Revision(revision),
+    }
+}
+
+fn answer(reply: ModelReply) -> StoreReply {
+    match reply {
+        ModelReply::Answer { reply, .. } => reply,
+        other => panic!("no answer but {other:?}"),
+    }
+}
+
+fn ask(model: &mut PlatformModel, request: StoreRequest) -> StoreReply {
+    answer(model.on_request(START, request))
+}
+
+/// Guards against two writers that both win with the same expected revision.
+#[test]
+fn second_writer_gets_a_conflict() {
+    let mut model = PlatformModel::default();
+    assert_eq!(ask(&mut model, put("a", 0)), written(1));
+    let conflict = StoreReply::Conflict {
+        entry: Some(entry("a", 1)),
+    };
+    assert_eq!(ask(&mut model, put("b", 0)), conflict);
+    assert_eq!(ask(&mut model, put("b", 1)), written(2));
+    assert_eq!(
+        ask(&mut model, delete(1)),
+        StoreReply::Conflict {
+            entry: Some(entry("b", 2)),
+        }
+    );
+    let counts = model.counts();
+    assert_eq!((counts.calls, counts.writes, counts.conflicts), (4, 4, 2));
+}
+
+/// Guards against a former owner whose compare holds again after a deletion.
+#[test]
+fn recreated_key_continues_above_its_former_revision() {
+    let mut model = PlatformModel::default();
+    ask(&mut model, put("a", 0));
+    ask(&mut model, put("b", 1));
+    assert_eq!(ask(&mut model, delete(2)), written(0));
+    assert_eq!(ask(&mut model, put("c", 0)), written(3));
+}
+
+/// Guards against a manifest or segment that only the stand-in can hold.
+#[test]
+fn value_over_one_megabyte_is_refused() {
+    let mut model = PlatformModel::default();
+    let most = "x".repeat(limits::STORE_VALUE_BYTES);
+    assert_eq!(ask(&mut model, put(&most, 0)), written(1));
+    let reply = ask(&mut model, put(&format!("{most}x"), 1));
+    let StoreReply::Refused { reason } = reply else {
+        panic!("{reply:?}")
+    };
+    assert!(
+        reason.contains("1048577") && reason.contains("1048576"),
+        "{reason}"
+    );
+    assert_eq!(model.counts().refused, 1);
+}
+
+/// Guards against a list that misses keys or shows those of another prefix.
+#[test]
+fn list_gives_the_keys_of_a_prefix_in_order() {
+    let mut model = PlatformModel::default();
+    for key in ["b/1", "a/2", "a/1", "a", "c"] {
+        ask(&mut model, put_key(key, "v", 0));
+    }
+    let prefix = "a/".to_owned();
+    let StoreReply::Entries { entries } = ask(&mut model, StoreRequest::List { prefix }) else {
+        panic!("no entries")
+    };
+    let keys: Vec<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+    assert_eq!(keys, ["a/1", "a/2"]);
+}
+
+/// Guards against a watch that misses a write or blocks beyond its time.
+#[test]
+fn watch_is_answered_by_a_write_or_by_time() {
+    let mut model = PlatformModel::default();
+    let ModelReply::Waiting(first) = model.on_request(START, watch(0, 1_000)) else {
+        panic!("no wait")
+    };
+    assert_eq!(model.on_tick(START), []);
+    ask(&mut model, put("a", 0));
+    let resolved = model.on_tick(START);
+    assert_eq!(resolved.len(), 1);
+    let (id, reply) = resolved.into_iter().next().unwrap();
+    let value = |revision| StoreReply::Value {
+        entry: Some(entry("a", revision)),
+    };
+    assert_eq!((id, answer(reply)), (first, value(1)));
+
+    assert_eq!(ask(&mut model, watch(0, 1_000)), value(1));
+    let ModelReply::Waiting(second) = model.on_request(START, watch(1, 1_000)) else {
+        panic!("no wait")
+    };
+    assert_eq!(model.on_tick(Monotonic::from_millis(999)), []);
+    let resolved = model.on_tick(Monotonic::from_millis(1_000));
+    assert_eq!(resolved[0].0, second);
+    assert_eq!(model.waiting(), 0);
+    assert_eq!((model.counts().calls, model.counts().reads), (4, 3));
+}
+
+/// Guards against watches of callers that are gone and pile up.
+#[test]
+fn cancelled_watch_is_forgotten() {
+    let mut model = PlatformModel::default();
+    let ModelReply::Waiting(id) = model.on_request(START, watch(0, 1_000)) else {
+        panic!("no wait")
+    };
+    model.cancel(id);
+    assert_eq!(model.waiting(), 0);
+}
+
+/// Guards against an outage in which some calls still take effect.
+#[test]
+fn down_platform_takes_no_effect_and_drops_watches() {
+    let mut model = PlatformModel::default();
+    let ModelReply::Waiting(id) = model.on_request(START, watch(0, 1_000)) else {
+        panic!("no wait")
+    };
+    model.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    assert_eq!(
+        model.on_request(START, put("a", 0)),
+        ModelReply::Unreachable
+    );
+    assert_eq!(model.on_tick(START), [(id, ModelReply::Unreachable)]);
+    model.set_faults(Faults::default());
+    assert_eq!(ask(&mut model, put("a", 0)), written(1));
+}
+
+/// Guards against a partition that cuts off more or fewer callers than chosen.
+#[test]
+fn only_chosen_callers_are_refused() {
+    let mut model = PlatformModel::default();
+    model.set_faults(Faults {
+        refuse: vec!["i-1".to_owned()],
+        ..Faults::default()
+    });
+    let refused = model.on_request_from(START, "i-1", put("a", 0));
+    assert_eq!(refused, ModelReply::Unreachable);
+    assert_eq!(
+        answer(model.on_request_from(START, "i-2", put("a", 0))),
+        written(1)
+    );
+    assert_eq!(model.counts().unreachable, 1);
+}
+
+/// Guards against a lost reply whose write did not take effect, and a lost conflict.
+#[test]
+fn lost_reply_is_of_a_write_that_took_effect() {
+    let mut model = PlatformModel::default();
+    model.set_faults(Faults {
+        lose_writes: 1,
+        ..Faults::default()
+    });
+    let conflict = StoreReply::Conflict { entry: None };
+    assert_eq!(ask(&mut model, put("a", 7)), conflict);
+    assert_eq!(model.on_request(START, put("a", 0)), ModelReply::Lost);
+    assert_eq!(model.get("k"), Some(&entry("a", 1)));
+    assert_eq!(ask(&mut model, put("b", 1)), written(2));
+}
+
+/// Guards against a slow store that still answers at once.
+#[test]
+fn slow_platform_delays_each_answer() {
+    let mut model = PlatformModel::default();
+    model.set_faults(Faults {
+        slow_ms: 70,
+        ..Faults::default()
+    });
+    let ModelReply::Answer { delay, .. } = model.on_request(START, put("a", 0)) else {
+        panic!("no answer")
+    };
+    assert_eq!(delay, Duration::from_millis(70));
+}
+
+/// Guards against a restore that leaves newer keys, or that watchers do not notice.
+#[test]
+fn restore_returns_to_older_values_and_revisions() {
+    let mut model = PlatformModel::default();
+    ask(&mut model, put("a", 0));
+    let saved = model.snapshot();
+    ask(&mut model, put("b", 1));
+    ask(&mut model, put_key("other", "x", 0));
+    let ModelReply::Waiting(_) = model.on_request(START, watch(2, 1_000)) else {
+        panic!("no wait")
+    };
+    model.restore(&saved);
+    let entries: Vec<_> = model.entries().cloned().collect();
+    assert_eq!(entries, [entry("a", 1)]);
+    assert_eq!(model.on_tick(START).len(), 1);
+}
+
+/// Guards against a list without lag, with which code would come to depend on fresh entries.
+#[test]
+fn member_list_lags() {
+    let mut model = PlatformModel::new(Duration::from_millis(500));
+    let member = |leaving| Member {
+        who: MemberId::Worker("w-1".into(), "r-1".into()),
+        zone: Zone::from("waco"),
+        address: "127.0.0.1:1".to_owned(),
+        leaving,
+    };
+    let list = |model: &mut PlatformModel, at| {
+        let reply = model.on_request(Monotonic::from_millis(at), StoreRequest::Members);
+        match answer(reply) {
+            StoreReply::Members { members } => members,
+            other => panic!("{other:?}"),
+        }
+    };
+    model.register(START, member(false));
+    model.register(Monotonic::from_millis(100), member(true));
+    assert_eq!(list(&mut model, 499), []);
+    assert_eq!(list(&mut model, 500), [member(false)]);
+    assert_eq!(list(&mut model, 600), [member(true)]);
+    model.remove(Monotonic::from_millis(700), member(true).who);
+    assert_eq!(list(&mut model, 1_199), [member(true)]);
+    assert_eq!(list(&mut model, 1_200), []);
+}
+
+fn any_write() -> impl Strategy<Value = StoreRequest> {
+    (0..3_u8, 0..4_u64, prop::bool::weighted(0.3)).prop_map(|(key, expect, delete)| {
+        let (key, expect) = (format!("k{key}"), Revision(expect));
+        if delete {
+            StoreRequest::Delete { key, expect }
+        } else {
+            let value = String::new();
+            StoreRequest::Put { key, value, expect }
+        }
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x706c_6174),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a revision that is given out twice for one key, by which a fenced writer
+    /// could pass for the current one.
+    #[test]
+    fn revisions_of_a_key_only_rise(writes in prop::collection::vec(any_write(), 1..60)) {
+        let mut model = PlatformModel::default();
+        let mut highest = std::collections::HashMap::new();
+        for write in writes {
+            let (StoreRequest::Put { key, .. } | StoreRequest::Delete { key, .. }) = &write else {
+                unreachable!("only writes are made");
+            };
+            let key = key.clone();
+            let is_put = matches!(write, StoreRequest::Put { .. });
+            if let StoreReply::Written { revision } = ask(&mut model, write) && is_put {
+                let former = highest.insert(key, revision);
+                assert!(former.is_none_or(|former| former < revision));
+            }
+        }
+    }
+}
