Add the ledger partition: takeover, group commit and read-back

Claims of non-idempotent requests need a record that survives the loss of every instance and that fences a former owner.

One partition is a state machine with at most one open store call. Takeover raises the epoch in the head, seals the open segment by compare-and-swap and opens the next one with the runs copied in. A write with an unknown outcome is settled by its nonce.

A property test over two owners found that two owners that see no segment opened different first segments, after which a late write left two open segments and no takeover could end. Both now write the same key.

--- /dev/null
+++ b/crates/daisymast_ledger/src/commit.rs
@@ -0,0 +1,186 @@
+//! Entries that wait for the next write, and the write that carries a group of them.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use daisymast_protocol::peer::ClaimState;
+use daisymast_types::collections::FastMap;
+use daisymast_types::ids::{InstanceId, RequestId};
+use daisymast_types::time::Monotonic;
+
+use crate::entry::Entry;
+use crate::partition::{Reply, Ticket};
+use crate::segment::{self, SEAL_BYTES, SEAL_ENTRIES, Segment};
+use crate::write::Write;
+
+/// Time after which a waiting claim is answered with what is surely known of it.
+pub(crate) const WAIT_LIMIT: Duration = Duration::from_secs(1);
+/// Groups that may wait in one partition.
+pub(crate) const WAITING_MAX: usize = 1_024;
+
+/// Entries that are recorded together, and who waits for that.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    /// Nothing once the answer was given.
+    pub(crate) ticket: Option<Ticket>,
+    since: Monotonic,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) bytes: usize,
+}
+
+/// A write with the groups that it carries.
+#[derive(Clone, Debug)]
+pub(crate) struct Commit {
+    pub(crate) write: Write,
+    /// The open segment if the write takes effect.
+    pub(crate) segment: Segment,
+    /// Bytes of its entries.
+    pub(crate) bytes: usize,
+    pub(crate) items: Vec<Waiting>,
+}
+
+/// Groups in order of arrival.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Queue {
+    items: VecDeque<Waiting>,
+    /// Claims that wait or are being written.
+    claims: FastMap<RequestId, (String, InstanceId)>,
+}
+
+/// Answers that became known.
+pub(crate) type Answers = Vec<(Ticket, Reply)>;
+
+impl Queue {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// State of a claim that is not yet recorded. It may still fail, but the one who asks must not
+    /// run the request in either case.
+    pub(crate) fn claim_state(&self, request: &RequestId) -> Option<ClaimState> {
+        let (digest, by) = self.claims.get(request)?;
+        Some(ClaimState::Claimed {
+            by: by.clone(),
+            digest: digest.clone(),
+        })
+    }
+
+    /// Adds a group, or returns the answer if it surely cannot be recorded.
+    pub(crate) fn push(
+        &mut self,
+        now: Monotonic,
+        ticket: Ticket,
+        entries: Vec<Entry>,
+    ) -> Option<Reply> {
+        let bytes = entries.iter().map(size).sum::<usize>();
+        if self.items.len() >= WAITING_MAX || bytes > SEAL_BYTES {
+            return Some(Reply::Unavailable);
+        }
+        for entry in &entries {
+            if let Entry::Claim {
+                request,
+                digest,
+                by,
+            } = entry
+            {
+                self.claims
+                    .insert(request.clone(), (digest.clone(), by.clone()));
+            }
+        }
+        self.items.push_back(Waiting {
+            ticket: Some(ticket),
+            since: now,
+            entries,
+            bytes,
+        });
+        None
+    }
+
+    /// Takes the groups that fit in a segment that holds `entries` entries of `bytes` bytes.
+    pub(crate) fn take(&mut self, mut entries: usize, mut bytes: usize) -> Vec<Waiting> {
+        let mut taken = Vec::new();
+        while entries < SEAL_ENTRIES && bytes < SEAL_BYTES {
+            let Some(item) = self.items.pop_front() else {
+                break;
+            };
+            entries += item.entries.len();
+            bytes += item.bytes;
+            taken.push(item);
+        }
+        taken
+    }
+
+    /// Puts groups back whose write surely took no effect. Those that were answered are dropped:
+    /// nobody waits for them.
+    pub(crate) fn put_back(&mut self, items: Vec<Waiting>) {
+        for item in items.into_iter().rev() {
+            if item.ticket.is_some() {
+                self.items.push_front(item);
+            } else {
+                self.forget(&item);
+            }
+        }
+    }
+
+    /// Forgets the claims of a group that is recorded or given up.
+    pub(crate) fn forget(&mut self, item: &Waiting) {
+        for entry in &item.entries {
+            if let Entry::Claim { request, .. } = entry {
+                self.claims.remove(request);
+            }
+        }
+    }
+
+    /// Gives up groups that wait too long. They were never sent, so they surely took no effect.
+    pub(crate) fn expire(&mut self, now: Monotonic) -> Answers {
+        let mut answers = Answers::new();
+        while self
+            .items
+            .front()
+            .is_some_and(|item| now - item.since >= WAIT_LIMIT)
+        {
+            if let Some(item) = self.items.pop_front() {
+                self.forget(&item);
+                answers.extend(item.ticket.map(|ticket| (ticket, Reply::Unavailable)));
+            }
+        }
+        answers
+    }
+
+    /// Gives up all groups, none of which was sent.
+    pub(crate) fn clear(&mut self, reply: &Reply) -> Answers {
+        self.claims.clear();
+        self.items
+            .drain(..)
+            .filter_map(|item| item.ticket.map(|ticket| (ticket, reply.clone())))
+            .collect()
+    }
+}
+
+impl Commit {
+    /// Answers groups whose write is unresolved for too long. They stay in the write.
+    pub(crate) fn expire(&mut self, now: Monotonic) -> Answers {
+        self.items
+            .iter_mut()
+            .filter(|item| now - item.since >= WAIT_LIMIT)
+            .filter_map(|item| item.ticket.take().map(|ticket| (ticket, Reply::Unknown)))
+            .collect()
+    }
+
+    /// Answers all groups that still wait.
+    pub(crate) fn answer(self, reply: &Reply) -> Answers {
+        self.items
+            .into_iter()
+            .filter_map(|item| item.ticket.map(|ticket| (ticket, reply.clone())))
+            .collect()
+    }
+
+    pub(crate) fn has_waiters(&self) -> bool {
+        self.items.iter().any(|item| item.ticket.is_some())
+    }
+}
+
+/// Bytes of an entry in its segment, with the separator.
+fn size(entry: &Entry) -> usize {
+    segment::encode(entry).map_or(usize::MAX / 2, |text| text.len() + 1)
+}
--- /dev/null
+++ b/crates/daisymast_ledger/src/partition.rs
@@ -0,0 +1,429 @@
+//! One partition of the ledger, as one instance sees it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::peer::ClaimState;
+use daisymast_protocol::store::{StoreReply, StoreRequest};
+use daisymast_types::hashing;
+use daisymast_types::ids::{
+    BootId, Epoch, InstanceId, Nonce, Partition as PartitionId, RequestId, RunKey,
+};
+use daisymast_types::time::{Monotonic, Timestamp};
+
+use crate::commit::Answers;
+use crate::entry::{Entry, Settled};
+use crate::owned::{self, Owned};
+use crate::record::RunRecord;
+use crate::takeover::{self, Takeover};
+
+/// Pause after a store call that failed.
+pub const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Pause before a partition whose values could not be read is tried again.
+pub const BROKEN_PAUSE: Duration = Duration::from_secs(60);
+
+/// Number that the caller of a method gives and finds again in the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// What became of a request to the partition.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The entries are recorded. A claim is new.
+    Committed,
+    /// The id is known already. It may be a claim that is still being written.
+    Known(ClaimState),
+    /// The partition is not owned here; nothing was or will be recorded.
+    NotOwner,
+    /// The store cannot be written; nothing was or will be recorded.
+    Unavailable,
+    /// The entries may or may not be recorded, now or later.
+    Unknown,
+}
+
+/// A change of the ownership.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The partition is owned from now on.
+    Owned(Epoch),
+    /// Another instance owns the partition; its epoch, if known.
+    Fenced(Option<Epoch>),
+    /// The ownership ended because the instance drains.
+    Released,
+    /// A value in the store cannot be read or written. It is left as it is.
+    Broken(String),
+    /// The store refused a write for its size or form.
+    Refused(String),
+}
+
+/// What the caller has to do.
+#[must_use = "a dropped effect loses a call or an answer"]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Make a store call and hand its outcome to [`Partition::on_store`] with the same number.
+    Call {
+        /// Number of the call.
+        call: u64,
+        /// The call.
+        request: StoreRequest,
+    },
+    /// Give an answer. Each ticket gets exactly one.
+    Answer {
+        /// Ticket of the request.
+        ticket: Ticket,
+        /// The answer.
+        reply: Reply,
+    },
+    /// The ownership changed.
+    Changed(Change),
+}
+
+/// Who acts, and its source of nonces.
+#[derive(Clone, Debug)]
+pub(crate) struct Identity {
+    pub(crate) partition: PartitionId,
+    pub(crate) owner: InstanceId,
+    pub(crate) address: String,
+    boot: BootId,
+    count: u64,
+}
+
+impl Identity {
+    pub(crate) fn nonce(&mut self) -> Nonce {
+        self.count += 1;
+        let use_number = (u128::from(self.partition.0) << 64) | u128::from(self.count);
+        Nonce(hashing::stable_pair(
+            &self.boot.0.to_le_bytes(),
+            &use_number.to_le_bytes(),
+        ))
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    Idle,
+    Takeover(Box<Takeover>),
+    Owned(Box<Owned>),
+    Broken(Monotonic),
+}
+
+/// A partition that is idle, being taken over, owned, or unreadable.
+///
+/// ```
+/// use daisymast_ledger::partition;
+/// use daisymast_types::{ids, time};
+/// let mut partition = partition::Partition::new(
+///     ids::Partition(3),
+///     ids::InstanceId::from("entry-1"),
+///     "127.0.0.1:7101",
+///     ids::BootId(7),
+/// );
+/// let effects = partition.take_over(time::Timestamp::new(0, 1_780_000_000_000));
+/// assert!(matches!(effects[0], partition::Effect::Call { .. }));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Partition {
+    identity: Identity,
+    phase: Phase,
+    /// Highest epoch that was seen of another owner.
+    floor: Epoch,
+    calls: u64,
+    /// Number and time of sending of the open call.
+    open: Option<(u64, Monotonic)>,
+    next_call: Monotonic,
+    releasing: bool,
+    effects: Vec<Effect>,
+}
+
+impl Partition {
+    /// A partition that is not owned. `boot` differs for each start of the process.
+    pub fn new(id: PartitionId, owner: InstanceId, address: &str, boot: BootId) -> Self {
+        Self {
+            identity: Identity {
+                partition: id,
+                owner,
+                address: address.to_owned(),
+                boot,
+                count: 0,
+            },
+            phase: Phase::Idle,
+            floor: Epoch(0),
+            calls: 0,
+            open: None,
+            next_call: Monotonic::ZERO,
+            releasing: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Epoch of the ownership, if the partition is owned.
+    pub fn epoch(&self) -> Option<Epoch> {
+        self.owned().map(Owned::epoch)
+    }
+
+    /// Whether the partition is neither owned nor being taken over.
+    pub fn is_idle(&self) -> bool {
+        match self.phase {
+            Phase::Idle | Phase::Broken(_) => true,
+            Phase::Takeover(_) | Phase::Owned(_) => false,
+        }
+    }
+
+    /// Time of sending of the last call that showed the ownership, if the partition is owned.
+    pub fn confirmed(&self) -> Option<Monotonic> {
+        self.owned().map(|owned| owned.confirmed)
+    }
+
+    /// Runs of an owned partition.
+    pub fn runs(&self) -> Option<&BTreeMap<RunKey, RunRecord>> {
+        self.owned().map(|owned| owned.memory.runs())
+    }
+
+    /// What is recorded of a request, if the partition is owned.
+    pub fn claim_state(&self, request: &RequestId) -> Option<ClaimState> {
+        self.owned().map(|owned| owned.claim_state(request))
+    }
+
+    /// Drops the record of a closed run that cannot become due again.
+    pub fn forget_run(&mut self, run: RunKey) {
+        if let Phase::Owned(owned) = &mut self.phase {
+            owned.memory.forget_run(run);
+        }
+    }
+
+    /// Starts a takeover unless one is in progress or the partition is owned.
+    pub fn take_over(&mut self, now: Timestamp) -> Vec<Effect> {
+        let ready = match self.phase {
+            Phase::Idle => true,
+            Phase::Broken(since) => now.mono - since >= BROKEN_PAUSE,
+            Phase::Takeover(_) | Phase::Owned(_) => false,
+        };
+        if ready {
+            self.releasing = false;
+            self.phase = Phase::Takeover(Box::new(Takeover::new(self.floor)));
+            self.next_call = now.mono;
+        }
+        self.advance(now)
+    }
+
+    /// Claims a request. The answer is [`Reply::Committed`] only if the claim is new and durable.
+    pub fn claim(
+        &mut self,
+        now: Timestamp,
+        ticket: Ticket,
+        request: RequestId,
+        digest: String,
+        by: InstanceId,
+    ) -> Vec<Effect> {
+        match self.claim_state(&request) {
+            Some(ClaimState::Absent) => {
+                let entry = Entry::Claim {
+                    request,
+                    digest,
+                    by,
+                };
+                self.record(now, ticket, vec![entry])
+            }
+            Some(known) => answer(ticket, Reply::Known(known)),
+            None => answer(ticket, Reply::NotOwner),
+        }
+    }
+
+    /// Records how a claimed request ended. The first result stays.
+    pub fn settle(
+        &mut self,
+        now: Timestamp,
+        ticket: Ticket,
+        request: RequestId,
+        result: Settled,
+    ) -> Vec<Effect> {
+        let Phase::Owned(owned) = &mut self.phase else {
+            return answer(ticket, Reply::NotOwner);
+        };
+        let open = owned
+            .memory
+            .claimed(&request)
+            .is_some_and(|claimed| claimed.settled.is_none());
+        if !open {
+            let state = owned.claim_state(&request);
+            return answer(ticket, Reply::Known(state));
+        }
+        // The result is true whether or not the entry becomes durable, so it is told from now on.
+        owned.memory.settle(&request, result);
+        self.record(now, ticket, vec![Entry::Settle { request, result }])
+    }
+
+    /// Records entries together.
+    pub fn record(&mut self, now: Timestamp, ticket: Ticket, entries: Vec<Entry>) -> Vec<Effect> {
+        match &mut self.phase {
+            Phase::Owned(owned) if !self.releasing => {
+                let answers = owned.push(now.mono, ticket, entries);
+                self.answer_all(answers);
+                self.advance(now)
+            }
+            _ => answer(ticket, Reply::NotOwner),
+        }
+    }
+
+    /// Gives the partition up once nobody waits for an answer.
+    pub fn release(&mut self, now: Timestamp) -> Vec<Effect> {
+        self.releasing = true;
+        if let Phase::Takeover(_) = self.phase {
+            self.phase = Phase::Idle;
+            self.open = None;
+        }
+        self.on_tick(now)
+    }
+
+    /// Checks the ownership because another instance says that it owns the partition.
+    pub fn on_rival(&mut self, now: Timestamp, epoch: Epoch) -> Vec<Effect> {
+        if let Phase::Owned(owned) = &mut self.phase
+            && epoch > owned.epoch()
+            && epoch > self.floor
+        {
+            self.floor = epoch;
+            owned.confirm();
+        }
+        self.advance(now)
+    }
+
+    /// Time has passed.
+    pub fn on_tick(&mut self, now: Timestamp) -> Vec<Effect> {
+        if let Phase::Owned(owned) = &mut self.phase {
+            let answers = owned.expire(now.mono);
+            let finished = self.releasing && !owned.has_waiters();
+            self.answer_all(answers);
+            if finished {
+                self.open = None;
+                self.phase = Phase::Idle;
+                self.change(Change::Released);
+            }
+        }
+        self.advance(now)
+    }
+
+    /// Takes the outcome of a store call. A reply that is no longer waited for changes nothing.
+    pub fn on_store(
+        &mut self,
+        now: Timestamp,
+        call: u64,
+        outcome: Outcome<StoreReply>,
+    ) -> Vec<Effect> {
+        let Some((_, sent)) = self.open.filter(|(open, _)| *open == call) else {
+            return Vec::new();
+        };
+        self.open = None;
+        match std::mem::replace(&mut self.phase, Phase::Idle) {
+            Phase::Takeover(takeover) => self.takeover_reply(now, sent, takeover, outcome),
+            Phase::Owned(owned) => self.owned_reply(now, sent, owned, outcome),
+            other => self.phase = other,
+        }
+        self.on_tick(now)
+    }
+
+    fn takeover_reply(
+        &mut self,
+        now: Timestamp,
+        sent: Monotonic,
+        mut takeover: Box<Takeover>,
+        outcome: Outcome<StoreReply>,
+    ) {
+        match takeover.on_reply(now, sent, &mut self.identity, outcome) {
+            takeover::Step::Again => self.phase = Phase::Takeover(takeover),
+            takeover::Step::Later => {
+                self.next_call = now.mono + RETRY_PAUSE;
+                self.phase = Phase::Takeover(takeover);
+            }
+            takeover::Step::Owned(owned) => {
+                let epoch = owned.epoch();
+                self.phase = Phase::Owned(owned);
+                self.change(Change::Owned(epoch));
+            }
+            takeover::Step::Lost(epoch) => self.fenced(epoch),
+            takeover::Step::Broken(reason) => self.broken(now, reason),
+        }
+    }
+
+    fn owned_reply(
+        &mut self,
+        now: Timestamp,
+        sent: Monotonic,
+        mut owned: Box<Owned>,
+        outcome: Outcome<StoreReply>,
+    ) {
+        let mut answers = Answers::new();
+        let step = owned.on_reply(sent, now.wall, outcome, &mut answers);
+        self.answer_all(answers);
+        match step {
+            owned::Step::Again => self.phase = Phase::Owned(owned),
+            owned::Step::Later => {
+                self.next_call = now.mono + RETRY_PAUSE;
+                self.phase = Phase::Owned(owned);
+            }
+            owned::Step::Refused(reason) => {
+                self.phase = Phase::Owned(owned);
+                self.change(Change::Refused(reason));
+            }
+            owned::Step::Fenced(epoch) => {
+                self.answer_all(owned.give_up(&Reply::NotOwner));
+                self.fenced(epoch);
+            }
+            owned::Step::Broken(reason) => {
+                self.answer_all(owned.give_up(&Reply::Unavailable));
+                self.broken(now, reason);
+            }
+        }
+    }
+
+    fn fenced(&mut self, epoch: Option<Epoch>) {
+        self.floor = self.floor.max(epoch.unwrap_or_default());
+        self.phase = Phase::Idle;
+        self.change(Change::Fenced(epoch));
+    }
+
+    fn broken(&mut self, now: Timestamp, reason: String) {
+        self.phase = Phase::Broken(now.mono);
+        self.change(Change::Broken(reason));
+    }
+
+    /// Makes the next store call if one is due and none is open, and hands out all effects.
+    fn advance(&mut self, now: Timestamp) -> Vec<Effect> {
+        if self.open.is_none() && now.mono >= self.next_call {
+            let request = match &mut self.phase {
+                Phase::Idle | Phase::Broken(_) => None,
+                Phase::Takeover(takeover) => Some(takeover.request(&self.identity)),
+                Phase::Owned(owned) => owned.request(now, &mut self.identity),
+            };
+            if let Some(request) = request {
+                self.calls += 1;
+                self.open = Some((self.calls, now.mono));
+                let call = self.calls;
+                self.effects.push(Effect::Call { call, request });
+            }
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn owned(&self) -> Option<&Owned> {
+        match &self.phase {
+            Phase::Owned(owned) => Some(owned),
+            Phase::Idle | Phase::Takeover(_) | Phase::Broken(_) => None,
+        }
+    }
+
+    fn change(&mut self, change: Change) {
+        self.effects.push(Effect::Changed(change));
+    }
+
+    fn answer_all(&mut self, answers: Answers) {
+        let effects = answers
+            .into_iter()
+            .map(|(ticket, reply)| Effect::Answer { ticket, reply });
+        self.effects.extend(effects);
+    }
+}
+
+fn answer(ticket: Ticket, reply: Reply) -> Vec<Effect> {
+    vec![Effect::Answer { ticket, reply }]
+}
--- /dev/null
+++ b/crates/daisymast_ledger/tests/common/mod.rs
@@ -0,0 +1,242 @@
+//! A tiny compare-and-swap store with faults, and a driver of partitions on a virtual clock.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use daisymast_ledger::partition::{Change, Effect, Partition, Reply, Ticket};
+use daisymast_protocol::outcome::{CallError, Outcome};
+use daisymast_protocol::peer::ClaimState;
+use daisymast_protocol::store::{Entry, StoreReply, StoreRequest};
+use daisymast_types::ids::{BootId, InstanceId, Partition as PartitionId, RequestId, Revision};
+use daisymast_types::time::Timestamp;
+
+pub(crate) const WALL: u64 = 1_780_000_000_000;
+
+#[derive(Default)]
+pub(crate) struct Store {
+    pub map: BTreeMap<String, Entry>,
+    pub revision: u64,
+    pub writes: u32,
+    pub reads: u32,
+}
+
+impl Store {
+    pub(crate) fn apply(&mut self, request: &StoreRequest) -> StoreReply {
+        if request.is_write() {
+            self.writes += 1;
+        } else {
+            self.reads += 1;
+        }
+        match request {
+            StoreRequest::Get { key } => StoreReply::Value {
+                entry: self.map.get(key).cloned(),
+            },
+            StoreRequest::List { prefix } => StoreReply::Entries {
+                entries: self
+                    .map
+                    .values()
+                    .filter(|entry| entry.key.starts_with(prefix))
+                    .cloned()
+                    .collect(),
+            },
+            StoreRequest::Put { key, value, expect } => self.put(key, value, *expect),
+            StoreRequest::Delete { key, expect } => self.delete(key, *expect),
+            StoreRequest::Watch { .. } | StoreRequest::Members => panic!("not used"),
+        }
+    }
+
+    fn put(&mut self, key: &str, value: &str, expect: Revision) -> StoreReply {
+        let current = self.map.get(key);
+        if current.map_or(Revision(0), |entry| entry.revision) != expect {
+            return StoreReply::Conflict {
+                entry: current.cloned(),
+            };
+        }
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        let entry = Entry {
+            key: key.to_owned(),
+            value: value.to_owned(),
+            revision,
+        };
+        self.map.insert(key.to_owned(), entry);
+        StoreReply::Written { revision }
+    }
+
+    fn delete(&mut self, key: &str, expect: Revision) -> StoreReply {
+        let current = self.map.get(key);
+        if current.map_or(Revision(0), |entry| entry.revision) != expect {
+            return StoreReply::Conflict {
+                entry: current.cloned(),
+            };
+        }
+        self.map.remove(key);
+        self.revision += 1;
+        StoreReply::Written {
+            revision: Revision(self.revision),
+        }
+    }
+}
+
+/// What happens to one store call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    None,
+    /// The call takes effect, its reply is lost.
+    LostReply,
+    /// The call is lost without effect, which the sender cannot know.
+    LostCall,
+    /// The connection is refused.
+    Refused,
+    /// The call is held back and takes effect when [`Node::land_late`] is called.
+    Late,
+    /// The process ends before the call is sent.
+    CrashBefore,
+    /// The process ends after the call took effect.
+    CrashAfter,
+}
+
+pub(crate) fn unknown() -> Outcome<StoreReply> {
+    Outcome::Unknown(CallError::new("call", "store", "deadline passed"))
+}
+
+pub(crate) fn refused() -> Outcome<StoreReply> {
+    Outcome::NoEffect(CallError::new("call", "store", "connection refused"))
+}
+
+/// A partition with its answers and calls.
+pub(crate) struct Node {
+    pub partition: Partition,
+    pub name: InstanceId,
+    pub answers: BTreeMap<Ticket, Reply>,
+    pub changes: Vec<Change>,
+    pub late: Vec<StoreRequest>,
+    pub crashed: bool,
+    pub calls: usize,
+    tickets: u64,
+}
+
+impl Node {
+    pub(crate) fn new(name: &str, boot: u64) -> Self {
+        let name = InstanceId::from(name);
+        Self {
+            partition: Partition::new(PartitionId(3), name.clone(), "127.0.0.1:1", BootId(boot)),
+            name,
+            answers: BTreeMap::new(),
+            changes: Vec::new(),
+            late: Vec::new(),
+            crashed: false,
+            calls: 0,
+            tickets: 0,
+        }
+    }
+
+    pub(crate) fn ticket(&mut self) -> Ticket {
+        self.tickets += 1;
+        Ticket(self.tickets)
+    }
+
+    /// Sorts effects and returns the store calls among them.
+    pub(crate) fn absorb(&mut self, effects: Vec<Effect>) -> Vec<(u64, StoreRequest)> {
+        let mut calls = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Call { call, request } => calls.push((call, request)),
+                Effect::Answer { ticket, reply } => {
+                    let twice = self.answers.insert(ticket, reply);
+                    assert!(twice.is_none(), "{ticket:?} was answered twice");
+                }
+                Effect::Changed(change) => self.changes.push(change),
+            }
+        }
+        assert!(calls.len() <= 1, "more than one store call is open");
+        calls
+    }
+
+    /// Carries out all calls until none is left. `fault` gets the number of the call, from 0.
+    pub(crate) fn drive(
+        &mut self,
+        now: Timestamp,
+        store: &mut Store,
+        effects: Vec<Effect>,
+        fault: &mut dyn FnMut(usize, &StoreRequest) -> Fault,
+    ) {
+        let mut calls = self.absorb(effects);
+        while let Some((call, request)) = calls.pop() {
+            let fate = fault(self.calls, &request);
+            self.calls += 1;
+            let outcome = match fate {
+                Fault::None => Outcome::Done(store.apply(&request)),
+                Fault::LostReply => {
+                    let _ = store.apply(&request);
+                    unknown()
+                }
+                Fault::LostCall => unknown(),
+                Fault::Refused => refused(),
+                Fault::Late => {
+                    self.late.push(request);
+                    unknown()
+                }
+                Fault::CrashAfter => {
+                    let _ = store.apply(&request);
+                    self.crashed = true;
+                    return;
+                }
+                Fault::CrashBefore => {
+                    self.crashed = true;
+                    return;
+                }
+            };
+            let effects = self.partition.on_store(now, call, outcome);
+            calls = self.absorb(effects);
+        }
+    }
+
+    pub(crate) fn take_over(&mut self, now: Timestamp, store: &mut Store) {
+        let effects = self.partition.take_over(now);
+        self.drive(now, store, effects, &mut |_, _| Fault::None);
+    }
+
+    pub(crate) fn tick(&mut self, now: Timestamp, store: &mut Store) {
+        let effects = self.partition.on_tick(now);
+        self.drive(now, store, effects, &mut |_, _| Fault::None);
+    }
+
+    pub(crate) fn claim_effects(&mut self, now: Timestamp, id: &str) -> (Ticket, Vec<Effect>) {
+        let ticket = self.ticket();
+        let (request, by) = (RequestId::from(id), self.name.clone());
+        let effects = self
+            .partition
+            .claim(now, ticket, request, "d1".to_owned(), by);
+        (ticket, effects)
+    }
+
+    pub(crate) fn claim(&mut self, now: Timestamp, store: &mut Store, id: &str) -> Ticket {
+        let (ticket, effects) = self.claim_effects(now, id);
+        self.drive(now, store, effects, &mut |_, _| Fault::None);
+        ticket
+    }
+
+    pub(crate) fn state(&self, id: &str) -> Option<ClaimState> {
+        self.partition.claim_state(&RequestId::from(id))
+    }
+
+    /// Lets the calls that were held back take effect.
+    pub(crate) fn land_late(&mut self, store: &mut Store) {
+        for request in std::mem::take(&mut self.late) {
+            let _ = store.apply(&request);
+        }
+    }
+}
+
+pub(crate) fn at(millis: u64) -> Timestamp {
+    Timestamp::new(millis, WALL + millis)
+}
+
+/// What a fresh owner finds recorded of a request.
+pub(crate) fn recorded(store: &mut Store, now: Timestamp, id: &str) -> bool {
+    let mut reader = Node::new("reader", 9_999 + store.revision);
+    reader.take_over(now, store);
+    assert!(reader.partition.epoch().is_some(), "{:?}", reader.changes);
+    reader.state(id) != Some(ClaimState::Absent)
+}
