--- a/crates/daisymast_engine/src/control.rs
+++ b/crates/daisymast_engine/src/control.rs
@@ -9,6 +9,8 @@
 mod serving;
 mod sweep;
 mod tasks;
+#[cfg(test)]
+mod tests;
 mod worker;
 
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/daisymast_engine/src/control/tests/capacity.rs
@@ -0,0 +1,226 @@
+//! Capacity, reservations, leaving workers and quarantine.
+
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::peer::{PeerReply, PeerRequest, WorkerCapacity};
+use daisymast_protocol::task::{TaskSpec, TaskState};
+use daisymast_protocol::worker::{Refusal, WorkerReply};
+use daisymast_types::ids::{RunKey, Token, WorkerId};
+use daisymast_types::quantities::Resources;
+use proptest::prelude::any;
+use proptest::{prop_assert, prop_assert_eq, proptest};
+
+use crate::testing::{Bench, lost, refused, replica, request, task};
+
+fn ready() -> Bench {
+    let mut bench = Bench::new(&["w-1"], &[]);
+    bench.run_to(500);
+    bench
+}
+
+fn start(bench: &mut Bench, from: &str, spec: &TaskSpec) -> Token {
+    let request = PeerRequest::Start {
+        worker: WorkerId::from("w-1"),
+        task: spec.clone(),
+    };
+    bench.ask(from, request)
+}
+
+fn sized(index: u32, millicores: u32) -> TaskSpec {
+    let mut spec = task("survey", 1, index);
+    spec.size = Resources::new(millicores, 100, 0);
+    spec
+}
+
+fn capacity(bench: &mut Bench) -> WorkerCapacity {
+    match bench.answer_to(PeerRequest::Capacity) {
+        PeerReply::Capacity(found) => found.into_iter().next().expect("one worker"),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn reserve(bench: &mut Bench, run: u64, millicores: u32) -> PeerReply {
+    bench.answer_to(PeerRequest::Reserve {
+        worker: WorkerId::from("w-1"),
+        run: RunKey(run),
+        size: Resources::new(millicores, 100, 0),
+    })
+}
+
+const FULL: PeerReply = PeerReply::Refused(Refusal::NoCapacity);
+
+/// Guards against two senders that both see the same free capacity.
+#[test]
+fn two_senders_never_oversubscribe() {
+    let mut bench = ready();
+    start(&mut bench, "entry-2", &sized(0, 5_000));
+    let second = start(&mut bench, "entry-3", &sized(1, 5_000));
+    assert_eq!(bench.answer(second), Some(FULL));
+    let third = start(&mut bench, "entry-3", &sized(2, 3_000));
+    assert_eq!(bench.answer(third), None);
+    assert_eq!(capacity(&mut bench).free.millicores, 0);
+}
+
+/// Guards against capacity that is given away while a start of unknown outcome may still run, and
+/// against capacity that stays lost after it certainly does not.
+#[test]
+fn unknown_start_keeps_its_debit_until_the_worker_settles_it() {
+    let mut bench = ready();
+    let token = start(&mut bench, "entry-2", &sized(0, 8_000));
+    let open = bench.take_start().expect("a start");
+    bench.reply(open.call, Outcome::Unknown(lost()));
+    assert_eq!(bench.answer(token), Some(PeerReply::Uncertain));
+    let second = start(&mut bench, "entry-3", &sized(1, 1_000));
+    assert_eq!(bench.answer(second), Some(FULL));
+    bench.run_for(900);
+    assert_eq!(capacity(&mut bench).free.millicores, 0);
+    bench.run_for(2_200);
+    assert_eq!(capacity(&mut bench).free.millicores, 8_000);
+}
+
+/// Guards against a start of unknown outcome that ran and is counted twice or not at all.
+#[test]
+fn unknown_start_that_ran_is_counted_once() {
+    let mut bench = ready();
+    let spec = sized(0, 3_000);
+    start(&mut bench, "entry-2", &spec);
+    let open = bench.take_start().expect("a start");
+    bench.worker("w-1").report(&spec, TaskState::Running);
+    bench.reply(open.call, Outcome::Unknown(lost()));
+    bench.run_for(5_000);
+    assert_eq!(capacity(&mut bench).free.millicores, 5_000);
+    bench.worker("w-1").report(&spec, TaskState::Succeeded);
+    bench.run_for(1_500);
+    assert_eq!(capacity(&mut bench).free.millicores, 8_000);
+    assert!(bench.has_record("task.started") && bench.has_record("task.ended"));
+}
+
+proptest! {
+    /// Guards against any order of replies and reports that frees capacity which is in use. The
+    /// worker runs what it gets before the deadline and the sender may learn of it, or not.
+    #[test]
+    fn worker_is_never_oversubscribed(
+        steps in proptest::collection::vec((500_u32..5_000, any::<bool>(), 0_u8..4), 1..25),
+    ) {
+        let mut bench = ready();
+        let mut running: Vec<TaskSpec> = Vec::new();
+        for (index, (millicores, ends, outcome)) in (0..).zip(steps) {
+            let spec = sized(index, millicores);
+            let token = start(&mut bench, "entry-2", &spec);
+            if let Some(open) = bench.take_start() {
+                let used: u32 = running.iter().map(|one| one.size.millicores).sum();
+                prop_assert!(used + millicores <= 8_000, "{used} + {millicores}");
+                if outcome < 2 {
+                    bench.worker("w-1").report(&spec, TaskState::Running);
+                    running.push(spec);
+                }
+                let reply = match outcome {
+                    0 => Outcome::Done(WorkerReply::Ok),
+                    1 | 2 => Outcome::Unknown(lost()),
+                    _ => refused(Refusal::NoCapacity),
+                };
+                bench.reply(open.call, reply);
+            }
+            prop_assert!(bench.answer(token).is_some());
+            if ends && let Some(ended) = running.pop() {
+                bench.worker("w-1").report(&ended, TaskState::Succeeded);
+            }
+            bench.run_for(u64::from(millicores) / 50 * 50 % 700);
+        }
+        bench.run_for(4_000);
+        let used: u32 = running.iter().map(|one| one.size.millicores).sum();
+        prop_assert_eq!(capacity(&mut bench).free.millicores, 8_000 - used);
+    }
+}
+
+/// Guards against two gang jobs that share capacity, and against reservations that pile up.
+#[test]
+fn reservation_holds_for_two_seconds() {
+    let mut bench = ready();
+    assert_eq!(reserve(&mut bench, 1, 6_000), PeerReply::Ok);
+    assert_eq!(reserve(&mut bench, 1, 6_000), PeerReply::Ok);
+    assert_eq!(reserve(&mut bench, 2, 3_000), FULL);
+    assert_eq!(reserve(&mut bench, 2, 2_000), PeerReply::Ok);
+    bench.run_for(2_000);
+    assert_eq!(capacity(&mut bench).free.millicores, 8_000);
+}
+
+/// Guards against a gang job that cannot use its own reservation, and against one that counts twice.
+#[test]
+fn start_uses_the_reservation_of_its_run() {
+    let mut bench = ready();
+    assert_eq!(reserve(&mut bench, 1, 8_000), PeerReply::Ok);
+    let mut other = sized(7, 1_000);
+    other.key.run = RunKey(2);
+    let token = start(&mut bench, "entry-3", &other);
+    assert_eq!(bench.answer(token), Some(FULL));
+    start(&mut bench, "entry-2", &sized(0, 6_000));
+    assert!(bench.take_start().is_some());
+    assert_eq!(capacity(&mut bench).free.millicores, 0);
+    let unreserve = PeerRequest::Unreserve {
+        worker: WorkerId::from("w-1"),
+        run: RunKey(1),
+    };
+    assert_eq!(bench.answer_to(unreserve), PeerReply::Ok);
+    assert_eq!(capacity(&mut bench).free.millicores, 2_000);
+}
+
+/// Guards against new work on a worker after the renewal that says it leaves.
+#[test]
+fn leaving_worker_gets_nothing() {
+    let mut bench = ready();
+    let quotes = replica("quotes", 0);
+    bench.worker("w-1").report(&quotes, TaskState::Running);
+    bench.run_for(1_500);
+    bench.worker("w-1").leaving = true;
+    bench.run_for(1_100);
+    let worker = WorkerId::from("w-1");
+    let leaving = PeerReply::Refused(Refusal::Leaving);
+    let serve = PeerRequest::Serve {
+        worker: worker.clone(),
+        request: request("quotes", "q-1"),
+    };
+    let start = PeerRequest::Start {
+        worker,
+        task: sized(0, 100),
+    };
+    assert_eq!(bench.answer_to(serve), leaving);
+    assert_eq!(bench.answer_to(start), leaving);
+    assert_eq!(reserve(&mut bench, 1, 100), leaving);
+    assert!(!capacity(&mut bench).open);
+    let endpoints = PeerRequest::Endpoints {
+        service: quotes.job,
+    };
+    assert_eq!(bench.answer_to(endpoints), PeerReply::Endpoints(Vec::new()));
+    assert!(bench.has_record("worker.leaving"));
+}
+
+/// Guards against a worker that fails everything and gets all the work because it is always free.
+#[test]
+fn failing_worker_is_quarantined_and_probed() {
+    let mut bench = ready();
+    for index in 0..5 {
+        let spec = sized(index, 1_000);
+        bench.worker("w-1").report(&spec, TaskState::Running);
+        bench.worker("w-1").report(&spec, TaskState::Failed);
+    }
+    bench.run_for(1_500);
+    assert!(bench.has_record("worker.quarantined"));
+    assert!(!capacity(&mut bench).open);
+    let token = start(&mut bench, "entry-2", &sized(9, 1_000));
+    assert_eq!(bench.answer(token), Some(FULL));
+    for probe in 10..13 {
+        bench.run_for(10_000);
+        assert!(capacity(&mut bench).open);
+        let spec = sized(probe, 1_000);
+        start(&mut bench, "entry-2", &spec);
+        let open = bench.take_start().expect("a probe");
+        let second = start(&mut bench, "entry-2", &sized(99, 1_000));
+        assert_eq!(bench.answer(second), Some(FULL));
+        bench.reply(open.call, Outcome::Done(WorkerReply::Ok));
+        bench.worker("w-1").report(&spec, TaskState::Running);
+        bench.worker("w-1").report(&spec, TaskState::Succeeded);
+    }
+    bench.run_for(1_500);
+    assert!(bench.has_record("worker.reinstated"));
+    assert!(capacity(&mut bench).open);
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/control/tests/lease.rs
@@ -0,0 +1,181 @@
+//! Validity of the control lease.
+
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::peer::{PeerReply, PeerRequest};
+use daisymast_protocol::task::TaskState;
+use daisymast_protocol::worker::{Refusal, WorkerReply, WorkerRequest};
+use daisymast_types::ids::WorkerId;
+
+use crate::event::Event;
+use crate::testing::{Bench, lost, refused, replica, request, task};
+
+fn is_renewal(request: &WorkerRequest) -> bool {
+    matches!(request, WorkerRequest::Renew { .. })
+}
+
+/// Guards against a holder that wakes up after its lease ran out and still starts work.
+#[test]
+fn paused_holder_stops_acting() {
+    let mut bench = Bench::new(&["w-1"], &[]);
+    let quotes = replica("quotes", 0);
+    bench.worker("w-1").report(&quotes, TaskState::Running);
+    bench.run_to(500);
+    let worker = WorkerId::from("w-1");
+    bench.now += 10_000;
+    let serve = PeerRequest::Serve {
+        worker: worker.clone(),
+        request: request("quotes", "q-1"),
+    };
+    let start = PeerRequest::Start {
+        worker,
+        task: task("survey", 1, 0),
+    };
+    for ask in [serve, start] {
+        let reply = bench.answer_to(ask);
+        assert_eq!(reply, PeerReply::NotHolder { holder: None });
+    }
+    assert_eq!(
+        bench.answer_to(PeerRequest::Capacity),
+        PeerReply::Capacity(Vec::new())
+    );
+    assert!(bench.take_start().is_none());
+}
+
+/// Guards against a start that takes effect after its sender gave it up: the message carries the
+/// worker's time from which it is refused, and the refusal gives the capacity back.
+#[test]
+fn late_start_is_refused_by_not_after() {
+    let mut bench = Bench::new(&["w-1"], &[]);
+    bench.run_to(500);
+    let mut survey = task("survey", 1, 0);
+    survey.size = bench.worker("w-1").capacity;
+    let start = PeerRequest::Start {
+        worker: WorkerId::from("w-1"),
+        task: survey,
+    };
+    let token = bench.ask("entry-2", start.clone());
+    let open = bench.take_start().expect("a start");
+    let WorkerRequest::Start { not_after, .. } = open.request else {
+        unreachable!()
+    };
+    let truth = crate::testing::WORKER_CLOCK + open.sent + 1_000;
+    assert!(not_after.0 <= truth, "{} > {truth}", not_after.0);
+    assert!(
+        not_after.0 + 5 >= truth,
+        "{} is far below {truth}",
+        not_after.0
+    );
+    bench.reply(open.call, refused(Refusal::Late));
+    let reply = bench.answer(token);
+    assert_eq!(reply, Some(PeerReply::Refused(Refusal::Late)));
+    bench.ask("entry-2", start);
+    assert!(bench.take_start().is_some());
+}
+
+/// Guards against losing the lease with a single lost reply, and against two open renewals.
+#[test]
+fn lost_renewal_reply_is_made_up_for_in_time() {
+    let mut bench = Bench::new(&["w-1"], &[]);
+    bench.run_to(100);
+    bench.worker("w-1").is_prompt = false;
+    let mut last = None;
+    while last.is_none() {
+        bench.run_for(50);
+        last = bench.take_call(is_renewal);
+    }
+    let first = last.expect("a renewal");
+    // Nothing else is sent while the renewal is open.
+    while bench.now + 50 < first.sent + 750 {
+        bench.run_for(50);
+        assert!(bench.take_call(is_renewal).is_none());
+    }
+    bench.now = first.sent + 750;
+    assert!(first.timeout.as_millis() <= 750);
+    bench.reply(first.call, Outcome::Unknown(lost()));
+    bench.worker("w-1").is_prompt = true;
+    let retry = bench.worker_calls.first().expect("a retry");
+    assert!(matches!(
+        retry.request,
+        WorkerRequest::Renew { wait_ms: 0, .. }
+    ));
+    bench.answer_leases();
+    bench.run_for(1_000);
+    assert!(!bench.has_record("lease.lost"));
+    let PeerReply::Capacity(held) = bench.answer_to(PeerRequest::Capacity) else {
+        unreachable!()
+    };
+    assert_eq!(held.len(), 1);
+}
+
+/// Guards against acting on after every renewal failed.
+#[test]
+fn lease_is_lost_without_renewals() {
+    let mut bench = Bench::new(&["w-1"], &[]);
+    bench.run_to(100);
+    bench.worker("w-1").is_prompt = false;
+    while bench.now < 3_000 {
+        bench.run_for(50);
+        if let Some(open) = bench.take_call(|_| true) {
+            bench.reply(open.call, Outcome::Unknown(lost()));
+        }
+    }
+    assert!(bench.has_record("lease.lost"));
+    assert_eq!(
+        bench.answer_to(PeerRequest::Capacity),
+        PeerReply::Capacity(Vec::new())
+    );
+}
+
+/// Guards against work on a worker that refuses the stamp, for example after its restart.
+#[test]
+fn refused_stamp_ends_the_use_of_the_lease() {
+    let mut bench = Bench::new(&["w-1"], &[]);
+    bench.run_to(500);
+    let start = PeerRequest::Start {
+        worker: WorkerId::from("w-1"),
+        task: task("survey", 1, 0),
+    };
+    let token = bench.ask("entry-2", start);
+    let open = bench.take_start().expect("a start");
+    bench.worker("w-1").is_prompt = false;
+    bench.reply(open.call, refused(Refusal::StaleLease));
+    let reply = bench.answer(token);
+    assert_eq!(reply, Some(PeerReply::NotHolder { holder: None }));
+    assert!(bench.has_record("lease.lost"));
+}
+
+/// Guards against a draining instance that drops a request in flight, lets the lease run out under
+/// it, or never stops.
+#[test]
+fn draining_releases_when_nothing_is_in_flight() {
+    let mut bench = Bench::new(&["w-1"], &[]);
+    let quotes = replica("quotes", 0);
+    bench.worker("w-1").report(&quotes, TaskState::Running);
+    bench.run_to(500);
+    let mut slow = request("quotes", "q-1");
+    slow.timeout_ms = 20_000;
+    let token = bench.ask(
+        "entry-2",
+        PeerRequest::Serve {
+            worker: WorkerId::from("w-1"),
+            request: slow,
+        },
+    );
+    let serve = bench
+        .take_call(|one| matches!(one, WorkerRequest::Serve { .. }))
+        .expect("the request");
+    bench.event(Event::Drain);
+    bench.run_for(10_000);
+    assert!(!bench.has_record("lease.lost") && !bench.has_record("lease.released"));
+    assert!(!bench.is_stopped);
+    let answer = crate::testing::answer("q-1", "Plaza 4");
+    let reply = WorkerReply::Served {
+        answer: answer.clone(),
+    };
+    bench.reply(serve.call, Outcome::Done(reply));
+    assert_eq!(bench.answer(token), Some(PeerReply::Served(answer)));
+    bench.run_for(1_500);
+    assert!(bench.has_record("lease.released"));
+    assert!(bench.is_stopped);
+    assert_eq!(bench.worker("w-1").holder, None);
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/control/tests/runs.rs
@@ -0,0 +1,111 @@
+//! Polls of run owners.
+
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::peer::{PeerReply, PeerRequest};
+use daisymast_protocol::task::TaskState;
+use daisymast_protocol::worker::{Fate, WorkerReply, WorkerRequest};
+use daisymast_types::ids::{Epoch, Partition, RunKey, TaskKey, WorkerId};
+
+use crate::testing::{Bench, lost, task};
+
+fn poll(epoch: u64, recorded: &[TaskKey]) -> PeerRequest {
+    PeerRequest::PollRuns {
+        partition: Partition(3),
+        epoch: Epoch(epoch),
+        runs: vec![RunKey(1)],
+        recorded: recorded.to_vec(),
+    }
+}
+
+fn ready() -> Bench {
+    let mut bench = Bench::new(&["w-1"], &[]);
+    let survey = task("survey", 1, 0);
+    let other = task("invoices", 2, 0);
+    bench.worker("w-1").report(&survey, TaskState::Running);
+    bench.worker("w-1").report(&other, TaskState::Running);
+    bench.run_to(500);
+    bench
+}
+
+/// Guards against a former owner that keeps tasks alive which its successor wants to restart.
+#[test]
+fn stale_epoch_is_refused() {
+    let mut bench = ready();
+    assert!(matches!(bench.answer_to(poll(5, &[])), PeerReply::Runs(_)));
+    assert_eq!(bench.answer_to(poll(4, &[])), PeerReply::StaleEpoch);
+    assert!(matches!(bench.answer_to(poll(5, &[])), PeerReply::Runs(_)));
+    assert!(matches!(bench.answer_to(poll(6, &[])), PeerReply::Runs(_)));
+}
+
+/// Guards against tasks that expire under a living owner or live on under a dead one, and against
+/// answers that leave tasks out.
+#[test]
+fn polled_runs_are_kept_for_three_seconds() {
+    let mut bench = ready();
+    let PeerReply::Runs(found) = bench.answer_to(poll(1, &[])) else {
+        unreachable!()
+    };
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].1.spec.key.run, RunKey(1));
+    bench.run_for(2_900);
+    assert_eq!(bench.worker("w-1").kept_runs, [RunKey(1)]);
+    bench.run_for(1_500);
+    assert!(bench.worker("w-1").kept_runs.is_empty());
+}
+
+/// Guards against results that are dropped before they are recorded, or never.
+#[test]
+fn recorded_results_are_forgotten() {
+    let mut bench = ready();
+    let survey = task("survey", 1, 0);
+    bench.worker("w-1").report(&survey, TaskState::Succeeded);
+    bench.run_for(1_500);
+    let is_forget = |request: &WorkerRequest| matches!(request, WorkerRequest::Forget { .. });
+    bench.answer_to(poll(1, &[]));
+    assert!(bench.take_call(is_forget).is_none());
+    bench.answer_to(poll(1, &[survey.key]));
+    let lost_call = bench.take_call(is_forget).expect("a message");
+    bench.reply(lost_call.call, Outcome::Unknown(lost()));
+    let PeerReply::Runs(found) = bench.answer_to(poll(1, &[survey.key])) else {
+        unreachable!()
+    };
+    assert_eq!(found.len(), 1);
+    let open = bench.take_call(is_forget).expect("a second message");
+    bench.reply(open.call, Outcome::Done(WorkerReply::Ok));
+    let reply = bench.answer_to(poll(1, &[]));
+    assert_eq!(reply, PeerReply::Runs(Vec::new()));
+}
+
+/// Guards against capacity that stays debited after the worker said that a start never ran.
+#[test]
+fn resolved_start_gives_its_debit_back() {
+    let mut bench = ready();
+    let worker = WorkerId::from("w-1");
+    let spec = task("survey", 1, 5);
+    let key = spec.key;
+    bench.ask(
+        "entry-2",
+        PeerRequest::Start {
+            worker: worker.clone(),
+            task: spec,
+        },
+    );
+    let open = bench.take_start().expect("a start");
+    bench.reply(open.call, Outcome::Unknown(lost()));
+    let resolve = PeerRequest::ResolveTask {
+        worker: worker.clone(),
+        task: key,
+    };
+    let token = bench.ask("entry-2", resolve);
+    let open = bench
+        .take_call(|request| matches!(request, WorkerRequest::ResolveTask { .. }))
+        .expect("a question");
+    let fate = Fate::NeverRan;
+    bench.reply(open.call, Outcome::Done(WorkerReply::Resolved { fate }));
+    let reply = bench.answer(token);
+    assert_eq!(reply, Some(PeerReply::Fate(Fate::NeverRan)));
+    let PeerReply::Capacity(found) = bench.answer_to(PeerRequest::Capacity) else {
+        unreachable!()
+    };
+    assert_eq!(found[0].free.millicores, 6_000);
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/control/tests/serving.rs
@@ -0,0 +1,144 @@
+//! Requests to replicas.
+
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::peer::{PeerReply, PeerRequest};
+use daisymast_protocol::task::TaskState;
+use daisymast_protocol::worker::{Answer, Fate, Refusal, WorkerReply, WorkerRequest};
+use daisymast_types::ids::{JobName, RequestId, Token, WorkerId};
+
+use crate::testing::{Bench, WorkerCall, answer, lost, refused, replica, request};
+
+fn ready() -> Bench {
+    let mut bench = Bench::new(&["w-1"], &[]);
+    let quotes = replica("quotes", 0);
+    bench.worker("w-1").report(&quotes, TaskState::Running);
+    bench.run_to(500);
+    bench
+}
+
+fn serve(bench: &mut Bench, service: &str, id: &str) -> Token {
+    let request = PeerRequest::Serve {
+        worker: WorkerId::from("w-1"),
+        request: request(service, id),
+    };
+    bench.ask("entry-2", request)
+}
+
+fn sent(bench: &mut Bench) -> Option<WorkerCall> {
+    bench.take_call(|request| matches!(request, WorkerRequest::Serve { .. }))
+}
+
+fn free_slots(bench: &mut Bench) -> Vec<u32> {
+    let service = JobName::from("quotes");
+    match bench.answer_to(PeerRequest::Endpoints { service }) {
+        PeerReply::Endpoints(found) => found.iter().map(|one| one.free_slots).collect(),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against an outcome that is told differently from what is known.
+#[test]
+fn outcome_at_the_worker_is_told_as_it_is() {
+    let whole = WorkerReply::Served {
+        answer: answer("q-1", "Plaza 4"),
+    };
+    let cases = [
+        (
+            Outcome::Done(whole),
+            PeerReply::Served(answer("q-1", "Plaza 4")),
+        ),
+        (
+            refused(Refusal::NoSlot),
+            PeerReply::Refused(Refusal::NoSlot),
+        ),
+        (
+            Outcome::NoEffect(lost()),
+            PeerReply::Refused(Refusal::NoSlot),
+        ),
+        (Outcome::Unknown(lost()), PeerReply::Uncertain),
+        (Outcome::Done(WorkerReply::Ok), PeerReply::Uncertain),
+    ];
+    for (outcome, expected) in cases {
+        let mut bench = ready();
+        let token = serve(&mut bench, "quotes", "q-1");
+        let open = sent(&mut bench).expect("the request");
+        assert_eq!(bench.answer(token), None);
+        bench.reply(open.call, outcome);
+        assert_eq!(bench.answer(token), Some(expected));
+        assert_eq!(free_slots(&mut bench), [8]);
+    }
+}
+
+/// Guards against a caller that gets another caller's answer, or a part of its own.
+#[test]
+fn damaged_answer_is_uncertain() {
+    let good = answer("q-1", "Plaza 4");
+    let short = Answer {
+        body: "Plaza".to_owned(),
+        ..good.clone()
+    };
+    let changed = Answer {
+        body: "Plaza 5".to_owned(),
+        ..good
+    };
+    for damaged in [answer("q-2", "Plaza 4"), short, changed] {
+        let mut bench = ready();
+        let token = serve(&mut bench, "quotes", "q-1");
+        let open = sent(&mut bench).expect("the request");
+        let reply = WorkerReply::Served { answer: damaged };
+        bench.reply(open.call, Outcome::Done(reply));
+        assert_eq!(bench.answer(token), Some(PeerReply::Uncertain));
+    }
+}
+
+/// Guards against more requests on a worker than it has slots.
+#[test]
+fn slots_are_counted_at_the_sending() {
+    let mut bench = ready();
+    for n in 0..8 {
+        serve(&mut bench, "quotes", &format!("q-{n}"));
+    }
+    let ninth = serve(&mut bench, "quotes", "q-8");
+    let full = PeerReply::Refused(Refusal::NoSlot);
+    assert_eq!(bench.answer(ninth), Some(full));
+    assert!(free_slots(&mut bench).is_empty());
+    let open = sent(&mut bench).expect("a request");
+    bench.reply(open.call, Outcome::Unknown(lost()));
+    assert_eq!(free_slots(&mut bench), [1]);
+}
+
+/// Guards against a request that is sent to a worker without a replica of its service.
+#[test]
+fn request_without_replica_is_refused() {
+    let mut bench = ready();
+    let token = serve(&mut bench, "invoices", "q-1");
+    let reply = bench.answer(token);
+    assert_eq!(reply, Some(PeerReply::Refused(Refusal::NoReplica)));
+}
+
+/// Guards against a resolution that passes on a damaged answer or hides that nothing is known.
+#[test]
+fn resolution_is_checked() {
+    let cases = [
+        (Fate::NeverRan, PeerReply::Fate(Fate::NeverRan)),
+        (
+            Fate::Answered {
+                answer: answer("q-2", "Plaza 4"),
+            },
+            PeerReply::Uncertain,
+        ),
+    ];
+    for (fate, expected) in cases {
+        let mut bench = ready();
+        let resolve = PeerRequest::Resolve {
+            worker: WorkerId::from("w-1"),
+            id: RequestId::from("q-1"),
+        };
+        let token = bench.ask("entry-2", resolve);
+        let open = bench
+            .take_call(|request| matches!(request, WorkerRequest::Resolve { .. }))
+            .expect("a question");
+        bench.reply(open.call, Outcome::Done(WorkerReply::Resolved { fate }));
+        assert_eq!(bench.answer(token), Some(expected));
+    }
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/control/tests/sweep.rs
@@ -0,0 +1,92 @@
+//! Tasks that are declared no longer.
+
+use daisymast_protocol::task::TaskState;
+use daisymast_protocol::worker::WorkerRequest;
+use daisymast_types::ids::Generation;
+
+use crate::testing::{Bench, heartbeat, manifest, replica, task};
+
+fn ready(tasks: u32) -> Bench {
+    let mut bench = Bench::new(&["w-1"], &[]);
+    for index in 0..tasks {
+        let mut stray = task("retired", 1, index);
+        stray.size.millicores = 10;
+        stray.size.memory_mib = 10;
+        bench.worker("w-1").report(&stray, TaskState::Running);
+    }
+    let quotes = replica("quotes", 0);
+    bench.worker("w-1").report(&quotes, TaskState::Running);
+    bench.run_to(500);
+    bench
+}
+
+/// Guards against work of a retired feature, or of an instance that died, that runs on; and against
+/// stopping what is declared.
+#[test]
+fn stray_is_stopped() {
+    let mut bench = ready(1);
+    bench.run_for(5_000);
+    assert!(bench.take_stop().is_none(), "stopped without a manifest");
+    bench
+        .instance
+        .force_manifest(Generation(1), manifest(&[("quotes", 1)]));
+    bench.run_for(100);
+    assert_eq!(bench.take_stop(), Some(task("retired", 1, 0).key));
+    let stray = task("retired", 1, 0);
+    bench.worker("w-1").report(&stray, TaskState::Stopped);
+    bench.run_for(12_000);
+    assert!(bench.take_stop().is_none());
+    assert!(bench.has_record("task.stopped"));
+}
+
+/// Guards against a wave of stops that crowds out starts, and against a wave that takes too long.
+#[test]
+fn at_most_twenty_stops_a_second() {
+    let mut bench = ready(60);
+    bench
+        .instance
+        .force_manifest(Generation(1), manifest(&[("quotes", 1)]));
+    let mut sent: Vec<u64> = Vec::new();
+    for _ in 0..80 {
+        bench.run_for(50);
+        while let Some(key) = bench.take_stop() {
+            sent.push(bench.now);
+            let mut stray = task("retired", 1, key.index);
+            stray.size = daisymast_types::quantities::Resources::new(10, 10, 0);
+            bench.worker("w-1").report(&stray, TaskState::Stopped);
+        }
+    }
+    assert_eq!(sent.len(), 60);
+    for window in sent.windows(21) {
+        assert!(window[20] - window[0] >= 1_000, "{window:?}");
+    }
+}
+
+/// Guards against an instance that is behind and stops what a newer manifest declares.
+#[test]
+fn instance_that_is_behind_stops_nothing() {
+    let mut bench = ready(1);
+    let mut newer = heartbeat("entry-2", "Waco", &[]);
+    newer.generation = Generation(2);
+    bench.live.push(newer);
+    bench.run_for(600);
+    bench
+        .instance
+        .force_manifest(Generation(1), manifest(&[("quotes", 1)]));
+    bench.run_for(3_000);
+    assert!(bench.take_stop().is_none());
+}
+
+/// Guards against ended replicas that fill the worker's memory, since no run owner asks for them.
+#[test]
+fn ended_replicas_are_forgotten() {
+    let mut bench = ready(0);
+    bench
+        .instance
+        .force_manifest(Generation(1), manifest(&[("quotes", 1)]));
+    let quotes = replica("quotes", 0);
+    bench.worker("w-1").report(&quotes, TaskState::Failed);
+    bench.run_for(7_000);
+    let open = bench.take_call(|request| matches!(request, WorkerRequest::Forget { .. }));
+    assert!(open.is_some());
+}
--- a/crates/daisymast_engine/src/heartbeat.rs
+++ b/crates/daisymast_engine/src/heartbeat.rs
@@ -1,5 +1,8 @@
 //! Discovers instances and workers and exchanges heartbeats.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/daisymast_engine/src/heartbeat/tests.rs
@@ -0,0 +1,176 @@
+//! Heartbeats and discovery on a virtual clock.
+
+use std::collections::BTreeSet;
+
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::peer::{PeerReply, PeerRequest};
+use daisymast_protocol::store::{Member, MemberId, StoreReply};
+use daisymast_protocol::worker::WorkerRequest;
+use daisymast_types::ids::{InstanceId, Rack, WorkerId, Zone};
+
+use crate::event::Event;
+use crate::testing::{Bench, OWN, TICK_MS, heartbeat, lost};
+
+const PEERS: [(&str, &str); 6] = [
+    ("entry-2", "Austin"),
+    ("entry-3", "Austin"),
+    ("entry-4", "Waco"),
+    ("entry-5", "Waco"),
+    ("entry-6", "Waco"),
+    ("entry-7", "Temple"),
+];
+
+/// Ticks once and returns to whom heartbeats were sent. They fail.
+fn beat(bench: &mut Bench) -> BTreeSet<String> {
+    bench.now += TICK_MS;
+    bench.event(Event::Tick);
+    let mut targets = BTreeSet::new();
+    while let Some(open) =
+        bench.take_peer_call(|request| matches!(request, PeerRequest::Heartbeat(_)))
+    {
+        targets.insert(open.to.as_str().to_owned());
+        bench.reply_peer(open.call, Outcome::NoEffect(lost()));
+    }
+    targets
+}
+
+fn member(name: &str, zone: &str) -> Member {
+    Member {
+        who: MemberId::Instance(InstanceId::from(name)),
+        zone: Zone::from(zone),
+        address: format!("{name}:2"),
+        leaving: false,
+    }
+}
+
+fn listed_worker(name: &str, leaving: bool) -> Member {
+    Member {
+        who: MemberId::Worker(WorkerId::from(name), Rack::from("r-1")),
+        zone: Zone::from("Austin"),
+        address: format!("{name}:1"),
+        leaving,
+    }
+}
+
+/// Runs to `until` while every read of the list gets `outcome`.
+fn run_listing(bench: &mut Bench, until: u64, outcome: &Outcome<StoreReply>) {
+    while bench.now < until {
+        bench.run_for(TICK_MS);
+        while let Some(call) = bench.store_calls.pop() {
+            let outcome = outcome.clone();
+            bench.event(Event::StoreReply { call, outcome });
+        }
+    }
+}
+
+fn list(members: &[Member]) -> Outcome<StoreReply> {
+    Outcome::Done(StoreReply::Members {
+        members: members.to_vec(),
+    })
+}
+
+/// Instances that got a heartbeat in the last two seconds of a run.
+fn known(bench: &mut Bench) -> BTreeSet<String> {
+    (0..40).flat_map(|_| beat(bench)).collect()
+}
+
+/// Guards against a zone whose instances do not hear each other, and against a cost that grows with
+/// the number of all instances.
+#[test]
+fn own_zone_and_two_of_each_other_zone_are_told() {
+    let mut bench = Bench::new(&[], &PEERS);
+    let mut waco = BTreeSet::new();
+    for _ in 0..3 {
+        let targets = beat(&mut bench);
+        assert!(targets.contains("entry-2") && targets.contains("entry-3"));
+        assert!(targets.contains("entry-7"));
+        let there = ["entry-4", "entry-5", "entry-6"];
+        let told = there.iter().filter(|name| targets.contains(**name));
+        assert_eq!(told.clone().count(), 2);
+        waco.extend(told.copied());
+        for _ in 0..9 {
+            assert!(beat(&mut bench).is_empty());
+        }
+    }
+    assert_eq!(waco.len(), 3);
+}
+
+/// Guards against a heartbeat that teaches nothing: the answer carries the own state, and the sender
+/// is known from then on.
+#[test]
+fn heartbeat_is_answered_and_its_sender_learned() {
+    let mut bench = Bench::new(&[], &[]);
+    let told = PeerRequest::Heartbeat(heartbeat("entry-9", "Austin", &["w-1"]));
+    let PeerReply::Heartbeat(own) = bench.answer_to(told) else {
+        unreachable!()
+    };
+    assert_eq!(own.instance, InstanceId::from(OWN));
+    assert!(beat(&mut bench).contains("entry-9"));
+}
+
+/// Guards against calls that pile up at an instance which does not answer.
+#[test]
+fn silent_instance_has_one_open_heartbeat() {
+    let mut bench = Bench::new(&[], &[("entry-2", "Austin")]);
+    for _ in 0..60 {
+        bench.now += TICK_MS;
+        bench.event(Event::Tick);
+    }
+    assert_eq!(bench.peer_calls.len(), 1);
+}
+
+/// Guards against an outage of the platform that takes the instance's knowledge away.
+#[test]
+fn empty_or_failed_list_removes_nothing() {
+    let lists = [
+        list(&[]),
+        Outcome::Unknown(lost()),
+        Outcome::NoEffect(lost()),
+    ];
+    for outcome in lists {
+        let mut bench = Bench::new(&["w-1"], &PEERS);
+        run_listing(&mut bench, 700_000, &outcome);
+        assert_eq!(known(&mut bench).len(), PEERS.len());
+    }
+}
+
+/// Guards against heartbeats to machines that are gone for good, and against dropping one that is
+/// heard or held although the list misses it.
+#[test]
+fn absent_and_silent_machines_are_dropped_after_long() {
+    // The instance holds w-1, its peer holds w-2, and w-3 answers nobody.
+    let mut bench = Bench::new(&["w-1", "w-2", "w-3"], &PEERS);
+    bench.worker("w-3").is_prompt = false;
+    bench.live.push(heartbeat("entry-2", "Austin", &["w-2"]));
+    bench.worker("w-2").holder = Some(InstanceId::from("entry-2"));
+    let members = [member("entry-7", "Temple")];
+    run_listing(&mut bench, 290_000, &list(&members));
+    assert_eq!(known(&mut bench).len(), PEERS.len());
+    run_listing(&mut bench, 700_000, &list(&members));
+    let left = known(&mut bench);
+    assert_eq!(left, BTreeSet::from(["entry-2".into(), "entry-7".into()]));
+    let status = bench.instance.known_workers();
+    assert_eq!(status, [WorkerId::from("w-1"), WorkerId::from("w-2")]);
+}
+
+/// Guards against a worker that the list says is leaving and that still gets work, and against a
+/// new worker that nobody holds.
+#[test]
+fn list_brings_workers_and_their_leaving() {
+    let mut bench = Bench::new(&[], &[]);
+    let call = {
+        bench.run_for(TICK_MS);
+        bench.store_calls.pop().expect("a read of the list")
+    };
+    let members = [listed_worker("w-9", true)];
+    bench.event(Event::StoreReply {
+        call,
+        outcome: list(&members),
+    });
+    bench.run_for(500);
+    let open = bench
+        .take_call(|request| matches!(request, WorkerRequest::Acquire { .. }))
+        .expect("an acquisition");
+    assert_eq!(open.worker, WorkerId::from("w-9"));
+    assert!(bench.instance.is_listed_leaving(&open.worker));
+}
--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -11,6 +11,8 @@
 use daisymast_protocol::store::StoreReply;
 use daisymast_protocol::worker::WorkerReply;
 use daisymast_types::collections::FastMap;
+#[cfg(test)]
+use daisymast_types::ids::WorkerId;
 use daisymast_types::ids::{CallId, Generation, InstanceId, Token};
 use daisymast_types::time::Timestamp;
 
@@ -190,6 +192,21 @@
         self.shared.manifest = Some(Arc::new(manifest));
     }
 
+    /// All known workers, sorted.
+    #[cfg(test)]
+    pub(crate) fn known_workers(&self) -> Vec<WorkerId> {
+        let mut known: Vec<WorkerId> = self.shared.workers.keys().cloned().collect();
+        known.sort_unstable();
+        known
+    }
+
+    /// Whether the platform's list says that a worker is leaving.
+    #[cfg(test)]
+    pub(crate) fn is_listed_leaving(&self, worker: &WorkerId) -> bool {
+        let known = self.shared.workers.get(worker);
+        known.is_some_and(|known| known.leaving)
+    }
+
     fn drain_local(&mut self, now: Timestamp) {
         while let Some(local) = self.fx.next_local() {
             self.dispatch(now, local);
--- a/crates/daisymast_engine/src/lib.rs
+++ b/crates/daisymast_engine/src/lib.rs
@@ -21,3 +21,5 @@
 mod runs;
 mod services;
 mod shared;
+#[cfg(test)]
+mod testing;
--- /dev/null
+++ b/crates/daisymast_engine/src/testing/fakes.rs
@@ -0,0 +1,211 @@
+//! A stand-in for a worker, and short ways to make messages.
+
+use std::collections::BTreeMap;
+
+use daisymast_manifest::manifest::{self, Manifest, Service};
+use daisymast_protocol::caller::CallerRequest;
+use daisymast_protocol::outcome::{CallError, Outcome};
+use daisymast_protocol::peer::Heartbeat;
+use daisymast_protocol::task::{Kind, TaskReport, TaskSpec, TaskState};
+use daisymast_protocol::worker::{
+    Answer, Grant, LeaseStamp, Refusal, WorkerMillis, WorkerReply, WorkerRequest,
+};
+use daisymast_types::hashing;
+use daisymast_types::ids::{
+    BootId, Epoch, Generation, InstanceId, JobName, Release, RequestId, RunKey, TaskKey, Team,
+    WorkerId, Zone,
+};
+use daisymast_types::quantities::{Resources, Urgency};
+
+use super::WORKER_CLOCK;
+
+/// A worker that answers lease exchanges, starts and stops.
+pub(crate) struct FakeWorker {
+    pub(crate) epoch: u64,
+    pub(crate) holder: Option<InstanceId>,
+    pub(crate) capacity: Resources,
+    pub(crate) leaving: bool,
+    /// Each change with its sequence number.
+    pub(crate) changes: Vec<TaskReport>,
+    /// Whether it answers acquisitions and renewals by itself.
+    pub(crate) is_prompt: bool,
+    pub(crate) kept_runs: Vec<RunKey>,
+}
+
+impl Default for FakeWorker {
+    fn default() -> Self {
+        Self {
+            epoch: 1,
+            holder: None,
+            capacity: Resources::new(8_000, 8_000, 0),
+            leaving: false,
+            changes: Vec::new(),
+            is_prompt: true,
+            kept_runs: Vec::new(),
+        }
+    }
+}
+
+impl FakeWorker {
+    /// Reports a task in a state.
+    pub(crate) fn report(&mut self, spec: &TaskSpec, state: TaskState) {
+        self.changes.push(TaskReport {
+            spec: spec.clone(),
+            state,
+            elapsed_ms: 10_000,
+        });
+    }
+
+    /// Last state of each task.
+    pub(crate) fn tasks(&self) -> Vec<TaskReport> {
+        let mut last: BTreeMap<TaskKey, TaskReport> = BTreeMap::new();
+        for change in &self.changes {
+            last.insert(change.spec.key, change.clone());
+        }
+        last.into_values().collect()
+    }
+
+    fn grant(&self, stamp: LeaseStamp, clock: WorkerMillis) -> Grant {
+        Grant {
+            stamp,
+            clock,
+            ttl_ms: 3_000,
+            capacity: self.capacity,
+            slots: 8,
+            seq: self.seq(),
+            tasks: self.tasks(),
+            leaving: self.leaving,
+        }
+    }
+
+    fn seq(&self) -> u64 {
+        self.changes.len() as u64
+    }
+
+    pub(super) fn lease_reply(&mut self, now: u64, request: &WorkerRequest) -> Option<WorkerReply> {
+        let stamp = LeaseStamp {
+            boot: BootId(1),
+            epoch: Epoch(self.epoch),
+        };
+        let clock = WorkerMillis(WORKER_CLOCK + now);
+        match request {
+            WorkerRequest::Acquire { holder, .. } => {
+                if let Some(other) = self.holder.clone().filter(|other| other != holder) {
+                    return Some(WorkerReply::Held {
+                        holder: other,
+                        remaining_ms: 2_000,
+                    });
+                }
+                self.holder = Some(holder.clone());
+                Some(WorkerReply::Granted(self.grant(stamp, clock)))
+            }
+            WorkerRequest::Renew {
+                since, keep_runs, ..
+            } => {
+                self.kept_runs.clone_from(keep_runs);
+                let since = usize::try_from(*since).unwrap_or(0);
+                Some(WorkerReply::Renewed {
+                    clock,
+                    seq: self.seq(),
+                    changes: self.changes.iter().skip(since).cloned().collect(),
+                    usage: Resources::ZERO,
+                    leaving: self.leaving,
+                })
+            }
+            WorkerRequest::Release { .. } => {
+                self.holder = None;
+                self.epoch += 1;
+                Some(WorkerReply::Ok)
+            }
+            _ => None,
+        }
+    }
+}
+
+pub(crate) fn heartbeat(instance: &str, zone: &str, workers: &[&str]) -> Heartbeat {
+    Heartbeat {
+        instance: InstanceId::from(instance),
+        boot: BootId(9),
+        zone: Zone::from(zone),
+        address: format!("{instance}:1"),
+        generation: Generation(0),
+        draining: false,
+        weight: 1,
+        partitions: Vec::new(),
+        workers: workers.iter().map(|name| WorkerId::from(*name)).collect(),
+    }
+}
+
+/// An exclusive batch task of one core.
+pub(crate) fn task(job: &str, run: u64, index: u32) -> TaskSpec {
+    TaskSpec {
+        key: TaskKey {
+            run: RunKey(run),
+            index,
+            attempt: 1,
+        },
+        job: JobName::from(job),
+        team: Team::from("crews"),
+        kind: Kind::Batch,
+        urgency: Urgency::Normal,
+        size: Resources::new(1_000, 1_000, 0),
+        exclusive: true,
+        run_ms: 60_000,
+    }
+}
+
+/// A replica of a service.
+pub(crate) fn replica(service: &str, index: u32) -> TaskSpec {
+    let mut spec = task(service, 0, index);
+    spec.key.run = manifest::service_run(&JobName::from(service));
+    spec.kind = Kind::Service;
+    spec.exclusive = false;
+    spec.run_ms = 0;
+    spec
+}
+
+pub(crate) fn request(service: &str, id: &str) -> CallerRequest {
+    CallerRequest {
+        id: RequestId::from(id),
+        service: JobName::from(service),
+        idempotent: true,
+        timeout_ms: 1_000,
+        body: "which plaza?".to_owned(),
+    }
+}
+
+pub(crate) fn answer(id: &str, body: &str) -> Answer {
+    Answer {
+        id: RequestId::from(id),
+        body: body.to_owned(),
+        length: body.len() as u64,
+        digest: format!("{:032x}", hashing::digest(body.as_bytes())),
+    }
+}
+
+/// A manifest with services of the given replica counts.
+pub(crate) fn manifest(services: &[(&str, u32)]) -> Manifest {
+    let services = services.iter().map(|(name, replicas)| Service {
+        name: JobName::from(*name),
+        team: Team::from("crews"),
+        urgency: Urgency::Normal,
+        replicas: *replicas,
+        size: Resources::new(1_000, 1_000, 0),
+        zones: Vec::new(),
+    });
+    Manifest {
+        release: Release::from("r1"),
+        teams: Vec::new(),
+        services: services.collect(),
+        batches: Vec::new(),
+        gang_jobs: Vec::new(),
+    }
+}
+
+pub(crate) fn lost() -> CallError {
+    CallError::new("test", "peer", "lost")
+}
+
+pub(crate) fn refused(reason: Refusal) -> Outcome<WorkerReply> {
+    Outcome::Done(WorkerReply::Refused { reason })
+}
