Let an instance own ledger partitions and answer claims

Requests need one place that says whether an id was claimed.

Answers of settled requests stay in memory, at most 4,096 and 16 MiB. PeerReply::Uncertain also answers Claim.

--- /dev/null
+++ b/crates/daisymast_engine/src/claims/answers.rs
@@ -0,0 +1,44 @@
+//! Bodies of recent answers. The ledger records only that a request was answered.
+
+use std::collections::VecDeque;
+
+use daisymast_protocol::worker::Answer;
+use daisymast_types::collections::FastMap;
+use daisymast_types::ids::RequestId;
+
+/// Answers that are kept.
+const ANSWERS_MAX: usize = 4_096;
+/// Bytes of bodies that are kept.
+const BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// Answers in order of arrival; the oldest are dropped first.
+#[derive(Debug, Default)]
+pub(crate) struct RecentAnswers {
+    by_id: FastMap<RequestId, Answer>,
+    order: VecDeque<RequestId>,
+    bytes: usize,
+}
+
+impl RecentAnswers {
+    /// Keeps an answer. The first answer of an id stays.
+    pub(crate) fn insert(&mut self, answer: Answer) {
+        if self.by_id.contains_key(&answer.id) {
+            return;
+        }
+        self.bytes += answer.body.len();
+        self.order.push_back(answer.id.clone());
+        self.by_id.insert(answer.id.clone(), answer);
+        while self.order.len() > ANSWERS_MAX || self.bytes > BYTES_MAX {
+            let Some(oldest) = self.order.pop_front() else {
+                break;
+            };
+            if let Some(dropped) = self.by_id.remove(&oldest) {
+                self.bytes -= dropped.body.len();
+            }
+        }
+    }
+
+    pub(crate) fn get(&self, id: &RequestId) -> Option<&Answer> {
+        self.by_id.get(id)
+    }
+}
--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -100,7 +100,7 @@
             configuration: Configuration::default(),
             control: Control::default(),
             services: Services::default(),
-            claims: Claims::default(),
+            claims: Claims::new(&config),
             runs: Runs::default(),
             requests: Requests::default(),
             config,
@@ -188,7 +188,11 @@
         own.draining = self.shared.draining;
         own.partitions = self.claims.owned();
         own.workers = self.control.held(now);
-        if self.shared.draining && self.requests.is_idle() && self.control.is_released() {
+        if self.shared.draining
+            && self.requests.is_idle()
+            && self.claims.is_idle()
+            && self.control.is_released()
+        {
             self.fx.emit(Action::Stopped);
         }
     }
--- a/crates/daisymast_protocol/src/peer.rs
+++ b/crates/daisymast_protocol/src/peer.rs
@@ -236,7 +236,8 @@
     Served(Answer),
     /// Answers `Serve` or `Start`: refused, nothing took effect.
     Refused(Refusal),
-    /// Answers `Serve` or `Start`: the outcome at the worker is unknown.
+    /// Answers `Serve` or `Start`: the outcome at the worker is unknown. Answers `Claim` or
+    /// `Settle`: the entry may or may not be recorded.
     Uncertain,
     /// Answers `Forward`.
     Forwarded(CallerReply),
