--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -107,7 +107,7 @@
             configuration: Configuration::default(),
             control: Control::default(),
             services: Services::default(),
-            claims: Claims::default(),
+            claims: Claims::new(&config),
             runs: Runs::default(),
             requests: Requests::default(),
             config,
@@ -234,7 +234,8 @@
         own.draining = self.shared.draining;
         own.partitions = self.claims.owned();
         own.workers = self.control.held(now);
-        let is_idle = self.requests.is_idle() && self.configuration.is_idle();
+        let is_idle =
+            self.requests.is_idle() && self.configuration.is_idle() && self.claims.is_idle();
         if self.shared.draining && is_idle && self.control.is_released() {
             self.fx.emit(Action::Stopped);
         }
