Add shares, quotas, concurrency limits and a retry budget

Cause: admission had no parts, so a flood of one kind of work would have taken all capacity and an outage would have multiplied the load.

Change: `shares` queues each kind of work and starts the kind with the least virtual time; `quota` counts the resources and requests of teams; `limiter` bounds the concurrency towards one back end by a fixed, an additive or a latency-driven policy; `retry` bounds retries to a share of recent traffic. `examples/flood.rs` and `examples/limiters.rs` are small deterministic queue models of the first and third.

The classifier of failures must not count time that work waited before it was sent.

--- /dev/null
+++ b/crates/daisymast_admission/examples/flood.rs
@@ -0,0 +1,230 @@
+//! Queue model of a ten-fold flood of each kind of work, with shares and with one common queue.
+//!
+//! Eight slots; each of three kinds offers a quarter of the capacity; one of them offers ten times as
+//! much from second 5 to second 35. Work that has not started after 2 s is dropped. The figures are
+//! medians (least to greatest) over five seeds of what arrived during the flood.
+
+#![expect(clippy::print_stdout, reason = "the program prints a table")]
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use daisymast_admission::shares::{Kind, Shares};
+use daisymast_types::ids::JobName;
+use daisymast_types::quantities::Urgency;
+use daisymast_types::time::Monotonic;
+
+const SLOTS: u32 = 8;
+const FLOOD_FROM: u64 = 5_000_000;
+const FLOOD_TO: u64 = 35_000_000;
+const END: u64 = 40_000_000;
+const PATIENCE: u64 = 2_000_000;
+const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
+
+/// Name, urgency, mean service time in microseconds. Each offers two of the eight slots.
+const KINDS: [(&str, Urgency, u64); 3] = [
+    ("quotes", Urgency::Urgent, 10_000),
+    ("bookings", Urgency::Normal, 20_000),
+    ("reconciliations", Urgency::Background, 60_000),
+];
+
+#[derive(Clone, Copy)]
+struct Work {
+    kind: usize,
+    arrival: u64,
+    service: u64,
+}
+
+enum Queue {
+    Fair(Shares<usize>),
+    Common(VecDeque<usize>, u32),
+}
+
+impl Queue {
+    fn fair() -> Self {
+        let mut shares = Shares::new(SLOTS, 1_024);
+        for (name, urgency, _) in KINDS {
+            let name = JobName::from(name);
+            shares.declare(Kind {
+                name,
+                urgency,
+                weight: 1,
+            });
+        }
+        Self::Fair(shares)
+    }
+
+    fn offer(&mut self, work: &Work, index: usize) {
+        match self {
+            Self::Fair(shares) => {
+                let name = JobName::from(KINDS[work.kind].0);
+                let deadline = clock(work.arrival + PATIENCE);
+                let _ = shares.offer(clock(work.arrival), &name, index, deadline);
+            }
+            Self::Common(queue, _) if queue.len() < 3 * 1_024 => queue.push_back(index),
+            Self::Common(..) => {}
+        }
+    }
+
+    fn start(&mut self, now: u64, works: &[Work]) -> Option<usize> {
+        match self {
+            Self::Fair(shares) => {
+                shares.take_expired(clock(now));
+                shares.start().map(|(_, index)| index)
+            }
+            Self::Common(queue, running) => {
+                while queue
+                    .front()
+                    .is_some_and(|index| works[*index].arrival + PATIENCE <= now)
+                {
+                    queue.pop_front();
+                }
+                if *running >= SLOTS {
+                    return None;
+                }
+                let index = queue.pop_front()?;
+                *running += 1;
+                Some(index)
+            }
+        }
+    }
+
+    fn finish(&mut self, work: &Work) {
+        match self {
+            Self::Fair(shares) => {
+                let name = JobName::from(KINDS[work.kind].0);
+                shares.finished(&name, Some(Duration::from_micros(work.service)));
+            }
+            Self::Common(_, running) => *running -= 1,
+        }
+    }
+}
+
+fn clock(micros: u64) -> Monotonic {
+    Monotonic::ZERO + Duration::from_micros(micros)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "model times are below a minute"
+)]
+fn exponential(random: &mut fastrand::Rng, mean: u64) -> u64 {
+    (-(1.0 - random.f64()).ln() * mean as f64) as u64 + 1
+}
+
+fn arrivals(seed: u64, flooding: usize) -> Vec<Work> {
+    let mut works = Vec::new();
+    for (kind, (_, _, service)) in KINDS.iter().enumerate() {
+        let mut random = fastrand::Rng::with_seed(seed * 10 + kind as u64);
+        let mut now = 0;
+        while now < END {
+            let flood = kind == flooding && (FLOOD_FROM..FLOOD_TO).contains(&now);
+            let gap = if flood { service / 20 } else { service / 2 };
+            now += exponential(&mut random, gap);
+            let service = exponential(&mut random, *service);
+            works.push(Work {
+                kind,
+                arrival: now,
+                service,
+            });
+        }
+    }
+    works.sort_by_key(|work| work.arrival);
+    works
+}
+
+/// Waits in microseconds of the work of each kind that arrived in the flood; none if it was dropped.
+fn simulate(mut queue: Queue, works: &[Work]) -> Vec<Vec<Option<u64>>> {
+    let mut waits: Vec<Option<u64>> = vec![None; works.len()];
+    let mut ends: BinaryHeap<Reverse<(u64, usize)>> = BinaryHeap::new();
+    let mut next = 0;
+    loop {
+        let arrival = works.get(next).map_or(u64::MAX, |work| work.arrival);
+        let end = ends.peek().map_or(u64::MAX, |Reverse((at, _))| *at);
+        let now = arrival.min(end);
+        if now == u64::MAX {
+            break;
+        }
+        if end <= arrival {
+            if let Some(Reverse((_, index))) = ends.pop() {
+                queue.finish(&works[index]);
+            }
+        } else {
+            queue.offer(&works[next], next);
+            next += 1;
+        }
+        while let Some(index) = queue.start(now, works) {
+            waits[index] = Some(now - works[index].arrival);
+            ends.push(Reverse((now + works[index].service, index)));
+        }
+    }
+    let mut by_kind = vec![Vec::new(); KINDS.len()];
+    for (work, wait) in works.iter().zip(waits) {
+        if (FLOOD_FROM..FLOOD_TO).contains(&work.arrival) {
+            by_kind[work.kind].push(wait);
+        }
+    }
+    by_kind
+}
+
+/// Part that was served in percent, and the median and 99th percentile of its wait in milliseconds.
+#[expect(clippy::cast_precision_loss, reason = "counts are small")]
+fn summary(waits: &[Option<u64>]) -> [f64; 3] {
+    let mut served: Vec<u64> = waits.iter().flatten().copied().collect();
+    served.sort_unstable();
+    let at = |part: usize| {
+        let position = served.len() * part / 100;
+        served
+            .get(position.min(served.len().saturating_sub(1)))
+            .map_or(f64::NAN, |wait| *wait as f64 / 1e3)
+    };
+    [
+        100.0 * served.len() as f64 / waits.len() as f64,
+        at(50),
+        at(99),
+    ]
+}
+
+fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    let (least, middle, most) = (
+        values[0],
+        values[values.len() / 2],
+        values[values.len() - 1],
+    );
+    format!("{middle:.1} ({least:.1}-{most:.1})")
+}
+
+fn main() {
+    println!("| flood of | queue | kind | served % | median wait ms | p99 wait ms |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for (flooding, (flood, _, _)) in KINDS.iter().enumerate() {
+        for fair in [true, false] {
+            let runs: Vec<_> = SEEDS
+                .iter()
+                .map(|seed| {
+                    let queue = if fair {
+                        Queue::fair()
+                    } else {
+                        Queue::Common(VecDeque::new(), 0)
+                    };
+                    simulate(queue, &arrivals(*seed, flooding))
+                })
+                .collect();
+            for (kind, (name, _, _)) in KINDS.iter().enumerate() {
+                let rows: Vec<[f64; 3]> = runs.iter().map(|run| summary(&run[kind])).collect();
+                let cell = |column: usize| spread(rows.iter().map(|row| row[column]).collect());
+                let label = if fair { "shares" } else { "one FIFO" };
+                println!(
+                    "| {flood} | {label} | {name} | {} | {} | {} |",
+                    cell(0),
+                    cell(1),
+                    cell(2)
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_admission/examples/limiters.rs
@@ -0,0 +1,267 @@
+//! Model of the three limiters in front of one back end whose speed changes.
+//!
+//! The back end has 8 slots and 60 connections; work above the slots queues there, and work above the
+//! connections is refused. Its mean service time is 20 ms, from second 20 to 40 it is 80 ms, then 20
+//! ms again. The clients together offer 350 requests a second, each for half a second at the most, and
+//! drop what waits until the time left is below their smoothed latency. The classifier counts refusals
+//! and lost answers: those that took more than 250 ms at the back end, or in the rows marked so those
+//! that came after the caller's deadline, which includes the wait at the client.
+//! Figures are medians (least to greatest) over five seeds.
+
+#![expect(clippy::print_stdout, reason = "the program prints a table")]
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use daisymast_admission::limiter::{self, Ending, Limiter, Permit, Policy};
+use daisymast_admission::smoothing::Smoothed;
+use daisymast_types::time::Monotonic;
+
+const SLOTS: usize = 8;
+const CONNECTIONS: usize = 60;
+const PATIENCE: u64 = 500_000;
+/// Time at the back end from which an answer counts as lost.
+const SLOW: u64 = 250_000;
+const GAP: u64 = 1_000_000 / 350;
+const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
+const PHASES: [(u64, u64); 3] = [(0, 20_000), (20_000_000, 80_000), (40_000_000, 20_000)];
+const END: u64 = 60_000_000;
+
+struct Sent {
+    client: usize,
+    arrival: u64,
+    sent: u64,
+    permit: Permit,
+}
+
+type MakePolicy = fn() -> Policy;
+
+/// What arrived in one phase.
+#[derive(Clone, Default)]
+struct Tally {
+    offered: u32,
+    good: u32,
+    refused: u32,
+    lost: u32,
+    latencies: Vec<u64>,
+}
+
+struct Model {
+    random: fastrand::Rng,
+    limiters: Vec<Limiter>,
+    waiting: Vec<VecDeque<u64>>,
+    latencies: Vec<Smoothed>,
+    backlog: VecDeque<Sent>,
+    busy: BinaryHeap<Reverse<(u64, u64)>>,
+    in_service: Vec<(u64, Sent)>,
+    serial: u64,
+    /// Whether only the time at the back end tells if an answer is lost, not the wait before it.
+    strict: bool,
+    tallies: Vec<Tally>,
+}
+
+fn clock(micros: u64) -> Monotonic {
+    Monotonic::ZERO + Duration::from_micros(micros)
+}
+
+fn phase(at: u64) -> usize {
+    PHASES
+        .iter()
+        .rposition(|(from, _)| *from <= at)
+        .unwrap_or(0)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "model times are below two minutes"
+)]
+fn exponential(random: &mut fastrand::Rng, mean: u64) -> u64 {
+    (-(1.0 - random.f64()).ln() * mean as f64) as u64 + 1
+}
+
+impl Model {
+    fn new(seed: u64, clients: usize, policy: MakePolicy, strict: bool) -> Self {
+        Self {
+            random: fastrand::Rng::with_seed(seed),
+            limiters: (0..clients).map(|_| Limiter::new(policy())).collect(),
+            waiting: vec![VecDeque::new(); clients],
+            latencies: vec![Smoothed::new(Duration::from_millis(20)); clients],
+            backlog: VecDeque::new(),
+            busy: BinaryHeap::new(),
+            in_service: Vec::new(),
+            serial: 0,
+            strict,
+            tallies: vec![Tally::default(); PHASES.len()],
+        }
+    }
+
+    fn run(mut self) -> Vec<Tally> {
+        let mut arrival = exponential(&mut self.random, GAP);
+        while arrival < END || !self.busy.is_empty() {
+            let end = self.busy.peek().map_or(u64::MAX, |Reverse((at, _))| *at);
+            let now = arrival.min(end);
+            if end <= arrival {
+                self.end_service(now);
+            } else {
+                let client = self.random.usize(..self.limiters.len());
+                self.waiting[client].push_back(now);
+                self.tallies[phase(now)].offered += 1;
+                arrival = now + exponential(&mut self.random, GAP);
+                if arrival >= END {
+                    arrival = u64::MAX;
+                }
+            }
+            self.send(now);
+        }
+        self.tallies
+    }
+
+    fn send(&mut self, now: u64) {
+        for client in 0..self.limiters.len() {
+            while let Some(&arrival) = self.waiting[client].front() {
+                if clock(arrival + PATIENCE) <= clock(now) + self.needed(client) {
+                    self.waiting[client].pop_front();
+                    continue;
+                }
+                let Some(permit) = self.limiters[client].start(clock(now)) else {
+                    break;
+                };
+                self.waiting[client].pop_front();
+                self.receive(
+                    now,
+                    Sent {
+                        client,
+                        arrival,
+                        sent: now,
+                        permit,
+                    },
+                );
+            }
+        }
+    }
+
+    /// Time that an answer probably takes. A client without work in flight sends in any case: nothing
+    /// else would tell it that the back end is fast again.
+    fn needed(&self, client: usize) -> Duration {
+        if self.limiters[client].in_flight() == 0 {
+            Duration::ZERO
+        } else {
+            self.latencies[client].value()
+        }
+    }
+
+    fn receive(&mut self, now: u64, sent: Sent) {
+        if self.backlog.len() + self.in_service.len() >= CONNECTIONS {
+            self.tallies[phase(sent.arrival)].refused += 1;
+            self.limiters[sent.client].finish(clock(now), sent.permit, Ending::Refused);
+            return;
+        }
+        self.backlog.push_back(sent);
+        self.serve(now);
+    }
+
+    /// The back end does not know of deadlines: it also works on what nobody waits for any more.
+    fn serve(&mut self, now: u64) {
+        while self.in_service.len() < SLOTS {
+            let Some(sent) = self.backlog.pop_front() else {
+                return;
+            };
+            let mean = PHASES[phase(now)].1;
+            let end = now + mean / 2 + exponential(&mut self.random, mean / 2);
+            self.serial += 1;
+            self.busy.push(Reverse((end, self.serial)));
+            self.in_service.push((self.serial, sent));
+        }
+    }
+
+    fn end_service(&mut self, now: u64) {
+        let Some(Reverse((_, serial))) = self.busy.pop() else {
+            return;
+        };
+        let Some(position) = self.in_service.iter().position(|(one, _)| *one == serial) else {
+            return;
+        };
+        let (_, sent) = self.in_service.swap_remove(position);
+        let tally = &mut self.tallies[phase(sent.arrival)];
+        if now > sent.arrival + PATIENCE {
+            tally.lost += 1;
+        } else {
+            tally.good += 1;
+            tally.latencies.push(now - sent.sent);
+        }
+        let limit = if self.strict {
+            SLOW
+        } else {
+            sent.arrival + PATIENCE - sent.sent
+        };
+        let ending = if now - sent.sent > limit {
+            Ending::Lost
+        } else {
+            Ending::Served
+        };
+        self.latencies[sent.client].add(Duration::from_micros(now - sent.sent));
+        self.limiters[sent.client].finish(clock(now), sent.permit, ending);
+        self.serve(now);
+    }
+}
+
+fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    let (least, middle, most) = (
+        values[0],
+        values[values.len() / 2],
+        values[values.len() - 1],
+    );
+    format!("{middle:.1} ({least:.1}-{most:.1})")
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts are small")]
+fn row(tally: &mut Tally) -> [f64; 4] {
+    tally.latencies.sort_unstable();
+    let position = tally.latencies.len() * 99 / 100;
+    let high = tally
+        .latencies
+        .get(position)
+        .map_or(f64::NAN, |latency| *latency as f64 / 1e3);
+    let percent = |count: u32| 100.0 * f64::from(count) / f64::from(tally.offered);
+    [
+        percent(tally.good),
+        percent(tally.refused),
+        percent(tally.lost),
+        high,
+    ]
+}
+
+fn main() {
+    let additive: MakePolicy = || limiter::additive(limiter::is_overload);
+    let gradient: MakePolicy = || limiter::gradient(2.0);
+    let policies: [(&str, MakePolicy, bool); 5] = [
+        ("fixed", limiter::fixed, true),
+        ("additive", additive, true),
+        ("additive, caller's deadline", additive, false),
+        ("gradient", gradient, true),
+        ("gradient, caller's deadline", gradient, false),
+    ];
+    println!("| clients | limiter | service ms | in time % | refused % | too late % | p99 ms |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for clients in [1, 8] {
+        for (name, policy, strict) in policies {
+            let mut runs: Vec<Vec<Tally>> = SEEDS
+                .iter()
+                .map(|seed| Model::new(*seed, clients, policy, strict).run())
+                .collect();
+            for (index, (_, service)) in PHASES.iter().enumerate() {
+                let rows: Vec<[f64; 4]> = runs.iter_mut().map(|run| row(&mut run[index])).collect();
+                let cell = |column: usize| spread(rows.iter().map(|row| row[column]).collect());
+                let (good, refused, lost, high) = (cell(0), cell(1), cell(2), cell(3));
+                let service = service / 1_000;
+                println!(
+                    "| {clients} | {name} | {service} | {good} | {refused} | {lost} | {high} |"
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_admission/src/retry.rs
@@ -0,0 +1,88 @@
+//! Retry budget: retries are a bounded share of recent traffic.
+
+use std::time::Duration;
+
+use daisymast_types::time::Monotonic;
+
+/// Length of one slot of the window.
+const SLOT: Duration = Duration::from_secs(1);
+/// Slots of the window.
+const SLOTS: usize = 10;
+
+/// Counts first attempts and retries of the last ten seconds. Without a bound, an outage multiplies
+/// the load by the number of attempts, just when the back ends are weakest.
+///
+/// ```
+/// use daisymast_admission::retry::Budget;
+/// use daisymast_types::time::Monotonic;
+/// let mut budget = Budget::new(10, 0);
+/// let now = Monotonic::ZERO;
+/// for _ in 0..10 {
+///     budget.on_request(now);
+/// }
+/// assert!(budget.try_retry(now));
+/// assert!(!budget.try_retry(now));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Budget {
+    percent: u64,
+    minimum: u64,
+    slots: [Counts; SLOTS],
+    /// Number of the newest slot since the start of the process.
+    newest: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    requests: u64,
+    retries: u64,
+}
+
+impl Budget {
+    /// A budget of `percent` of the first attempts, and of `minimum` retries in ten seconds, so that
+    /// single failures at low traffic are still retried.
+    pub fn new(percent: u64, minimum: u64) -> Self {
+        Self {
+            percent,
+            minimum,
+            slots: [Counts::default(); SLOTS],
+            newest: 0,
+        }
+    }
+
+    /// Counts a first attempt.
+    pub fn on_request(&mut self, now: Monotonic) {
+        self.current(now).requests += 1;
+    }
+
+    /// Takes one retry from the budget, if it has one left.
+    pub fn try_retry(&mut self, now: Monotonic) -> bool {
+        self.current(now);
+        let requests: u64 = self.slots.iter().map(|slot| slot.requests).sum();
+        let retries: u64 = self.slots.iter().map(|slot| slot.retries).sum();
+        let allowed = (requests * self.percent / 100).max(self.minimum);
+        let permitted = retries < allowed;
+        if permitted {
+            self.current(now).retries += 1;
+        }
+        permitted
+    }
+
+    fn current(&mut self, now: Monotonic) -> &mut Counts {
+        let slot_ms = u64::try_from(SLOT.as_millis()).unwrap_or(1);
+        let number = now.as_millis() / slot_ms;
+        let count = u64::try_from(SLOTS).unwrap_or(1);
+        if number > self.newest {
+            let stale = (number - self.newest).min(count);
+            for step in 0..stale {
+                self.slots[position(number - step, count)] = Counts::default();
+            }
+            self.newest = number;
+        }
+        &mut self.slots[position(self.newest, count)]
+    }
+}
+
+fn position(number: u64, count: u64) -> usize {
+    usize::try_from(number % count).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/daisymast_admission/src/shares.rs
@@ -0,0 +1,296 @@
+//! Weighted fair shares of a bounded concurrency over kinds of work.
+//!
+//! Each kind has a bounded first-in-first-out queue. A start charges its kind the smoothed service
+//! time divided by the weight (its virtual time), and the kind with the least virtual time starts
+//! next, as in start-time fair queueing (Goyal, Vin and Cheng, SIGCOMM 1996). What a kind does not
+//! use is lent to the others; a kind that becomes busy again joins at the least virtual time of the
+//! busy kinds, so the next free slot is its own. Urgency shifts a kind ahead by a bounded time: it
+//! decides who starts first, not how much a kind gets while all are busy.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use daisymast_types::collections::FastMap;
+use daisymast_types::ids::JobName;
+use daisymast_types::quantities::Urgency;
+use daisymast_types::time::Monotonic;
+
+use crate::smoothing::Smoothed;
+
+/// Service time that is assumed of a kind before the first one ends.
+const ASSUMED_SERVICE: Duration = Duration::from_millis(5);
+/// Virtual time by which each level of urgency is ahead, in microseconds at weight 1.
+const URGENCY_LEAD: u64 = 25_000;
+/// Factor on virtual time, so that division by the weight loses little.
+const SCALE: u64 = 64;
+
+/// A kind of work and its part of the capacity.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Kind {
+    /// Name of the kind, such as the service.
+    pub name: JobName,
+    /// Urgency of its work.
+    pub urgency: Urgency,
+    /// Part of the capacity, relative to the other kinds; at least 1.
+    pub weight: u32,
+}
+
+/// Why work was not queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// No such kind is declared.
+    UnknownKind,
+    /// The queue of the kind is full.
+    QueueFull,
+    /// The work would probably end beyond its deadline.
+    TooLate,
+}
+
+/// Queues and running work of all kinds. `T` names a piece of work to the caller.
+///
+/// ```
+/// use std::time::Duration;
+/// use daisymast_admission::shares::{Kind, Shares};
+/// use daisymast_types::{ids::JobName, quantities::Urgency, time::Monotonic};
+/// let mut shares: Shares<u32> = Shares::new(1, 1_024);
+/// let quotes = JobName::from("quotes");
+/// shares.declare(Kind { name: quotes.clone(), urgency: Urgency::Urgent, weight: 1 });
+/// let deadline = Monotonic::ZERO + Duration::from_secs(1);
+/// assert_eq!(shares.offer(Monotonic::ZERO, &quotes, 7, deadline), Ok(()));
+/// assert_eq!(shares.start(), Some((quotes.clone(), 7)));
+/// assert_eq!(shares.start(), None);
+/// shares.finished(&quotes, Some(Duration::from_millis(5)));
+/// ```
+#[derive(Debug)]
+pub struct Shares<T> {
+    capacity: u32,
+    queue_limit: usize,
+    running: u32,
+    /// Least virtual time of the busy kinds at the last start.
+    floor: u64,
+    /// In the order of declaration, so that ties fall the same way in each run.
+    kinds: Vec<Line<T>>,
+    index: FastMap<JobName, usize>,
+    rejected: u64,
+}
+
+#[derive(Debug)]
+struct Line<T> {
+    kind: Kind,
+    queue: VecDeque<(Monotonic, T)>,
+    running: u32,
+    virtual_time: u64,
+    service: Smoothed,
+}
+
+impl<T> Line<T> {
+    fn is_busy(&self) -> bool {
+        self.running > 0 || !self.queue.is_empty()
+    }
+
+    fn weight(&self) -> u64 {
+        u64::from(self.kind.weight.max(1))
+    }
+
+    /// Virtual time less the lead of the urgency. All lines get the largest lead minus their own,
+    /// which orders them the same way without negative numbers.
+    fn rank(&self) -> u64 {
+        let lag = match self.kind.urgency {
+            Urgency::Urgent => 0,
+            Urgency::Normal => 1,
+            Urgency::Background => 2,
+        };
+        self.virtual_time.saturating_add(lag * URGENCY_LEAD * SCALE)
+    }
+}
+
+impl<T> Shares<T> {
+    /// Shares of `capacity` pieces of work at one time, with at most `queue_limit` waiting per kind.
+    pub fn new(capacity: u32, queue_limit: usize) -> Self {
+        Self {
+            capacity,
+            queue_limit,
+            running: 0,
+            floor: 0,
+            kinds: Vec::new(),
+            index: FastMap::default(),
+            rejected: 0,
+        }
+    }
+
+    /// Changes the capacity. Running work above it ends by itself.
+    pub fn set_capacity(&mut self, capacity: u32) {
+        self.capacity = capacity;
+    }
+
+    /// Adds a kind, or changes its urgency and weight.
+    pub fn declare(&mut self, kind: Kind) {
+        if let Some(line) = self.line_mut(&kind.name) {
+            line.kind = kind;
+            return;
+        }
+        self.index.insert(kind.name.clone(), self.kinds.len());
+        self.kinds.push(Line {
+            kind,
+            queue: VecDeque::new(),
+            running: 0,
+            virtual_time: self.floor,
+            service: Smoothed::new(ASSUMED_SERVICE),
+        });
+    }
+
+    /// Drops the idle kinds that are no longer declared. Busy ones stay until a later call.
+    pub fn retain(&mut self, declared: impl Fn(&JobName) -> bool) {
+        self.kinds
+            .retain(|line| line.is_busy() || declared(&line.kind.name));
+        self.index = self
+            .kinds
+            .iter()
+            .enumerate()
+            .map(|(position, line)| (line.kind.name.clone(), position))
+            .collect();
+    }
+
+    /// Queues a piece of work, unless its queue is full or it would end beyond its deadline. A kind
+    /// without other work is not refused for its service time, so that a kind whose service was slow
+    /// gets the chance to show that it is fast again.
+    pub fn offer(
+        &mut self,
+        now: Monotonic,
+        name: &JobName,
+        item: T,
+        deadline: Monotonic,
+    ) -> Result<(), Refusal> {
+        if let Err(refusal) = self.check(name, deadline - now) {
+            self.rejected += 1;
+            return Err(refusal);
+        }
+        let floor = self.floor;
+        let line = self.line_mut(name).ok_or(Refusal::UnknownKind)?;
+        if line.queue.is_empty() {
+            line.virtual_time = line.virtual_time.max(floor);
+        }
+        line.queue.push_back((deadline, item));
+        Ok(())
+    }
+
+    fn check(&self, name: &JobName, left: Duration) -> Result<(), Refusal> {
+        let line = self.line(name).ok_or(Refusal::UnknownKind)?;
+        let wait = self.expected_wait(name).unwrap_or_default();
+        let service = if line.is_busy() {
+            line.service.value()
+        } else {
+            Duration::ZERO
+        };
+        if wait + service > left {
+            Err(Refusal::TooLate)
+        } else if line.queue.len() >= self.queue_limit {
+            Err(Refusal::QueueFull)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Time until a new piece of work of the kind would start: queue length times smoothed service
+    /// time over the concurrency that is the kind's share among the busy kinds.
+    pub fn expected_wait(&self, name: &JobName) -> Option<Duration> {
+        let line = self.line(name)?;
+        if line.queue.is_empty() && self.running < self.capacity {
+            return Some(Duration::ZERO);
+        }
+        let weights: u64 = self
+            .kinds
+            .iter()
+            .filter(|one| one.is_busy() || one.kind.name == *name)
+            .map(Line::weight)
+            .sum();
+        let ahead = u64::try_from(line.queue.len()).unwrap_or(u64::MAX) + 1;
+        let work = u128::from(ahead) * u128::from(line.service.micros()) * u128::from(weights);
+        let speed = u128::from(self.capacity.max(1)) * u128::from(line.weight());
+        Some(Duration::from_micros(
+            u64::try_from(work / speed).unwrap_or(u64::MAX),
+        ))
+    }
+
+    /// Takes the piece of work that starts next, if the capacity allows one more.
+    pub fn start(&mut self) -> Option<(JobName, T)> {
+        if self.running >= self.capacity {
+            return None;
+        }
+        let waiting = || self.kinds.iter().filter(|line| !line.queue.is_empty());
+        let least = waiting().map(|line| line.virtual_time).min()?;
+        let (position, _) = self
+            .kinds
+            .iter()
+            .enumerate()
+            .filter(|(_, line)| !line.queue.is_empty())
+            .min_by_key(|(_, line)| line.rank())?;
+        self.floor = self.floor.max(least);
+        let line = self.kinds.get_mut(position)?;
+        let (_, item) = line.queue.pop_front()?;
+        let cost = line.service.micros().saturating_mul(SCALE) / line.weight();
+        line.virtual_time = line.virtual_time.saturating_add(cost.max(1));
+        line.running += 1;
+        self.running += 1;
+        Some((line.kind.name.clone(), item))
+    }
+
+    /// Notes that a started piece of work ended. The time is left out if it tells nothing of the
+    /// service, such as after a refusal.
+    pub fn finished(&mut self, name: &JobName, time: Option<Duration>) {
+        if let Some(line) = self.line_mut(name) {
+            line.running = line.running.saturating_sub(1);
+            if let Some(time) = time {
+                line.service.add(time);
+            }
+            self.running = self.running.saturating_sub(1);
+        }
+    }
+
+    /// Takes the waiting work that can no longer be done before its deadline: a start would use a
+    /// slot for an answer that comes too late. The service time counts only while work of the kind
+    /// runs that can correct it.
+    pub fn take_expired(&mut self, now: Monotonic) -> Vec<T> {
+        let mut expired = Vec::new();
+        for line in &mut self.kinds {
+            let latest = if line.running > 0 {
+                now + line.service.value()
+            } else {
+                now
+            };
+            if line.queue.iter().all(|(deadline, _)| *deadline > latest) {
+                continue;
+            }
+            let (late, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut line.queue)
+                .into_iter()
+                .partition(|(deadline, _)| *deadline <= latest);
+            line.queue = kept.into();
+            expired.extend(late.into_iter().map(|(_, item)| item));
+        }
+        expired
+    }
+
+    /// Pieces of work that run now.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Pieces of work of one kind that wait.
+    pub fn queued(&self, name: &JobName) -> usize {
+        self.line(name).map_or(0, |line| line.queue.len())
+    }
+
+    /// Pieces of work that were refused so far.
+    pub fn rejected(&self) -> u64 {
+        self.rejected
+    }
+
+    fn line(&self, name: &JobName) -> Option<&Line<T>> {
+        self.kinds.get(*self.index.get(name)?)
+    }
+
+    fn line_mut(&mut self, name: &JobName) -> Option<&mut Line<T>> {
+        let position = *self.index.get(name)?;
+        self.kinds.get_mut(position)
+    }
+}
--- /dev/null
+++ b/crates/daisymast_admission/src/smoothing.rs
@@ -0,0 +1,52 @@
+//! Smoothed durations.
+
+use std::time::Duration;
+
+/// Part of each sample that goes into the mean, as a divisor.
+const DIVISOR: u64 = 8;
+/// Factor by which one sample may exceed the mean; the rest of it is cut off.
+const LARGEST_FACTOR: u64 = 8;
+
+/// Exponentially smoothed duration that one extreme sample cannot dominate.
+///
+/// ```
+/// use std::time::Duration;
+/// use daisymast_admission::smoothing::Smoothed;
+/// let mut time = Smoothed::new(Duration::from_millis(8));
+/// time.add(Duration::from_millis(16));
+/// assert_eq!(time.value(), Duration::from_millis(9));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Smoothed {
+    micros: u64,
+}
+
+impl Smoothed {
+    /// Starts with an assumed value, at least one microsecond.
+    pub fn new(assumed: Duration) -> Self {
+        Self {
+            micros: micros(assumed).max(1),
+        }
+    }
+
+    /// Takes a sample into the mean.
+    pub fn add(&mut self, sample: Duration) {
+        let sample = micros(sample).min(self.micros.saturating_mul(LARGEST_FACTOR));
+        let kept = self.micros - self.micros / DIVISOR;
+        self.micros = (kept + sample / DIVISOR).max(1);
+    }
+
+    /// The smoothed value.
+    pub fn value(&self) -> Duration {
+        Duration::from_micros(self.micros)
+    }
+
+    /// The smoothed value in microseconds, at least one.
+    pub fn micros(&self) -> u64 {
+        self.micros
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/daisymast_admission/tests/quota.rs
@@ -0,0 +1,90 @@
+//! Quotas of teams.
+
+use daisymast_admission::quota::{Limit, OverQuota, Quotas};
+use daisymast_types::ids::Team;
+use daisymast_types::quantities::Resources;
+use proptest::prelude::*;
+
+const LIMIT: Limit = Limit {
+    resources: Resources::new(8_000, 8_192, 1),
+    requests: 2,
+};
+
+/// Guards against use above the quota in any one quantity.
+#[test]
+fn each_quantity_has_a_limit() {
+    let team = Team::from("surveys");
+    let mut quotas = Quotas::default();
+    assert_eq!(
+        quotas.take(&team, Resources::ZERO),
+        Err(OverQuota::UnknownTeam)
+    );
+    quotas.set(&team, LIMIT);
+    for size in [
+        Resources::new(8_001, 1, 0),
+        Resources::new(1, 8_193, 0),
+        Resources::new(1, 1, 2),
+    ] {
+        assert_eq!(quotas.take(&team, size), Err(OverQuota::Resources));
+    }
+    assert_eq!(quotas.used(&team), Resources::ZERO);
+    assert_eq!(quotas.take(&team, LIMIT.resources), Ok(()));
+}
+
+/// Guards against requests in flight above the quota, and against a leak when they end.
+#[test]
+fn requests_in_flight_have_a_limit() {
+    let team = Team::from("desk");
+    let mut quotas = Quotas::default();
+    quotas.set(&team, LIMIT);
+    assert_eq!(quotas.enter(&team), Ok(()));
+    assert_eq!(quotas.enter(&team), Ok(()));
+    assert_eq!(quotas.enter(&team), Err(OverQuota::Requests));
+    quotas.leave(&team);
+    assert_eq!(quotas.enter(&team), Ok(()));
+}
+
+/// Guards against a withdrawn team that starts new work, or whose use is forgotten while it lasts.
+#[test]
+fn a_withdrawn_team_starts_nothing() {
+    let team = Team::from("desk");
+    let mut quotas = Quotas::default();
+    quotas.set(&team, LIMIT);
+    assert_eq!(quotas.enter(&team), Ok(()));
+    quotas.retain(|_| false);
+    assert_eq!(quotas.enter(&team), Err(OverQuota::UnknownTeam));
+    assert_eq!(quotas.in_flight(&team), 1);
+    quotas.leave(&team);
+    quotas.set(&team, LIMIT);
+    assert_eq!(quotas.in_flight(&team), 0);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(12),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(128)
+    })]
+
+    /// Guards against use above the quota after any order of takes and returns.
+    #[test]
+    fn use_never_exceeds_the_quota(sizes in prop::collection::vec((0..5_000_u32, any::<bool>()), 1..100)) {
+        let team = Team::from("surveys");
+        let mut quotas = Quotas::default();
+        quotas.set(&team, LIMIT);
+        let mut held = Vec::new();
+        for (size, give_back) in sizes {
+            let size = Resources::new(size, size, 0);
+            if give_back {
+                if let Some(size) = held.pop() {
+                    quotas.give_back(&team, size);
+                }
+            } else if quotas.take(&team, size).is_ok() {
+                held.push(size);
+            }
+            let total = held.iter().fold(Resources::ZERO, |sum, one| sum + *one);
+            prop_assert_eq!(quotas.used(&team), total);
+            prop_assert!(total.fits_in(LIMIT.resources));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_admission/tests/shares.rs
@@ -0,0 +1,294 @@
+//! Shares of kinds of work: order, lending, floods, bounds.
+
+use std::time::Duration;
+
+use daisymast_admission::shares::{Kind, Refusal, Shares};
+use daisymast_types::ids::JobName;
+use daisymast_types::quantities::Urgency;
+use daisymast_types::time::Monotonic;
+use proptest::prelude::*;
+
+const FAR: Monotonic = Monotonic::from_millis(1_000_000_000);
+const SERVICE: Duration = Duration::from_millis(5);
+
+fn kind(name: &str, urgency: Urgency, weight: u32) -> Kind {
+    Kind {
+        name: JobName::from(name),
+        urgency,
+        weight,
+    }
+}
+
+fn shares(capacity: u32, kinds: &[Kind]) -> Shares<u32> {
+    let mut shares = Shares::new(capacity, 1_024);
+    for kind in kinds {
+        shares.declare(kind.clone());
+    }
+    shares
+}
+
+fn offer(shares: &mut Shares<u32>, name: &str, item: u32) -> Result<(), Refusal> {
+    shares.offer(Monotonic::ZERO, &JobName::from(name), item, FAR)
+}
+
+/// Starts and ends work one by one and counts the starts of each kind.
+fn serve(shares: &mut Shares<u32>, count: usize) -> Vec<String> {
+    (0..count)
+        .filter_map(|_| {
+            let (name, _) = shares.start()?;
+            shares.finished(&name, Some(SERVICE));
+            Some(name.as_str().to_owned())
+        })
+        .collect()
+}
+
+fn count(starts: &[String], name: &str) -> usize {
+    starts.iter().filter(|start| *start == name).count()
+}
+
+/// Guards against overtaking within a kind.
+#[test]
+fn a_kind_is_first_in_first_out() {
+    let mut shares = shares(1, &[kind("quotes", Urgency::Normal, 1)]);
+    for item in 0..5 {
+        assert_eq!(offer(&mut shares, "quotes", item), Ok(()));
+    }
+    for item in 0..5 {
+        let (name, started) = shares.start().expect("work waits");
+        assert_eq!(started, item);
+        shares.finished(&name, Some(SERVICE));
+    }
+}
+
+/// Guards against a flood of any urgency that takes the share of another kind.
+#[test]
+fn a_flood_leaves_the_others_their_share() {
+    let levels = [Urgency::Urgent, Urgency::Normal, Urgency::Background];
+    for flooding in levels {
+        for calm in levels {
+            let mut shares = shares(1, &[kind("flood", flooding, 1), kind("calm", calm, 1)]);
+            for item in 0..1_000 {
+                assert_eq!(offer(&mut shares, "flood", item), Ok(()));
+            }
+            serve(&mut shares, 500);
+            for item in 0..100 {
+                assert_eq!(offer(&mut shares, "calm", item), Ok(()));
+            }
+            let starts = serve(&mut shares, 100);
+            let got = count(&starts, "calm");
+            assert!(
+                got >= 40,
+                "{flooding:?} leaves {calm:?} {got} of 100 starts"
+            );
+        }
+    }
+}
+
+/// Guards against shares that do not follow the weights.
+#[test]
+fn shares_follow_the_weights() {
+    let kinds = [
+        kind("three", Urgency::Normal, 3),
+        kind("one", Urgency::Normal, 1),
+    ];
+    let mut shares = shares(1, &kinds);
+    for item in 0..400 {
+        assert_eq!(offer(&mut shares, "three", item), Ok(()));
+        assert_eq!(offer(&mut shares, "one", item), Ok(()));
+    }
+    let starts = serve(&mut shares, 400);
+    assert_eq!(count(&starts, "three"), 300);
+}
+
+/// Guards against a kind that saves up its unused share and then takes all capacity.
+#[test]
+fn unused_shares_are_not_saved() {
+    let kinds = [
+        kind("late", Urgency::Normal, 1),
+        kind("steady", Urgency::Normal, 1),
+    ];
+    let mut shares = shares(1, &kinds);
+    for item in 0..1_000 {
+        assert_eq!(offer(&mut shares, "steady", item), Ok(()));
+    }
+    serve(&mut shares, 800);
+    for item in 0..100 {
+        assert_eq!(offer(&mut shares, "late", item), Ok(()));
+    }
+    let starts = serve(&mut shares, 100);
+    // The late kind joins at the level before the last start, which is one start ahead.
+    let steady = count(&starts, "steady");
+    assert!((49..=50).contains(&steady), "{steady} of 100 starts");
+}
+
+/// Guards against urgent work that waits behind other work that came at the same time.
+#[test]
+fn urgent_work_starts_first() {
+    let kinds = [
+        kind("batch", Urgency::Background, 1),
+        kind("quotes", Urgency::Urgent, 1),
+    ];
+    let mut shares = shares(1, &kinds);
+    for item in 0..3 {
+        assert_eq!(offer(&mut shares, "batch", item), Ok(()));
+        assert_eq!(offer(&mut shares, "quotes", item), Ok(()));
+    }
+    let starts = serve(&mut shares, 6);
+    assert_eq!(starts[..3], ["quotes", "quotes", "quotes"]);
+}
+
+/// Guards against queues without bound and against work that cannot be in time.
+#[test]
+fn queues_refuse_what_they_cannot_take() {
+    let mut shares: Shares<u32> = Shares::new(1, 4);
+    shares.declare(kind("quotes", Urgency::Normal, 1));
+    assert_eq!(offer(&mut shares, "retired", 0), Err(Refusal::UnknownKind));
+    for item in 0..4 {
+        assert_eq!(offer(&mut shares, "quotes", item), Ok(()));
+    }
+    assert_eq!(offer(&mut shares, "quotes", 4), Err(Refusal::QueueFull));
+    // Four wait and each takes 5 ms, so the fifth would start after 25 ms and end after 30 ms.
+    let deadline = Monotonic::from_millis(29);
+    let refused = shares.offer(Monotonic::ZERO, &JobName::from("quotes"), 5, deadline);
+    assert_eq!(refused, Err(Refusal::TooLate));
+    assert_eq!(shares.rejected(), 3);
+    assert_eq!(
+        shares.expected_wait(&JobName::from("quotes")),
+        Some(Duration::from_millis(25))
+    );
+    assert_eq!(shares.queued(&JobName::from("quotes")), 4);
+}
+
+/// Guards against expired work that is started, and against expired work that is kept.
+#[test]
+fn expired_work_is_taken_out() {
+    let mut shares = shares(1, &[kind("quotes", Urgency::Normal, 1)]);
+    let name = JobName::from("quotes");
+    for item in 0..4_u32 {
+        let deadline = Monotonic::from_millis(200 + 100 * u64::from(item % 2));
+        assert_eq!(shares.offer(Monotonic::ZERO, &name, item, deadline), Ok(()));
+    }
+    assert_eq!(shares.take_expired(Monotonic::from_millis(200)), vec![0, 2]);
+    assert_eq!(serve(&mut shares, 10).len(), 2);
+}
+
+/// Guards against a start whose answer comes too late, and against a slow kind that is refused for
+/// ever because nothing of it runs and tells that it is fast again.
+#[test]
+fn a_slow_kind_is_tried_again_when_it_is_idle() {
+    let mut shares = shares(1, &[kind("quotes", Urgency::Normal, 1)]);
+    let name = JobName::from("quotes");
+    for _ in 0..100 {
+        assert_eq!(offer(&mut shares, "quotes", 0), Ok(()));
+        assert!(shares.start().is_some());
+        shares.finished(&name, Some(Duration::from_secs(1)));
+    }
+    let deadline = Monotonic::from_millis(500);
+    assert_eq!(shares.offer(Monotonic::ZERO, &name, 1, deadline), Ok(()));
+    let refused = shares.offer(Monotonic::ZERO, &name, 2, deadline);
+    assert_eq!(refused, Err(Refusal::TooLate));
+    assert!(shares.take_expired(Monotonic::ZERO).is_empty());
+    assert_eq!(shares.start(), Some((name.clone(), 1)));
+    assert_eq!(offer(&mut shares, "quotes", 3), Ok(()));
+    let late = Monotonic::from_millis(FAR.as_millis() - 500);
+    assert_eq!(shares.take_expired(late), vec![3]);
+}
+
+/// Guards against the loss of running work's slots when its kind is no longer declared.
+#[test]
+fn a_busy_kind_is_kept_until_it_is_idle() {
+    let mut shares = shares(1, &[kind("quotes", Urgency::Normal, 1)]);
+    assert_eq!(offer(&mut shares, "quotes", 1), Ok(()));
+    let (name, _) = shares.start().expect("work waits");
+    shares.retain(|_| false);
+    assert_eq!(shares.running(), 1);
+    shares.finished(&name, None);
+    shares.retain(|_| false);
+    assert_eq!(offer(&mut shares, "quotes", 2), Err(Refusal::UnknownKind));
+}
+
+#[derive(Clone, Debug)]
+enum Act {
+    Offer(usize),
+    Start,
+    Finish(usize, u64),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        (0..4_usize).prop_map(Act::Offer),
+        Just(Act::Start),
+        (0..8_usize, 1..200_u64).prop_map(|(which, millis)| Act::Finish(which, millis)),
+    ]
+}
+
+fn four() -> Vec<Kind> {
+    vec![
+        kind("a", Urgency::Urgent, 1),
+        kind("b", Urgency::Normal, 4),
+        kind("c", Urgency::Normal, 1),
+        kind("d", Urgency::Background, 2),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(256)
+    })]
+
+    /// Guards against idle capacity while work waits, and against more work than the capacity.
+    #[test]
+    fn shares_are_work_conserving(acts in prop::collection::vec(act(), 1..300)) {
+        let kinds = four();
+        let mut shares = shares(3, &kinds);
+        let mut running: Vec<JobName> = Vec::new();
+        for act in acts {
+            match act {
+                Act::Offer(which) => {
+                    let _ = shares.offer(Monotonic::ZERO, &kinds[which].name, 0, FAR);
+                }
+                Act::Start => {
+                    let waiting: usize = kinds.iter().map(|kind| shares.queued(&kind.name)).sum();
+                    let expected = running.len() < 3 && waiting > 0;
+                    let started = shares.start();
+                    prop_assert_eq!(started.is_some(), expected);
+                    running.extend(started.map(|(name, _)| name));
+                }
+                Act::Finish(which, millis) if !running.is_empty() => {
+                    let name = running.swap_remove(which % running.len());
+                    shares.finished(&name, Some(Duration::from_millis(millis)));
+                }
+                Act::Finish(..) => {}
+            }
+            prop_assert!(running.len() <= 3);
+            prop_assert_eq!(usize::try_from(shares.running()).ok(), Some(running.len()));
+        }
+    }
+
+    /// Guards against a kind that never starts while the others are busy, whatever its urgency,
+    /// weight and service time. The bound is the lead of two levels of urgency and the largest
+    /// charge of the others, in starts of the shortest service at the largest weight.
+    #[test]
+    fn no_kind_starves(victim in 0..4_usize, millis in prop::array::uniform4(5..50_u64)) {
+        let kinds = four();
+        let mut shares = shares(1, &kinds);
+        let step = |shares: &mut Shares<u32>| {
+            for kind in &kinds {
+                while shares.queued(&kind.name) < 3 {
+                    let _ = shares.offer(Monotonic::ZERO, &kind.name, 0, FAR);
+                }
+            }
+            let (name, _) = shares.start().expect("work waits");
+            let which = kinds.iter().position(|kind| kind.name == name).expect("declared");
+            shares.finished(&name, Some(Duration::from_millis(millis[which])));
+            which
+        };
+        let mut gap = 0;
+        for _ in 0..2_000 {
+            gap = if step(&mut shares) == victim { 0 } else { gap + 1 };
+            prop_assert!(gap <= 200, "{gap} starts of others");
+        }
+    }
+}
