Add checked settings of the entry daemon, metrics, logs and the timeline ring

Cause: the daemon needs settings that are refused as a whole, counters, and a bounded timeline. Change: settings are read field by field, so that all faults come at once; keys and unknown fields are never shown. The timeline keeps 4,096 events with sequence numbers in pages of 1,000, details cut at 1,024 bytes.

--- /dev/null
+++ b/crates/daisymast_settings/src/entry.rs
@@ -0,0 +1,205 @@
+//! Settings of `daisymast-entry`.
+
+use std::net::SocketAddr;
+
+use daisymast_types::collections::FastSet;
+use daisymast_types::ids::{InstanceId, Rack, WorkerId, Zone};
+use serde_json::Value;
+
+use crate::Secret;
+use crate::fault::Faults;
+use crate::fields::Fields;
+
+const WEIGHTS: std::ops::RangeInclusive<u32> = 1..=1_000;
+const THREADS: std::ops::RangeInclusive<u32> = 1..=64;
+const DEFAULT_THREADS: u32 = 2;
+const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+/// Most instances and most workers of one file, several times those of the target size.
+const LIST_LIMIT: usize = 10_000;
+
+/// Settings of one entry instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Own id.
+    pub instance: InstanceId,
+    /// Own availability zone.
+    pub zone: Zone,
+    /// Capacity relative to other instances.
+    pub weight: u32,
+    /// Listeners.
+    pub listen: Listen,
+    /// Address that other instances connect to; the bound one of the listener if absent.
+    pub advertise: Option<SocketAddr>,
+    /// Address of the platform's store and list.
+    pub platform: SocketAddr,
+    /// Other instances that are known before the platform's list is read.
+    pub seeds: Vec<Seed>,
+    /// Workers that are known before the platform's list is read.
+    pub workers: Vec<Worker>,
+    /// Key of messages between instances.
+    pub peer_key: Secret,
+    /// Key of operators' messages.
+    pub operator_key: Secret,
+    /// Executor threads.
+    pub threads: u32,
+    /// Log level.
+    pub log_level: String,
+    /// File with a log4rs configuration in JSON, which replaces `log_level`.
+    pub log_config: Option<String>,
+}
+
+/// Addresses to listen on. Port 0 lets the kernel choose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other instances.
+    pub peers: SocketAddr,
+    /// For metrics and health checks.
+    pub metrics: SocketAddr,
+}
+
+/// Another instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seed {
+    /// Its id.
+    pub instance: InstanceId,
+    /// Its zone.
+    pub zone: Zone,
+    /// Its listener for instances.
+    pub address: SocketAddr,
+}
+
+/// A worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Worker {
+    /// Its id.
+    pub worker: WorkerId,
+    /// Its zone.
+    pub zone: Zone,
+    /// Its rack.
+    pub rack: Rack,
+    /// Its listener.
+    pub address: SocketAddr,
+}
+
+/// Parses and checks settings.
+///
+/// Source: the file that `--settings` names.
+///
+/// # Errors
+/// All faults at once, each with the field, its value and what is allowed. Keys are not shown.
+///
+/// ```
+/// use daisymast_settings::entry;
+/// let faults = entry::parse(r#"{"instance": "entry 1", "weight": 0}"#).unwrap_err();
+/// assert!(faults.iter().any(|fault| fault.path == "weight"));
+/// assert!(faults.iter().any(|fault| fault.path == "listen"));
+/// ```
+pub fn parse(text: &str) -> Result<EntrySettings, Faults> {
+    let mut faults = Faults::default();
+    let value: Value = match serde_json::from_str(text) {
+        Ok(value) => value,
+        Err(error) => {
+            faults.add("settings", &"invalid JSON", &error.to_string());
+            return Err(faults);
+        }
+    };
+    let mut fields = Fields::new("", value, &mut faults);
+    let settings = read(&mut fields);
+    fields.finish();
+    match settings {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        Some(_) | None => Err(faults),
+    }
+}
+
+/// Takes every field before the first `?`, so that each fault is found.
+fn read(fields: &mut Fields<'_>) -> Option<EntrySettings> {
+    let instance = fields.name("instance");
+    let zone = fields.label("zone");
+    let weight = fields.number("weight", 1, WEIGHTS);
+    let listen = fields.object("listen", listen);
+    let advertise = if fields.has("advertise") {
+        fields.remote("advertise")
+    } else {
+        None
+    };
+    let platform = fields.remote("platform");
+    let seeds = seeds(fields);
+    let workers = workers(fields);
+    let peer_key = fields.secret("peer_key");
+    let operator_key = fields.secret("operator_key");
+    if peer_key.is_some() && peer_key == operator_key {
+        // An operator's message must not pass for one of an instance.
+        fields.fault("operator_key", &"(hidden)", "must differ from peer_key");
+    }
+    let threads = fields.number("threads", DEFAULT_THREADS, THREADS);
+    let log_level = fields.word("log_level", "info", &LOG_LEVELS);
+    let log_config = fields.optional("log_config");
+    Some(EntrySettings {
+        instance: InstanceId::from(instance?),
+        zone: Zone::from(zone?),
+        weight,
+        listen: listen?,
+        advertise,
+        platform: platform?,
+        seeds,
+        workers,
+        peer_key: peer_key?,
+        operator_key: operator_key?,
+        threads,
+        log_level,
+        log_config,
+    })
+}
+
+fn listen(fields: &mut Fields<'_>) -> Option<Listen> {
+    let callers = fields.address("callers");
+    let operators = fields.address("operators");
+    let peers = fields.address("peers");
+    let metrics = fields.address("metrics");
+    Some(Listen {
+        callers: callers?,
+        operators: operators?,
+        peers: peers?,
+        metrics: metrics?,
+    })
+}
+
+fn seeds(fields: &mut Fields<'_>) -> Vec<Seed> {
+    let mut seen = FastSet::default();
+    fields.list("seeds", LIST_LIMIT, |fields| {
+        let (id, zone) = (unique(fields, "instance", &mut seen), fields.label("zone"));
+        let address = fields.remote("address");
+        Some(Seed {
+            instance: InstanceId::from(id?),
+            zone: Zone::from(zone?),
+            address: address?,
+        })
+    })
+}
+
+fn workers(fields: &mut Fields<'_>) -> Vec<Worker> {
+    let mut seen = FastSet::default();
+    fields.list("workers", LIST_LIMIT, |fields| {
+        let (id, zone) = (unique(fields, "worker", &mut seen), fields.label("zone"));
+        let (rack, address) = (fields.label("rack"), fields.remote("address"));
+        Some(Worker {
+            worker: WorkerId::from(id?),
+            zone: Zone::from(zone?),
+            rack: Rack::from(rack?),
+            address: address?,
+        })
+    })
+}
+
+fn unique(fields: &mut Fields<'_>, name: &str, seen: &mut FastSet<String>) -> Option<String> {
+    let id = fields.name(name)?;
+    if !seen.insert(id.clone()) {
+        fields.fault(name, &format!("\"{id}\""), "must be unique in the list");
+    }
+    Some(id)
+}
--- /dev/null
+++ b/crates/daisymast_settings/src/fields.rs
@@ -0,0 +1,264 @@
+//! Takes fields out of a JSON object one by one, so that one wrong field does not hide the others.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use serde_json::{Map, Value};
+
+use crate::fault::Faults;
+use crate::secret::Secret;
+
+/// Longest name, in bytes.
+const NAME_BYTES: usize = 64;
+/// Shortest key, in bytes: the output size of the SHA-256 digests that are made with it.
+const KEY_BYTES_MIN: usize = 32;
+const HIDDEN: &str = "(hidden)";
+
+/// The remaining fields of one object, and where it is.
+pub(crate) struct Fields<'a> {
+    path: String,
+    fields: Map<String, Value>,
+    faults: &'a mut Faults,
+}
+
+impl<'a> Fields<'a> {
+    pub(crate) fn new(path: &str, value: Value, faults: &'a mut Faults) -> Self {
+        let fields = match value {
+            Value::Object(fields) => fields,
+            other => {
+                let shown = kind(&other);
+                faults.add(
+                    if path.is_empty() { "settings" } else { path },
+                    &shown,
+                    "expected an object",
+                );
+                Map::new()
+            }
+        };
+        Self {
+            path: path.to_owned(),
+            fields,
+            faults,
+        }
+    }
+
+    fn path(&self, name: &str) -> String {
+        if self.path.is_empty() {
+            name.to_owned()
+        } else {
+            format!("{}.{name}", self.path)
+        }
+    }
+
+    pub(crate) fn fault(&mut self, name: &str, value: &dyn Display, allowed: &str) {
+        let path = self.path(name);
+        self.faults.add(&path, value, allowed);
+    }
+
+    fn take(&mut self, name: &str, allowed: &str) -> Option<Value> {
+        let value = self.fields.remove(name);
+        if value.is_none() {
+            self.fault(name, &"nothing", &format!("required: {allowed}"));
+        }
+        value
+    }
+
+    /// A name of letters, digits, `-`, `_` and `.`, as paths and log lines can hold it.
+    pub(crate) fn name(&mut self, name: &str) -> Option<String> {
+        let is_allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        self.text(
+            name,
+            "1 to 64 characters of a-z, A-Z, 0-9, -, _ and .",
+            is_allowed,
+        )
+    }
+
+    /// Text without control characters.
+    pub(crate) fn label(&mut self, name: &str) -> Option<String> {
+        self.text(name, "1 to 64 bytes without control characters", |c| {
+            !c.is_control()
+        })
+    }
+
+    fn text(
+        &mut self,
+        name: &str,
+        allowed: &str,
+        is_allowed: impl Fn(char) -> bool,
+    ) -> Option<String> {
+        match self.take(name, allowed)? {
+            Value::String(text)
+                if !text.is_empty() && text.len() <= NAME_BYTES && text.chars().all(is_allowed) =>
+            {
+                Some(text)
+            }
+            other => {
+                self.fault(name, &other, allowed);
+                None
+            }
+        }
+    }
+
+    /// An IP address and port.
+    pub(crate) fn address(&mut self, name: &str) -> Option<SocketAddr> {
+        let allowed = "an IP address and port, such as 10.0.0.7:7101";
+        let value = self.take(name, allowed)?;
+        let address = value.as_str().and_then(|text| text.parse().ok());
+        if address.is_none() {
+            self.fault(name, &value, allowed);
+        }
+        address
+    }
+
+    /// An address that other processes connect to, so its port is not 0.
+    pub(crate) fn remote(&mut self, name: &str) -> Option<SocketAddr> {
+        let address = self.address(name)?;
+        if address.port() == 0 || address.ip().is_unspecified() {
+            let value = format!("\"{address}\"");
+            self.fault(
+                name,
+                &value,
+                "an address to connect to, with a port above 0",
+            );
+            return None;
+        }
+        Some(address)
+    }
+
+    pub(crate) fn has(&self, name: &str) -> bool {
+        self.fields.contains_key(name)
+    }
+
+    /// A whole number in a range, `default` if absent.
+    pub(crate) fn number(&mut self, name: &str, default: u32, range: RangeInclusive<u32>) -> u32 {
+        let Some(value) = self.fields.remove(name) else {
+            return default;
+        };
+        let number = value.as_u64().and_then(|number| u32::try_from(number).ok());
+        match number {
+            Some(number) if range.contains(&number) => number,
+            _ => {
+                let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+                self.fault(name, &value, &allowed);
+                default
+            }
+        }
+    }
+
+    /// One of several words, `default` if absent.
+    pub(crate) fn word(&mut self, name: &str, default: &str, words: &[&str]) -> String {
+        let Some(value) = self.fields.remove(name) else {
+            return default.to_owned();
+        };
+        match value.as_str() {
+            Some(word) if words.contains(&word) => word.to_owned(),
+            _ => {
+                self.fault(name, &value, &format!("one of {}", words.join(", ")));
+                default.to_owned()
+            }
+        }
+    }
+
+    /// Optional text of any form.
+    pub(crate) fn optional(&mut self, name: &str) -> Option<String> {
+        match self.fields.remove(name)? {
+            Value::String(text) if !text.is_empty() => Some(text),
+            other => {
+                self.fault(name, &other, "a string that is not empty");
+                None
+            }
+        }
+    }
+
+    /// A key. Its value is shown in no fault.
+    pub(crate) fn secret(&mut self, name: &str) -> Option<Secret> {
+        let allowed = format!("a key of at least {KEY_BYTES_MIN} bytes");
+        match self.take(name, &allowed)? {
+            Value::String(text) if text.len() >= KEY_BYTES_MIN => Some(Secret::new(text)),
+            Value::String(text) => {
+                let shown = format!("{HIDDEN} of {} bytes", text.len());
+                self.fault(name, &shown, &allowed);
+                None
+            }
+            _ => {
+                self.fault(name, &HIDDEN, &allowed);
+                None
+            }
+        }
+    }
+
+    /// An object inside of this one, with `read` called on its fields.
+    pub(crate) fn object<T>(
+        &mut self,
+        name: &str,
+        read: impl FnOnce(&mut Fields<'_>) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.take(name, "an object")?;
+        let path = self.path(name);
+        read_object(&path, value, self.faults, read)
+    }
+
+    /// A list of objects, empty if absent.
+    pub(crate) fn list<T>(
+        &mut self,
+        name: &str,
+        limit: usize,
+        mut read: impl FnMut(&mut Fields<'_>) -> Option<T>,
+    ) -> Vec<T> {
+        let values = match self.fields.remove(name) {
+            None => return Vec::new(),
+            Some(Value::Array(values)) => values,
+            Some(other) => {
+                self.fault(name, &kind(&other), "expected a list");
+                return Vec::new();
+            }
+        };
+        if values.len() > limit {
+            let shown = format!("{} items", values.len());
+            self.fault(name, &shown, &format!("at most {limit} are allowed"));
+        }
+        let path = self.path(name);
+        let items = values.into_iter().take(limit).enumerate();
+        items
+            .filter_map(|(index, value)| {
+                read_object(&format!("{path}[{index}]"), value, self.faults, &mut read)
+            })
+            .collect()
+    }
+
+    /// Reports the fields that nothing took.
+    pub(crate) fn finish(mut self) {
+        for name in std::mem::take(&mut self.fields).keys() {
+            self.fault(name, &HIDDEN, "unknown field");
+        }
+    }
+}
+
+fn read_object<T>(
+    path: &str,
+    value: Value,
+    faults: &mut Faults,
+    read: impl FnOnce(&mut Fields<'_>) -> Option<T>,
+) -> Option<T> {
+    let is_object = value.is_object();
+    let mut fields = Fields::new(path, value, faults);
+    if !is_object {
+        return None;
+    }
+    let item = read(&mut fields);
+    fields.finish();
+    item
+}
+
+/// A value that is no object may hold a key, so only its kind is shown.
+fn kind(value: &Value) -> &'static str {
+    match value {
+        Value::Null => "null",
+        Value::Bool(_) => "a boolean",
+        Value::Number(_) => "a number",
+        Value::String(_) => "a string",
+        Value::Array(_) => "a list",
+        Value::Object(_) => "an object",
+    }
+}
--- a/crates/daisymast_settings/src/lib.rs
+++ b/crates/daisymast_settings/src/lib.rs
@@ -1,1 +1,9 @@
 //! Checked JSON settings of the daisymast binaries.
+
+pub mod entry;
+pub mod fault;
+
+mod fields;
+mod secret;
+
+pub use secret::Secret;
--- /dev/null
+++ b/crates/daisymast_settings/tests/entry.rs
@@ -0,0 +1,91 @@
+//! Settings of the entry daemon: guards against a start with half-understood settings, and against
+//! keys that appear in logs.
+
+use daisymast_settings::entry;
+use proptest::prelude::*;
+
+const GOOD: &str = r#"{
+    "instance": "entry-1",
+    "zone": "Klein Windhoek",
+    "weight": 2,
+    "listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:7201",
+               "peers": "127.0.0.1:7301", "metrics": "127.0.0.1:7401"},
+    "platform": "127.0.0.1:7000",
+    "seeds": [{"instance": "entry-2", "zone": "Olympia", "address": "127.0.0.1:7302"}],
+    "workers": [{"worker": "worker-01", "zone": "Eros", "rack": "eros-1",
+                 "address": "127.0.0.1:7501"}],
+    "peer_key": "peer-key-peer-key-peer-key-peer-key",
+    "operator_key": "operator-key-operator-key-operator-key",
+    "threads": 4,
+    "log_level": "warn"
+}"#;
+
+fn faults(text: &str) -> String {
+    match entry::parse(text) {
+        Ok(settings) => panic!("accepted: {settings:?}"),
+        Err(faults) => faults.to_string(),
+    }
+}
+
+#[test]
+fn valid_settings_are_accepted_and_their_keys_hidden() {
+    let settings = entry::parse(GOOD).expect("valid settings");
+    insta::assert_debug_snapshot!(settings);
+    assert!(settings.peer_key.expose().starts_with("peer-key"));
+}
+
+#[test]
+fn all_faults_come_at_once() {
+    let text = GOOD
+        .replace("\"entry-1\"", "\"entry 1\"")
+        .replace("\"weight\": 2", "\"weight\": 0")
+        .replace("\"127.0.0.1:0\"", "\"localhost\"")
+        .replace("\"127.0.0.1:7401\"", "7401")
+        .replace("\"127.0.0.1:7000\"", "\"127.0.0.1:0\"")
+        .replace("\"Olympia\"", "\"\"")
+        .replace("\"rack\"", "\"rak\"")
+        .replace("\"threads\": 4", "\"threads\": \"four\"")
+        .replace("\"warn\"", "\"loud\"");
+    insta::assert_snapshot!(faults(&text));
+}
+
+#[test]
+fn missing_fields_are_named() {
+    insta::assert_snapshot!(faults("{}"));
+}
+
+#[test]
+fn keys_are_not_shown_in_faults() {
+    let short = GOOD.replace("peer-key-peer-key-peer-key-peer-key", "hush-hush");
+    let number = GOOD.replace("\"peer-key-peer-key-peer-key-peer-key\"", "424242");
+    let misspelt = GOOD.replace("\"peer_key\"", "\"peer_kye\"");
+    let equal = GOOD.replace(
+        "operator-key-operator-key-operator-key",
+        "peer-key-peer-key-peer-key-peer-key",
+    );
+    let text = "\"hush-hush-hush-hush-hush-hush-hush\"";
+    let report = [&short, &number, &misspelt, &equal, text]
+        .map(faults)
+        .join("\n");
+    for key in ["hush", "424242", "peer-key", "operator-key"] {
+        assert!(!report.contains(key), "{key} is shown in:\n{report}");
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn repeated_ids_are_refused() {
+    let seed = r#"{"instance": "entry-2", "zone": "Olympia", "address": "127.0.0.1:7302"}"#;
+    let text = GOOD.replace(seed, &format!("{seed}, {seed}"));
+    insta::assert_snapshot!(faults(&text));
+}
+
+proptest! {
+    /// Guards against a file that ends the process with a panic instead of a report.
+    #[test]
+    fn any_text_gets_an_answer(text in ".{0,200}", at in 0..700_usize, len in 0..40_usize) {
+        let _ = entry::parse(&text);
+        let cut: String = GOOD.chars().take(at).chain(GOOD.chars().skip(at + len)).collect();
+        let _ = entry::parse(&cut);
+    }
+}
--- a/crates/daisymast_telemetry/src/lib.rs
+++ b/crates/daisymast_telemetry/src/lib.rs
@@ -1,1 +1,5 @@
-//! Metrics registry, time-line ring and log setup.
+//! Metrics registry, timeline ring and log setup.
+
+pub mod logging;
+pub mod metrics;
+pub mod timeline;
--- /dev/null
+++ b/crates/daisymast_telemetry/tests/metrics.rs
@@ -0,0 +1,32 @@
+//! Metric names that dashboards rely on, and the log setup.
+
+use daisymast_telemetry::{logging, metrics::Metrics};
+
+#[test]
+fn metric_names_stay() {
+    let metrics = Metrics::default();
+    metrics.event("tick");
+    metrics.action("record");
+    metrics.call("store", "unknown");
+    metrics.answer("caller", "not_run");
+    metrics.refused("callers", "queue");
+    metrics.generation.set(7);
+    metrics.timeline_events.inc();
+    insta::assert_snapshot!(metrics.encode());
+}
+
+/// Guards against a total that is counted again at each scrape.
+#[test]
+fn totals_from_elsewhere_are_not_added_twice() {
+    let metrics = Metrics::default();
+    metrics.refused_total("callers", "connections", 3);
+    metrics.refused_total("callers", "connections", 5);
+    assert_eq!(metrics.refused_count("callers", "connections"), 5);
+}
+
+#[test]
+fn log_setup_has_one_appender() {
+    let config = logging::config(log::LevelFilter::Info).expect("a configuration");
+    assert_eq!(config.root().appenders(), ["console"]);
+    assert!(logging::start_from("no-such-file.json".as_ref()).is_err());
+}
--- /dev/null
+++ b/crates/daisymast_telemetry/tests/ring.rs
@@ -0,0 +1,48 @@
+//! The timeline ring.
+
+use daisymast_protocol::timeline::TimelineEvent;
+use daisymast_telemetry::timeline::Timeline;
+use daisymast_types::time::UnixMillis;
+
+fn event(at: u64, detail: &str) -> TimelineEvent {
+    TimelineEvent {
+        at: UnixMillis(at),
+        source: "entry-1".to_owned(),
+        step: "step".to_owned(),
+        subject: "subject".to_owned(),
+        detail: detail.to_owned(),
+    }
+}
+
+/// Guards against memory that grows with the age of a process, and against pages that repeat or
+/// skip events.
+#[test]
+fn pages_bring_each_kept_event_once() {
+    let mut ring = Timeline::default();
+    for at in 1..=5_000 {
+        ring.push(event(at, ""));
+    }
+    let (mut after, mut seen) = (0, Vec::new());
+    loop {
+        let page = ring.after(after);
+        let Some((last, _)) = page.last() else {
+            break;
+        };
+        after = *last;
+        seen.extend(page.into_iter().map(|(number, event)| (number, event.at.0)));
+    }
+    let expected: Vec<(u64, u64)> = (905..=5_000).map(|number| (number, number)).collect();
+    assert_eq!(seen, expected);
+}
+
+#[test]
+fn long_details_are_cut_at_a_character() {
+    let mut ring = Timeline::new(1);
+    ring.push(event(1, &"é".repeat(1_000)));
+    ring.push(event(2, &format!("a{}", "é".repeat(1_000))));
+    let page = ring.after(0);
+    assert_eq!(
+        (page.len(), page[0].0, page[0].1.detail.len()),
+        (1, 2, 1_023)
+    );
+}
