Add the entry daemon around the instance

Cause: the instance needs a process that feeds it events and carries out its actions. Change: one driver task owns the instance, ticks every 50 ms, takes replies before new requests, and keeps the answer channels of open exchanges. Four listeners serve callers, operators, instances and metrics. A full queue gives a true not-run answer with status 503 and is counted; an answer that does not come is unknown. SIGTERM drains, closes the listeners after Stopped and exits with 0, or with 1 if work is still in flight after 25 s. Messages between instances carry the sender's id in the signed body. Instance::status() is public for the gauges.

--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -1,6 +1,7 @@
 //! Routes events to the components of an instance.
 
 use daisymast_membership::view::View;
+use daisymast_protocol::operator::Status;
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::peer::{Heartbeat, PeerReply, PeerRequest};
 use daisymast_protocol::store::StoreReply;
@@ -138,6 +139,11 @@
         !self.shared.draining && self.shared.manifest.is_some()
     }
 
+    /// Status as operators read it.
+    pub fn status(&self, now: Timestamp) -> Status {
+        operator::status(&self.shared, now, &self.control, &self.runs)
+    }
+
     /// Generation in force at this instance.
     pub fn generation(&self) -> Generation {
         self.shared.generation
@@ -162,7 +168,7 @@
                 self.requests.on_status(&mut cx, token, id);
             }
             Event::Operator { token, request } => {
-                let status = operator::status(&self.shared, now, &self.control, &self.runs);
+                let status = self.status(now);
                 let mut cx = context!(self, now);
                 self.configuration
                     .on_operator(&mut cx, token, request, status);
--- /dev/null
+++ b/crates/daisymast_entry/src/bin/daisymast-entry.rs
@@ -0,0 +1,7 @@
+//! Entry daemon.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    daisymast_entry::command::main()
+}
--- /dev/null
+++ b/crates/daisymast_entry/src/calls.rs
@@ -0,0 +1,192 @@
+//! Carries out the calls of an instance. Each call sends exactly one reply event, since the clients
+//! enforce the deadline of a call over connecting, sending and reading.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use daisymast_engine::event::Event;
+use daisymast_http::auth::Key;
+use daisymast_http::client::{Call, Client, Settings};
+use daisymast_http::executor::Executor;
+use daisymast_http::msgpack;
+use daisymast_platform::client::StoreClient;
+use daisymast_protocol::outcome::{CallError, Outcome};
+use daisymast_protocol::peer::{PeerReply, PeerRequest};
+use daisymast_protocol::store::StoreRequest;
+use daisymast_protocol::worker::{WorkerReply, WorkerRequest};
+use daisymast_telemetry::metrics::Metrics;
+use daisymast_types::ids::{CallId, InstanceId, WorkerId};
+
+use crate::labels;
+use crate::listeners::peers::{Envelope, PATH};
+
+/// Clients for the store, workers and other instances.
+#[derive(Clone, Debug)]
+pub(crate) struct Calls(Arc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    executor: Executor,
+    store: StoreClient,
+    workers: Client,
+    peers: Client,
+    instance: InstanceId,
+    peer_key: Key,
+    replies: Sender<Event>,
+    metrics: Metrics,
+}
+
+/// What the calls of a process need.
+#[derive(Debug)]
+pub(crate) struct Parts {
+    pub(crate) executor: Executor,
+    pub(crate) platform: SocketAddr,
+    pub(crate) instance: InstanceId,
+    pub(crate) peer_key: Key,
+    pub(crate) replies: Sender<Event>,
+    pub(crate) metrics: Metrics,
+}
+
+impl Calls {
+    pub(crate) fn new(parts: Parts) -> Self {
+        let client = || Client::new(Arc::clone(&parts.executor), Settings::default());
+        let (workers, peers) = (client(), client());
+        let executor = Arc::clone(&parts.executor);
+        let store = StoreClient::new(executor, parts.platform, parts.instance.as_str());
+        Self(Arc::new(Shared {
+            executor: parts.executor,
+            store,
+            workers,
+            peers,
+            instance: parts.instance,
+            peer_key: parts.peer_key,
+            replies: parts.replies,
+            metrics: parts.metrics,
+        }))
+    }
+
+    pub(crate) fn store(&self, call: CallId, request: StoreRequest, timeout: Duration) {
+        let shared = Arc::clone(&self.0);
+        self.spawn(async move {
+            let outcome = shared.store.call(&request, timeout).await;
+            shared.metrics.call("store", labels::outcome(&outcome));
+            Event::StoreReply { call, outcome }
+        });
+    }
+
+    pub(crate) fn worker(
+        &self,
+        call: CallId,
+        worker: WorkerId,
+        address: String,
+        request: WorkerRequest,
+        timeout: Duration,
+    ) {
+        let shared = Arc::clone(&self.0);
+        self.spawn(async move {
+            let outcome = match parse(&address, worker.as_str()) {
+                Ok(address) => {
+                    shared
+                        .call_worker(&worker, address, &request, timeout)
+                        .await
+                }
+                Err(error) => Outcome::NoEffect(error),
+            };
+            shared.metrics.call("worker", labels::outcome(&outcome));
+            Event::WorkerReply { call, outcome }
+        });
+    }
+
+    pub(crate) fn peer(
+        &self,
+        call: CallId,
+        instance: InstanceId,
+        address: String,
+        request: PeerRequest,
+        timeout: Duration,
+    ) {
+        let shared = Arc::clone(&self.0);
+        self.spawn(async move {
+            let outcome = match parse(&address, instance.as_str()) {
+                Ok(address) => shared.call_peer(&instance, address, request, timeout).await,
+                Err(error) => Outcome::NoEffect(error),
+            };
+            shared.metrics.call("peer", labels::outcome(&outcome));
+            Event::PeerReply { call, outcome }
+        });
+    }
+
+    fn spawn(&self, reply: impl Future<Output = Event> + Send + 'static) {
+        let shared = Arc::clone(&self.0);
+        shared.metrics.open_calls.inc();
+        let task = async move {
+            let event = reply.await;
+            shared.metrics.open_calls.dec();
+            // The channel is closed only when the process ends.
+            drop(shared.replies.send(event).await);
+        };
+        self.0.executor.spawn(task).detach();
+    }
+}
+
+impl Shared {
+    async fn call_peer(
+        &self,
+        instance: &InstanceId,
+        address: SocketAddr,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Outcome<PeerReply> {
+        let step = peer_step(&request);
+        let envelope = Envelope {
+            from: self.instance.clone(),
+            request,
+        };
+        let call = Call::new(address, PATH, timeout)
+            .named(step, instance.as_str())
+            .signed(Some(&self.peer_key));
+        msgpack::post(&self.peers, &call, &envelope).await
+    }
+
+    async fn call_worker(
+        &self,
+        worker: &WorkerId,
+        address: SocketAddr,
+        request: &WorkerRequest,
+        timeout: Duration,
+    ) -> Outcome<WorkerReply> {
+        let call = Call::new(address, "/v1/worker", timeout).named("call worker", worker.as_str());
+        daisymast_http::json::post(&self.workers, &call, request).await
+    }
+}
+
+fn parse(address: &str, peer: &str) -> Result<SocketAddr, CallError> {
+    address.parse().map_err(|_| {
+        let reason = format!("{address:?} is no IP address and port");
+        CallError::new("read address", peer, &reason)
+    })
+}
+
+fn peer_step(request: &PeerRequest) -> &'static str {
+    match request {
+        PeerRequest::Heartbeat(_) => "send heartbeat",
+        PeerRequest::FetchManifest { .. } => "fetch manifest",
+        PeerRequest::Claim { .. } => "claim request",
+        PeerRequest::Settle { .. } => "settle request",
+        PeerRequest::ClaimStatus { .. } => "read claim",
+        PeerRequest::Endpoints { .. } => "list endpoints",
+        PeerRequest::Serve { .. } => "serve request",
+        PeerRequest::Forward { .. } => "forward request",
+        PeerRequest::Resolve { .. } => "resolve request",
+        PeerRequest::Start { .. } => "start task",
+        PeerRequest::Capacity => "read capacity",
+        PeerRequest::PollRuns { .. } => "poll runs",
+        PeerRequest::Stop { .. } => "stop task",
+        PeerRequest::ResolveTask { .. } => "resolve task",
+        PeerRequest::Reserve { .. } => "reserve capacity",
+        PeerRequest::Unreserve { .. } => "return reservation",
+        PeerRequest::HandOver { .. } => "hand over worker",
+    }
+}
--- /dev/null
+++ b/crates/daisymast_entry/src/clock.rs
@@ -0,0 +1,27 @@
+//! Reads the two clocks.
+
+use std::time::Instant;
+
+use daisymast_http::client;
+use daisymast_types::time::{Monotonic, Timestamp};
+
+/// Clock of one process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    pub(crate) fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Timestamp {
+        Timestamp {
+            mono: Monotonic::ZERO + self.start.elapsed(),
+            wall: client::wall_clock(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_entry/src/listeners/metrics.rs
@@ -0,0 +1,59 @@
+//! Listener for metrics and health checks: `GET /metrics`, `/health` and `/ready`.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisymast_http::server::{Counters, Request, Response};
+use daisymast_telemetry::metrics::Metrics;
+
+use crate::driver::Board;
+
+/// Media type of the OpenMetrics text format.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+/// Pause of the driver from which the process counts as stuck. It ticks every 50 ms.
+const STUCK_AFTER: Duration = Duration::from_secs(5);
+
+/// What each exchange needs.
+#[derive(Debug)]
+pub(crate) struct Health {
+    pub(crate) metrics: Metrics,
+    pub(crate) board: Arc<Board>,
+    /// Counters of the other listeners, by name.
+    pub(crate) listeners: Vec<(&'static str, Arc<Counters>)>,
+}
+
+impl Health {
+    /// Answers one HTTP request.
+    pub(crate) fn handle(&self, request: &Request) -> Response {
+        match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/metrics") => {
+                self.take_listener_counts();
+                Response::new(200, OPEN_METRICS, self.metrics.encode())
+            }
+            ("GET", "/health") if self.board.idle_for() < STUCK_AFTER => {
+                Response::text(200, "healthy\n")
+            }
+            ("GET", "/health") => Response::text(503, "stuck\n"),
+            ("GET", "/ready") if self.metrics.ready.get() == 1 => Response::text(200, "ready\n"),
+            ("GET", "/ready") => Response::text(503, "not ready\n"),
+            _ => super::no_route(request),
+        }
+    }
+
+    fn take_listener_counts(&self) {
+        for (listener, counters) in &self.listeners {
+            let totals = [
+                ("connections", &counters.connections_refused),
+                ("header_size", &counters.headers_too_large),
+                ("header_time", &counters.header_timeouts),
+                ("body_size", &counters.bodies_too_large),
+                ("body_time", &counters.body_timeouts),
+                ("malformed", &counters.malformed),
+                ("accept", &counters.accept_failures),
+            ];
+            for (bound, counter) in totals {
+                self.metrics.refused_total(listener, bound, counter.get());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_entry/src/listeners/operators.rs
@@ -0,0 +1,70 @@
+//! Listener for operators: `POST /v1/operator`, authenticated.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisymast_http::auth::Key;
+use daisymast_http::json;
+use daisymast_http::server::{Request, Response};
+use daisymast_protocol::operator::{OperatorReply, OperatorRequest};
+use daisymast_telemetry::metrics::Metrics;
+
+use crate::driver::Board;
+use crate::inbox::{self, Asked, Inbox};
+use crate::labels;
+
+/// Path of operators' requests.
+pub const PATH: &str = "/v1/operator";
+/// Name in metrics.
+pub(crate) const NAME: &str = "operators";
+/// Time for the answer, longer than a submission takes at most.
+const WAIT: Duration = Duration::from_secs(15);
+
+/// What each exchange needs.
+#[derive(Debug)]
+pub(crate) struct Operators {
+    pub(crate) inbox: Inbox,
+    pub(crate) metrics: Metrics,
+    pub(crate) board: Arc<Board>,
+    pub(crate) key: Key,
+}
+
+impl Operators {
+    /// Answers one HTTP request.
+    pub(crate) async fn handle(&self, request: Request) -> Response {
+        if request.method != "POST" || request.path != PATH {
+            return super::no_route(&request);
+        }
+        if let Err(refusal) = super::authenticate(&self.key, &request) {
+            self.metrics.refused(NAME, "authentication");
+            return refusal;
+        }
+        match json::request(&request.body) {
+            Ok(request) => {
+                let reply = self.answer(request).await;
+                self.metrics.answer("operator", labels::operator(&reply));
+                json::response(&reply)
+            }
+            Err(refusal) => refusal,
+        }
+    }
+
+    async fn answer(&self, request: OperatorRequest) -> OperatorReply {
+        if let OperatorRequest::Timeline { after } = request {
+            let events = self.board.events_after(after);
+            return OperatorReply::Timeline { events };
+        }
+        let asked = self.inbox.ask(NAME, WAIT, |answer| {
+            inbox::Request::Operator(request, answer)
+        });
+        match asked.await {
+            Asked::Answered(reply) => reply,
+            Asked::Full => OperatorReply::Unavailable {
+                reason: "the instance is overloaded".to_owned(),
+            },
+            Asked::Late => OperatorReply::Unknown {
+                reason: format!("no answer within {} s", WAIT.as_secs()),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_entry/tests/common/mod.rs
@@ -0,0 +1,61 @@
+//! Settings and bounded waits of the tests with real processes.
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use daisymast_http::auth::Key;
+use daisymast_http::client::{Call, Client};
+use daisymast_http::json;
+use daisymast_protocol::operator::{OperatorReply, OperatorRequest};
+
+/// Bound of every wait in the tests; that of a drain.
+pub(crate) const BOUND: Duration = Duration::from_secs(30);
+pub(crate) const PEER_KEY: &str = "peer-key-peer-key-peer-key-peer-key";
+pub(crate) const OPERATOR_KEY: &str = "operator-key-operator-key-operator-key";
+
+/// Settings of an instance on ports that the kernel chooses.
+pub(crate) fn settings(platform: SocketAddr) -> String {
+    let any = "127.0.0.1:0";
+    serde_json::json!({
+        "instance": "entry-1",
+        "zone": "Austin",
+        "listen": {"callers": any, "operators": any, "peers": any, "metrics": any},
+        "platform": platform,
+        "peer_key": PEER_KEY,
+        "operator_key": OPERATOR_KEY,
+    })
+    .to_string()
+}
+
+pub(crate) fn key(text: &str) -> Key {
+    text.parse().expect("a key")
+}
+
+pub(crate) async fn operator(
+    client: &Client,
+    address: SocketAddr,
+    request: &OperatorRequest,
+) -> OperatorReply {
+    let key = key(OPERATOR_KEY);
+    let call = Call::new(address, "/v1/operator", BOUND).signed(Some(&key));
+    json::post(client, &call, request)
+        .await
+        .done()
+        .expect("an answer")
+}
+
+/// Polls until `done` gives a value.
+pub(crate) async fn wait<T>(what: &str, mut done: impl AsyncFnMut() -> Option<T>) -> T {
+    let end = Instant::now() + BOUND;
+    loop {
+        if let Some(value) = done().await {
+            return value;
+        }
+        assert!(
+            Instant::now() < end,
+            "{what} did not happen within {BOUND:?}"
+        );
+        smol::Timer::after(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/daisymast_entry/tests/process.rs
@@ -0,0 +1,163 @@
+//! An instance in this process, against the platform stand-in.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{BOUND, OPERATOR_KEY, PEER_KEY, key, operator, settings, wait};
+use daisymast_entry::listeners::peers::Envelope;
+use daisymast_entry::process::Process;
+use daisymast_http::client::{Call, Client, Settings};
+use daisymast_http::executor::{self, Executor};
+use daisymast_http::{json, msgpack};
+use daisymast_platform::daemon::Daemon;
+use daisymast_protocol::operator::{OperatorReply, OperatorRequest};
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::peer::{PeerReply, PeerRequest};
+use daisymast_settings::entry;
+use daisymast_types::ids::{Generation, InstanceId};
+
+/// Runs a test against a platform and one instance.
+fn with_process(test: impl AsyncFnOnce(&Client, &Process)) {
+    executor::run(2, async |executor: Executor| {
+        let platform = daisymast_platform::settings::Settings::default();
+        let platform = Daemon::start(&executor, &platform)
+            .await
+            .expect("a platform");
+        let settings = entry::parse(&settings(platform.address())).expect("settings");
+        let process = Process::start(&executor, &settings)
+            .await
+            .expect("an instance");
+        let client = Client::new(Arc::clone(&executor), Settings::default());
+        test(&client, &process).await;
+        process.drain().await.expect("a drain in time");
+        platform.shutdown().await;
+    });
+}
+
+async fn get(client: &Client, address: std::net::SocketAddr, path: &str) -> (u16, String) {
+    let response = client
+        .get(&Call::new(address, path, BOUND))
+        .await
+        .done()
+        .expect("an answer");
+    (
+        response.status.as_u16(),
+        String::from_utf8_lossy(&response.body).into_owned(),
+    )
+}
+
+fn submit(expected: u64, release: &str) -> OperatorRequest {
+    OperatorRequest::Submit {
+        expected: Generation(expected),
+        manifest: format!("{{\"release\": \"{release}\"}}"),
+    }
+}
+
+/// The way of a manifest: through the operator's listener, the store, and back by watch.
+#[test]
+fn accepted_manifest_makes_the_instance_ready() {
+    with_process(async |client, process| {
+        let at = process.addresses().clone();
+        assert_eq!(get(client, at.metrics, "/ready").await.0, 503);
+        assert_eq!(get(client, at.metrics, "/health").await.0, 200);
+        let reply = operator(client, at.operators, &submit(0, "r1")).await;
+        assert_eq!(
+            reply,
+            OperatorReply::Accepted {
+                generation: Generation(1)
+            }
+        );
+        let reply = operator(client, at.operators, &submit(0, "r2")).await;
+        assert!(matches!(
+            reply,
+            OperatorReply::Conflict {
+                actual: Generation(1),
+                ..
+            }
+        ));
+        let ready = async || (get(client, at.metrics, "/ready").await.0 == 200).then_some(());
+        wait("readiness", ready).await;
+        let reply = operator(
+            client,
+            at.operators,
+            &OperatorRequest::Timeline { after: 0 },
+        )
+        .await;
+        let OperatorReply::Timeline { events } = reply else {
+            panic!("{reply:?}");
+        };
+        let steps: Vec<&str> = events
+            .iter()
+            .map(|(_, event)| event.step.as_str())
+            .collect();
+        assert!(steps.contains(&"configuration.accepted"), "{steps:?}");
+        wait("the generation in the metrics", async || {
+            let (_, text) = get(client, at.metrics, "/metrics").await;
+            let parts = ["daisymast_generation 1\n", "events_total{kind=\"tick\"}"];
+            parts.iter().all(|part| text.contains(part)).then_some(())
+        })
+        .await;
+    });
+}
+
+/// Guards against changes by anyone who reaches the listener, and against a sender who takes
+/// another's name.
+#[test]
+fn messages_without_a_valid_digest_are_refused() {
+    with_process(async |client, process| {
+        let at = process.addresses().clone();
+        let (operator_key, peer_key) = (key(OPERATOR_KEY), key(PEER_KEY));
+        let request = OperatorRequest::Status;
+        for key in [None, Some(&peer_key)] {
+            let call = Call::new(at.operators, "/v1/operator", BOUND).signed(key);
+            let outcome: Outcome<OperatorReply> = json::post(client, &call, &request).await;
+            let Outcome::Unknown(error) = outcome else {
+                panic!("{outcome:?}");
+            };
+            assert!(error.reason.contains("401"), "{error}");
+        }
+        let envelope = Envelope {
+            from: InstanceId::from("entry-2"),
+            request: PeerRequest::FetchManifest {
+                above: Generation(0),
+            },
+        };
+        for (key, is_accepted) in [(&operator_key, false), (&peer_key, true)] {
+            let call = Call::new(at.peers, "/v1/peer", BOUND).signed(Some(key));
+            let reply: Outcome<PeerReply> = msgpack::post(client, &call, &envelope).await;
+            assert_eq!(
+                matches!(reply, Outcome::Done(PeerReply::Manifest { .. })),
+                is_accepted
+            );
+        }
+        let (_, text) = get(client, at.metrics, "/metrics").await;
+        assert!(
+            text.contains("listener=\"operators\",bound=\"authentication\"} 2"),
+            "{text}"
+        );
+        assert!(
+            text.contains("listener=\"peers\",bound=\"authentication\"} 1"),
+            "{text}"
+        );
+    });
+}
+
+#[test]
+fn malformed_caller_requests_are_not_run() {
+    with_process(async |client, process| {
+        let at = process.addresses().callers;
+        let call = Call::new(at, "/v1/requests", BOUND);
+        let body = r#"{"id": "a", "service": "quotes", "idempotent": "yes"}"#;
+        let response = client.post(&call, json::CONTENT_TYPE, body.into()).await;
+        let response = response.done().expect("an answer");
+        assert_eq!(response.status.as_u16(), 400);
+        let text = String::from_utf8_lossy(&response.body);
+        assert!(
+            text.contains("not_run") && text.contains("expected a boolean"),
+            "{text}"
+        );
+        assert_eq!(get(client, at, "/v1/requests/").await.0, 404);
+        assert_eq!(get(client, at, "/other").await.0, 404);
+    });
+}
--- /dev/null
+++ b/crates/daisymast_entry/tests/program.rs
@@ -0,0 +1,117 @@
+//! The program as operators start and stop it.
+
+mod common;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
+use std::time::Instant;
+
+use common::{BOUND, PEER_KEY, settings};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_daisymast-entry");
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("write settings");
+    path
+}
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(PROGRAM)
+        .args(arguments)
+        .output()
+        .expect("run the program")
+}
+
+/// Ends the child if a test fails before it has ended.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        drop(self.0.kill());
+        drop(self.0.wait());
+    }
+}
+
+impl Running {
+    fn terminate(&self) {
+        let id = self.0.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &id]).status();
+        assert!(status.expect("send SIGTERM").success());
+    }
+
+    fn wait(&mut self) -> ExitStatus {
+        let end = Instant::now() + BOUND;
+        loop {
+            if let Some(status) = self.0.try_wait().expect("wait") {
+                return status;
+            }
+            assert!(Instant::now() < end, "no exit within {BOUND:?}");
+            std::thread::sleep(std::time::Duration::from_millis(20));
+        }
+    }
+}
+
+#[test]
+fn exit_codes_tell_usage_from_settings() {
+    assert_eq!(run(&["--help"]).status.code(), Some(0));
+    assert_eq!(run(&["--version"]).status.code(), Some(0));
+    assert_eq!(run(&[]).status.code(), Some(2));
+    assert_eq!(run(&["--settings"]).status.code(), Some(2));
+    assert_eq!(run(&["--loud"]).status.code(), Some(2));
+    assert_eq!(run(&["--settings", "no-such-file"]).status.code(), Some(3));
+}
+
+/// Guards against a start with settings that were not understood, and against keys on a console.
+#[test]
+fn check_names_all_faults_and_no_key() {
+    let platform = "127.0.0.1:7000".parse().expect("an address");
+    let good = file("good.json", &settings(platform));
+    let path = good.to_str().expect("a path");
+    assert_eq!(run(&["--check", "--settings", path]).status.code(), Some(0));
+    let text = settings(platform)
+        .replace("Austin", "")
+        .replace("entry-1", "entry 1");
+    let bad = file("bad.json", &text);
+    let output = run(&["--check", "--settings", bad.to_str().expect("a path")]);
+    assert_eq!(output.status.code(), Some(3));
+    let report = String::from_utf8_lossy(&output.stderr);
+    assert!(
+        report.contains("instance = ") && report.contains("zone = "),
+        "{report}"
+    );
+    assert!(!report.contains(PEER_KEY));
+}
+
+/// Guards against a stop that takes longer than the platform waits, or reports failure.
+#[test]
+fn sigterm_drains_and_exits_with_zero() {
+    // Nothing listens at the platform's address: an instance starts and stops without the store.
+    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    let platform = free.local_addr().expect("an address");
+    drop(free);
+    let path = file("run.json", &settings(platform));
+    let child = Command::new(PROGRAM)
+        .arg("--settings")
+        .arg(path)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("start");
+    let mut running = Running(child);
+    let mut output = BufReader::new(running.0.stdout.take().expect("standard output"));
+    let mut line = String::new();
+    output
+        .read_line(&mut line)
+        .expect("the line with the addresses");
+    let addresses: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+    let address = addresses["metrics"].as_str().expect("an address");
+    let mut stream = std::net::TcpStream::connect(address).expect("connect");
+    let request = "GET /health HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n";
+    stream.write_all(request.as_bytes()).expect("send");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    running.terminate();
+    assert_eq!(running.wait().code(), Some(0));
+}
