Add the operator command

Cause: operators need to check, submit, compare and retire without writing messages by hand. Change: validate, diff, submit, retire, status, timeline, request and result, in plain text or JSON. Exit code 4 tells an unknown outcome from a refusal. The hidden command ports prints free ports for scripts. Conclusion: a release can be operated from a shell.

--- /dev/null
+++ b/crates/daisymast_cli/src/command.rs
@@ -0,0 +1,265 @@
+//! Arguments of the operator command.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use lexopt::ValueExt;
+
+/// Text of `--help`.
+pub const HELP: &str = "\
+Operator command of the daisymast cluster scheduler.
+
+Usage: daisymast [OPTIONS] COMMAND
+
+Commands:
+  validate FILE                 check a manifest without sending it
+  diff FILE                     compare a manifest with the one in force
+  submit FILE [--expected N]    replace the manifest if generation N is in force; without
+                                --expected, the generation that is in force now
+  retire JOB                    submit the manifest in force without this job
+  status                        show the status of each instance
+  timeline [--follow]           show the events of all instances, ordered by time;
+                                --follow goes on for the time that --for names
+  request SERVICE BODY          send one caller request and show its answer
+  result ID                     ask what became of a request
+
+Options:
+  --settings FILE    JSON file with operators, callers and operator_key (daisymast.json)
+  --instance ADDRESS use this listener instead of those of the settings; may be repeated
+  --json             print JSON
+  --for SECONDS      time to follow the timeline, from 1 to 3600 (60)
+  --id ID            id of the request; without it, a new UUID of version 7
+  --idempotent       the request may be repeated
+  --timeout-ms N     time for the answer, from 1 to 60000 (5000)
+  --help             print this text and exit
+  --version          print the version and exit
+
+Exit codes: 0 done, 1 failure or refusal, 2 wrong arguments, 3 faulty settings, 4 outcome unknown.
+";
+
+/// Longest time to follow a timeline, in seconds.
+const FOLLOW_MAX_S: u64 = 3_600;
+/// Longest time for an answer, in milliseconds.
+const TIMEOUT_MAX_MS: u64 = 60_000;
+
+/// A parsed command line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arguments {
+    /// What to do.
+    pub command: Command,
+    /// Settings file.
+    pub settings: PathBuf,
+    /// Listeners that replace those of the settings.
+    pub instances: Vec<SocketAddr>,
+    /// Whether to print JSON.
+    pub json: bool,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Check a manifest.
+    Validate(PathBuf),
+    /// Compare a manifest with the one in force.
+    Diff(PathBuf),
+    /// Replace the manifest.
+    Submit {
+        /// File with the manifest.
+        file: PathBuf,
+        /// Expected generation.
+        expected: Option<u64>,
+    },
+    /// Remove one job from the manifest in force.
+    Retire(String),
+    /// Show the status of each instance.
+    Status,
+    /// Show events.
+    Timeline {
+        /// Time to go on with new events.
+        follow: Option<Duration>,
+    },
+    /// Send a caller request.
+    Request(RequestOptions),
+    /// Ask what became of a request.
+    Result(String),
+    /// Print free ports, for scripts that write settings before the processes run.
+    Ports(u16),
+    /// Print the help text.
+    Help,
+    /// Print the version.
+    Version,
+}
+
+/// A caller request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestOptions {
+    /// Service that is asked.
+    pub service: String,
+    /// Body for the service.
+    pub body: String,
+    /// Id; a new one if absent.
+    pub id: Option<String>,
+    /// Whether the request may be repeated.
+    pub idempotent: bool,
+    /// Time for the answer, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+/// Values of the options, before it is known which command they belong to.
+#[derive(Debug, Default)]
+struct Options {
+    settings: Option<PathBuf>,
+    instances: Vec<SocketAddr>,
+    json: bool,
+    expected: Option<u64>,
+    follow: bool,
+    follow_s: Option<u64>,
+    id: Option<String>,
+    idempotent: bool,
+    timeout_ms: Option<u64>,
+    words: Vec<OsString>,
+    only: Option<Command>,
+}
+
+/// Parses arguments without the name of the program.
+///
+/// # Errors
+/// An argument is unknown, out of range, missing, or does not belong to the command.
+///
+/// ```
+/// use daisymast_cli::command;
+/// let arguments = command::parse(["retire", "route-survey", "--json"])?;
+/// assert_eq!(arguments.command, command::Command::Retire("route-survey".to_owned()));
+/// assert!(command::parse(["status", "--expected", "3"]).is_err());
+/// # Ok::<(), lexopt::Error>(())
+/// ```
+pub fn parse<I>(arguments: I) -> Result<Arguments, lexopt::Error>
+where
+    I: IntoIterator,
+    I::Item: Into<OsString>,
+{
+    let mut options = read(lexopt::Parser::from_args(arguments))?;
+    let command = match options.only.take() {
+        Some(command) => command,
+        None => options.command()?,
+    };
+    Ok(Arguments {
+        command,
+        settings: options.settings.unwrap_or_else(|| "daisymast.json".into()),
+        instances: options.instances,
+        json: options.json,
+    })
+}
+
+fn read(mut parser: lexopt::Parser) -> Result<Options, lexopt::Error> {
+    use lexopt::Arg::{Long, Short, Value};
+
+    let mut options = Options::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("settings") => options.settings = Some(parser.value()?.into()),
+            Long("instance") => options.instances.push(parser.value()?.parse()?),
+            Long("json") => options.json = true,
+            Long("expected") => options.expected = Some(parser.value()?.parse()?),
+            Long("follow") => options.follow = true,
+            Long("for") => {
+                options.follow_s = Some(within(parser.value()?, "--for", FOLLOW_MAX_S)?);
+            }
+            Long("id") => options.id = Some(parser.value()?.string()?),
+            Long("idempotent") => options.idempotent = true,
+            Long("timeout-ms") => {
+                let value = within(parser.value()?, "--timeout-ms", TIMEOUT_MAX_MS)?;
+                options.timeout_ms = Some(value);
+            }
+            Long("help") | Short('h') => options.only = Some(Command::Help),
+            Long("version") => options.only = Some(Command::Version),
+            Value(word) => options.words.push(word),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(options)
+}
+
+fn within(value: OsString, name: &str, most: u64) -> Result<u64, lexopt::Error> {
+    let number: u64 = value.parse()?;
+    if (1..=most).contains(&number) {
+        return Ok(number);
+    }
+    Err(format!("{name} = {number}: must be from 1 to {most}").into())
+}
+
+impl Options {
+    fn command(&mut self) -> Result<Command, lexopt::Error> {
+        let mut words = std::mem::take(&mut self.words).into_iter();
+        let name = words.next().ok_or("a command is required")?.string()?;
+        let mut word = |what: &str| {
+            let found = words.next();
+            found.ok_or_else(|| lexopt::Error::from(format!("{name} needs {what}")))
+        };
+        let command = match name.as_str() {
+            "validate" => Command::Validate(word("FILE")?.into()),
+            "diff" => Command::Diff(word("FILE")?.into()),
+            "submit" => Command::Submit {
+                file: word("FILE")?.into(),
+                expected: self.expected.take(),
+            },
+            "retire" => Command::Retire(word("JOB")?.string()?),
+            "status" => Command::Status,
+            "timeline" => self.timeline()?,
+            "request" => {
+                let (service, body) = (word("SERVICE")?.string()?, word("BODY")?.string()?);
+                self.request(service, body)
+            }
+            "result" => Command::Result(word("ID")?.string()?),
+            "ports" => Command::Ports(word("N")?.parse()?),
+            _ => return Err(format!("unknown command {name:?}").into()),
+        };
+        if let Some(extra) = words.next() {
+            return Err(format!("{name}: unexpected argument {extra:?}").into());
+        }
+        match self.left_over() {
+            Some(option) => Err(format!("{option} does not belong to {name}").into()),
+            None => Ok(command),
+        }
+    }
+
+    fn timeline(&mut self) -> Result<Command, lexopt::Error> {
+        let seconds = self.follow_s.take();
+        if !std::mem::take(&mut self.follow) {
+            if seconds.is_some() {
+                return Err("--for needs --follow".into());
+            }
+            return Ok(Command::Timeline { follow: None });
+        }
+        let follow = Some(Duration::from_secs(seconds.unwrap_or(60)));
+        Ok(Command::Timeline { follow })
+    }
+
+    fn request(&mut self, service: String, body: String) -> Command {
+        Command::Request(RequestOptions {
+            service,
+            body,
+            id: self.id.take(),
+            idempotent: std::mem::take(&mut self.idempotent),
+            timeout_ms: self.timeout_ms.take().unwrap_or(5_000),
+        })
+    }
+
+    /// An option that the command has not taken.
+    fn left_over(&self) -> Option<&'static str> {
+        let options = [
+            ("--expected", self.expected.is_some()),
+            ("--follow", self.follow),
+            ("--for", self.follow_s.is_some()),
+            ("--id", self.id.is_some()),
+            ("--idempotent", self.idempotent),
+            ("--timeout-ms", self.timeout_ms.is_some()),
+        ];
+        options
+            .iter()
+            .find(|(_, is_left)| *is_left)
+            .map(|(name, _)| *name)
+    }
+}
--- a/crates/daisymast_cli/src/lib.rs
+++ b/crates/daisymast_cli/src/lib.rs
@@ -1,1 +1,9 @@
-//! Operator command: validate, submit, diff, status, retire and time line.
+//! Operator command: validate, submit, diff, status, retire, timeline and request.
+
+pub mod command;
+pub mod retire;
+pub mod run;
+pub mod timeline;
+
+mod client;
+mod output;
--- a/crates/daisymast_settings/src/fields.rs
+++ b/crates/daisymast_settings/src/fields.rs
@@ -126,6 +126,29 @@
         Some(address)
     }
 
+    /// A list of addresses to connect to, empty if absent.
+    pub(crate) fn remotes(&mut self, name: &str) -> Vec<SocketAddr> {
+        let allowed = "a list of IP addresses and ports, such as [\"10.0.0.7:7201\"]";
+        let Some(value) = self.fields.remove(name) else {
+            return Vec::new();
+        };
+        let Some(values) = value.as_array() else {
+            self.fault(name, &kind(&value), allowed);
+            return Vec::new();
+        };
+        let mut addresses = Vec::new();
+        for (index, value) in values.iter().enumerate() {
+            match value
+                .as_str()
+                .and_then(|text| text.parse::<SocketAddr>().ok())
+            {
+                Some(address) if address.port() > 0 => addresses.push(address),
+                _ => self.fault(&format!("{name}[{index}]"), value, "an IP address and port"),
+            }
+        }
+        addresses
+    }
+
     pub(crate) fn has(&self, name: &str) -> bool {
         self.fields.contains_key(name)
     }
--- a/crates/daisymast_settings/src/lib.rs
+++ b/crates/daisymast_settings/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod entry;
 pub mod fault;
+pub mod operator;
 
 mod fields;
 mod secret;
--- /dev/null
+++ b/crates/daisymast_settings/tests/operator.rs
@@ -0,0 +1,12 @@
+//! Settings of the operator command.
+
+use daisymast_settings::operator;
+
+#[test]
+fn all_faults_come_at_once_and_the_key_stays_hidden() {
+    let text = r#"{"operators": ["127.0.0.1:0", "localhost", 7], "callers": "127.0.0.1:1",
+                   "operator_key": "hush-hush", "operater": "hush-hush"}"#;
+    let faults = operator::parse(text).expect_err("faults").to_string();
+    assert!(!faults.contains("hush"), "{faults}");
+    insta::assert_snapshot!(faults);
+}
