Name the start of the worker's process in the tests of the control plane

Change: the tests name the boot of their stand-in worker; no check changed. Measured: the engine's tests did not compile before, all tests of the workspace pass after.

--- a/crates/daisymast_engine/src/control/tests/capacity.rs
+++ b/crates/daisymast_engine/src/control/tests/capacity.rs
@@ -9,7 +9,7 @@
 use proptest::prelude::any;
 use proptest::{prop_assert, prop_assert_eq, proptest};
 
-use crate::testing::{Bench, lost, refused, replica, request, task};
+use crate::testing::{BOOT, Bench, lost, refused, replica, request, task};
 
 fn ready() -> Bench {
     let mut bench = Bench::new(&["w-1"], &[]);
@@ -177,6 +177,7 @@
     let leaving = PeerReply::Refused(Refusal::Leaving);
     let serve = PeerRequest::Serve {
         worker: worker.clone(),
+        boot: BOOT,
         request: request("quotes", "q-1"),
     };
     let start = PeerRequest::Start {
--- a/crates/daisymast_engine/src/control/tests/lease.rs
+++ b/crates/daisymast_engine/src/control/tests/lease.rs
@@ -7,7 +7,7 @@
 use daisymast_types::ids::WorkerId;
 
 use crate::event::Event;
-use crate::testing::{Bench, lost, refused, replica, request, task};
+use crate::testing::{BOOT, Bench, lost, refused, replica, request, task};
 
 fn is_renewal(request: &WorkerRequest) -> bool {
     matches!(request, WorkerRequest::Renew { .. })
@@ -24,6 +24,7 @@
     bench.now += 10_000;
     let serve = PeerRequest::Serve {
         worker: worker.clone(),
+        boot: BOOT,
         request: request("quotes", "q-1"),
     };
     let start = PeerRequest::Start {
@@ -158,6 +159,7 @@
         "entry-2",
         PeerRequest::Serve {
             worker: WorkerId::from("w-1"),
+            boot: BOOT,
             request: slow,
         },
     );
--- a/crates/daisymast_engine/src/control/tests/movement.rs
+++ b/crates/daisymast_engine/src/control/tests/movement.rs
@@ -6,7 +6,7 @@
 use daisymast_protocol::worker::{Refusal, WorkerReply, WorkerRequest};
 use daisymast_types::ids::{InstanceId, Token, WorkerId};
 
-use crate::testing::{Bench, answer, heartbeat, replica, request};
+use crate::testing::{BOOT, Bench, answer, heartbeat, replica, request};
 
 const NAMES: [&str; 8] = ["w-1", "w-2", "w-3", "w-4", "w-5", "w-6", "w-7", "w-8"];
 
@@ -27,6 +27,7 @@
         let worker = WorkerId::from(name);
         let serve = PeerRequest::Serve {
             worker: worker.clone(),
+            boot: BOOT,
             request: request("quotes", "q-1"),
         };
         let token = bench.ask("entry-2", serve);
--- a/crates/daisymast_engine/src/control/tests/serving.rs
+++ b/crates/daisymast_engine/src/control/tests/serving.rs
@@ -6,7 +6,7 @@
 use daisymast_protocol::worker::{Answer, Fate, Refusal, WorkerReply, WorkerRequest};
 use daisymast_types::ids::{JobName, RequestId, Token, WorkerId};
 
-use crate::testing::{Bench, WorkerCall, answer, lost, refused, replica, request};
+use crate::testing::{BOOT, Bench, WorkerCall, answer, lost, refused, replica, request};
 
 fn ready() -> Bench {
     let mut bench = Bench::new(&["w-1"], &[]);
@@ -19,6 +19,7 @@
 fn serve(bench: &mut Bench, service: &str, id: &str) -> Token {
     let request = PeerRequest::Serve {
         worker: WorkerId::from("w-1"),
+        boot: BOOT,
         request: request(service, id),
     };
     bench.ask("entry-2", request)
@@ -132,6 +133,7 @@
         let mut bench = ready();
         let resolve = PeerRequest::Resolve {
             worker: WorkerId::from("w-1"),
+            boot: BOOT,
             id: RequestId::from("q-1"),
         };
         let token = bench.ask("entry-2", resolve);
--- a/crates/daisymast_engine/src/testing.rs
+++ b/crates/daisymast_engine/src/testing.rs
@@ -22,6 +22,8 @@
 /// The workers' clocks are this far ahead of the instance's.
 pub(crate) const WORKER_CLOCK: u64 = 5_000_000;
 pub(crate) const TICK_MS: u64 = 50;
+/// Start of the worker processes.
+pub(crate) const BOOT: BootId = BootId(1);
 
 /// A call that waits for its reply.
 #[derive(Debug)]
--- a/crates/daisymast_engine/src/testing/fakes.rs
+++ b/crates/daisymast_engine/src/testing/fakes.rs
@@ -17,7 +17,7 @@
 };
 use daisymast_types::quantities::{Resources, Urgency};
 
-use super::WORKER_CLOCK;
+use super::{BOOT, WORKER_CLOCK};
 
 /// A worker that answers lease exchanges, starts and stops.
 pub(crate) struct FakeWorker {
@@ -84,7 +84,7 @@
 
     pub(super) fn lease_reply(&mut self, now: u64, request: &WorkerRequest) -> Option<WorkerReply> {
         let stamp = LeaseStamp {
-            boot: BootId(1),
+            boot: BOOT,
             epoch: Epoch(self.epoch),
         };
         let clock = WorkerMillis(WORKER_CLOCK + now);
