--- /dev/null
+++ b/crates/daisymast_worker/src/bin/daisymast-worker.rs
@@ -0,0 +1,91 @@
+//! Stand-in of workers for tests and trials.
+
+use std::path::PathBuf;
+
+use anyhow::Context;
+use daisymast_http::executor::{self, Executor};
+use daisymast_worker::daemon::Daemon;
+use daisymast_worker::settings::Settings;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook_async_std::Signals;
+use smol::stream::StreamExt;
+
+const HELP: &str = "\
+Stand-in of workers: control leases, tasks and requests.
+
+Usage: daisymast-worker [--settings FILE] [--listen ADDRESS] [--count NUMBER]
+                        [--check]
+
+  --settings FILE    read settings from a JSON file
+  --listen ADDRESS   listen on this address instead, such as 127.0.0.1:0
+  --count NUMBER     run this number of workers instead, each on a port of its own
+  --check            validate the settings and exit
+  --help             print this text and exit
+  --version          print the version and exit
+
+The names and addresses of the workers are printed as one line of JSON on the standard output.";
+
+enum Command {
+    Run(Settings),
+    Check,
+    Print(String),
+}
+
+fn main() -> anyhow::Result<()> {
+    match arguments()? {
+        Command::Run(settings) => executor::run(settings.threads, async |executor| {
+            serve(executor, &settings).await
+        }),
+        Command::Check => Ok(()),
+        Command::Print(text) => {
+            print_line(&text);
+            Ok(())
+        }
+    }
+}
+
+fn arguments() -> anyhow::Result<Command> {
+    use lexopt::prelude::{Long, ValueExt};
+
+    let mut settings = Settings::default();
+    let (mut listen, mut count) = (None, None);
+    let mut check = false;
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("settings") => settings = Settings::read(&PathBuf::from(parser.value()?))?,
+            Long("listen") => listen = Some(parser.value()?.parse()?),
+            Long("count") => count = Some(parser.value()?.parse()?),
+            Long("check") => check = true,
+            Long("help") => return Ok(Command::Print(HELP.to_owned())),
+            Long("version") => {
+                let version = env!("CARGO_PKG_VERSION");
+                return Ok(Command::Print(format!("daisymast-worker {version}")));
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    settings.listen = listen.unwrap_or(settings.listen);
+    settings.count = count.unwrap_or(settings.count);
+    settings.validate()?;
+    Ok(if check {
+        Command::Check
+    } else {
+        Command::Run(settings)
+    })
+}
+
+async fn serve(executor: Executor, settings: &Settings) -> anyhow::Result<()> {
+    // Signals are caught before the addresses are printed, so that whoever reads them may stop us.
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context("catch signals")?;
+    let daemon = Daemon::start(&executor, settings).await?;
+    print_line(&serde_json::json!({ "listening": daemon.listening() }).to_string());
+    signals.next().await;
+    daemon.shutdown().await;
+    Ok(())
+}
+
+#[expect(clippy::print_stdout, reason = "the output of the program")]
+fn print_line(text: &str) {
+    println!("{text}");
+}
--- /dev/null
+++ b/crates/daisymast_worker/src/client.rs
@@ -0,0 +1,58 @@
+//! Typed client of a worker.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisymast_http::client::{Call, Client};
+use daisymast_http::json;
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::worker::{WorkerReply, WorkerRequest};
+use daisymast_types::ids::WorkerId;
+
+/// Path of worker requests.
+pub const WORKER_PATH: &str = "/v1/worker";
+
+/// Client of one worker, over a pool that clients of other workers share.
+#[derive(Clone, Debug)]
+pub struct WorkerClient {
+    client: Arc<Client>,
+    address: SocketAddr,
+    path: String,
+    peer: String,
+}
+
+impl WorkerClient {
+    /// A client of the worker at `address` that names itself `caller`, for example with the id of
+    /// the instance. The name has to consist of letters, digits, `-`, `_` and `.`.
+    pub fn new(client: Arc<Client>, worker: &WorkerId, address: SocketAddr, caller: &str) -> Self {
+        Self {
+            client,
+            address,
+            path: format!("{WORKER_PATH}?caller={caller}"),
+            peer: format!("worker {worker}"),
+        }
+    }
+
+    /// Sends one request and waits for the reply, at most for `timeout`. For a renewal the timeout
+    /// has to be longer than its wait.
+    pub async fn call(&self, request: &WorkerRequest, timeout: Duration) -> Outcome<WorkerReply> {
+        let call = Call::new(self.address, &self.path, timeout).named(step(request), &self.peer);
+        json::post(&self.client, &call, request).await
+    }
+}
+
+fn step(request: &WorkerRequest) -> &'static str {
+    match request {
+        WorkerRequest::Acquire { .. } => "acquire control lease",
+        WorkerRequest::Renew { .. } => "renew control lease",
+        WorkerRequest::Release { .. } => "release control lease",
+        WorkerRequest::Start { .. } => "start task",
+        WorkerRequest::Stop { .. } => "stop task",
+        WorkerRequest::Throttle { .. } => "throttle task",
+        WorkerRequest::Serve { .. } => "serve request",
+        WorkerRequest::Resolve { .. } => "resolve request",
+        WorkerRequest::ResolveTask { .. } => "resolve task",
+        WorkerRequest::Forget { .. } => "forget tasks",
+    }
+}
--- /dev/null
+++ b/crates/daisymast_worker/src/model.rs
@@ -0,0 +1,349 @@
+//! A worker as a state machine without I/O.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use daisymast_protocol::worker::{Grant, Refusal, WorkerMillis, WorkerReply, WorkerRequest};
+use daisymast_types::ids::{BootId, InstanceId};
+use daisymast_types::quantities::Resources;
+use daisymast_types::time::Monotonic;
+
+use crate::settings::{Faults, ModelSettings};
+use lease::{Acquired, Lease};
+use log::{Log, LogEvent as Event};
+use renewals::Renewal;
+use requests::Requests;
+use tasks::Tasks;
+
+mod lease;
+mod log;
+mod memory;
+mod renewals;
+mod requests;
+mod tasks;
+mod work;
+
+pub use lease::TTL_MAX;
+pub use log::{LOG_ENTRIES, LogEntry, LogEvent};
+pub use memory::FINISHED_TTL;
+pub use renewals::RENEW_WAIT_MAX;
+pub use requests::answer;
+pub use work::FAILURE_DELAY;
+
+/// Time between two measurements of the use, and so its largest lag.
+pub const USAGE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Number of an exchange that is answered later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ExchangeId(pub u64);
+
+/// What becomes of one message.
+#[must_use = "the holder waits for it"]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ModelReply {
+    /// The reply.
+    Answer(WorkerReply),
+    /// The message is answered later by [`WorkerModel::on_tick`].
+    Later(ExchangeId),
+    /// The worker cannot be reached; the message took no effect and gets no reply.
+    Unreachable,
+}
+
+/// A worker: control lease, tasks and requests.
+///
+/// Time is the worker's own clock. Each call first ends what is over by then, so a message never
+/// meets a lease or a task that should have ended.
+///
+/// ```
+/// use daisymast_protocol::worker::{WorkerReply, WorkerRequest};
+/// use daisymast_types::ids::BootId;
+/// use daisymast_types::time::Monotonic;
+/// use daisymast_worker::{model, settings};
+///
+/// let mut worker = model::WorkerModel::new(settings::ModelSettings::default(), BootId(7));
+/// let acquire = WorkerRequest::Acquire { holder: "i-1".into(), ttl_ms: 3_000 };
+/// let reply = worker.on_request(Monotonic::ZERO, acquire);
+/// assert!(matches!(reply, model::ModelReply::Answer(WorkerReply::Granted(_))));
+/// ```
+#[derive(Debug)]
+pub struct WorkerModel {
+    settings: ModelSettings,
+    lease: Lease,
+    tasks: Tasks,
+    requests: Requests,
+    renewals: BTreeMap<ExchangeId, Renewal>,
+    /// Messages that arrived while the worker was frozen.
+    buffered: VecDeque<(ExchangeId, WorkerRequest)>,
+    frozen_since: Option<Monotonic>,
+    /// Replies that wait for the next tick.
+    ready: Vec<(ExchangeId, WorkerReply)>,
+    next_exchange: u64,
+    /// Whether renewals are answered at once.
+    stopping: bool,
+    usage: Resources,
+    measured: Option<Monotonic>,
+    random: fastrand::Rng,
+    log: Log,
+}
+
+impl WorkerModel {
+    /// A worker without tasks. `boot` differs between starts of a worker, and seeds its failures.
+    pub fn new(settings: ModelSettings, boot: BootId) -> Self {
+        let slots = usize::try_from(settings.slots).unwrap_or(usize::MAX);
+        Self {
+            lease: Lease::new(boot),
+            tasks: Tasks::new(settings.capacity, settings.remembered_ids),
+            requests: Requests::new(slots, settings.remembered_ids),
+            renewals: BTreeMap::new(),
+            buffered: VecDeque::new(),
+            frozen_since: settings.faults.freeze.then_some(Monotonic::ZERO),
+            ready: Vec::new(),
+            next_exchange: 0,
+            stopping: false,
+            usage: Resources::ZERO,
+            measured: None,
+            random: fastrand::Rng::with_seed(boot.0),
+            log: Log::default(),
+            settings,
+        }
+    }
+
+    /// Handles a message of an unnamed caller.
+    pub fn on_request(&mut self, now: Monotonic, request: WorkerRequest) -> ModelReply {
+        self.on_request_from(now, "", request)
+    }
+
+    /// Handles a message of a named caller, so that [`Faults::refuse`] can apply.
+    pub fn on_request_from(
+        &mut self,
+        now: Monotonic,
+        caller: &str,
+        request: WorkerRequest,
+    ) -> ModelReply {
+        if self
+            .settings
+            .faults
+            .refuse
+            .iter()
+            .any(|name| name == caller)
+        {
+            return ModelReply::Unreachable;
+        }
+        let exchange = ExchangeId(self.next_exchange);
+        self.next_exchange += 1;
+        if self.frozen_since.is_some() {
+            if self.buffered.len() >= self.settings.connections {
+                return ModelReply::Unreachable;
+            }
+            self.buffered.push_back((exchange, request));
+            return ModelReply::Later(exchange);
+        }
+        self.advance(now);
+        match self.handle(now, exchange, request) {
+            Some(reply) => ModelReply::Answer(reply),
+            None => ModelReply::Later(exchange),
+        }
+    }
+
+    /// Ends what is over and gives the replies that are due. The shell calls this after each message
+    /// and at least every few milliseconds.
+    pub fn on_tick(&mut self, now: Monotonic) -> Vec<(ExchangeId, WorkerReply)> {
+        if self.frozen_since.is_some() {
+            return Vec::new();
+        }
+        self.advance(now);
+        while let Some((exchange, request)) = self.buffered.pop_front() {
+            if let Some(reply) = self.handle(now, exchange, request) {
+                self.ready.push((exchange, reply));
+            }
+        }
+        self.answer_renewals(now);
+        std::mem::take(&mut self.ready)
+    }
+
+    /// Forgets a renewal whose holder is gone. Requests that are served go on.
+    pub fn cancel(&mut self, exchange: ExchangeId) {
+        self.renewals.remove(&exchange);
+    }
+
+    /// Answers all renewals at the next tick and later ones at once, for a shutdown.
+    pub fn stop_renewals(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Sets all fault switches. A worker that is no longer frozen handles the messages that arrived
+    /// meanwhile at the next tick.
+    pub fn set_faults(&mut self, now: Monotonic, faults: Faults) {
+        match (self.frozen_since, faults.freeze) {
+            (None, true) => {
+                self.advance(now);
+                self.frozen_since = Some(now);
+            }
+            (Some(since), false) => {
+                self.tasks.delay(now - since);
+                self.requests.delay(now - since);
+                self.frozen_since = None;
+            }
+            _ => {}
+        }
+        self.settings.faults = faults;
+    }
+
+    /// Fault switches as they stand.
+    pub fn faults(&self) -> &Faults {
+        &self.settings.faults
+    }
+
+    /// Present holder of the control lease.
+    pub fn holder(&self, now: Monotonic) -> Option<&InstanceId> {
+        self.lease.holder(now)
+    }
+
+    /// Sum of the sizes of the running tasks.
+    pub fn used(&self) -> Resources {
+        self.tasks.used()
+    }
+
+    /// Exchanges that are answered later: renewals, requests and buffered messages.
+    pub fn pending(&self) -> usize {
+        self.open_exchanges() + self.buffered.len()
+    }
+
+    /// The last [`LOG_ENTRIES`] starts and ends, oldest first.
+    pub fn log(&self) -> impl Iterator<Item = &LogEntry> {
+        self.log.entries()
+    }
+
+    /// Entries that were dropped from the log; a checker that needs all of them fails if there are.
+    pub fn log_dropped(&self) -> u64 {
+        self.log.dropped()
+    }
+
+    /// Handles a message; no reply means that it is answered later.
+    fn handle(
+        &mut self,
+        now: Monotonic,
+        exchange: ExchangeId,
+        request: WorkerRequest,
+    ) -> Option<WorkerReply> {
+        let result = match request {
+            WorkerRequest::Acquire { holder, ttl_ms } => self.acquire(now, holder, ttl_ms),
+            WorkerRequest::Renew {
+                stamp,
+                keep_runs,
+                since,
+                wait_ms,
+            } => match self.lease.renew(now, stamp) {
+                Ok(()) => {
+                    self.tasks.extend(now, &keep_runs);
+                    return self.wait(now, exchange, (stamp, since, wait_ms));
+                }
+                Err(refusal) => Err(refusal),
+            },
+            WorkerRequest::Serve {
+                stamp,
+                not_after,
+                request,
+            } => match self.serve(now, exchange, (stamp, not_after), request) {
+                Ok(()) => return None,
+                Err(refusal) => Err(refusal),
+            },
+            other => self.handle_task(now, other),
+        };
+        Some(result.unwrap_or_else(|reason| WorkerReply::Refused { reason }))
+    }
+
+    fn handle_task(
+        &mut self,
+        now: Monotonic,
+        request: WorkerRequest,
+    ) -> Result<WorkerReply, Refusal> {
+        let done = match request {
+            WorkerRequest::Release { stamp } => self.lease.release(now, stamp),
+            WorkerRequest::Start {
+                stamp,
+                not_after,
+                task,
+            } => self.start(now, (stamp, not_after), task),
+            WorkerRequest::Stop { stamp, task, .. } => {
+                self.check(now, stamp)?;
+                self.tasks.stop(now, task, &mut self.log)
+            }
+            WorkerRequest::Throttle {
+                stamp,
+                task,
+                millicores,
+            } => {
+                self.check(now, stamp)?;
+                self.tasks.throttle(now, task, millicores)
+            }
+            WorkerRequest::Forget { stamp, tasks } => {
+                self.check(now, stamp)?;
+                self.tasks.forget(now, &tasks);
+                Ok(())
+            }
+            WorkerRequest::Resolve { id } => {
+                let fate = self.requests.resolve(now, id)?;
+                return Ok(WorkerReply::Resolved { fate });
+            }
+            WorkerRequest::ResolveTask { task } => {
+                let fate = self.tasks.resolve(now, task)?;
+                return Ok(WorkerReply::Resolved { fate });
+            }
+            WorkerRequest::Acquire { .. }
+            | WorkerRequest::Renew { .. }
+            | WorkerRequest::Serve { .. } => Err(Refusal::Invalid),
+        };
+        done.map(|()| WorkerReply::Ok)
+    }
+
+    fn acquire(
+        &mut self,
+        now: Monotonic,
+        holder: InstanceId,
+        ttl_ms: u64,
+    ) -> Result<WorkerReply, Refusal> {
+        let ttl = Duration::from_millis(ttl_ms);
+        if ttl.is_zero() || ttl > TTL_MAX {
+            return Err(Refusal::Invalid);
+        }
+        match self.lease.acquire(now, holder.clone(), ttl) {
+            Acquired::Held(holder, remaining) => {
+                let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+                return Ok(WorkerReply::Held {
+                    holder,
+                    remaining_ms,
+                });
+            }
+            Acquired::New => {
+                let epoch = self.lease.stamp().epoch;
+                self.log.add(now, Event::Granted { holder, epoch });
+            }
+            Acquired::Kept => {}
+        }
+        Ok(WorkerReply::Granted(Grant {
+            stamp: self.lease.stamp(),
+            clock: clock(now),
+            ttl_ms,
+            capacity: self.settings.capacity,
+            slots: self.settings.slots,
+            seq: self.tasks.seq(),
+            tasks: self.tasks.changes(now, 0),
+            leaving: self.settings.faults.leaving,
+        }))
+    }
+
+    fn advance(&mut self, now: Monotonic) {
+        self.tasks.advance(now, &mut self.log);
+        let replies = self.requests.advance(now, &mut self.log);
+        self.ready.extend(replies);
+        if self.measured.is_none_or(|at| now - at >= USAGE_PERIOD) {
+            self.measured = Some(now);
+            self.usage = self.settings.measure(self.tasks.used());
+        }
+    }
+}
+
+fn clock(now: Monotonic) -> WorkerMillis {
+    WorkerMillis(now.as_millis())
+}
--- /dev/null
+++ b/crates/daisymast_worker/src/model/renewals.rs
@@ -0,0 +1,71 @@
+//! Renewals that wait for a change.
+
+use std::time::Duration;
+
+use daisymast_protocol::worker::{LeaseStamp, Refusal, WorkerReply};
+use daisymast_types::time::Monotonic;
+
+use super::{ExchangeId, WorkerModel, clock};
+
+/// Longest wait of a renewal for a change.
+pub const RENEW_WAIT_MAX: Duration = Duration::from_secs(20);
+#[derive(Debug)]
+pub(super) struct Renewal {
+    stamp: LeaseStamp,
+    since: u64,
+    leaving: bool,
+    deadline: Monotonic,
+}
+
+impl WorkerModel {
+    pub(super) fn wait(
+        &mut self,
+        now: Monotonic,
+        exchange: ExchangeId,
+        (stamp, since, wait_ms): (LeaseStamp, u64, u64),
+    ) -> Option<WorkerReply> {
+        let wait = Duration::from_millis(wait_ms).min(RENEW_WAIT_MAX);
+        let changed = self.tasks.seq() > since;
+        let full = self.open_exchanges() >= self.settings.connections;
+        if wait.is_zero() || changed || full || self.stopping {
+            return Some(self.renewed(now, since));
+        }
+        let renewal = Renewal {
+            stamp,
+            since,
+            leaving: self.settings.faults.leaving,
+            deadline: now + wait,
+        };
+        self.renewals.insert(exchange, renewal);
+        None
+    }
+
+    fn renewed(&self, now: Monotonic, since: u64) -> WorkerReply {
+        WorkerReply::Renewed {
+            clock: clock(now),
+            seq: self.tasks.seq().max(since),
+            changes: self.tasks.changes(now, since),
+            usage: self.usage,
+            leaving: self.settings.faults.leaving,
+        }
+    }
+
+    /// Answers the renewals that a change, the passing of time or the loss of the lease resolves.
+    pub(super) fn answer_renewals(&mut self, now: Monotonic) {
+        for (exchange, renewal) in std::mem::take(&mut self.renewals) {
+            if self.lease.check(now, renewal.stamp).is_err() {
+                let reason = Refusal::StaleLease;
+                self.ready.push((exchange, WorkerReply::Refused { reason }));
+            } else if self.tasks.seq() > renewal.since
+                || self.settings.faults.leaving != renewal.leaving
+                || now >= renewal.deadline
+                || self.stopping
+            {
+                let reply = self.renewed(now, renewal.since);
+                self.ready.push((exchange, reply));
+            } else {
+                self.renewals.insert(exchange, renewal);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_worker/src/model/tasks.rs
@@ -0,0 +1,286 @@
+//! Tasks that run on a worker, and those that ended.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use daisymast_protocol::limits::{EXCLUSIVE_TASK_LEASE, SHARED_TASK_LEASE};
+use daisymast_protocol::task::{Kind, TaskReport, TaskSpec, TaskState};
+use daisymast_protocol::worker::{Fate, Refusal};
+use daisymast_types::ids::{JobName, RunKey, TaskKey};
+use daisymast_types::quantities::Resources;
+use daisymast_types::time::Monotonic;
+
+use super::log::{Log, LogEvent};
+use super::memory::Memory;
+
+/// When and how a task ends by itself.
+pub(super) type End = (Monotonic, TaskState);
+
+#[derive(Debug)]
+struct Running {
+    /// The task, with the processors that it may use at present.
+    spec: TaskSpec,
+    /// Processors that it was started with.
+    millicores: u32,
+    started: Monotonic,
+    end: Option<End>,
+    lease_until: Monotonic,
+    seq: u64,
+}
+
+impl Running {
+    fn report(&self, now: Monotonic, state: TaskState) -> TaskReport {
+        let elapsed = (now - self.started).as_millis();
+        TaskReport {
+            spec: self.spec.clone(),
+            state,
+            elapsed_ms: u64::try_from(elapsed).unwrap_or(u64::MAX),
+        }
+    }
+
+    fn first_end(&self) -> End {
+        let expiry = (self.lease_until, TaskState::Expired);
+        match self.end {
+            Some(end) if end.0 <= expiry.0 => end,
+            _ => expiry,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Ended {
+    report: TaskReport,
+    seq: u64,
+}
+
+/// All tasks that a worker knows. The sizes of the running ones fit in its capacity.
+#[derive(Debug)]
+pub(super) struct Tasks {
+    capacity: Resources,
+    used: Resources,
+    running: BTreeMap<TaskKey, Running>,
+    /// Ended tasks whose reports the holder has not recorded yet.
+    ended: BTreeMap<TaskKey, Ended>,
+    past: Memory<TaskKey>,
+    /// Number of the last change.
+    seq: u64,
+}
+
+impl Tasks {
+    pub(super) fn new(capacity: Resources, remembered: usize) -> Self {
+        Self {
+            capacity,
+            used: Resources::ZERO,
+            running: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            past: Memory::new(remembered),
+            seq: 0,
+        }
+    }
+
+    pub(super) fn start(
+        &mut self,
+        now: Monotonic,
+        spec: TaskSpec,
+        end: Option<End>,
+        log: &mut Log,
+    ) -> Result<(), Refusal> {
+        let key = spec.key;
+        if self.is_known(key) {
+            return Err(Refusal::Duplicate);
+        }
+        let fits = spec.size.fits_in(self.capacity - self.used);
+        if !fits || !self.past.has_room(now, self.current()) {
+            return Err(Refusal::NoCapacity);
+        }
+        self.used += spec.size;
+        let event = LogEvent::TaskStarted {
+            task: key,
+            size: spec.size,
+            exclusive: spec.exclusive,
+        };
+        log.add(now, event);
+        let running = Running {
+            millicores: spec.size.millicores,
+            started: now,
+            end,
+            lease_until: now + lease(&spec),
+            seq: self.change(),
+            spec,
+        };
+        self.running.insert(key, running);
+        Ok(())
+    }
+
+    /// Stops a task; one that has ended stays as it is.
+    pub(super) fn stop(
+        &mut self,
+        now: Monotonic,
+        key: TaskKey,
+        log: &mut Log,
+    ) -> Result<(), Refusal> {
+        if self.running.contains_key(&key) {
+            self.end(key, (now, TaskState::Stopped), log);
+            return Ok(());
+        }
+        match self.past.get(&key) {
+            Some(Fate::Ended { .. }) => Ok(()),
+            _ if self.ended.contains_key(&key) => Ok(()),
+            _ => Err(Refusal::UnknownTask),
+        }
+    }
+
+    /// Limits the processors of a task, at most to those that it was started with. What is freed can
+    /// be used by other tasks, so a limit that is raised again has to fit.
+    pub(super) fn throttle(
+        &mut self,
+        now: Monotonic,
+        key: TaskKey,
+        millicores: u32,
+    ) -> Result<(), Refusal> {
+        let seq = self.seq + 1;
+        let task = self.running.get_mut(&key).ok_or(Refusal::UnknownTask)?;
+        let (former, limit) = (task.spec.size, millicores.min(task.millicores));
+        if limit == 0 {
+            return Err(Refusal::Invalid);
+        }
+        let size = Resources {
+            millicores: limit,
+            ..former
+        };
+        let others = self.used - former;
+        if !size.fits_in(self.capacity - others) {
+            return Err(Refusal::NoCapacity);
+        }
+        self.used = others + size;
+        task.spec.size = size;
+        task.seq = seq;
+        if let Some((at, _)) = &mut task.end {
+            let slower = f64::from(former.millicores) / f64::from(limit);
+            let left = (*at - now).as_secs_f64() * slower;
+            *at = now + Duration::try_from_secs_f64(left).unwrap_or(Duration::MAX);
+        }
+        self.seq = seq;
+        Ok(())
+    }
+
+    /// Drops the reports of ended tasks, and remembers their ids for a while.
+    pub(super) fn forget(&mut self, now: Monotonic, keys: &[TaskKey]) {
+        for key in keys {
+            if let Some(ended) = self.ended.remove(key) {
+                // Room was reserved at the start of the task.
+                let report = ended.report;
+                self.past.insert(now, *key, Fate::Ended { report });
+            }
+        }
+    }
+
+    /// Tells what became of a task, and refuses it from now on if it never ran.
+    pub(super) fn resolve(&mut self, now: Monotonic, key: TaskKey) -> Result<Fate, Refusal> {
+        if self.running.contains_key(&key) {
+            return Ok(Fate::Running);
+        }
+        if let Some(ended) = self.ended.get(&key) {
+            let report = ended.report.clone();
+            return Ok(Fate::Ended { report });
+        }
+        if let Some(fate) = self.past.get(&key) {
+            return Ok(fate.clone());
+        }
+        if !self.past.has_room(now, self.current()) {
+            return Err(Refusal::NoCapacity);
+        }
+        self.past.insert(now, key, Fate::NeverRan);
+        Ok(Fate::NeverRan)
+    }
+
+    /// Extends the leases of tasks that may run twice, and of the exclusive ones of `keep_runs`.
+    pub(super) fn extend(&mut self, now: Monotonic, keep_runs: &[RunKey]) {
+        for (key, task) in &mut self.running {
+            if !task.spec.exclusive || keep_runs.contains(&key.run) {
+                task.lease_until = now + lease(&task.spec);
+            }
+        }
+    }
+
+    /// Ends the tasks whose run time or lease is over, in the order of time.
+    pub(super) fn advance(&mut self, now: Monotonic, log: &mut Log) {
+        let ends = self
+            .running
+            .iter()
+            .map(|(key, task)| (task.first_end(), *key));
+        let mut due: Vec<(End, TaskKey)> = ends.filter(|((at, _), _)| *at <= now).collect();
+        due.sort_by_key(|((at, _), key)| (*at, *key));
+        for (end, key) in due {
+            self.end(key, end, log);
+        }
+    }
+
+    /// Delays the ends of tasks by the time for which nothing ran. Leases are not delayed.
+    pub(super) fn delay(&mut self, by: Duration) {
+        for task in self.running.values_mut() {
+            if let Some((at, _)) = &mut task.end {
+                *at = *at + by;
+            }
+        }
+    }
+
+    /// Tasks that changed after change number `since`, oldest change first.
+    pub(super) fn changes(&self, now: Monotonic, since: u64) -> Vec<TaskReport> {
+        let running = self.running.values().filter(|task| task.seq > since);
+        let running = running.map(|task| (task.seq, task.report(now, TaskState::Running)));
+        let ended = self.ended.values().filter(|task| task.seq > since);
+        let ended = ended.map(|task| (task.seq, task.report.clone()));
+        let mut changes: Vec<(u64, TaskReport)> = running.chain(ended).collect();
+        changes.sort_by_key(|(seq, _)| *seq);
+        changes.into_iter().map(|(_, report)| report).collect()
+    }
+
+    pub(super) fn seq(&self) -> u64 {
+        self.seq
+    }
+
+    pub(super) fn used(&self) -> Resources {
+        self.used
+    }
+
+    pub(super) fn has_replica(&self, service: &JobName) -> bool {
+        let mut specs = self.running.values().map(|task| &task.spec);
+        specs.any(|spec| spec.kind == Kind::Service && spec.job == *service)
+    }
+
+    fn end(&mut self, key: TaskKey, (at, state): End, log: &mut Log) {
+        if let Some(task) = self.running.remove(&key) {
+            self.used -= task.spec.size;
+            log.add(at, LogEvent::TaskEnded { task: key, state });
+            let ended = Ended {
+                report: task.report(at, state),
+                seq: self.change(),
+            };
+            self.ended.insert(key, ended);
+        }
+    }
+
+    fn is_known(&self, key: TaskKey) -> bool {
+        self.running.contains_key(&key)
+            || self.ended.contains_key(&key)
+            || self.past.get(&key).is_some()
+    }
+
+    fn current(&self) -> usize {
+        self.running.len() + self.ended.len()
+    }
+
+    fn change(&mut self) -> u64 {
+        self.seq += 1;
+        self.seq
+    }
+}
+
+fn lease(spec: &TaskSpec) -> Duration {
+    if spec.exclusive {
+        EXCLUSIVE_TASK_LEASE
+    } else {
+        SHARED_TASK_LEASE
+    }
+}
--- /dev/null
+++ b/crates/daisymast_worker/src/model/work.rs
@@ -0,0 +1,95 @@
+//! New tasks and requests: whether they are accepted and when they end.
+
+use std::time::Duration;
+
+use daisymast_protocol::task::{Kind, TaskSpec, TaskState};
+use daisymast_protocol::worker::{LeaseStamp, Refusal, ServeRequest, WorkerMillis};
+use daisymast_types::time::Monotonic;
+
+use super::tasks::End;
+use super::{ExchangeId, WorkerModel, clock};
+
+/// Time after which a task or request that fails does so.
+pub const FAILURE_DELAY: Duration = Duration::from_millis(50);
+impl WorkerModel {
+    pub(super) fn start(
+        &mut self,
+        now: Monotonic,
+        permit: (LeaseStamp, WorkerMillis),
+        task: TaskSpec,
+    ) -> Result<(), Refusal> {
+        self.check_new_work(now, permit)?;
+        let fails = self.fails();
+        let end = self.end_of(now, &task, fails);
+        self.tasks.start(now, task, end, &mut self.log)
+    }
+
+    pub(super) fn serve(
+        &mut self,
+        now: Monotonic,
+        exchange: ExchangeId,
+        permit: (LeaseStamp, WorkerMillis),
+        request: ServeRequest,
+    ) -> Result<(), Refusal> {
+        self.check_new_work(now, permit)?;
+        self.requests.check_new(&request.id)?;
+        if !self.tasks.has_replica(&request.service) {
+            return Err(Refusal::NoReplica);
+        }
+        if self.open_exchanges() >= self.settings.connections {
+            return Err(Refusal::NoSlot);
+        }
+        let fails = self.fails();
+        let time = self.scaled(Duration::from_millis(self.settings.service_ms));
+        let end = now + if fails { time.min(FAILURE_DELAY) } else { time };
+        let end = (end, fails);
+        self.requests
+            .serve(now, exchange, request, end, &mut self.log)
+    }
+
+    fn check_new_work(
+        &self,
+        now: Monotonic,
+        (stamp, not_after): (LeaseStamp, WorkerMillis),
+    ) -> Result<(), Refusal> {
+        self.check(now, stamp)?;
+        if clock(now) >= not_after {
+            Err(Refusal::Late)
+        } else if self.settings.faults.leaving {
+            Err(Refusal::Leaving)
+        } else {
+            Ok(())
+        }
+    }
+
+    pub(super) fn check(&self, now: Monotonic, stamp: LeaseStamp) -> Result<(), Refusal> {
+        if self.settings.faults.ignore_fencing {
+            return Ok(());
+        }
+        self.lease.check(now, stamp)
+    }
+
+    /// When and how a task ends by itself; replicas of services run until they are stopped.
+    fn end_of(&self, now: Monotonic, task: &TaskSpec, fails: bool) -> Option<End> {
+        let time = self.scaled(Duration::from_millis(task.run_ms));
+        match (task.kind, fails) {
+            (Kind::Service, false) => None,
+            (Kind::Service, true) => Some((now + FAILURE_DELAY, TaskState::Failed)),
+            (_, true) => Some((now + time.min(FAILURE_DELAY), TaskState::Failed)),
+            (_, false) => Some((now + time, TaskState::Succeeded)),
+        }
+    }
+
+    fn scaled(&self, time: Duration) -> Duration {
+        let seconds = time.as_secs_f64() / self.settings.faults.speed;
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    fn fails(&mut self) -> bool {
+        self.random.f64() < self.settings.faults.failure_rate
+    }
+
+    pub(super) fn open_exchanges(&self) -> usize {
+        self.renewals.len() + self.requests.serving()
+    }
+}
--- /dev/null
+++ b/crates/daisymast_worker/tests/common/mod.rs
@@ -0,0 +1,214 @@
+//! Helpers of the tests: a worker on a virtual clock and short forms of its messages.
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+
+use daisymast_protocol::task::{Kind, TaskReport, TaskSpec};
+use daisymast_protocol::worker::{
+    Fate, Grant, LeaseStamp, Refusal, ServeRequest, WorkerMillis, WorkerReply, WorkerRequest,
+};
+use daisymast_types::ids::{BootId, RunKey, TaskKey};
+use daisymast_types::quantities::{Resources, Urgency};
+use daisymast_types::time::Monotonic;
+use daisymast_worker::model::{ExchangeId, LogEntry, LogEvent, ModelReply, WorkerModel};
+use daisymast_worker::settings::{Faults, ModelSettings};
+
+pub(crate) const LATER: WorkerMillis = WorkerMillis(u64::MAX);
+
+/// A worker and the time on its clock, in milliseconds.
+pub(crate) struct Bench {
+    pub(crate) model: WorkerModel,
+    pub(crate) now: u64,
+}
+
+impl Bench {
+    pub(crate) fn new(settings: ModelSettings) -> Self {
+        Self {
+            model: WorkerModel::new(settings, BootId(7)),
+            now: 0,
+        }
+    }
+
+    pub(crate) fn time(&self) -> Monotonic {
+        Monotonic::from_millis(self.now)
+    }
+
+    pub(crate) fn send(&mut self, request: WorkerRequest) -> ModelReply {
+        self.model.on_request(self.time(), request)
+    }
+
+    /// Sends a message that is answered at once.
+    pub(crate) fn ask(&mut self, request: WorkerRequest) -> WorkerReply {
+        match self.send(request) {
+            ModelReply::Answer(reply) => reply,
+            other => panic!("no answer but {other:?}"),
+        }
+    }
+
+    /// Sends a message that is answered later.
+    pub(crate) fn defer(&mut self, request: WorkerRequest) -> ExchangeId {
+        match self.send(request) {
+            ModelReply::Later(exchange) => exchange,
+            other => panic!("no wait but {other:?}"),
+        }
+    }
+
+    /// Moves the clock and gives the replies that are due by then.
+    pub(crate) fn tick(&mut self, now: u64) -> Vec<(ExchangeId, WorkerReply)> {
+        self.now = now;
+        self.model.on_tick(self.time())
+    }
+
+    pub(crate) fn grant(&mut self, holder: &str, ttl_ms: u64) -> Grant {
+        match self.ask(acquire(holder, ttl_ms)) {
+            WorkerReply::Granted(grant) => grant,
+            other => panic!("no grant but {other:?}"),
+        }
+    }
+
+    pub(crate) fn stamp(&mut self) -> LeaseStamp {
+        self.grant("i-1", 60_000).stamp
+    }
+
+    pub(crate) fn start(&mut self, stamp: LeaseStamp, task: TaskSpec) -> WorkerReply {
+        self.ask(start(stamp, task))
+    }
+
+    /// Reports of changes since a number, by a renewal without a wait.
+    pub(crate) fn changes(&mut self, stamp: LeaseStamp, since: u64) -> (u64, Vec<TaskReport>) {
+        match self.ask(renew(stamp, &[], since, 0)) {
+            WorkerReply::Renewed { seq, changes, .. } => (seq, changes),
+            other => panic!("no renewal but {other:?}"),
+        }
+    }
+
+    pub(crate) fn faults(&mut self, change: impl FnOnce(&mut Faults)) {
+        let mut faults = self.model.faults().clone();
+        change(&mut faults);
+        self.model.set_faults(self.time(), faults);
+    }
+
+    pub(crate) fn log(&self) -> Vec<LogEntry> {
+        self.model.log().cloned().collect()
+    }
+
+    /// Log without the grants of leases, which every test needs.
+    pub(crate) fn work_log(&self) -> Vec<LogEntry> {
+        let mut log = self.log();
+        log.retain(|entry| !matches!(entry.event, LogEvent::Granted { .. }));
+        log
+    }
+}
+
+pub(crate) fn acquire(holder: &str, ttl_ms: u64) -> WorkerRequest {
+    WorkerRequest::Acquire {
+        holder: holder.into(),
+        ttl_ms,
+    }
+}
+
+pub(crate) fn renew(
+    stamp: LeaseStamp,
+    keep_runs: &[u64],
+    since: u64,
+    wait_ms: u64,
+) -> WorkerRequest {
+    WorkerRequest::Renew {
+        stamp,
+        keep_runs: keep_runs.iter().copied().map(RunKey).collect(),
+        since,
+        wait_ms,
+    }
+}
+
+pub(crate) fn start(stamp: LeaseStamp, task: TaskSpec) -> WorkerRequest {
+    WorkerRequest::Start {
+        stamp,
+        not_after: LATER,
+        task,
+    }
+}
+
+pub(crate) fn serve(stamp: LeaseStamp, id: &str) -> WorkerRequest {
+    WorkerRequest::Serve {
+        stamp,
+        not_after: LATER,
+        request: request(id),
+    }
+}
+
+pub(crate) fn request(id: &str) -> ServeRequest {
+    ServeRequest {
+        id: id.into(),
+        service: "quotes".into(),
+        idempotent: false,
+        body: "plaza".to_owned(),
+    }
+}
+
+pub(crate) fn stop(stamp: LeaseStamp, run: u64) -> WorkerRequest {
+    WorkerRequest::Stop {
+        stamp,
+        task: key(run),
+        checkpoint: false,
+    }
+}
+
+pub(crate) fn resolve(id: &str) -> WorkerRequest {
+    WorkerRequest::Resolve { id: id.into() }
+}
+
+pub(crate) fn resolve_task(run: u64) -> WorkerRequest {
+    WorkerRequest::ResolveTask { task: key(run) }
+}
+
+pub(crate) fn forget(stamp: LeaseStamp, run: u64) -> WorkerRequest {
+    WorkerRequest::Forget {
+        stamp,
+        tasks: vec![key(run)],
+    }
+}
+
+pub(crate) fn key(run: u64) -> TaskKey {
+    TaskKey {
+        run: RunKey(run),
+        index: 0,
+        attempt: 1,
+    }
+}
+
+/// A task of 1 core and 1 GiB that is not exclusive.
+pub(crate) fn batch(run: u64, run_ms: u64) -> TaskSpec {
+    TaskSpec {
+        key: key(run),
+        job: "survey".into(),
+        team: "crews".into(),
+        kind: Kind::Batch,
+        urgency: Urgency::Normal,
+        size: Resources::new(1_000, 1_024, 0),
+        exclusive: false,
+        run_ms,
+    }
+}
+
+pub(crate) fn exclusive(run: u64, run_ms: u64) -> TaskSpec {
+    TaskSpec {
+        exclusive: true,
+        ..batch(run, run_ms)
+    }
+}
+
+/// A replica of the service that [`request`] asks.
+pub(crate) fn replica(run: u64) -> TaskSpec {
+    TaskSpec {
+        job: "quotes".into(),
+        kind: Kind::Service,
+        ..batch(run, 0)
+    }
+}
+
+pub(crate) fn refused(reason: Refusal) -> WorkerReply {
+    WorkerReply::Refused { reason }
+}
+
+pub(crate) fn resolved(fate: Fate) -> WorkerReply {
+    WorkerReply::Resolved { fate }
+}
--- /dev/null
+++ b/crates/daisymast_worker/tests/daemon.rs
@@ -0,0 +1,351 @@
+//! Guards against a shell that loses what the model decides, with a real process where it matters.
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+mod common;
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::{acquire, refused, renew, replica, request, resolve, serve, start};
+use daisymast_http::client::{Call, Client};
+use daisymast_http::executor::{self, Executor};
+use daisymast_http::json;
+use daisymast_protocol::outcome::Outcome;
+use daisymast_protocol::worker::{Fate, LeaseStamp, Refusal, WorkerReply, WorkerRequest};
+use daisymast_worker::client::WorkerClient;
+use daisymast_worker::daemon::{Daemon, FAULTS_PATH, LOG_PATH, Listening, LogReply};
+use daisymast_worker::model::{self, LogEvent};
+use daisymast_worker::settings::{Faults, ModelSettings, Settings};
+use serde::Deserialize;
+use smol::Timer;
+
+/// Bound of every wait in the tests; far above what a loaded machine needs.
+const BOUND: Duration = Duration::from_secs(20);
+
+/// A holder of the lease of one worker.
+struct Holder {
+    client: Arc<Client>,
+    worker: WorkerClient,
+    address: SocketAddr,
+    stamp: LeaseStamp,
+}
+
+impl Holder {
+    async fn new(executor: &Executor, listening: &Listening) -> Self {
+        let client = Arc::new(Client::new(executor.clone(), Default::default()));
+        let address = listening.address;
+        let worker = WorkerClient::new(client.clone(), &listening.worker, address, "i-1");
+        let granted = worker.call(&acquire("i-1", 60_000), BOUND).await;
+        let Outcome::Done(WorkerReply::Granted(grant)) = granted else {
+            panic!("{granted:?}")
+        };
+        Self {
+            client,
+            worker,
+            address,
+            stamp: grant.stamp,
+        }
+    }
+
+    async fn ask(&self, request: &WorkerRequest) -> WorkerReply {
+        let outcome = self.worker.call(request, BOUND).await;
+        let Outcome::Done(reply) = outcome else {
+            panic!("{request:?}: {outcome:?}")
+        };
+        reply
+    }
+
+    async fn faults(&self, faults: Faults) {
+        let call = Call::new(self.address, FAULTS_PATH, BOUND);
+        let set: Outcome<Faults> = json::post(&self.client, &call, &faults).await;
+        assert_eq!(set, Outcome::Done(faults));
+    }
+
+    async fn log(&self) -> LogReply {
+        let call = Call::new(self.address, LOG_PATH, BOUND);
+        let answer = self.client.get(&call).await.done().unwrap();
+        serde_json::from_slice(&answer.body).unwrap()
+    }
+
+    /// Waits until that many exchanges are pending at the worker.
+    async fn until_pending(&self, pending: usize) {
+        let begin = Instant::now();
+        while self.log().await.pending != pending {
+            assert!(
+                begin.elapsed() < BOUND,
+                "{pending} exchanges are not pending"
+            );
+        }
+    }
+
+    /// Sends a message and gives up when it has reached the worker, unless it is answered before.
+    async fn send_and_leave(&self, request: &WorkerRequest) {
+        let call = async {
+            let _ = self.worker.call(request, BOUND).await;
+        };
+        smol::future::or(call, self.until_pending(1)).await;
+    }
+}
+
+async fn one(executor: &Executor, worker: ModelSettings) -> (Daemon, Holder) {
+    let settings = Settings {
+        worker,
+        ..Settings::default()
+    };
+    let daemon = Daemon::start(executor, &settings).await.unwrap();
+    let holder = Holder::new(executor, &daemon.listening()[0]).await;
+    let started = holder.ask(&start(holder.stamp, replica(1))).await;
+    assert_eq!(started, WorkerReply::Ok);
+    (daemon, holder)
+}
+
+/// Guards against answers that reach the wrong request when many are served at once.
+#[test]
+fn concurrent_requests_get_their_own_answers() {
+    executor::run(2, async |executor| {
+        let (_daemon, holder) = one(&executor, ModelSettings::default()).await;
+        let stamp = holder.stamp;
+        let mut exchanges = Vec::new();
+        for number in 0..8 {
+            let worker = holder.worker.clone();
+            exchanges.push(executor.spawn(async move {
+                for round in 0..10 {
+                    let id = format!("r-{number}-{round}");
+                    let reply = worker.call(&serve(stamp, &id), BOUND).await;
+                    let answer = model::answer(&request(&id));
+                    assert_eq!(reply, Outcome::Done(WorkerReply::Served { answer }));
+                }
+            }));
+        }
+        for exchange in exchanges {
+            exchange.await;
+        }
+    });
+}
+
+/// Guards against a holder that gave up and a worker that gave up as well, or served again.
+#[test]
+fn request_goes_on_when_its_holder_gives_up() {
+    executor::run(2, async |executor| {
+        let settings = ModelSettings {
+            service_ms: 300,
+            ..ModelSettings::default()
+        };
+        let (_daemon, holder) = one(&executor, settings).await;
+        holder.send_and_leave(&serve(holder.stamp, "r-1")).await;
+        let begin = Instant::now();
+        let fate = loop {
+            assert!(begin.elapsed() < BOUND, "request did not end");
+            match holder.ask(&resolve("r-1")).await {
+                WorkerReply::Resolved {
+                    fate: Fate::Running,
+                } => Timer::after(Duration::from_millis(5)).await,
+                other => break other,
+            };
+        };
+        let answer = model::answer(&request("r-1"));
+        assert_eq!(fate, common::resolved(Fate::Answered { answer }));
+    });
+}
+
+/// Guards against a long poll that a change does not end.
+#[test]
+fn start_ends_a_waiting_renewal() {
+    executor::run(2, async |executor| {
+        let (_daemon, holder) = one(&executor, ModelSettings::default()).await;
+        let (worker, stamp) = (holder.worker.clone(), holder.stamp);
+        let waiting = executor
+            .spawn(async move { worker.call(&renew(stamp, &[], 1, 20_000), BOUND * 2).await });
+        assert_eq!(holder.ask(&start(stamp, replica(2))).await, WorkerReply::Ok);
+        let begin = Instant::now();
+        let Outcome::Done(WorkerReply::Renewed { seq, changes, .. }) = waiting.await else {
+            panic!("renewal failed")
+        };
+        assert_eq!((seq, changes.len()), (2, 1));
+        assert!(begin.elapsed() < Duration::from_secs(10));
+    });
+}
+
+/// Guards against fault switches that the shell does not carry out, or accepts out of range.
+#[test]
+fn fault_switches_reach_the_holder() {
+    executor::run(2, async |executor| {
+        let (_daemon, holder) = one(&executor, ModelSettings::default()).await;
+        let leaving = Faults {
+            leaving: true,
+            ..Faults::default()
+        };
+        holder.faults(leaving).await;
+        let reply = holder.ask(&serve(holder.stamp, "r-1")).await;
+        assert_eq!(reply, refused(Refusal::Leaving));
+        let refuse = Faults {
+            refuse: vec!["i-1".to_owned()],
+            ..Faults::default()
+        };
+        holder.faults(refuse).await;
+        let lost = holder.worker.call(&resolve("r-2"), BOUND).await;
+        assert!(matches!(lost, Outcome::Unknown(_)), "{lost:?}");
+        let call = Call::new(holder.address, FAULTS_PATH, BOUND);
+        let body = r#"{"speed": 0}"#;
+        let answer = holder
+            .client
+            .post(&call, "", body.into())
+            .await
+            .done()
+            .unwrap();
+        assert_eq!(answer.status.as_u16(), 400);
+        assert!(
+            answer.body.starts_with(b"speed: 0 is not within"),
+            "{answer:?}"
+        );
+    });
+}
+
+/// Guards against a frozen worker that answers, or that loses what was sent meanwhile.
+#[test]
+fn frozen_worker_handles_messages_afterwards() {
+    executor::run(2, async |executor| {
+        let (_daemon, holder) = one(&executor, ModelSettings::default()).await;
+        let frozen = Faults {
+            freeze: true,
+            ..Faults::default()
+        };
+        holder.faults(frozen).await;
+        holder
+            .send_and_leave(&start(holder.stamp, replica(2)))
+            .await;
+        holder.faults(Faults::default()).await;
+        let started = |event: &LogEvent| matches!(event, LogEvent::TaskStarted { task, .. } if *task == common::key(2));
+        let log = holder.log().await.entries;
+        assert!(log.iter().any(|entry| started(&entry.event)), "{log:?}");
+    });
+}
+
+/// Guards against a shutdown that cuts off a request in flight or waits for a long poll.
+#[test]
+fn shutdown_answers_what_is_in_flight() {
+    executor::run(2, async |executor| {
+        let settings = ModelSettings {
+            service_ms: 300,
+            ..ModelSettings::default()
+        };
+        let (daemon, holder) = one(&executor, settings).await;
+        let (worker, stamp) = (holder.worker.clone(), holder.stamp);
+        let serving = executor.spawn(async move { worker.call(&serve(stamp, "r-1"), BOUND).await });
+        let worker = holder.worker.clone();
+        let waiting = executor
+            .spawn(async move { worker.call(&renew(stamp, &[], 1, 20_000), BOUND * 2).await });
+        holder.until_pending(2).await;
+        daemon.shutdown().await;
+        let answer = model::answer(&request("r-1"));
+        assert_eq!(serving.await, Outcome::Done(WorkerReply::Served { answer }));
+        let renewed = waiting.await;
+        assert!(
+            matches!(renewed, Outcome::Done(WorkerReply::Renewed { .. })),
+            "{renewed:?}"
+        );
+    });
+}
+
+/// A process of the test, killed if the test fails before it ends.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Both fail for a process that has ended already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[derive(Deserialize)]
+struct Output {
+    listening: Vec<Listening>,
+}
+
+/// Guards against a fleet that needs a process for each worker, and against one that does not end.
+#[test]
+fn process_hosts_many_workers_and_ends_on_sigterm() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_daisymast-worker"));
+    command.args(["--count", "50"]).stdout(Stdio::piped());
+    let mut process = Process(command.spawn().unwrap());
+    let mut line = String::new();
+    let output = process.0.stdout.take().unwrap();
+    BufReader::new(output).read_line(&mut line).unwrap();
+    let Output { listening } = serde_json::from_str(&line).unwrap();
+    assert_eq!(listening.len(), 50);
+    assert_eq!(listening[49].worker.as_str(), "w-49");
+    executor::run(2, async |executor| {
+        let mut boots = std::collections::HashSet::new();
+        for worker in &listening {
+            let holder = Holder::new(&executor, worker).await;
+            assert!(boots.insert(holder.stamp.boot), "two workers share a model");
+        }
+        let id = process.0.id().to_string();
+        assert!(
+            Command::new("kill")
+                .args(["-TERM", &id])
+                .status()
+                .unwrap()
+                .success()
+        );
+        let begin = Instant::now();
+        let status = loop {
+            assert!(begin.elapsed() < BOUND, "process did not end");
+            if let Some(status) = process.0.try_wait().unwrap() {
+                break status;
+            }
+            Timer::after(Duration::from_millis(5)).await;
+        };
+        assert!(status.success(), "{status}");
+    });
+}
+
+/// Guards against settings that are accepted in part, and errors that do not name the field.
+#[test]
+fn invalid_settings_are_refused_with_the_field() {
+    let error = |text: &str| format!("{:#}", Settings::parse(text).unwrap_err());
+    for (text, expected) in [
+        (r#"{"count": 0}"#, "count: 0 is not within 1 to 1000"),
+        (r#"{"threads": 65}"#, "threads: 65 is not within 1 to 64"),
+        (
+            r#"{"worker": {"slots": 0}}"#,
+            "worker: slots: 0 is not above 0",
+        ),
+        (
+            r#"{"worker": {"slots": -1}}"#,
+            "worker.slots: invalid value",
+        ),
+        (
+            r#"{"worker": {"faults": {"failure_rate": 1.5}}}"#,
+            "worker: faults: failure_rate: 1.5 is not within 0 to 1",
+        ),
+        (
+            r#"{"listen": "127.0.0.1:65535", "count": 2}"#,
+            "listen: 127.0.0.1:65535 leaves too few ports for 2 workers",
+        ),
+    ] {
+        assert!(error(text).starts_with(expected), "{}", error(text));
+    }
+}
+
+/// Guards against a check that passes what cannot run.
+#[test]
+fn check_validates_and_exits() {
+    let run = |arguments: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_daisymast-worker"));
+        command
+            .args(arguments)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null());
+        command.status().unwrap().success()
+    };
+    assert!(run(&["--check"]));
+    assert!(run(&["--help"]));
+    assert!(run(&["--version"]));
+    assert!(!run(&["--check", "--count", "0"]));
+    assert!(!run(&["--check", "--settings", "/nonexistent"]));
+}
--- /dev/null
+++ b/crates/daisymast_worker/tests/order.rs
@@ -0,0 +1,323 @@
+//! Guards against any order of messages and times that breaks an invariant of the worker.
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+mod common;
+
+use std::collections::{HashMap, HashSet};
+
+use common::{
+    Bench, acquire, batch, exclusive, forget, key, renew, replica, request, resolve, resolve_task,
+    stop,
+};
+use daisymast_protocol::task::TaskSpec;
+use daisymast_protocol::worker::{
+    Fate, LeaseStamp, Refusal, WorkerMillis, WorkerReply, WorkerRequest,
+};
+use daisymast_types::ids::RequestId;
+use daisymast_types::quantities::Resources;
+use daisymast_worker::model::{ExchangeId, LogEvent, ModelReply};
+use daisymast_worker::settings::ModelSettings;
+use proptest::prelude::{Just, ProptestConfig, Strategy, prop, prop_oneof, proptest};
+use proptest::test_runner::RngSeed;
+
+const CAPACITY: Resources = Resources::new(4_000, 4_096, 1);
+
+/// One step of a sequence. Stamps are chosen among all that were granted so far, so most of them
+/// are stale after a while.
+#[derive(Clone, Debug)]
+enum Step {
+    Pass(u64),
+    Freeze(bool),
+    Acquire(u8),
+    Send(u8, Message),
+    Resolve(u8),
+    ResolveTask(u64),
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Renew,
+    Release,
+    Start(TaskSpec, i64),
+    Serve(u8, i64),
+    Stop(u64),
+    Throttle(u64, u32),
+    Forget(u64),
+}
+
+fn any_task() -> impl Strategy<Value = TaskSpec> {
+    let size = (1..3_000_u32, 1..3_000_u32, 0..2_u16);
+    (0..8_u64, 0..3_u8, size).prop_map(|(run, kind, (cores, memory, accelerators))| TaskSpec {
+        size: Resources::new(cores, memory, accelerators),
+        ..match kind {
+            0 => replica(run),
+            1 => batch(run, 700),
+            _ => exclusive(run, 20_000),
+        }
+    })
+}
+
+fn any_message() -> impl Strategy<Value = Message> {
+    let margin = -300..1_000_i64;
+    prop_oneof![
+        2 => Just(Message::Renew),
+        1 => Just(Message::Release),
+        5 => (any_task(), margin.clone()).prop_map(|(task, margin)| Message::Start(task, margin)),
+        5 => (0..8_u8, margin).prop_map(|(id, margin)| Message::Serve(id, margin)),
+        1 => (0..8_u64).prop_map(Message::Stop),
+        1 => (0..8_u64, 0..4_000_u32).prop_map(|(run, cores)| Message::Throttle(run, cores)),
+        1 => (0..8_u64).prop_map(Message::Forget),
+    ]
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..1_500_u64).prop_map(Step::Pass),
+        1 => prop::bool::ANY.prop_map(Step::Freeze),
+        3 => (0..3_u8).prop_map(Step::Acquire),
+        16 => (0..4_u8, any_message()).prop_map(|(age, message)| Step::Send(age, message)),
+        2 => (0..8_u8).prop_map(Step::Resolve),
+        2 => (0..8_u64).prop_map(Step::ResolveTask),
+    ]
+}
+
+/// The worker and what the test knows of it from the replies alone.
+struct World {
+    bench: Bench,
+    granted: Vec<LeaseStamp>,
+    /// Current stamp and the time at which it expires.
+    live: Option<(LeaseStamp, u64)>,
+    frozen: bool,
+    /// Messages that were sent while the worker was frozen, and that it has not handled.
+    buffered: HashMap<ExchangeId, WorkerRequest>,
+    never_ran: HashSet<String>,
+}
+
+const TTL_MS: u64 = 2_000;
+
+impl World {
+    fn new() -> Self {
+        let settings = ModelSettings {
+            capacity: CAPACITY,
+            slots: 2,
+            service_ms: 300,
+            ..ModelSettings::default()
+        };
+        Self {
+            bench: Bench::new(settings),
+            granted: Vec::new(),
+            live: None,
+            frozen: false,
+            buffered: HashMap::new(),
+            never_ran: HashSet::new(),
+        }
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::Pass(millis) => self.bench.now += millis,
+            Step::Freeze(frozen) => {
+                self.bench.faults(|faults| faults.freeze = frozen);
+                self.frozen = frozen;
+            }
+            Step::Acquire(number) => {
+                let request = acquire(&format!("i-{number}"), TTL_MS);
+                self.send(request, None, false);
+            }
+            Step::Send(age, message) => {
+                let Some(last) = self.granted.len().checked_sub(1) else {
+                    return;
+                };
+                let stamp = self.granted[last.saturating_sub(usize::from(age))];
+                let (request, late) = self.message(stamp, message);
+                self.send(request, Some(stamp), late);
+            }
+            Step::Resolve(id) => self.send(resolve(&format!("r-{id}")), None, false),
+            Step::ResolveTask(run) => self.send(resolve_task(run), None, false),
+        }
+        self.tick();
+    }
+
+    /// Ends what is over, and notes the replies to messages that were buffered.
+    fn tick(&mut self) {
+        for (exchange, reply) in self.bench.model.on_tick(self.bench.time()) {
+            if let Some(request) = self.buffered.remove(&exchange) {
+                self.note(&request, &reply);
+            }
+        }
+    }
+
+    fn message(&self, stamp: LeaseStamp, message: Message) -> (WorkerRequest, bool) {
+        let deadline = |margin: i64| {
+            let not_after = self.bench.now.saturating_add_signed(margin);
+            (WorkerMillis(not_after), not_after <= self.bench.now)
+        };
+        match message {
+            Message::Renew => {
+                // A renewal that was buffered has to be answered when it is handled, because that
+                // is when it extends the lease.
+                let wait_ms = if self.frozen { 0 } else { 500 };
+                (renew(stamp, &[1, 2], 0, wait_ms), false)
+            }
+            Message::Release => (WorkerRequest::Release { stamp }, false),
+            Message::Start(task, margin) => {
+                let (not_after, late) = deadline(margin);
+                let request = WorkerRequest::Start {
+                    stamp,
+                    not_after,
+                    task,
+                };
+                (request, late)
+            }
+            Message::Serve(id, margin) => {
+                let (not_after, late) = deadline(margin);
+                let request = WorkerRequest::Serve {
+                    stamp,
+                    not_after,
+                    request: request(&format!("r-{id}")),
+                };
+                (request, late)
+            }
+            Message::Stop(run) => (stop(stamp, run), false),
+            Message::Throttle(run, millicores) => {
+                let request = WorkerRequest::Throttle {
+                    stamp,
+                    task: key(run),
+                    millicores,
+                };
+                (request, false)
+            }
+            Message::Forget(run) => (forget(stamp, run), false),
+        }
+    }
+
+    /// Sends a message, and checks that it has no effect if its stamp is stale or it is late.
+    fn send(&mut self, request: WorkerRequest, stamp: Option<LeaseStamp>, late: bool) {
+        // What is over ends first, so that the log shows the effect of the message alone.
+        self.tick();
+        let (before, used) = (self.bench.log().len(), self.bench.model.used());
+        let reply = self.bench.send(request.clone());
+        if self.frozen {
+            if let ModelReply::Later(exchange) = reply {
+                self.buffered.insert(exchange, request);
+            }
+            return;
+        }
+        let now = self.bench.now;
+        let is_live = |stamp| {
+            self.live
+                .is_some_and(|(live, until)| live == stamp && now < until)
+        };
+        let stale = stamp.is_some_and(|stamp| !is_live(stamp));
+        if stale || late {
+            let reason = if stale {
+                Refusal::StaleLease
+            } else {
+                Refusal::Late
+            };
+            assert_eq!(
+                reply,
+                ModelReply::Answer(common::refused(reason)),
+                "{request:?}"
+            );
+            assert_eq!(
+                (self.bench.log().len(), self.bench.model.used()),
+                (before, used)
+            );
+            return;
+        }
+        match (&request, &reply) {
+            // A renewal that waits has extended the lease already.
+            (WorkerRequest::Renew { stamp, .. }, ModelReply::Later(_)) => {
+                self.live = Some((*stamp, now + TTL_MS));
+            }
+            (_, ModelReply::Answer(reply)) => self.note(&request, reply),
+            _ => {}
+        }
+    }
+
+    fn note(&mut self, request: &WorkerRequest, reply: &WorkerReply) {
+        let until = self.bench.now + TTL_MS;
+        match (request, reply) {
+            (_, WorkerReply::Granted(grant)) => {
+                self.granted.push(grant.stamp);
+                self.live = Some((grant.stamp, until));
+            }
+            (WorkerRequest::Renew { stamp, .. }, WorkerReply::Renewed { .. }) => {
+                self.live = Some((*stamp, until));
+            }
+            (WorkerRequest::Release { .. }, WorkerReply::Ok) => self.live = None,
+            (
+                WorkerRequest::Resolve { id },
+                WorkerReply::Resolved {
+                    fate: Fate::NeverRan,
+                },
+            ) => {
+                self.never_ran.insert(id.to_string());
+            }
+            _ => {}
+        }
+    }
+
+    fn check(&self) {
+        let log = self.bench.log();
+        let mut used = Resources::ZERO;
+        let (mut running, mut started) = (Vec::new(), HashSet::new());
+        let mut served: HashSet<RequestId> = HashSet::new();
+        for entry in &log {
+            match &entry.event {
+                LogEvent::TaskStarted { task, size, .. } => {
+                    assert!(started.insert(*task), "{task} ran twice");
+                    running.push((*task, *size));
+                }
+                LogEvent::TaskEnded { task, .. } => running.retain(|(other, _)| other != task),
+                LogEvent::RequestStarted { id } => {
+                    assert!(served.insert(id.clone()), "{id} was served twice");
+                    assert!(!self.never_ran.contains(id.as_str()), "{id} ran after all");
+                }
+                LogEvent::RequestEnded { .. } | LogEvent::Granted { .. } => {}
+            }
+        }
+        for (_, size) in running {
+            used += size;
+        }
+        assert!(self.bench.model.used().fits_in(used));
+        assert!(self.bench.model.used().fits_in(CAPACITY));
+    }
+
+    /// Sum of the sizes of the running tasks as a new holder sees them.
+    fn check_reported(&mut self) {
+        self.bench.faults(|faults| faults.freeze = false);
+        self.tick();
+        // The lease of the last holder may have been granted by this tick.
+        self.bench.tick(self.bench.now + TTL_MS);
+        let grant = self.bench.grant("i-9", 1_000);
+        let mut used = Resources::ZERO;
+        for task in grant.tasks.iter().filter(|task| !task.state.is_ended()) {
+            used += task.spec.size;
+        }
+        assert_eq!(used, self.bench.model.used());
+        assert!(used.fits_in(CAPACITY));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x776f_726b),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against overload, a second run of an id, a stale or late message that takes effect,
+    /// and a request that runs after it was reported as never run.
+    #[test]
+    fn no_order_of_messages_breaks_an_invariant(steps in prop::collection::vec(any_step(), 1..120)) {
+        let mut world = World::new();
+        for step in steps {
+            world.apply(step);
+            world.check();
+        }
+        world.check_reported();
+    }
+}
