Keep the declared number of service replicas running in each zone

Cause: the services component was a stub.

Change: the rendezvous owner of a service in its zone asks all live instances of the zone which replicas run (new message Replicas, one for all services of the owner), places missing ones with Policy::Spread and stops surplus ones, highest index first. Workers without a holder hold back starts for 5 s, since their replicas may still run.

--- a/crates/daisymast_engine/src/control.rs
+++ b/crates/daisymast_engine/src/control.rs
@@ -107,7 +107,7 @@
         self.sweep(cx);
     }
 
-    /// Answers `Endpoints`, `Serve`, `Resolve`, `Start`, `Capacity`, `PollRuns`, `Stop`,
+    /// Answers `Endpoints`, `Serve`, `Resolve`, `Start`, `Capacity`, `Replicas`, `PollRuns`, `Stop`,
     /// `ResolveTask`, `Reserve`, `Unreserve` and `HandOver`.
     pub(crate) fn on_peer(
         &mut self,
@@ -122,6 +122,7 @@
             PeerRequest::Resolve { worker, id } => self.resolve(cx, token, worker, id),
             PeerRequest::Start { worker, task } => self.start(cx, token, worker, task),
             PeerRequest::Capacity => Some(self.capacity(cx)),
+            PeerRequest::Replicas { runs } => Some(self.replicas(cx, &runs)),
             PeerRequest::PollRuns {
                 partition,
                 epoch,
--- a/crates/daisymast_engine/src/control/mirror.rs
+++ b/crates/daisymast_engine/src/control/mirror.rs
@@ -226,6 +226,16 @@
         running.chain(self.pending.keys().map(|task| task.run))
     }
 
+    /// Tasks that run or whose start is under way.
+    pub(super) fn started_or_starting(&self) -> impl Iterator<Item = TaskKey> {
+        let running = self
+            .tasks
+            .iter()
+            .filter(|(_, known)| !known.report.state.is_ended())
+            .map(|(task, _)| *task);
+        running.chain(self.pending.keys().copied())
+    }
+
     /// Running tasks by job.
     pub(super) fn running(&self) -> impl Iterator<Item = (&JobName, u32)> {
         self.running.iter().map(|(job, count)| (job, *count))
--- a/crates/daisymast_engine/src/control/tasks.rs
+++ b/crates/daisymast_engine/src/control/tasks.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use daisymast_protocol::outcome::Outcome;
-use daisymast_protocol::peer::{PeerReply, WorkerCapacity};
+use daisymast_protocol::peer::{PeerReply, Replicas, WorkerCapacity};
 use daisymast_protocol::task::{Kind, TaskReport, TaskSpec, TaskState};
 use daisymast_protocol::worker::{Fate, Refusal, WorkerReply, WorkerRequest};
+use daisymast_types::collections::FastSet;
 use daisymast_types::ids::{RunKey, TaskKey, Token, WorkerId};
 
 use super::mirror::Pending;
@@ -38,6 +39,30 @@
         PeerReply::Capacity(found)
     }
 
+    /// Replicas of services on the held workers.
+    pub(super) fn replicas(&self, cx: &Context<'_>, runs: &[RunKey]) -> PeerReply {
+        let wanted: FastSet<RunKey> = runs.iter().copied().collect();
+        let mut found = Replicas::default();
+        for (id, worker) in &self.workers {
+            if worker.acting(cx.now.mono).is_none() {
+                continue;
+            }
+            found.held.push(id.clone());
+            if is_leaving(cx, worker, id) {
+                found.leaving.push(id.clone());
+            }
+            let tasks = worker.mirror.started_or_starting();
+            let tasks = tasks.filter(|task| wanted.contains(&task.run));
+            found.replicas.extend(tasks.map(|task| (id.clone(), task)));
+        }
+        found.held.sort_unstable();
+        found.leaving.sort_unstable();
+        found
+            .replicas
+            .sort_unstable_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0)));
+        PeerReply::Replicas(found)
+    }
+
     /// Sends a start and debits its size, or answers at once why not.
     pub(super) fn start(
         &mut self,
--- a/crates/daisymast_engine/src/control/tests/lease.rs
+++ b/crates/daisymast_engine/src/control/tests/lease.rs
@@ -98,7 +98,7 @@
         retry.request,
         WorkerRequest::Renew { wait_ms: 0, .. }
     ));
-    bench.answer_leases();
+    bench.answer_calls();
     bench.run_for(1_000);
     assert!(!bench.has_record("lease.lost"));
     let PeerReply::Capacity(held) = bench.answer_to(PeerRequest::Capacity) else {
--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -221,7 +221,7 @@
         self.claims.on_tick(&mut cx);
         self.requests.on_tick(&mut cx);
         self.runs.on_tick(&mut cx);
-        self.services.on_tick(&mut cx, &self.control);
+        self.services.on_tick(&mut cx);
         self.control.on_tick(&mut cx);
         let own = self.shared.view.own_mut();
         own.generation = self.shared.generation;
@@ -253,6 +253,7 @@
             | PeerRequest::Resolve { .. }
             | PeerRequest::Start { .. }
             | PeerRequest::Capacity
+            | PeerRequest::Replicas { .. }
             | PeerRequest::PollRuns { .. }
             | PeerRequest::Stop { .. }
             | PeerRequest::ResolveTask { .. }
--- /dev/null
+++ b/crates/daisymast_engine/src/services/coverage.rs
@@ -0,0 +1,66 @@
+//! Which workers of the zone have a holder, and since when the others have none.
+
+use std::time::Duration;
+
+use daisymast_types::collections::{FastMap, FastSet};
+use daisymast_types::ids::WorkerId;
+use daisymast_types::time::Monotonic;
+
+use crate::shared::Context;
+
+/// Time after which a worker without a holder counts as dead. Until then its replicas may still run
+/// and be reported by its next holder: the lease of a dead holder lasts 3 s.
+const DEAD_AFTER: Duration = Duration::from_secs(5);
+/// Longest time for which workers that come and go hold back starts.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Default)]
+pub(super) struct Coverage {
+    /// Workers of the own zone that no live instance holds, and since when.
+    uncovered: FastMap<WorkerId, Monotonic>,
+    waiting_since: Option<Monotonic>,
+}
+
+impl Coverage {
+    /// Takes in the heartbeats of the zone.
+    pub(super) fn refresh(&mut self, cx: &Context<'_>) {
+        let now = cx.now.mono;
+        let view = &cx.shared.view;
+        let held: FastSet<&WorkerId> = view
+            .peers(now)
+            .chain(std::iter::once(view.own()))
+            .flat_map(|member| &member.workers)
+            .collect();
+        let workers = &cx.shared.workers;
+        let is_uncovered = |worker: &WorkerId| {
+            let known = workers.get(worker);
+            known.is_some_and(|known| known.zone == cx.config.zone) && !held.contains(worker)
+        };
+        self.uncovered.retain(|worker, _| is_uncovered(worker));
+        for worker in workers.keys().filter(|worker| is_uncovered(worker)) {
+            self.uncovered.entry(worker.clone()).or_insert(now);
+        }
+    }
+
+    /// Whether replicas may run on workers that no holder reported in a round.
+    pub(super) fn hides_replicas(
+        &mut self,
+        cx: &Context<'_>,
+        reported: &FastSet<WorkerId>,
+    ) -> bool {
+        let now = cx.now.mono;
+        let is_hidden = cx.shared.workers.iter().any(|(worker, known)| {
+            known.zone == cx.config.zone
+                && !reported.contains(worker)
+                && self
+                    .uncovered
+                    .get(worker)
+                    .is_none_or(|since| now - *since < DEAD_AFTER)
+        });
+        if !is_hidden {
+            self.waiting_since = None;
+            return false;
+        }
+        now - *self.waiting_since.get_or_insert(now) < MAX_WAIT
+    }
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/services/share.rs
@@ -0,0 +1,61 @@
+//! Splits the replicas of a service over zones.
+
+use daisymast_manifest::manifest::Service;
+use daisymast_types::hashing;
+use daisymast_types::ids::Zone;
+
+use crate::shared::Context;
+
+/// Indexes of replicas that belong to one zone.
+const INDEXES_PER_ZONE: u32 = 10_000;
+
+/// What one zone runs of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Share {
+    pub(super) replicas: u32,
+    /// First index of the zone's replicas.
+    pub(super) first_index: u32,
+}
+
+/// All known zones, sorted.
+pub(super) fn zones<'a>(known: impl Iterator<Item = &'a Zone>, cx: &Context<'_>) -> Vec<Zone> {
+    let mut zones: Vec<Zone> = known.cloned().collect();
+    zones.push(cx.config.zone.clone());
+    zones.sort_unstable();
+    zones.dedup();
+    zones
+}
+
+/// The own zone's share of a service. The remainder goes to the zones with the highest hashes, so
+/// that the extra replicas of many services do not all end up in the first zone.
+pub(super) fn share(service: &Service, known: &[Zone], own: &Zone) -> Share {
+    let mut zones = if service.zones.is_empty() {
+        known.to_vec()
+    } else {
+        service.zones.clone()
+    };
+    zones.sort_unstable();
+    zones.dedup();
+    let Some(ordinal) = zones.iter().position(|zone| zone == own) else {
+        return Share {
+            replicas: 0,
+            first_index: 0,
+        };
+    };
+    let count = u32::try_from(zones.len()).unwrap_or(u32::MAX);
+    let score = |zone: &Zone| {
+        let name = service.name.as_str().as_bytes();
+        hashing::stable_pair(name, zone.as_str().as_bytes())
+    };
+    let own_score = (score(own), own);
+    let ahead = zones
+        .iter()
+        .filter(|zone| (score(zone), *zone) > own_score)
+        .count();
+    let is_extra = u32::try_from(ahead).unwrap_or(u32::MAX) < service.replicas % count;
+    let ordinal = u32::try_from(ordinal).unwrap_or(u32::MAX);
+    Share {
+        replicas: (service.replicas / count + u32::from(is_extra)).min(INDEXES_PER_ZONE),
+        first_index: ordinal.saturating_mul(INDEXES_PER_ZONE),
+    }
+}
--- a/crates/daisymast_engine/src/testing.rs
+++ b/crates/daisymast_engine/src/testing.rs
@@ -147,7 +147,7 @@
             }
             self.event(Event::Tick);
             self.fail_beats();
-            self.answer_leases();
+            self.answer_calls();
         }
     }
 
@@ -155,17 +155,14 @@
         self.run_to(self.now + span);
     }
 
-    /// Answers the open lease exchanges of prompt workers.
-    pub(crate) fn answer_leases(&mut self) {
+    /// Lets the workers answer what they answer by themselves.
+    pub(crate) fn answer_calls(&mut self) {
         let mut at = 0;
         while at < self.worker_calls.len() {
             let open = &self.worker_calls[at];
             let now = self.now;
-            let reply = self
-                .workers
-                .get_mut(&open.worker)
-                .filter(|worker| worker.is_prompt)
-                .and_then(|worker| worker.lease_reply(now, &open.request));
+            let worker = self.workers.get_mut(&open.worker);
+            let reply = worker.and_then(|worker| worker.respond(now, &open.request));
             match reply {
                 Some(reply) => {
                     let call = self.worker_calls.remove(at).call;
--- a/crates/daisymast_engine/src/testing/fakes.rs
+++ b/crates/daisymast_engine/src/testing/fakes.rs
@@ -30,6 +30,8 @@
     /// Whether it answers acquisitions and renewals by itself.
     pub(crate) is_prompt: bool,
     pub(crate) kept_runs: Vec<RunKey>,
+    /// Whether it starts and stops tasks by itself.
+    pub(crate) is_obedient: bool,
 }
 
 impl Default for FakeWorker {
@@ -42,6 +44,7 @@
             changes: Vec::new(),
             is_prompt: true,
             kept_runs: Vec::new(),
+            is_obedient: false,
         }
     }
 }
@@ -82,7 +85,33 @@
         self.changes.len() as u64
     }
 
-    pub(super) fn lease_reply(&mut self, now: u64, request: &WorkerRequest) -> Option<WorkerReply> {
+    /// Tasks that run.
+    pub(crate) fn running(&self) -> Vec<TaskSpec> {
+        let tasks = self.tasks().into_iter();
+        let running = tasks.filter(|task| task.state == TaskState::Running);
+        running.map(|task| task.spec).collect()
+    }
+
+    /// Answers what it answers by itself.
+    pub(super) fn respond(&mut self, now: u64, request: &WorkerRequest) -> Option<WorkerReply> {
+        match request {
+            WorkerRequest::Start { task, .. } if self.is_obedient => {
+                self.report(task, TaskState::Running);
+                Some(WorkerReply::Ok)
+            }
+            WorkerRequest::Stop { task, .. } if self.is_obedient => {
+                let mut running = self.running().into_iter();
+                if let Some(spec) = running.find(|spec| spec.key == *task) {
+                    self.report(&spec, TaskState::Stopped);
+                }
+                Some(WorkerReply::Ok)
+            }
+            request if self.is_prompt => self.lease_reply(now, request),
+            _ => None,
+        }
+    }
+
+    fn lease_reply(&mut self, now: u64, request: &WorkerRequest) -> Option<WorkerReply> {
         let stamp = LeaseStamp {
             boot: BootId(1),
             epoch: Epoch(self.epoch),
--- a/crates/daisymast_protocol/src/peer.rs
+++ b/crates/daisymast_protocol/src/peer.rs
@@ -75,6 +75,11 @@
     },
     /// Asks for the free capacity of the workers that the receiver holds.
     Capacity,
+    /// Asks which replicas of services run on the workers that the receiver holds.
+    Replicas {
+        /// Runs of the services.
+        runs: Vec<RunKey>,
+    },
     /// Extends runs at the receiver and asks for the states of their tasks there.
     PollRuns {
         /// Partition of the runs.
@@ -196,6 +201,17 @@
     pub open: bool,
 }
 
+/// The replicas of some services on the workers that one instance holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replicas {
+    /// Workers that the instance holds. A replica on any other worker is not listed.
+    pub held: Vec<WorkerId>,
+    /// Held workers that are leaving; their replicas need replacement.
+    pub leaving: Vec<WorkerId>,
+    /// Replicas that run or whose start is under way.
+    pub replicas: Vec<(WorkerId, TaskKey)>,
+}
+
 /// A service replica that takes requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
@@ -249,6 +265,8 @@
     },
     /// Answers `Capacity`.
     Capacity(Vec<WorkerCapacity>),
+    /// Answers `Replicas`.
+    Replicas(Replicas),
     /// Answers `PollRuns`: each task of the runs with its worker.
     Runs(Vec<(WorkerId, TaskReport)>),
     /// The epoch is lower than one that the receiver has seen.
