Add the run aggregate: due times, attempts and restarts

Batches and gang jobs need rules for which run is due and when an attempt may be followed by another one.

Only the latest due time of a batch is opened. An exclusive attempt is followed by another only after its end was reported, or 15 s after the last contact, or 15 min and 15 s after a takeover without contact. A failed poll counts as contact, because a holder may have extended the run before it failed. RunOpened records the generation, so that an owner with an older manifest does not take a new job for a retired one.

--- a/crates/daisymast_ledger/src/entry.rs
+++ b/crates/daisymast_ledger/src/entry.rs
@@ -1,7 +1,7 @@
 //! Entries of a partition.
 
 use daisymast_protocol::caller::NotRunReason;
-use daisymast_types::ids::{InstanceId, JobName, Release, RequestId, RunKey, WorkerId};
+use daisymast_types::ids::{Generation, InstanceId, JobName, Release, RequestId, RunKey, WorkerId};
 use daisymast_types::time::UnixMillis;
 use serde::{Deserialize, Serialize};
 
@@ -78,6 +78,9 @@
     pub origin: Origin,
     /// Tasks of the run.
     pub tasks: u32,
+    /// Generation of the manifest that declared the job. An owner with an older manifest must not
+    /// take the job for a retired one.
+    pub generation: Generation,
     /// Wall time until which the run could be opened again if its record were lost. The record is
     /// kept until then, even if the run is closed. Nothing for a gang job, which is kept until its
     /// release is no longer in force.
--- a/crates/daisymast_ledger/tests/commit.rs
+++ b/crates/daisymast_ledger/tests/commit.rs
@@ -9,7 +9,7 @@
 use daisymast_protocol::caller::NotRunReason;
 use daisymast_protocol::peer::ClaimState;
 use daisymast_protocol::store::StoreRequest;
-use daisymast_types::ids::{InstanceId, JobName, RequestId, RunKey, WorkerId};
+use daisymast_types::ids::{Generation, InstanceId, JobName, RequestId, RunKey, WorkerId};
 use daisymast_types::time::UnixMillis;
 
 const DAY: u64 = 24 * 3_600 * 1_000;
@@ -257,6 +257,7 @@
         job: JobName::from("survey"),
         origin: Origin::Due(UnixMillis(common::WALL)),
         tasks: 2,
+        generation: Generation(1),
         until: Some(UnixMillis(until)),
     })
 }
--- /dev/null
+++ b/crates/daisymast_runs/tests/run.rs
@@ -0,0 +1,304 @@
+//! Due times and the rules after which an attempt may be followed by another.
+
+use std::time::Duration;
+
+use daisymast_ledger::entry::{Entry, Origin, RunOpened, TaskEnd};
+use daisymast_ledger::record::{RunRecord, TaskRecord};
+use daisymast_manifest::manifest::{Batch, GangJob, Manifest};
+use daisymast_protocol::task::{TaskReport, TaskState};
+use daisymast_protocol::worker::Fate;
+use daisymast_runs::due;
+use daisymast_runs::job::Job;
+use daisymast_runs::run::{ClaimOutcome, Run, StartOutcome};
+use daisymast_runs::task::Phase;
+use daisymast_types::ids::{Generation, JobName, Release, RunKey, TaskKey, Team, WorkerId};
+use daisymast_types::quantities::{Resources, Urgency};
+use daisymast_types::time::{Monotonic, UnixMillis};
+
+fn manifest(exclusive: bool) -> Manifest {
+    Manifest {
+        release: Release::from("r1"),
+        teams: Vec::new(),
+        services: Vec::new(),
+        batches: vec![Batch {
+            name: JobName::from("survey"),
+            team: Team::from("crews"),
+            urgency: Urgency::Normal,
+            every_s: 3_600,
+            offset_s: 600,
+            tasks: 2,
+            size: Resources::new(1_000, 512, 0),
+            exclusive,
+            run_s: 60,
+            deadline_s: 1_800,
+        }],
+        gang_jobs: vec![GangJob {
+            name: JobName::from("model"),
+            team: Team::from("crews"),
+            urgency: Urgency::Background,
+            tasks: 4,
+            size: Resources::new(1_000, 512, 0),
+            exclusive: true,
+            run_s: 60,
+        }],
+    }
+}
+
+fn second(at: u64) -> Monotonic {
+    Monotonic::from_millis(at * 1_000)
+}
+
+fn opened() -> RunOpened {
+    RunOpened {
+        run: RunKey(7),
+        job: JobName::from("survey"),
+        origin: Origin::Due(UnixMillis(0)),
+        tasks: 2,
+        generation: Generation(1),
+        until: Some(UnixMillis(1_000)),
+    }
+}
+
+fn run(exclusive: bool) -> Run {
+    let opened = opened();
+    let job = Job::of(&manifest(exclusive), &opened);
+    Run::adopt(&RunRecord::new(opened), job, second(0))
+}
+
+/// A run whose task 0 was started at second `at`.
+fn started(exclusive: bool, at: u64) -> (Run, TaskKey) {
+    let mut run = run(exclusive);
+    assert!(run.claim(0, WorkerId::from("w-1")).is_some());
+    let _ = run.on_claim(0, ClaimOutcome::Recorded, second(at));
+    assert!(run.start(0).is_some());
+    let key = run.key(0);
+    run.on_start(key, StartOutcome::Started, second(at));
+    (run, key)
+}
+
+fn report(run: &Run, key: TaskKey, state: TaskState) -> TaskReport {
+    TaskReport {
+        spec: run.job.as_ref().expect("declared").task(key),
+        state,
+        elapsed_ms: 0,
+    }
+}
+
+/// Guards against a flood of old runs and against a run that is opened after its deadline.
+#[test]
+fn only_the_latest_due_time_is_opened_until_its_deadline() {
+    let manifest = manifest(true);
+    for (wall, expected) in [
+        (599_999, None),
+        (600_000, Some(600_000)),
+        (2_399_999, Some(600_000)),
+        (2_400_000, None),
+        (100 * 3_600_000 + 700_000, Some(100 * 3_600_000 + 600_000)),
+    ] {
+        let runs = due::due_runs(&manifest, Generation(1), UnixMillis(wall));
+        let found: Vec<_> = runs
+            .iter()
+            .filter_map(|run| match run.origin {
+                Origin::Due(due) => Some(due.0),
+                Origin::Release(_) => None,
+            })
+            .collect();
+        assert_eq!(
+            found,
+            expected.into_iter().collect::<Vec<_>>(),
+            "wall {wall}"
+        );
+    }
+}
+
+/// Guards against a gang job that runs twice under one release or not at all under the next.
+#[test]
+fn gang_jobs_run_once_a_release() {
+    let mut manifest = manifest(true);
+    let key = |manifest: &Manifest, wall| {
+        let runs = due::due_runs(manifest, Generation(1), UnixMillis(wall));
+        let gang = runs.into_iter().find(|run| run.job.as_str() == "model");
+        gang.expect("always due")
+    };
+    let first = key(&manifest, 0);
+    assert_eq!(first, key(&manifest, 999_999_999));
+    manifest.release = Release::from("r2");
+    assert_ne!(first.run, key(&manifest, 0).run);
+    assert_eq!(
+        Job::of(&manifest, &first),
+        None,
+        "the run of the old release is over"
+    );
+}
+
+/// Guards against two places at once: the lease must have expired before the next attempt.
+#[test]
+fn exclusive_task_is_given_up_only_after_its_lease_expired() {
+    let (mut run, key) = started(true, 10);
+    let running = report(&run, key, TaskState::Running);
+    assert!(!run.on_report(&running, second(20)));
+    assert!(run.expire(second(34)).is_empty());
+    run.on_poll_failed(second(25));
+    assert!(run.expire(second(39)).is_empty());
+    assert_eq!(run.expire(second(40)), [key]);
+    assert!(
+        run.waiting(second(100)) == [1],
+        "not before the end is recorded"
+    );
+    assert_eq!(run.take_ends(second(40)), [(key, TaskEnd::Lost)]);
+    assert!(!run.on_end(key, true, second(41)));
+    assert_eq!(run.waiting(second(42)), [0, 1]);
+}
+
+/// Guards against a long wait where two attempts do no harm.
+#[test]
+fn shared_task_is_given_up_after_five_seconds() {
+    let (mut run, key) = started(false, 10);
+    assert!(run.expire(second(14)).is_empty());
+    assert_eq!(run.expire(second(15)), [key]);
+}
+
+/// Guards against a second start while the first may still take effect.
+#[test]
+fn lost_start_reply_is_resolved_and_not_repeated() {
+    let mut run = run(true);
+    let _ = run.claim(0, WorkerId::from("w-1"));
+    let _ = run.on_claim(0, ClaimOutcome::Recorded, second(10));
+    let _ = run.start(0);
+    let key = run.key(0);
+    run.on_start(key, StartOutcome::Unknown(second(13)), second(11));
+    assert!(run.startable().is_empty());
+    assert_eq!(run.waiting(second(100)), [1]);
+    assert_eq!(run.doubtful(), [0]);
+    assert!(run.expire(second(27)).is_empty());
+    let mut never = run.clone();
+    never.on_fate(key, &Fate::NeverRan, second(12));
+    assert_eq!(never.take_ends(second(12)), [(key, TaskEnd::Lost)]);
+    run.on_fate(key, &Fate::Running, second(12));
+    assert!(run.doubtful().is_empty());
+}
+
+/// Guards against a rerun while a former owner that does not know of its fence still polls.
+#[test]
+fn new_owner_waits_for_the_former_one_unless_it_reaches_the_task() {
+    let mut record = RunRecord::new(opened());
+    let task = TaskRecord {
+        attempt: 2,
+        worker: WorkerId::from("w-1"),
+        end: None,
+        failed: vec![WorkerId::from("w-0")],
+    };
+    record.tasks.insert(0, task);
+    let mut unreached = Run::adopt(&record, Job::of(&manifest(true), &opened()), second(0));
+    assert_eq!(unreached.doubtful(), [0]);
+    unreached.on_poll_failed(second(100));
+    assert!(unreached.expire(second(15 * 60 + 14)).is_empty());
+    let mut adopted = unreached.clone();
+    assert_eq!(unreached.expire(second(15 * 60 + 15)).len(), 1);
+    let key = adopted.key(0);
+    let running = report(&adopted, key, TaskState::Running);
+    let _ = adopted.on_report(&running, second(200));
+    assert!(adopted.expire(second(214)).is_empty());
+    assert_eq!(adopted.expire(second(215)), [key]);
+}
+
+/// Guards against endless retries, and against retries on the worker that failed the task.
+#[test]
+fn task_is_parked_after_three_failures_on_distinct_workers() {
+    let mut run = run(true);
+    for (time, worker) in [(10, "w-1"), (20, "w-2"), (30, "w-3")] {
+        assert!(run.waiting(second(time)).contains(&0));
+        let entry = run.claim(0, WorkerId::from(worker));
+        assert!(matches!(entry, Some(Entry::TaskClaim { .. })));
+        let _ = run.on_claim(0, ClaimOutcome::Recorded, second(time));
+        let _ = run.start(0);
+        let key = run.key(0);
+        run.on_start(key, StartOutcome::Started, second(time));
+        let failed = report(&run, key, TaskState::Failed);
+        let _ = run.on_report(&failed, second(time + 1));
+        assert_eq!(run.take_ends(second(time + 1)), [(key, TaskEnd::Failed)]);
+        let parked = run.on_end(key, true, second(time + 2));
+        assert_eq!(parked, worker == "w-3");
+    }
+    let task = run.task(0).expect("exists");
+    assert_eq!(task.phase, Phase::Parked);
+    assert_eq!(task.failed.len(), 3);
+    assert!(!run.waiting(second(99)).contains(&0));
+}
+
+/// Guards against an attempt that is parked for refusals, which are no failures of the task.
+#[test]
+fn refusals_do_not_park_a_task() {
+    let mut run = run(true);
+    for attempt in 1..10 {
+        let now = second(10 * u64::from(attempt));
+        let _ = run.claim(0, WorkerId::from("w-1"));
+        let _ = run.on_claim(0, ClaimOutcome::Recorded, now);
+        let _ = run.start(0);
+        let key = run.key(0);
+        assert_eq!(key.attempt, attempt);
+        run.on_start(key, StartOutcome::Refused, now);
+        assert_eq!(run.take_ends(now), [(key, TaskEnd::Lost)]);
+        assert!(!run.on_end(key, true, now));
+    }
+    assert!(run.waiting(second(200)).contains(&0));
+}
+
+/// Guards against a start whose claim is not durable.
+#[test]
+fn unrecorded_claims_are_not_started() {
+    let mut run = run(true);
+    let entry = run.claim(0, WorkerId::from("w-1"));
+    assert!(run.startable().is_empty());
+    assert_eq!(run.on_claim(0, ClaimOutcome::Unknown, second(1)), entry);
+    assert!(run.startable().is_empty());
+    assert_eq!(run.on_claim(0, ClaimOutcome::NotRecorded, second(2)), None);
+    assert!(run.startable().is_empty());
+    assert!(run.waiting(second(3)).contains(&0));
+}
+
+/// Guards against results that a worker keeps for ever, and against forgetting unrecorded ones.
+#[test]
+fn results_are_forgotten_only_after_they_are_recorded() {
+    let (mut run, key) = started(true, 10);
+    let done = report(&run, key, TaskState::Succeeded);
+    assert!(!run.on_report(&done, second(11)));
+    assert_eq!(run.take_ends(second(11)), [(key, TaskEnd::Succeeded)]);
+    assert!(!run.on_report(&done, second(12)));
+    assert!(!run.on_end(key, false, second(12)));
+    assert_eq!(run.take_ends(second(13)), [(key, TaskEnd::Succeeded)]);
+    assert!(!run.on_end(key, true, second(13)));
+    assert!(run.on_report(&done, second(14)));
+    assert!(!run.is_over(UnixMillis(0)));
+}
+
+/// Guards against the loss of a task on a worker whose holder no longer reports it.
+#[test]
+fn unreported_task_is_asked_after() {
+    let (mut run, _) = started(true, 10);
+    run.on_polled(second(10), |_| true);
+    assert!(
+        run.doubtful().is_empty(),
+        "the poll was sent before the start was known"
+    );
+    run.on_polled(second(11), |worker| worker.as_str() != "w-1");
+    assert!(run.doubtful().is_empty(), "another holder cannot know");
+    run.on_polled(second(11) + Duration::from_millis(1), |_| true);
+    assert_eq!(run.doubtful(), [0]);
+}
+
+/// Guards against an attempt that waits for ever because its worker has no holder.
+#[test]
+fn attempt_that_cannot_be_sent_is_given_up() {
+    let mut run = run(true);
+    let _ = run.claim(0, WorkerId::from("w-1"));
+    let _ = run.on_claim(0, ClaimOutcome::Recorded, second(10));
+    let key = run.key(0);
+    for time in 11..15 {
+        let _ = run.start(0);
+        run.on_start(key, StartOutcome::NotSent, second(time));
+        assert!(run.expire(second(time)).is_empty());
+    }
+    assert_eq!(run.expire(second(15)), [key]);
+    assert_eq!(run.take_ends(second(15)), [(key, TaskEnd::Lost)]);
+}
