Admit requests by quota and share, and bound their retries

Cause: each request was started at once and retried up to three times, so a flood took all slots and an outage could have quadrupled the load.

Change: a request enters the quota of its team and the queue of its service and starts when its share gives it a slot. The capacity is the slots of the zone's workers divided by the zone's live instances. Retries that may load a worker take from a budget of 10% of the traffic; a moved lease does not. Endpoints of a holder that refuses connections are dropped from the list. A start costs its kind at least 1 ms of virtual time: with service times near zero the lead of urgent work lasted for thousands of starts.

--- a/crates/daisymast_admission/src/shares.rs
+++ b/crates/daisymast_admission/src/shares.rs
@@ -21,6 +21,9 @@
 const ASSUMED_SERVICE: Duration = Duration::from_millis(5);
 /// Virtual time by which each level of urgency is ahead, in microseconds at weight 1.
 const URGENCY_LEAD: u64 = 25_000;
+/// Least charge of a start in microseconds. Without it, the lead of urgent work with a service time
+/// near zero would last for thousands of starts.
+const LEAST_CHARGE: u64 = 1_000;
 /// Factor on virtual time, so that division by the weight loses little.
 const SCALE: u64 = 64;
 
@@ -228,8 +231,9 @@
         self.floor = self.floor.max(least);
         let line = self.kinds.get_mut(position)?;
         let (_, item) = line.queue.pop_front()?;
-        let cost = line.service.micros().saturating_mul(SCALE) / line.weight();
-        line.virtual_time = line.virtual_time.saturating_add(cost.max(1));
+        let charge = line.service.micros().max(LEAST_CHARGE);
+        let cost = charge.saturating_mul(SCALE) / line.weight();
+        line.virtual_time = line.virtual_time.saturating_add(cost);
         line.running += 1;
         self.running += 1;
         Some((line.kind.name.clone(), item))
--- a/crates/daisymast_admission/tests/shares.rs
+++ b/crates/daisymast_admission/tests/shares.rs
@@ -84,6 +84,25 @@
     }
 }
 
+/// Guards against urgent work of hardly any service time that keeps its lead for very many starts.
+#[test]
+fn a_flood_of_short_urgent_work_has_a_bounded_lead() {
+    let kinds = [
+        kind("flood", Urgency::Urgent, 1),
+        kind("calm", Urgency::Background, 1),
+    ];
+    let mut shares = shares(1, &kinds);
+    let mut calm = 0;
+    for round in 0..400 {
+        assert_eq!(offer(&mut shares, "flood", round), Ok(()));
+        assert_eq!(offer(&mut shares, "calm", round), Ok(()));
+        let (name, _) = shares.start().expect("work waits");
+        shares.finished(&name, Some(Duration::from_micros(1)));
+        calm += u32::from(name.as_str() == "calm");
+    }
+    assert!(calm >= 150, "{calm} of 400 starts");
+}
+
 /// Guards against shares that do not follow the weights.
 #[test]
 fn shares_follow_the_weights() {
--- a/crates/daisymast_engine/src/requests.rs
+++ b/crates/daisymast_engine/src/requests.rs
@@ -17,6 +17,7 @@
 use crate::event::Action;
 use crate::shared::Context;
 
+mod admission;
 mod claim;
 mod endpoints;
 mod exchange;
@@ -27,11 +28,12 @@
 #[cfg(test)]
 mod tests;
 
+use admission::{Admission, Taken};
 use endpoints::Endpoints;
 use exchange::{End, Exchange, Key, ReplyTo, State};
 
-/// Requests that an instance follows at one time; as many as a listener has connections.
-const MAX_EXCHANGES: usize = 2_048;
+/// Requests that an instance follows at one time: a full queue each of several kinds.
+const MAX_EXCHANGES: usize = 4_096;
 /// Attempts at workers and other zones for one request.
 const MAX_ATTEMPTS: u32 = 4;
 /// Time after the deadline for which a claimed request is still followed, so that its end reaches
@@ -73,6 +75,7 @@
     counter: u64,
     /// Ordered, so that a tick handles them in the same order in each run.
     exchanges: BTreeMap<Key, Exchange>,
+    admission: Admission,
     endpoints: Endpoints,
     settles: claim::Settles,
     /// Zone at which the next forward starts.
@@ -81,6 +84,10 @@
 
 impl Requests {
     pub(crate) fn on_tick(&mut self, cx: &mut Context<'_>) {
+        self.admission.refresh(cx);
+        for key in self.admission.take_expired(cx.now.mono) {
+            self.finish(cx, key, End::NotRun(NotRunReason::DeadlineUnreachable));
+        }
         self.expire(cx);
         self.ask_again(cx);
         self.settle_again(cx);
@@ -88,6 +95,7 @@
             self.endpoints
                 .retain(|name| manifest.service(name).is_some());
         }
+        self.start_next(cx);
     }
 
     pub(crate) fn on_caller(&mut self, cx: &mut Context<'_>, token: Token, request: CallerRequest) {
@@ -133,6 +141,7 @@
             }
             Step::Settle(settle) => self.on_settled(cx, settle, outcome),
         }
+        self.start_next(cx);
     }
 
     /// Whether no request is in flight.
@@ -140,26 +149,56 @@
         self.exchanges.is_empty() && self.settles.is_empty()
     }
 
-    fn accept(&mut self, cx: &mut Context<'_>, exchange: Exchange) {
-        let refusal = self.refusal(cx, &exchange.request);
+    fn accept(&mut self, cx: &mut Context<'_>, mut exchange: Exchange) {
         self.counter += 1;
         let key = Key(self.counter);
+        let admitted = self.admit(cx, key, &exchange);
+        let refusal = match admitted {
+            Ok(taken) => {
+                exchange.taken = Some(taken);
+                None
+            }
+            Err(reason) => Some(reason),
+        };
         self.exchanges.insert(key, exchange);
         match refusal {
             Some(reason) => self.finish(cx, key, End::NotRun(reason)),
-            None => self.start(cx, key),
+            None => self.start_next(cx),
         }
     }
 
-    fn refusal(&self, cx: &Context<'_>, request: &CallerRequest) -> Option<NotRunReason> {
+    fn admit(
+        &mut self,
+        cx: &Context<'_>,
+        key: Key,
+        exchange: &Exchange,
+    ) -> Result<Taken, NotRunReason> {
         if cx.shared.draining {
-            return Some(NotRunReason::Draining);
+            return Err(NotRunReason::Draining);
         }
         let manifest = cx.shared.manifest.as_deref();
-        if let Err(reason) = validate::check(request, manifest, cx.now.wall) {
-            return Some(reason);
+        let service = validate::check(&exchange.request, manifest, cx.now.wall)?;
+        if self.exchanges.len() >= MAX_EXCHANGES {
+            return Err(NotRunReason::Overloaded);
+        }
+        self.admission.refresh(cx);
+        self.admission
+            .admit(cx.now.mono, key, exchange, &service.team)
+    }
+
+    /// Starts waiting requests while there are slots. Called once at the end of each event: a start
+    /// that ends at once must not start the next from within itself.
+    fn start_next(&mut self, cx: &mut Context<'_>) {
+        while let Some((kind, key)) = self.admission.next() {
+            let exchange = self.exchanges.get_mut(&key);
+            match exchange.and_then(|exchange| exchange.taken.as_mut()) {
+                Some(taken) => {
+                    Admission::started(cx.now.mono, taken);
+                    self.start(cx, key);
+                }
+                None => self.admission.unused(&kind),
+            }
         }
-        (self.exchanges.len() >= MAX_EXCHANGES).then_some(NotRunReason::Overloaded)
     }
 
     fn start(&mut self, cx: &mut Context<'_>, key: Key) {
@@ -178,6 +217,10 @@
         let Some(exchange) = self.exchanges.remove(&key) else {
             return;
         };
+        if let Some(taken) = &exchange.taken {
+            let answered = matches!(end, End::Answered(_));
+            self.admission.give_back(cx.now.mono, taken, answered);
+        }
         let end = match end {
             End::NotRun(_) if exchange.uncertain => End::Unknown,
             end => end,
@@ -218,6 +261,9 @@
             | State::Serving { .. }
             | State::Resolving { .. }
             | State::Forwarding => {
+                if let Some(taken) = exchange.taken.take() {
+                    self.admission.give_back(cx.now.mono, &taken, false);
+                }
                 if let Some(reply_to) = exchange.reply_to.take() {
                     answer(cx, reply_to, End::Unknown.reply(&exchange.request.id));
                 }
--- /dev/null
+++ b/crates/daisymast_engine/src/requests/admission.rs
@@ -0,0 +1,171 @@
+//! Bounds of the requests that an instance takes and sends: team quotas, shares of the kinds of work
+//! and the retry budget. Each service is a kind.
+
+use std::time::Duration;
+
+use daisymast_admission::quota::{Limit, Quotas};
+use daisymast_admission::retry::Budget;
+use daisymast_admission::shares::{Kind, Refusal, Shares};
+use daisymast_manifest::manifest::Manifest;
+use daisymast_protocol::caller::NotRunReason;
+use daisymast_protocol::limits;
+use daisymast_types::ids::{Generation, JobName, Team};
+use daisymast_types::quantities::Resources;
+use daisymast_types::time::Monotonic;
+
+use super::exchange::{Exchange, Key};
+use crate::shared::Context;
+
+/// Requests that a worker serves at one time.
+const WORKER_SLOTS: u32 = 8;
+/// Least requests in progress at one time, while few workers are known.
+const LEAST_CAPACITY: u32 = 16;
+/// Most requests of one team that an instance follows: a quarter of all, so that one team cannot shut
+/// out the others.
+const TEAM_REQUESTS: u32 = 1_024;
+/// Retries as a share of the first attempts of the last ten seconds, in percent.
+const RETRY_PERCENT: u64 = 10;
+/// Retries in ten seconds that are allowed at any traffic.
+const RETRY_MINIMUM: u64 = 10;
+
+/// What an exchange has taken and has to give back.
+#[derive(Clone, Debug)]
+pub(crate) struct Taken {
+    team: Team,
+    kind: JobName,
+    /// Time at which the request got its slot.
+    started: Option<Monotonic>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Admission {
+    shares: Shares<Key>,
+    quotas: Quotas,
+    budget: Budget,
+    generation: Generation,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self {
+            shares: Shares::new(LEAST_CAPACITY, limits::QUEUE_PER_KIND),
+            quotas: Quotas::default(),
+            budget: Budget::new(RETRY_PERCENT, RETRY_MINIMUM),
+            generation: Generation::default(),
+        }
+    }
+}
+
+impl Admission {
+    /// Takes over a new manifest, and the number of workers and instances of the own zone.
+    pub(crate) fn refresh(&mut self, cx: &Context<'_>) {
+        self.shares.set_capacity(capacity(cx));
+        let Some(manifest) = &cx.shared.manifest else {
+            return;
+        };
+        if self.generation != cx.shared.generation {
+            self.generation = cx.shared.generation;
+            self.declare(manifest);
+        }
+    }
+
+    fn declare(&mut self, manifest: &Manifest) {
+        for service in &manifest.services {
+            self.shares.declare(Kind {
+                name: service.name.clone(),
+                urgency: service.urgency,
+                weight: 1,
+            });
+            let declared = manifest.teams.iter().find(|team| team.name == service.team);
+            let limit = Limit {
+                resources: declared.map_or(Resources::ZERO, |team| team.quota),
+                requests: TEAM_REQUESTS,
+            };
+            self.quotas.set(&service.team, limit);
+        }
+        self.shares.retain(|name| manifest.service(name).is_some());
+        self.quotas
+            .retain(|team| manifest.services.iter().any(|one| one.team == *team));
+    }
+
+    /// Queues a request under the quota of its team.
+    pub(crate) fn admit(
+        &mut self,
+        now: Monotonic,
+        key: Key,
+        exchange: &Exchange,
+        team: &Team,
+    ) -> Result<Taken, NotRunReason> {
+        let kind = exchange.request.service.clone();
+        self.quotas
+            .enter(team)
+            .map_err(|_| NotRunReason::Overloaded)?;
+        if let Err(refusal) = self.shares.offer(now, &kind, key, exchange.deadline) {
+            self.quotas.leave(team);
+            return Err(match refusal {
+                Refusal::UnknownKind => NotRunReason::UnknownService,
+                Refusal::QueueFull => NotRunReason::Overloaded,
+                Refusal::TooLate => NotRunReason::DeadlineUnreachable,
+            });
+        }
+        self.budget.on_request(now);
+        Ok(Taken {
+            team: team.clone(),
+            kind,
+            started: None,
+        })
+    }
+
+    /// The request that gets a slot next.
+    pub(crate) fn next(&mut self) -> Option<(JobName, Key)> {
+        self.shares.start()
+    }
+
+    /// Notes that the request has its slot.
+    pub(crate) fn started(now: Monotonic, taken: &mut Taken) {
+        taken.started = Some(now);
+    }
+
+    /// Gives a slot back that no exchange has taken.
+    pub(crate) fn unused(&mut self, kind: &JobName) {
+        self.shares.finished(kind, None);
+    }
+
+    /// Gives back what an exchange has taken. Only an answered request tells how long its service
+    /// takes.
+    pub(crate) fn give_back(&mut self, now: Monotonic, taken: &Taken, answered: bool) {
+        self.quotas.leave(&taken.team);
+        if let Some(started) = taken.started {
+            let time = answered.then_some(now - started);
+            self.shares.finished(&taken.kind, time);
+        }
+    }
+
+    /// Waiting requests that cannot be done before their deadlines.
+    pub(crate) fn take_expired(&mut self, now: Monotonic) -> Vec<Key> {
+        self.shares.take_expired(now)
+    }
+
+    /// Takes one retry from the budget.
+    pub(crate) fn try_retry(&mut self, now: Monotonic) -> bool {
+        self.budget.try_retry(now)
+    }
+
+    /// Time that a request of the service would wait now.
+    pub(crate) fn expected_wait(&self, service: &JobName) -> Option<Duration> {
+        self.shares.expected_wait(service)
+    }
+}
+
+/// Slots of the zone's workers, divided by the live instances of the zone.
+fn capacity(cx: &Context<'_>) -> u32 {
+    let zone = &cx.config.zone;
+    let known = cx.shared.workers.values();
+    let workers = known.filter(|worker| worker.zone == *zone && !worker.leaving);
+    let slots = u32::try_from(workers.count())
+        .unwrap_or(u32::MAX)
+        .saturating_mul(WORKER_SLOTS);
+    let instances = cx.shared.view.candidates(cx.now.mono, Some(zone)).len();
+    let instances = u32::try_from(instances).unwrap_or(u32::MAX).max(1);
+    slots.div_ceil(instances).max(LEAST_CAPACITY)
+}
--- a/crates/daisymast_engine/src/requests/endpoints.rs
+++ b/crates/daisymast_engine/src/requests/endpoints.rs
@@ -173,6 +173,13 @@
         }
     }
 
+    /// Drops the endpoints of a holder that cannot be reached until the next list arrives.
+    pub(crate) fn lost(&mut self, service: &JobName, holder: &InstanceId) {
+        if let Some(list) = self.lists.get_mut(service) {
+            list.known.retain(|known| known.holder != *holder);
+        }
+    }
+
     fn expected_wait(&self, endpoint: &Endpoint) -> u64 {
         let own = u64::from(self.in_flight.get(&endpoint.worker).copied().unwrap_or(0));
         let wait = endpoint.service_us.max(1).saturating_mul(own + 1);
--- a/crates/daisymast_engine/src/requests/exchange.rs
+++ b/crates/daisymast_engine/src/requests/exchange.rs
@@ -8,6 +8,8 @@
 use daisymast_types::ids::{BootId, InstanceId, RequestId, Token, WorkerId};
 use daisymast_types::time::Monotonic;
 
+use super::admission::Taken;
+
 /// Number of an exchange within one instance. A late reply finds no exchange under its number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Key(pub(crate) u64);
@@ -66,6 +68,8 @@
     pub(crate) request: CallerRequest,
     pub(crate) deadline: Monotonic,
     pub(crate) state: State,
+    /// Quota and slot that are given back when the caller has its answer.
+    pub(crate) taken: Option<Taken>,
     /// Whether this instance has to settle the claim of the request.
     pub(crate) claimed: bool,
     /// Whether an instance of another zone sent the request.
@@ -89,6 +93,7 @@
             deadline: now + Duration::from_millis(request.timeout_ms),
             request,
             state: State::Queued,
+            taken: None,
             claimed: false,
             forwarded: matches!(reply_to, ReplyTo::Peer(_)),
             uncertain: false,
--- a/crates/daisymast_engine/src/requests/serve.rs
+++ b/crates/daisymast_engine/src/requests/serve.rs
@@ -161,15 +161,20 @@
                 }
                 self.again(cx, key);
             }
-            Outcome::Done(PeerReply::NotHolder { holder }) => {
-                if let Some(holder) = holder {
-                    exchange.tried.retain(|tried| tried != worker);
-                    let service = exchange.request.service.clone();
-                    self.endpoints.moved(&service, worker, &holder);
-                }
+            Outcome::Done(PeerReply::NotHolder {
+                holder: Some(holder),
+            }) => {
+                exchange.tried.retain(|tried| tried != worker);
+                let service = exchange.request.service.clone();
+                self.endpoints.moved(&service, worker, &holder);
+                self.redirect(cx, key);
+            }
+            Outcome::Done(PeerReply::NotHolder { holder: None }) => self.again(cx, key),
+            Outcome::NoEffect(_) => {
+                let service = exchange.request.service.clone();
+                self.endpoints.lost(&service, &place.holder);
                 self.again(cx, key);
             }
-            Outcome::NoEffect(_) => self.again(cx, key),
             Outcome::Done(_) | Outcome::Unknown(_) => self.lost(cx, key, place),
         }
     }
@@ -200,8 +205,23 @@
         }
     }
 
-    /// Tries another endpoint within the bounds, else ends the exchange.
+    /// Tries another endpoint within the retry budget, else ends the exchange.
     fn again(&mut self, cx: &mut Context<'_>, key: Key) {
+        let Some(exchange) = self.exchanges.get(&key) else {
+            return;
+        };
+        let open = exchange.reply_to.is_some() && exchange.attempts < MAX_ATTEMPTS;
+        if open && !self.admission.try_retry(cx.now.mono) {
+            let reason = exchange.reason;
+            self.finish(cx, key, End::NotRun(reason));
+            return;
+        }
+        self.redirect(cx, key);
+    }
+
+    /// Tries another endpoint or holder. A worker that moved to another holder saw no load, so this
+    /// takes nothing from the retry budget: else each hand-over would fail most requests to it.
+    fn redirect(&mut self, cx: &mut Context<'_>, key: Key) {
         let Some(exchange) = self.exchanges.get(&key) else {
             return;
         };
--- a/crates/daisymast_engine/src/requests/tests.rs
+++ b/crates/daisymast_engine/src/requests/tests.rs
@@ -2,6 +2,7 @@
 
 mod rig;
 
+mod admission;
 mod claims;
 mod deadlines;
 mod endings;
--- a/crates/daisymast_engine/src/requests/tests/rig.rs
+++ b/crates/daisymast_engine/src/requests/tests/rig.rs
@@ -282,19 +282,26 @@
     Manifest {
         release: Release::from("r1"),
         teams: Vec::new(),
-        services: vec![Service {
-            name: JobName::from("quotes"),
-            team: Team::from("sales"),
-            urgency: Urgency::Urgent,
-            replicas: 3,
-            size: Resources::new(1_000, 512, 0),
-            zones: Vec::new(),
-        }],
+        services: vec![
+            service("quotes", "sales", Urgency::Urgent),
+            service("bookings", "desk", Urgency::Normal),
+        ],
         batches: Vec::new(),
         gang_jobs: Vec::new(),
     }
 }
 
+fn service(name: &str, team: &str, urgency: Urgency) -> Service {
+    Service {
+        name: JobName::from(name),
+        team: Team::from(team),
+        urgency,
+        replicas: 3,
+        size: Resources::new(1_000, 512, 0),
+        zones: Vec::new(),
+    }
+}
+
 fn endpoint(worker: &str) -> Endpoint {
     Endpoint {
         worker: WorkerId::from(worker),
@@ -371,6 +378,14 @@
     matches!(request, PeerRequest::ClaimStatus { .. })
 }
 
+/// Request that a `Serve` carries.
+pub(super) fn request_of(call: &Call) -> CallerRequest {
+    match &call.request {
+        PeerRequest::Serve { request, .. } => request.clone(),
+        other => panic!("no request in {other:?}"),
+    }
+}
+
 /// Worker that a `Serve` or `Resolve` names.
 pub(super) fn worker_of(call: &Call) -> String {
     match &call.request {
--- a/crates/daisymast_engine/src/requests/validate.rs
+++ b/crates/daisymast_engine/src/requests/validate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use daisymast_manifest::manifest::Manifest;
+use daisymast_manifest::manifest::{Manifest, Service};
 use daisymast_protocol::caller::{CallerRequest, NotRunReason};
 use daisymast_protocol::limits;
 use daisymast_types::hashing;
@@ -15,12 +15,12 @@
 /// How far the issue time of an id may lie in the future, since clocks of callers differ.
 pub(crate) const ID_FUTURE: Duration = Duration::from_secs(300);
 
-/// Checks a request against the limits and the manifest in force.
-pub(crate) fn check(
+/// Checks a request against the limits and the manifest in force, and finds its service.
+pub(crate) fn check<'m>(
     request: &CallerRequest,
-    manifest: Option<&Manifest>,
+    manifest: Option<&'m Manifest>,
     wall: UnixMillis,
-) -> Result<(), NotRunReason> {
+) -> Result<&'m Service, NotRunReason> {
     let longest = u64::try_from(limits::REQUEST_TIMEOUT_MAX.as_millis()).unwrap_or(u64::MAX);
     let id_length = request.id.as_str().len();
     if request.body.len() > limits::CALLER_BODY_BYTES
@@ -32,13 +32,13 @@
         return Err(NotRunReason::Invalid);
     }
     let manifest = manifest.ok_or(NotRunReason::NoEndpoint)?;
-    if manifest.service(&request.service).is_none() {
-        return Err(NotRunReason::UnknownService);
+    let service = manifest
+        .service(&request.service)
+        .ok_or(NotRunReason::UnknownService)?;
+    if !request.idempotent {
+        check_age(&request.id, wall)?;
     }
-    if request.idempotent {
-        return Ok(());
-    }
-    check_age(&request.id, wall)
+    Ok(service)
 }
 
 /// Only the canonical text form is taken: two forms of one UUID would be two ids to the ledger.
