Name the step of a question after replicas

Cause: the message Replicas came with the service component, the step names with the entry daemon. Change: the daemon names the step in errors.

--- a/crates/daisymast_entry/src/calls.rs
+++ b/crates/daisymast_entry/src/calls.rs
@@ -182,6 +182,7 @@
         PeerRequest::Resolve { .. } => "resolve request",
         PeerRequest::Start { .. } => "start task",
         PeerRequest::Capacity => "read capacity",
+        PeerRequest::Replicas { .. } => "read replicas",
         PeerRequest::PollRuns { .. } => "poll runs",
         PeerRequest::Stop { .. } => "stop task",
         PeerRequest::ResolveTask { .. } => "resolve task",
