Do not retry on a new connection that closes at once

Cause: a request that was returned unsent went over new connections until its deadline, so a peer that closes each connection was flooded.

Change: only a pooled connection that turns out closed is replaced; a new one that closes before sending is an outcome without effect. Tests for the executor threads.

Conclusion: an exchange opens at most one new connection.

--- a/crates/daisymast_http/src/client.rs
+++ b/crates/daisymast_http/src/client.rs
@@ -164,8 +164,12 @@
                     self.pool.put(call.address, connection);
                     return Outcome::Done(response);
                 }
-                // Nothing was written, so the request may go over another connection.
-                Ok(Sent::Returned(unsent)) => request = *unsent,
+                // Nothing was written, so the request may go over another connection. A new one that
+                // closes at once is not tried again, so that a failing peer is not flooded.
+                Ok(Sent::Returned(unsent)) if connection.used => request = *unsent,
+                Ok(Sent::Returned(_)) => {
+                    return Outcome::NoEffect(call.error("connection closed before sending"));
+                }
                 Ok(Sent::Lost(reason)) => return Outcome::Unknown(call.error(&reason)),
                 Err(late) => return Outcome::Unknown(call.error(&late.reason(call, "answered"))),
             }
--- a/crates/daisymast_http/src/client/pool.rs
+++ b/crates/daisymast_http/src/client/pool.rs
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) sender: http1::SendRequest<Full<Bytes>>,
+    /// Whether an exchange was completed on it.
+    pub(super) used: bool,
     _driver: smol::Task<()>,
 }
 
@@ -65,7 +67,8 @@
     }
 
     /// Keeps a connection whose exchange is complete.
-    pub(super) fn put(&self, address: SocketAddr, connection: Connection) {
+    pub(super) fn put(&self, address: SocketAddr, mut connection: Connection) {
+        connection.used = true;
         if connection.sender.is_closed() {
             return;
         }
@@ -118,6 +121,7 @@
         let driver = self.executor.spawn(async move { drop(driver.await) });
         Ok(Connection {
             sender,
+            used: false,
             _driver: driver,
         })
     }
--- a/crates/daisymast_http/tests/client.rs
+++ b/crates/daisymast_http/tests/client.rs
@@ -186,6 +186,26 @@
     });
 }
 
+/// Guards against a flood of connections to a peer that closes each one at once.
+#[test]
+fn peer_that_closes_at_once_is_not_tried_until_the_deadline() {
+    run(async |executor| {
+        let listener = listener().await;
+        let call = call(listener.local_addr().unwrap());
+        let peer = executor.spawn(async move {
+            for _ in 0..2 {
+                drop(listener.accept().await);
+            }
+        });
+        // The close may come before or after the request is written.
+        let outcome = client(&executor).get(&call).await;
+        assert!(!matches!(outcome, Outcome::Done(_)), "{outcome:?}");
+        let text = format!("{outcome:?}");
+        assert!(!text.contains("within"), "{text}");
+        assert!(!peer.is_finished());
+    });
+}
+
 /// Guards against an answer that fills the memory.
 #[test]
 fn oversized_answer_is_refused_while_reading() {
--- /dev/null
+++ b/crates/daisymast_http/tests/executor.rs
@@ -0,0 +1,30 @@
+//! Guards against a setting for threads that has no effect.
+
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use daisymast_http::executor;
+
+/// Guards against tasks that all run on one thread: the second task has to run while the first one
+/// blocks its thread.
+#[test]
+fn tasks_run_on_several_threads() {
+    let (sender, receiver) = mpsc::channel();
+    executor::run(2, async |executor| {
+        let blocking =
+            executor.spawn(async move { receiver.recv_timeout(Duration::from_secs(20)) });
+        let sending = executor.spawn(async move { sender.send(thread::current().id()) });
+        assert!(blocking.await.is_ok());
+        assert!(sending.await.is_ok());
+    });
+}
+
+/// Guards against threads that keep a process alive after its main task has ended or panicked.
+#[test]
+fn threads_end_with_the_main_task() {
+    assert_eq!(executor::run(4, async |_| 7), 7);
+    assert_eq!(executor::run(0, async |_| 8), 8);
+    let panicked = thread::spawn(|| executor::run(4, async |_| panic!("as intended"))).join();
+    assert!(panicked.is_err());
+}
