Disconnect callers that do not read their answers

Cause: hyper has no time limit for writing, so a caller that does not read held its connection and a graceful shutdown for good.

Change: a write without progress for 5 s ends the connection, with a counter.

Conclusion: a shutdown ends whatever callers do, unless a handler blocks.

--- a/crates/daisymast_http/src/server.rs
+++ b/crates/daisymast_http/src/server.rs
@@ -18,6 +18,7 @@
 mod connection;
 mod counters;
 mod limits;
+mod stream;
 
 /// Pause after a failed accept. Such a failure is usually a lack of file descriptors, which passes
 /// when connections end; without a pause the loop would use a whole core until then.
--- a/crates/daisymast_http/src/server/connection.rs
+++ b/crates/daisymast_http/src/server/connection.rs
@@ -17,6 +17,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
+use super::stream::Stream;
 use super::{Counters, Limits, Request, Response};
 
 /// What all connections of a server share.
@@ -49,6 +50,8 @@
     drop(stream.set_nodelay(true));
     let answer =
         service::service_fn(|request| async move { exchange(shared, request, peer).await });
+    let counters = Arc::clone(&shared.counters);
+    let stream = Stream::new(stream, shared.limits.write_timeout, counters);
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(shared.limits.header_timeout)
--- a/crates/daisymast_http/src/server/counters.rs
+++ b/crates/daisymast_http/src/server/counters.rs
@@ -34,6 +34,8 @@
     pub bodies_too_large: Counter,
     /// Requests refused because the body did not come in time.
     pub body_timeouts: Counter,
+    /// Connections closed because the other side did not read its answer.
+    pub write_timeouts: Counter,
     /// Requests that broke off or were malformed.
     pub malformed: Counter,
     /// Failed accepts.
--- a/crates/daisymast_http/src/server/limits.rs
+++ b/crates/daisymast_http/src/server/limits.rs
@@ -21,6 +21,8 @@
     pub header_timeout: Duration,
     /// Time for the whole body.
     pub body_timeout: Duration,
+    /// Time without progress while an answer is written.
+    pub write_timeout: Duration,
     /// Body, in bytes.
     pub body_bytes: usize,
     /// Time for which a shutdown still answers on idle connections. A request that is on its way
@@ -35,6 +37,7 @@
             header_bytes: 16 * 1024,
             header_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(5),
+            write_timeout: Duration::from_secs(5),
             body_bytes: limits::CALLER_BODY_BYTES,
             linger: Duration::from_millis(100),
         }
@@ -70,6 +73,13 @@
         self
     }
 
+    /// Sets the time without progress while an answer is written.
+    #[must_use]
+    pub fn with_write_timeout(mut self, timeout: Duration) -> Self {
+        self.write_timeout = timeout;
+        self
+    }
+
     /// Sets the size of a body.
     #[must_use]
     pub fn with_body_bytes(mut self, bytes: usize) -> Self {
--- /dev/null
+++ b/crates/daisymast_http/src/server/stream.rs
@@ -0,0 +1,92 @@
+//! A connection that fails when the other side does not read.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::io::{AsyncRead, AsyncWrite};
+use smol::net::TcpStream;
+
+use super::Counters;
+
+/// Fails a write or flush that makes no progress for a time. Without it, a caller that does not read
+/// its answer holds a connection and the answer for good, and a shutdown waits for it.
+#[derive(Debug)]
+pub(super) struct Stream {
+    stream: TcpStream,
+    timeout: Duration,
+    /// Runs while a write waits for the other side.
+    stalled: Option<Timer>,
+    counters: Arc<Counters>,
+}
+
+impl Stream {
+    pub(super) fn new(stream: TcpStream, timeout: Duration, counters: Arc<Counters>) -> Self {
+        Self {
+            stream,
+            timeout,
+            stalled: None,
+            counters,
+        }
+    }
+
+    fn bound<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        progress: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if progress.is_ready() {
+            self.stalled = None;
+            return progress;
+        }
+        let timeout = self.timeout;
+        let timer = self.stalled.get_or_insert_with(|| Timer::after(timeout));
+        ready!(timer.poll(context));
+        self.stalled = None;
+        self.counters.write_timeouts.add();
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let progress = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.bound(context, progress)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let progress = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.bound(context, progress)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let progress = Pin::new(&mut self.stream).poll_flush(context);
+        self.bound(context, progress)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
--- a/crates/daisymast_http/tests/limits.rs
+++ b/crates/daisymast_http/tests/limits.rs
@@ -6,8 +6,8 @@
 
 use std::time::Duration;
 
-use common::{bounded, echo, raw, read_all, run, until};
-use daisymast_http::server::Limits;
+use common::{bounded, echo, listener, raw, read_all, run, until};
+use daisymast_http::server::{Limits, Response, Server};
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 
@@ -111,6 +111,25 @@
     });
 }
 
+/// Guards against a caller that holds its answer, and a shutdown, by not reading.
+#[test]
+fn caller_that_does_not_read_is_disconnected() {
+    run(async |executor| {
+        let limits = Limits::default().with_write_timeout(Duration::from_millis(50));
+        // Far more than the buffers of the kernel hold.
+        let handler = async |_| Response::text(200, vec![b'x'; 64 * 1024 * 1024]);
+        let server = Server::start(&executor, listener().await, limits, handler).unwrap();
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+        stream.write_all(request).await.unwrap();
+        let counters = server.counters().clone();
+        until("request", || counters.requests.get() == 1).await;
+        bounded(server.shutdown()).await;
+        assert_eq!(counters.write_timeouts.get(), 1);
+        assert_eq!(counters.open_connections(), 0);
+    });
+}
+
 /// Guards against more open connections than the listener may hold.
 #[test]
 fn connections_above_the_limit_are_closed() {
