Test several instances around the same workers

Cause: the tests drove one instance alone, so two holders at once could go unseen.

Change: a zone of instances and workers with delays, long polls, pauses and a death on a virtual clock. After each event no worker may have two instances that act on it.

--- a/crates/daisymast_engine/src/control/tests.rs
+++ b/crates/daisymast_engine/src/control/tests.rs
@@ -1,6 +1,7 @@
 //! The control plane on a virtual clock.
 
 mod capacity;
+mod cell;
 mod lease;
 mod movement;
 mod runs;
--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -200,6 +200,12 @@
         known
     }
 
+    /// Workers that the instance may act on.
+    #[cfg(test)]
+    pub(crate) fn held(&self, now: Timestamp) -> Vec<WorkerId> {
+        self.control.held(now)
+    }
+
     /// Whether the platform's list says that a worker is leaving.
     #[cfg(test)]
     pub(crate) fn is_listed_leaving(&self, worker: &WorkerId) -> bool {
