Let another instance take a worker that its preferred holder does not hold

Cause: a preferred holder that is live but cut off from one worker left that worker without a holder for as long as the fault lasted.

Change: any instance of the zone takes a worker that no live instance has listed for 6 to 10 s. The preferred holder asks for a hand-over only while the worker itself answers it. Service times of jobs that are gone are dropped, and an empty address in a heartbeat is not taken over.

--- a/crates/daisymast_engine/src/control/handover.rs
+++ b/crates/daisymast_engine/src/control/handover.rs
@@ -55,7 +55,8 @@
         let is_settled = state
             .preferred_since
             .is_some_and(|since| now - since >= HAND_OVER);
-        if !is_settled || now < state.next_ask {
+        // Without an answer of the worker this instance could not use the lease.
+        if !is_settled || now < state.next_ask || state.rival.is_none() {
             return;
         }
         state.next_ask = now + HAND_OVER;
--- a/crates/daisymast_engine/src/control/leases.rs
+++ b/crates/daisymast_engine/src/control/leases.rs
@@ -24,6 +24,9 @@
 const RENEW_SPACING: Duration = Duration::from_millis(200);
 /// Time between two acquisitions after a failure.
 const ACQUIRE_RETRY: Duration = Duration::from_secs(1);
+/// The same for an instance that is not the preferred holder. A dead worker is thus not asked by the
+/// whole zone every second.
+const FALLBACK_RETRY: Duration = Duration::from_secs(5);
 /// Time between two acquisitions while a hand-over is under way.
 const ACQUIRE_EAGER: Duration = Duration::from_millis(200);
 /// Largest jitter of an acquisition.
@@ -40,7 +43,7 @@
             return;
         }
         if state.lease.held_stamp().is_none() {
-            if state.preferred_since.is_some() && !cx.shared.draining {
+            if state.is_wanted(now) && !cx.shared.draining {
                 self.acquire(cx, worker);
                 self.ask_holder(cx, worker);
             }
@@ -103,7 +106,7 @@
         outcome: Outcome<WorkerReply>,
     ) {
         let now = cx.now.mono;
-        let retry = ACQUIRE_RETRY + cx.fx.jitter(ACQUIRE_JITTER);
+        let jitter = cx.fx.jitter(ACQUIRE_JITTER);
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
@@ -121,10 +124,15 @@
                     let free = Duration::from_millis(remaining_ms);
                     free.clamp(ACQUIRE_EAGER, limits::CONTROL_LEASE_TTL)
                 };
-                state.next_exchange = now + wait + cx.fx.jitter(ACQUIRE_JITTER);
+                state.next_exchange = now + wait + jitter;
             }
             Outcome::Done(_) | Outcome::NoEffect(_) | Outcome::Unknown(_) => {
-                state.next_exchange = now + retry;
+                state.rival = None;
+                let retry = match state.preferred_since {
+                    Some(_) => ACQUIRE_RETRY,
+                    None => FALLBACK_RETRY,
+                };
+                state.next_exchange = now + retry + jitter;
             }
         }
     }
--- a/crates/daisymast_engine/src/control/mirror.rs
+++ b/crates/daisymast_engine/src/control/mirror.rs
@@ -75,6 +75,8 @@
         self.slots = grant.slots;
         self.seq = grant.seq;
         self.leaving = grant.leaving;
+        self.service_us
+            .retain(|job, _| grant.tasks.iter().any(|task| task.spec.job == *job));
         let mut changes = Vec::new();
         for report in &grant.tasks {
             let was_ended = known
--- a/crates/daisymast_engine/src/control/preferences.rs
+++ b/crates/daisymast_engine/src/control/preferences.rs
@@ -4,7 +4,7 @@
 
 use daisymast_membership::assignment;
 use daisymast_membership::rendezvous::Candidate;
-use daisymast_types::collections::FastMap;
+use daisymast_types::collections::{FastMap, FastSet};
 use daisymast_types::ids::{InstanceId, WorkerId};
 use daisymast_types::time::Monotonic;
 
@@ -16,6 +16,11 @@
 /// Time after the start in which other instances of the zone can make themselves known, so that a
 /// new instance does not take leases that it would have to hand over again.
 const STARTUP_WAIT: Duration = Duration::from_millis(1_200);
+/// Time without a holder after which an instance takes a worker of which it is not the preferred
+/// holder. The preferred one may be cut off from this worker alone and still be live.
+const FALLBACK_AFTER: Duration = Duration::from_secs(6);
+/// Largest jitter of that time, so that not all instances of the zone ask the worker at once.
+const FALLBACK_JITTER: Duration = Duration::from_secs(4);
 
 /// The last computation and what it was based on.
 #[derive(Debug, Default)]
@@ -76,5 +81,25 @@
                 worker.preferred_since = Some(now);
             }
         }
+        self.note_uncovered(cx);
+    }
+
+    /// Sets the time from which this instance takes a worker that nobody holds.
+    fn note_uncovered(&mut self, cx: &mut Context<'_>) {
+        let now = cx.now.mono;
+        let held: FastSet<&WorkerId> = cx
+            .shared
+            .view
+            .peers(now)
+            .flat_map(|member| &member.workers)
+            .collect();
+        for (id, worker) in &mut self.workers {
+            if held.contains(id) || worker.lease.held_stamp().is_some() {
+                worker.fallback_at = None;
+            } else if worker.fallback_at.is_none() {
+                let wait = FALLBACK_AFTER + cx.fx.jitter(FALLBACK_JITTER);
+                worker.fallback_at = Some(now + wait);
+            }
+        }
     }
 }
--- a/crates/daisymast_engine/src/control/tests/movement.rs
+++ b/crates/daisymast_engine/src/control/tests/movement.rs
@@ -6,7 +6,7 @@
 use daisymast_protocol::worker::{Refusal, WorkerReply, WorkerRequest};
 use daisymast_types::ids::{InstanceId, Token, WorkerId};
 
-use crate::testing::{Bench, answer, heartbeat, replica, request};
+use crate::testing::{Bench, answer, heartbeat, lost, replica, request};
 
 const NAMES: [&str; 8] = ["w-1", "w-2", "w-3", "w-4", "w-5", "w-6", "w-7", "w-8"];
 
@@ -143,3 +143,37 @@
     assert!(bench.worker_calls.is_empty());
     assert!(bench.is_stopped);
 }
+
+/// Guards against a worker that nobody holds because its preferred holder is live but cut off from
+/// it, and against a hand-over back to an instance that cannot use the lease.
+#[test]
+fn worker_without_holder_is_taken_by_another_instance() {
+    let mut bench = pair();
+    bench.live.push(heartbeat("entry-2", "Austin", &[]));
+    bench.run_to(5_000);
+    let held = |bench: &mut Bench| match bench.answer_to(PeerRequest::Capacity) {
+        PeerReply::Capacity(found) => found.len(),
+        other => panic!("{other:?}"),
+    };
+    let preferred = held(&mut bench);
+    assert!((1..NAMES.len()).contains(&preferred), "{preferred}");
+    bench.run_to(12_000);
+    assert_eq!(held(&mut bench), NAMES.len());
+}
+
+/// Guards against asking for the lease of a worker that does not answer this instance.
+#[test]
+fn unreachable_worker_is_left_to_its_holder() {
+    let mut bench = pair();
+    bench.live.push(heartbeat("entry-2", "Austin", &NAMES));
+    for worker in bench.workers.values_mut() {
+        worker.is_prompt = false;
+    }
+    while bench.now < 10_000 {
+        bench.run_for(50);
+        while let Some(open) = bench.take_call(|_| true) {
+            bench.reply(open.call, Outcome::NoEffect(lost()));
+        }
+    }
+    assert!(bench.take_peer_call(is_hand_over).is_none());
+}
--- a/crates/daisymast_engine/src/control/worker.rs
+++ b/crates/daisymast_engine/src/control/worker.rs
@@ -49,10 +49,12 @@
     /// Open calls other than lease exchanges.
     pub(super) calls: u32,
     pub(super) release: Option<ReleaseWish>,
-    /// Holder that the worker named last.
+    /// Holder that the worker named last; nothing if the worker could not be asked.
     pub(super) rival: Option<InstanceId>,
     /// Since when this instance is the preferred holder.
     pub(super) preferred_since: Option<Monotonic>,
+    /// Time from which this instance takes the worker although another one is preferred.
+    pub(super) fallback_at: Option<Monotonic>,
     /// Time of the next request for a hand-over.
     pub(super) next_ask: Monotonic,
     /// Time until which a hand-over is expected, so that acquisitions are tried often.
@@ -76,6 +78,11 @@
         if closes { None } else { self.lease.stamp(now) }
     }
 
+    /// Whether this instance should take the lease.
+    pub(super) fn is_wanted(&self, now: Monotonic) -> bool {
+        self.preferred_since.is_some() || self.fallback_at.is_some_and(|at| now >= at)
+    }
+
     /// Starts a wish to release when the instance drains, and ends one whose time is over.
     pub(super) fn update_wish(&mut self, now: Monotonic, is_draining: bool) {
         let is_lasting = self.release.is_some_and(|wish| wish.until.is_none());
--- a/crates/daisymast_engine/src/heartbeat.rs
+++ b/crates/daisymast_engine/src/heartbeat.rs
@@ -214,7 +214,8 @@
         return;
     }
     // A late heartbeat must not bring back an old address.
-    if cx.shared.view.heard(&heartbeat.instance) <= Some(alive) {
+    let is_newest = cx.shared.view.heard(&heartbeat.instance) <= Some(alive);
+    if is_newest && !heartbeat.address.is_empty() {
         let place = (heartbeat.zone.clone(), heartbeat.address.clone());
         known.insert(heartbeat.instance.clone(), place);
     }
