--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -6,6 +6,7 @@
 #[cfg(test)]
 use daisymast_manifest::manifest::Manifest;
 use daisymast_membership::view::View;
+use daisymast_protocol::operator::Status;
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::peer::{Heartbeat, PeerReply, PeerRequest};
 use daisymast_protocol::store::StoreReply;
@@ -107,7 +108,7 @@
             configuration: Configuration::default(),
             control: Control::default(),
             services: Services::default(),
-            claims: Claims::default(),
+            claims: Claims::new(&config),
             runs: Runs::default(),
             requests: Requests::default(),
             config,
@@ -151,11 +152,22 @@
         !self.shared.draining && self.shared.manifest.is_some()
     }
 
+    /// Status as operators read it.
+    pub fn status(&self, now: Timestamp) -> Status {
+        operator::status(&self.shared, now, &self.control, &self.runs)
+    }
+
     /// Generation in force at this instance.
     pub fn generation(&self) -> Generation {
         self.shared.generation
     }
 
+    /// Records a heartbeat as if its sender had sent it.
+    #[cfg(test)]
+    pub(crate) fn hear(&mut self, now: Timestamp, heartbeat: Heartbeat) {
+        self.shared.view.record(now.mono, heartbeat);
+    }
+
     fn dispatch(&mut self, now: Timestamp, event: Event) {
         match event {
             Event::Tick => self.tick(now),
@@ -169,7 +181,7 @@
                 self.requests.on_status(&mut cx, token, id);
             }
             Event::Operator { token, request } => {
-                let status = operator::status(&self.shared, now, &self.control, &self.runs);
+                let status = self.status(now);
                 let mut cx = context!(self, now);
                 self.configuration
                     .on_operator(&mut cx, token, request, status);
@@ -234,7 +246,9 @@
         own.draining = self.shared.draining;
         own.partitions = self.claims.owned();
         own.workers = self.control.held(now);
-        if self.shared.draining && self.requests.is_idle() && self.control.is_released() {
+        let is_idle =
+            self.requests.is_idle() && self.configuration.is_idle() && self.claims.is_idle();
+        if self.shared.draining && is_idle && self.control.is_released() {
             self.fx.emit(Action::Stopped);
         }
     }
@@ -251,8 +265,8 @@
             PeerRequest::Claim { .. }
             | PeerRequest::Settle { .. }
             | PeerRequest::ClaimStatus { .. } => self.claims.on_peer(&mut cx, token, request),
-            PeerRequest::Forward { request } => {
-                self.requests.on_forward(&mut cx, token, request);
+            PeerRequest::Forward { request, claimed } => {
+                self.requests.on_forward(&mut cx, token, request, claimed);
             }
             PeerRequest::Endpoints { .. }
             | PeerRequest::Serve { .. }
--- /dev/null
+++ b/crates/daisymast_engine/src/requests/tests.rs
@@ -0,0 +1,9 @@
+//! Tests of the request path on a virtual clock, with the other instances played by the tests.
+
+mod rig;
+
+mod admission;
+mod claims;
+mod deadlines;
+mod endings;
+mod forwards;
