Count a throttled task with its present size

Cause: the worker reports a running task again after a change of its size, and the mirror ignored it.

Change: the mirror takes the new size over.

Conclusion: free capacity follows the worker's own account.

--- a/crates/daisymast_engine/src/control/mirror.rs
+++ b/crates/daisymast_engine/src/control/mirror.rs
@@ -109,7 +109,11 @@
     pub(super) fn apply(&mut self, now: Monotonic, report: TaskReport) -> Option<Change> {
         let task = report.spec.key;
         let old = self.tasks.get(&task).map(|known| known.report.state);
-        if old == Some(report.state) || old.is_some_and(TaskState::is_ended) {
+        if old == Some(TaskState::Running) && report.state == TaskState::Running {
+            self.resize(report);
+            return None;
+        }
+        if old.is_some_and(TaskState::is_ended) {
             return None;
         }
         self.pending.remove(&task);
@@ -265,6 +269,14 @@
         self.service_us.get(service).copied().unwrap_or(0)
     }
 
+    /// Takes in a new size of a running task: a throttled task uses less.
+    fn resize(&mut self, report: TaskReport) {
+        if let Some(known) = self.tasks.get_mut(&report.spec.key) {
+            self.used = self.used.saturating_sub(known.report.spec.size) + report.spec.size;
+            known.report.spec = report.spec;
+        }
+    }
+
     fn discount(&mut self, task: &TaskKey) {
         let Some(known) = self.tasks.get(task) else {
             return;
--- a/crates/daisymast_engine/src/control/tests/capacity.rs
+++ b/crates/daisymast_engine/src/control/tests/capacity.rs
@@ -132,6 +132,24 @@
     }
 }
 
+/// Guards against a count of the original size after a worker limited a task, or allowed it more
+/// again.
+#[test]
+fn throttled_task_is_counted_with_its_present_size() {
+    let mut bench = ready();
+    for millicores in [6_000, 2_000, 5_000] {
+        let spec = sized(0, millicores);
+        bench.worker("w-1").report(&spec, TaskState::Running);
+        bench.run_for(1_100);
+        assert_eq!(capacity(&mut bench).free.millicores, 8_000 - millicores);
+    }
+    bench
+        .worker("w-1")
+        .report(&sized(0, 5_000), TaskState::Stopped);
+    bench.run_for(1_100);
+    assert_eq!(capacity(&mut bench).free.millicores, 8_000);
+}
+
 /// Guards against two gang jobs that share capacity, and against reservations that pile up.
 #[test]
 fn reservation_holds_for_two_seconds() {
