Open due runs, start their tasks and follow them to the end

Batches and gang jobs need an owner that places their tasks, keeps their leases and records their results.

The runs component follows the open runs of the owned partitions. It claims each attempt in the ledger before it sends the start, polls holders once a second while the ownership was confirmed within 15 min, asks after attempts in doubt by ResolveTask, and closes runs that are complete or retired. Gang jobs reserve in the order of worker ids and give all reservations back on a refusal. At most 64 starts are open and 128 attempts are between placement and start.

Before: stub. After: 19 component tests pass on a virtual clock, with lost starts and replies, lost workers, a new owner, store outages of up to 16 min, retired, parked and oversized jobs.

--- a/crates/daisymast_engine/src/claims.rs
+++ b/crates/daisymast_engine/src/claims.rs
@@ -3,7 +3,7 @@
 mod answers;
 mod slot;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -180,7 +180,7 @@
         self.configuration.on_tick(&mut cx);
         self.claims.on_tick(&mut cx);
         self.requests.on_tick(&mut cx);
-        self.runs.on_tick(&mut cx);
+        self.runs.on_tick(&mut cx, &mut self.claims);
         self.services.on_tick(&mut cx, &self.control);
         self.control.on_tick(&mut cx);
         let own = self.shared.view.own_mut();
@@ -268,7 +268,10 @@
             Step::Control(step) => self.control.on_peer_reply(&mut cx, step, outcome),
             Step::Services(step) => self.services.on_peer_reply(&mut cx, step, outcome),
             Step::Claims(step) => self.claims.on_peer_reply(&mut cx, step, outcome),
-            Step::Runs(step) => self.runs.on_peer_reply(&mut cx, step, outcome),
+            Step::Runs(step) => {
+                self.runs
+                    .on_peer_reply(&mut cx, step, outcome, &mut self.claims);
+            }
             Step::Requests(step) => self.requests.on_peer_reply(&mut cx, step, outcome),
         }
     }
--- /dev/null
+++ b/crates/daisymast_engine/src/runs/opening.rs
@@ -0,0 +1,135 @@
+//! Opens due runs, adopts recorded ones and closes those that are over or retired.
+
+use daisymast_ledger::entry::{Entry, Origin};
+use daisymast_ledger::keys;
+use daisymast_protocol::peer::PeerRequest;
+use daisymast_runs::due;
+use daisymast_runs::job::Job;
+use daisymast_runs::run::Run;
+use daisymast_runs::task::Phase;
+use daisymast_types::ids::RunKey;
+
+use crate::claims::Claims;
+use crate::effects;
+use crate::runs::recording::Recording;
+use crate::runs::{PEER_TIMEOUT, Runs, Step};
+use crate::shared::Context;
+
+impl Runs {
+    /// Follows each recorded open run, whether it was opened here or by a former owner.
+    /// `refresh` looks up the jobs of all runs again, because the manifest changed.
+    pub(crate) fn adopt_recorded(
+        &mut self,
+        cx: &mut Context<'_>,
+        claims: &mut Claims,
+        refresh: bool,
+    ) {
+        let manifest = cx.shared.manifest.clone();
+        let mut superseded = Vec::new();
+        for partition in self.owned.keys() {
+            for (key, record) in claims.runs(*partition).into_iter().flatten() {
+                if !record.closed {
+                    self.opening.remove(key);
+                    let job = || Job::of(manifest.as_ref()?, &record.opened);
+                    match self.runs.get_mut(key) {
+                        None => {
+                            let run = Run::adopt(record, job(), cx.now.mono);
+                            self.runs.insert(*key, run);
+                        }
+                        Some(run) if refresh => run.job = job(),
+                        Some(_) => {}
+                    }
+                } else if let (Origin::Release(release), Some(manifest)) =
+                    (&record.opened.origin, &manifest)
+                    && *release != manifest.release
+                    && record.opened.generation < cx.shared.generation
+                {
+                    superseded.push(*key);
+                }
+            }
+        }
+        for run in superseded {
+            claims.forget_run(run);
+        }
+    }
+
+    pub(crate) fn open_due(&mut self, cx: &mut Context<'_>, claims: &mut Claims) {
+        let Some(manifest) = cx.shared.manifest.clone() else {
+            return;
+        };
+        if cx.shared.draining {
+            return;
+        }
+        for opened in due::due_runs(&manifest, cx.shared.generation, cx.now.wall) {
+            let key = opened.run;
+            let partition = keys::of_run(key);
+            let known = claims
+                .runs(partition)
+                .is_none_or(|runs| runs.contains_key(&key));
+            if known || !self.owned.contains_key(&partition) || !self.opening.insert(key) {
+                continue;
+            }
+            let ticket = claims.record(cx, key, vec![Entry::RunOpened(opened)]);
+            self.recordings.insert(ticket, Recording::Open(key));
+        }
+    }
+
+    /// Closes runs that are complete or whose job is retired, and stops the tasks of the latter.
+    pub(crate) fn close_over(&mut self, cx: &mut Context<'_>, claims: &mut Claims) {
+        let informed = cx.shared.manifest.is_some();
+        let generation = cx.shared.generation;
+        let closing = &self.closing;
+        let over: Vec<(RunKey, bool)> = self
+            .runs
+            .iter()
+            .filter(|(key, _)| !closing.contains(*key))
+            .filter_map(|(key, run)| {
+                let known = informed && generation >= run.opened.generation;
+                let retired = known && run.job.is_none();
+                (retired || run.is_over(cx.now.wall)).then_some((*key, retired))
+            })
+            .collect();
+        for (key, retired) in over {
+            if retired {
+                self.stop_tasks(cx, key);
+                self.give_back(cx, key);
+            }
+            self.closing.insert(key);
+            let ticket = claims.record(cx, key, vec![Entry::RunClosed { run: key }]);
+            let recording = Recording::Close { run: key, retired };
+            self.recordings.insert(ticket, recording);
+        }
+    }
+
+    /// Asks the holders to stop what runs of a retired run. A stop that is lost is not repeated:
+    /// the run is no longer polled, and the holder stops what the manifest does not declare.
+    fn stop_tasks(&mut self, cx: &mut Context<'_>, key: RunKey) {
+        let Some(run) = self.runs.get(&key) else {
+            return;
+        };
+        let running = run
+            .tasks()
+            .filter(|(_, task)| matches!(task.phase, Phase::Active { .. } | Phase::Starting));
+        for (index, task) in running {
+            let Some(worker) = task.worker.clone() else {
+                continue;
+            };
+            if let Some(holder) = cx.shared.view.holder(cx.now.mono, &worker) {
+                let task = run.key(index);
+                let request = PeerRequest::Stop { worker, task };
+                let step = effects::Step::Runs(Step::Ignore);
+                cx.fx
+                    .call_peer(cx.shared, step, &holder, request, PEER_TIMEOUT);
+            }
+        }
+    }
+
+    pub(crate) fn give_up_expired(&mut self, cx: &mut Context<'_>) {
+        let now = cx.now.mono;
+        let expired: Vec<_> = self.active_runs().flat_map(|run| run.expire(now)).collect();
+        for key in expired {
+            let detail = "no contact until its lease expired".to_owned();
+            cx.fx.record("task.expired", &key.to_string(), detail);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/runs/tests.rs
@@ -0,0 +1,6 @@
+//! Runs of one instance against a store, a holder with workers, and a virtual clock.
+
+mod faults;
+mod gangs;
+mod harness;
+mod ordinary;
--- /dev/null
+++ b/crates/daisymast_engine/src/runs/tests/faults.rs
@@ -0,0 +1,146 @@
+//! Lost replies, lost workers, lost ownership and store outages.
+
+use daisymast_protocol::task::TaskState;
+use daisymast_types::ids::WorkerId;
+
+use crate::claims::tests::Store;
+use crate::runs::tests::harness::{Holder, Link, Node, batch, manifest};
+
+fn started(tasks: u32) -> (Store, Holder, Node) {
+    let (mut store, mut holder) = (Store::default(), Holder::new(3));
+    let mut node = Node::new(
+        "a",
+        1,
+        &holder,
+        manifest(vec![batch("survey", tasks)], vec![]),
+    );
+    node.run(&mut store, &mut holder, 5_000);
+    assert_eq!(holder.running(), usize::try_from(tasks).expect("small"));
+    (store, holder, node)
+}
+
+/// Guards against an exclusive task in two places: its worker is unreachable but may still run it.
+#[test]
+fn exclusive_task_is_restarted_only_after_its_lease_expired() {
+    let (mut store, mut holder, mut node) = started(1);
+    holder.gone.insert(WorkerId::from("w-1"));
+    let last_poll = holder.polls.last().copied().expect("polled");
+    node.run(&mut store, &mut holder, last_poll + 14_900);
+    assert_eq!(holder.starts.len(), 1);
+    // The worker ends the task by itself when the lease expires.
+    holder.end_all(TaskState::Expired);
+    node.run(&mut store, &mut holder, last_poll + 19_000);
+    assert_eq!(holder.starts.len(), 2);
+    assert!(holder.starts[1].0 >= last_poll + 15_000);
+    assert_ne!(holder.starts[1].2, WorkerId::from("w-1"));
+    assert_eq!(node.steps("task.expired"), 1);
+}
+
+/// Guards against a second start after a lost reply. The holder asserts that no task runs twice.
+#[test]
+fn lost_start_reply_starts_nothing_twice() {
+    let (mut store, mut holder) = (Store::default(), Holder::new(3));
+    holder.start_link = Link::LosesReplies;
+    let mut node = Node::new("a", 1, &holder, manifest(vec![batch("survey", 5)], vec![]));
+    node.run(&mut store, &mut holder, 60_000);
+    assert_eq!(holder.starts.len(), 5);
+    assert_eq!(holder.running(), 5);
+}
+
+/// Guards against a task that waits for ever after its start was lost.
+#[test]
+fn lost_start_is_resolved_and_followed_by_another_attempt() {
+    let (mut store, mut holder) = (Store::default(), Holder::new(3));
+    holder.start_link = Link::LosesCalls;
+    let mut node = Node::new("a", 1, &holder, manifest(vec![batch("survey", 5)], vec![]));
+    node.run(&mut store, &mut holder, 3_000);
+    assert_eq!((holder.starts.len(), holder.running()), (5, 0));
+    holder.start_link = Link::Good;
+    node.run(&mut store, &mut holder, 9_000);
+    assert_eq!(holder.running(), 5);
+    assert!(holder.tasks.keys().all(|key| key.attempt == 2));
+}
+
+/// Guards against a new owner that starts again what runs, and a former one that goes on.
+#[test]
+fn new_owner_adopts_running_tasks_and_the_fenced_one_stops() {
+    let (mut store, mut holder, mut former) = started(6);
+    let mut next = Node::new("b", 2, &holder, manifest(vec![batch("survey", 6)], vec![]));
+    next.run(&mut store, &mut holder, 9_000);
+    assert_eq!((holder.starts.len(), holder.running()), (6, 6));
+    holder.end_all(TaskState::Failed);
+    // It does not hear the new owner, so it tries to take over again, but not within 2 s.
+    former.run(&mut store, &mut holder, 7_500);
+    assert!(
+        former.runs.status().is_empty(),
+        "its first write failed the compare"
+    );
+    let starts = holder.starts.len();
+    former.run(&mut store, &mut holder, 8_000);
+    assert_eq!(holder.starts.len(), starts);
+    next.run(&mut store, &mut holder, 20_000);
+    assert_eq!(holder.running(), 6);
+    assert!(holder.tasks.values().all(|one| one.1.spec.key.attempt <= 2));
+}
+
+/// Guards against a rerun by a new owner that cannot reach the worker while the former owner may
+/// still keep the task alive.
+#[test]
+fn new_owner_waits_for_a_task_that_it_cannot_reach() {
+    let (mut store, mut holder, _former) = started(1);
+    holder.gone.insert(WorkerId::from("w-1"));
+    let mut next = Node::new("b", 2, &holder, manifest(vec![batch("survey", 1)], vec![]));
+    next.run(&mut store, &mut holder, 915_000);
+    assert_eq!(holder.starts.len(), 1);
+    holder.end_all(TaskState::Expired);
+    next.run(&mut store, &mut holder, 930_000);
+    assert_eq!(holder.starts.len(), 2);
+}
+
+/// Guards against a store outage that stops or repeats running tasks, and against results that are
+/// lost with it.
+#[test]
+fn store_outage_leaves_running_tasks_alone() {
+    let (mut store, mut holder, mut node) = started(4);
+    store.down = true;
+    node.run(&mut store, &mut holder, 300_000);
+    let last = holder.polls.last().copied().expect("polled");
+    assert!(last > 298_000, "polls go on");
+    assert_eq!((holder.starts.len(), holder.running()), (4, 4));
+    holder.end_all(TaskState::Succeeded);
+    node.run(&mut store, &mut holder, 400_000);
+    assert_eq!(holder.starts.len(), 4);
+    assert_eq!(node.runs.status()[0].done, 0, "nothing is recorded yet");
+    store.down = false;
+    node.run(&mut store, &mut holder, 405_000);
+    assert!(node.runs.status().is_empty());
+    assert_eq!(node.steps("run.closed"), 1);
+}
+
+/// Guards against an owner that may be fenced and keeps tasks alive for ever.
+#[test]
+fn polls_end_when_the_ownership_is_not_confirmed_for_long() {
+    let (mut store, mut holder, mut node) = started(1);
+    store.down = true;
+    node.run(&mut store, &mut holder, 1_000_000);
+    let last = holder.polls.last().copied().expect("polled");
+    assert!(
+        (850_000..=906_000).contains(&last),
+        "last poll at {last} ms"
+    );
+}
+
+/// Guards against a start of an attempt whose claim is not durable.
+#[test]
+fn nothing_is_started_while_the_store_is_down() {
+    let (mut store, mut holder) = (Store::default(), Holder::new(3));
+    let mut node = Node::new("a", 1, &holder, manifest(vec![], vec![]));
+    node.run(&mut store, &mut holder, 5_000);
+    store.down = true;
+    node.declare(manifest(vec![batch("survey", 3)], vec![]));
+    node.run(&mut store, &mut holder, 30_000);
+    assert!(holder.starts.is_empty());
+    store.down = false;
+    node.run(&mut store, &mut holder, 36_000);
+    assert_eq!(holder.running(), 3);
+}
--- /dev/null
+++ b/crates/daisymast_engine/src/runs/tests/gangs.rs
@@ -0,0 +1,59 @@
+//! Gang jobs start all tasks or none.
+
+use daisymast_protocol::task::TaskState;
+use daisymast_types::ids::WorkerId;
+
+use crate::claims::tests::Store;
+use crate::runs::tests::harness::{Holder, Node, gang, manifest};
+
+/// Guards against reservations in another order than that of the workers, and against capacity that
+/// stays reserved.
+#[test]
+fn gang_job_reserves_in_order_and_starts_all_tasks() {
+    let (mut store, mut holder) = (Store::default(), Holder::new(4));
+    let mut node = Node::new("a", 1, &holder, manifest(vec![], vec![gang("model", 24)]));
+    node.run(&mut store, &mut holder, 5_000);
+    assert_eq!(holder.running(), 24);
+    let order: Vec<_> = ["w-1", "w-2", "w-3"].map(WorkerId::from).into();
+    assert_eq!(holder.reserves, order);
+    holder.end_all(TaskState::Succeeded);
+    node.run(&mut store, &mut holder, 20_000);
+    assert!(node.runs.status().is_empty());
+    assert_eq!(holder.starts.len(), 24, "it runs once a release");
+}
+
+/// Guards against capacity that is held idle, and against a part of a gang that starts.
+#[test]
+fn refused_reservation_gives_all_others_back() {
+    let (mut store, mut holder) = (Store::default(), Holder::new(3));
+    holder.full.insert(WorkerId::from("w-3"));
+    let mut node = Node::new("a", 1, &holder, manifest(vec![], vec![gang("model", 24)]));
+    node.run(&mut store, &mut holder, 10_000);
+    assert!(holder.starts.is_empty());
+    assert!(holder.reserved.is_empty(), "{:?}", holder.reserved);
+    assert!(holder.reserves.len() >= 9, "it is tried again");
+    assert_eq!(node.steps("task.claimed"), 0);
+    holder.full.clear();
+    node.run(&mut store, &mut holder, 15_000);
+    assert_eq!(holder.running(), 24);
+}
+
+/// Guards against starts without a durable claim, and against reservations that stay behind.
+#[test]
+fn claims_that_are_not_recorded_start_nothing() {
+    let (mut store, mut holder) = (Store::default(), Holder::new(3));
+    let mut node = Node::new("a", 1, &holder, manifest(vec![], vec![]));
+    node.run(&mut store, &mut holder, 5_000);
+    node.declare(manifest(vec![], vec![gang("model", 12)]));
+    while node.steps("run.opened") == 0 {
+        let next = node.now.mono.as_millis() + 50;
+        node.run(&mut store, &mut holder, next);
+    }
+    store.down = true;
+    node.run(&mut store, &mut holder, 12_000);
+    assert!(!holder.reserves.is_empty() && holder.starts.is_empty());
+    store.down = false;
+    node.run(&mut store, &mut holder, 18_000);
+    assert_eq!(holder.running(), 12);
+    assert!(holder.reserved.values().all(|size| size.millicores == 0));
+}
