Tell that a request is absent only after a read that shows the ownership

A fenced owner that does not know of its fence answered ClaimStatus from its memory, so it could tell that an id is absent which the next owner had acknowledged.

Questions after unknown ids now wait for a call that was sent after them and shows the ownership; those within 100 ms share one read. A holder's StaleEpoch also makes the owner read back. The types that a partition hands out moved to daisymast_ledger::effect.

--- a/crates/daisymast_engine/src/claims.rs
+++ b/crates/daisymast_engine/src/claims.rs
@@ -8,9 +8,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use daisymast_ledger::effect::{Effect, Reply, Ticket};
 use daisymast_ledger::entry::{Entry, Settled};
 use daisymast_ledger::keys;
-use daisymast_ledger::partition::{Effect, Reply, Ticket};
 use daisymast_ledger::record::RunRecord;
 use daisymast_membership::rendezvous;
 use daisymast_protocol::outcome::Outcome;
@@ -44,6 +44,7 @@
 enum Asker {
     Claim(Token, RequestId),
     Settle(Token, RequestId),
+    Status(Token, RequestId),
     /// The runs component collects the reply by [`Claims::take_results`].
     Runs,
 }
@@ -104,13 +105,10 @@
             }
             PeerRequest::Settle { id, result } => self.settle(cx, token, id, result),
             PeerRequest::ClaimStatus { id } => {
-                let partition = keys::of_request(&id);
-                let state = self.slots[index_of(partition)].partition.claim_state(&id);
-                let reply = match state {
-                    Some(state) => PeerReply::ClaimState(self.with_answer(&id, state)),
-                    None => not_owner(cx, partition),
-                };
-                cx.fx.answer_peer(token, reply);
+                let index = index_of(keys::of_request(&id));
+                let ticket = self.ticket(Asker::Status(token, id.clone()));
+                let effects = self.slots[index].partition.status(cx.now, ticket, id);
+                self.perform(cx, index, effects);
             }
             _ => {}
         }
@@ -160,6 +158,13 @@
         self.slots[index_of(partition)].partition.confirmed()
     }
 
+    /// Checks the ownership of a partition, because a holder has seen a higher epoch.
+    pub(crate) fn check(&mut self, cx: &mut Context<'_>, partition: Partition) {
+        let index = index_of(partition);
+        let effects = self.slots[index].partition.check(cx.now);
+        self.perform(cx, index, effects);
+    }
+
     /// Drops the record of a closed run that cannot become due again.
     pub(crate) fn forget_run(&mut self, run: RunKey) {
         self.slots[index_of(keys::of_run(run))]
@@ -237,7 +242,7 @@
     fn answer(&mut self, cx: &mut Context<'_>, partition: Partition, ticket: Ticket, reply: Reply) {
         let (token, id, success) = match self.askers.remove(&ticket) {
             Some(Asker::Claim(token, id)) => (token, id, PeerReply::Claimed),
-            Some(Asker::Settle(token, id)) => (token, id, PeerReply::Ok),
+            Some(Asker::Settle(token, id) | Asker::Status(token, id)) => (token, id, PeerReply::Ok),
             Some(Asker::Runs) => {
                 self.results.push((ticket, reply));
                 return;
--- a/crates/daisymast_engine/src/claims/slot.rs
+++ b/crates/daisymast_engine/src/claims/slot.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use daisymast_ledger::partition::{self, Change, Effect};
+use daisymast_ledger::effect::{Change, Effect};
+use daisymast_ledger::partition;
 use daisymast_types::ids::{Epoch, InstanceId, Partition};
 use daisymast_types::time::{Monotonic, Timestamp};
 
--- a/crates/daisymast_engine/src/runs.rs
+++ b/crates/daisymast_engine/src/runs.rs
@@ -11,8 +11,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use daisymast_ledger::effect::Ticket;
 use daisymast_ledger::keys;
-use daisymast_ledger::partition::Ticket;
 use daisymast_protocol::operator::RunStatus;
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::peer::PeerReply;
@@ -103,7 +103,7 @@
                 self.start_reply(cx, key, &worker, outcome);
                 self.send_starts(cx);
             }
-            Step::Poll(poll) => self.poll_reply(cx, poll, outcome),
+            Step::Poll(poll) => self.poll_reply(cx, claims, poll, outcome),
             Step::Resolve(key) => self.resolve_reply(cx, key, outcome),
             Step::Reserve { run, position } => {
                 self.reserve_reply(cx, claims, run, position, &outcome);
--- a/crates/daisymast_engine/src/runs/polling.rs
+++ b/crates/daisymast_engine/src/runs/polling.rs
@@ -108,12 +108,16 @@
     pub(crate) fn poll_reply(
         &mut self,
         cx: &mut Context<'_>,
+        claims: &mut Claims,
         poll: Poll,
         outcome: Outcome<PeerReply>,
     ) {
         self.polls_open
             .remove(&(poll.partition, poll.holder.clone()));
         let now = cx.now.mono;
+        if outcome == Outcome::Done(PeerReply::StaleEpoch) {
+            claims.check(cx, poll.partition);
+        }
         let Outcome::Done(PeerReply::Runs(reports)) = outcome else {
             for key in &poll.runs {
                 if let Some(run) = self.runs.get_mut(key) {
--- a/crates/daisymast_engine/src/runs/recording.rs
+++ b/crates/daisymast_engine/src/runs/recording.rs
@@ -1,7 +1,7 @@
 //! What is being recorded in the ledger, and what follows from the outcome.
 
+use daisymast_ledger::effect::{Reply, Ticket};
 use daisymast_ledger::entry::Entry;
-use daisymast_ledger::partition::{Reply, Ticket};
 use daisymast_runs::run::ClaimOutcome;
 use daisymast_types::ids::{RunKey, TaskKey};
 
@@ -46,17 +46,7 @@
                 }
             }
             Recording::Claim(run, tasks) => self.claimed(cx, claims, run, tasks, reply),
-            Recording::End(key) => {
-                let now = cx.now.mono;
-                let parked = self
-                    .runs
-                    .get_mut(&key.run)
-                    .is_some_and(|run| run.on_end(key, durable, now));
-                if parked {
-                    let detail = "failed on three workers".to_owned();
-                    cx.fx.record("task.parked", &key.to_string(), detail);
-                }
-            }
+            Recording::End(key) => self.end_recorded(cx, key, durable),
             // A run that could not be closed is tried again in the next round.
             Recording::Close { run, retired } if durable => {
                 let detail = if retired {
@@ -73,6 +63,15 @@
         }
     }
 
+    fn end_recorded(&mut self, cx: &mut Context<'_>, key: TaskKey, durable: bool) {
+        let now = cx.now.mono;
+        let run = self.runs.get_mut(&key.run);
+        if run.is_some_and(|run| run.on_end(key, durable, now)) {
+            let detail = "failed on three workers".to_owned();
+            cx.fx.record("task.parked", &key.to_string(), detail);
+        }
+    }
+
     fn claimed(
         &mut self,
         cx: &mut Context<'_>,
--- a/crates/daisymast_ledger/src/commit.rs
+++ b/crates/daisymast_ledger/src/commit.rs
@@ -8,8 +8,8 @@
 use daisymast_types::ids::{InstanceId, RequestId};
 use daisymast_types::time::Monotonic;
 
+use crate::effect::{Reply, Ticket};
 use crate::entry::Entry;
-use crate::partition::{Reply, Ticket};
 use crate::segment::{self, SEAL_BYTES, SEAL_ENTRIES, Segment};
 use crate::write::Write;
 
@@ -175,6 +175,12 @@
             .collect()
     }
 
+    /// Answers all groups after the write failed: with `sure` if it surely took no effect.
+    pub(crate) fn answer_unless_uncertain(self, sure: &Reply) -> Answers {
+        let uncertain = self.write.uncertain;
+        self.answer(if uncertain { &Reply::Unknown } else { sure })
+    }
+
     pub(crate) fn has_waiters(&self) -> bool {
         self.items.iter().any(|item| item.ticket.is_some())
     }
--- a/crates/daisymast_ledger/src/lib.rs
+++ b/crates/daisymast_ledger/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`partition::Partition`] is one partition as one instance sees it. It makes at most one store call
 //! at a time and never reads a clock; the caller hands in time, requests and replies.
 
+pub mod effect;
 pub mod entry;
 pub mod keys;
 pub mod partition;
@@ -10,7 +11,9 @@
 pub mod segment;
 
 mod commit;
+mod identity;
 mod memory;
 mod owned;
+mod questions;
 mod takeover;
 mod write;
--- a/crates/daisymast_ledger/src/owned.rs
+++ b/crates/daisymast_ledger/src/owned.rs
@@ -10,10 +10,12 @@
 use daisymast_types::time::{Monotonic, Timestamp, UnixMillis};
 
 use crate::commit::{Answers, Commit, Queue};
+use crate::effect::{Reply, Ticket};
 use crate::entry::Entry;
+use crate::identity::Identity;
 use crate::keys;
 use crate::memory::Memory;
-use crate::partition::{Identity, Reply, Ticket};
+use crate::questions::Questions;
 use crate::segment::{self, SEAL_BYTES, SEAL_ENTRIES, Segment, Stamp};
 use crate::write::{Progress, Write};
 
@@ -22,6 +24,8 @@
 /// Time without a successful call after which the ownership is read back. Runs are polled only
 /// while it was confirmed within 15 min, so several reads may fail.
 pub(crate) const CONFIRM_INTERVAL: Duration = Duration::from_secs(60);
+/// Least time between two reads for the sake of questions; those that come meanwhile share one.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a sealed segment is kept, in milliseconds.
 pub(crate) const RETENTION_MS: u64 = 24 * 3_600 * 1_000;
 
@@ -74,6 +78,8 @@
     /// Time of sending of the last call that showed the ownership.
     pub(crate) confirmed: Monotonic,
     confirm_now: bool,
+    questions: Questions,
+    last_confirm: Option<Monotonic>,
 }
 
 impl Owned {
@@ -97,6 +103,8 @@
             last_write: Some(confirmed),
             confirmed,
             confirm_now: false,
+            questions: Questions::default(),
+            last_confirm: None,
         }
     }
 
@@ -121,9 +129,15 @@
         answer.map(|reply| (ticket, reply)).into_iter().collect()
     }
 
+    /// Queues a question after a request of which nothing is known.
+    pub(crate) fn ask(&mut self, now: Monotonic, ticket: Ticket, id: RequestId) -> Answers {
+        self.questions.push(now, ticket, id)
+    }
+
     /// Answers that are due because they waited too long.
     pub(crate) fn expire(&mut self, now: Monotonic) -> Answers {
         let mut answers = self.queue.expire(now);
+        answers.extend(self.questions.expire(now));
         if let Activity::Commit(commit) = &mut self.activity {
             answers.extend(commit.expire(now));
         }
@@ -136,7 +150,7 @@
             Activity::Commit(commit) => commit.has_waiters(),
             Activity::None | Activity::Confirm | Activity::Delete(_) => false,
         };
-        writing || !self.queue.is_empty()
+        writing || !self.queue.is_empty() || !self.questions.is_empty()
     }
 
     /// The call that is due, if any. Only asked for while no call is open.
@@ -175,11 +189,12 @@
                 Progress::Landed(revision) => {
                     self.confirmed = self.confirmed.max(sent);
                     answers.extend(self.landed(*commit, revision, wall));
+                    answers.extend(self.questions.confirmed(sent, &self.memory));
                     Step::Again
                 }
                 other => self.not_landed(*commit, other, answers),
             },
-            Activity::Confirm => self.confirm_read(sent, outcome),
+            Activity::Confirm => self.confirm_read(sent, outcome, answers),
             Activity::Delete(sealed) => self.deleted(sealed, &outcome),
         }
     }
@@ -188,6 +203,8 @@
     pub(crate) fn give_up(self, unsent: &Reply) -> Answers {
         let mut queue = self.queue;
         let mut answers = queue.clear(unsent);
+        let mut questions = self.questions;
+        answers.extend(questions.clear(unsent));
         if let Activity::Commit(commit) = self.activity {
             answers.extend(commit.answer(&Reply::Unknown));
         }
@@ -202,8 +219,13 @@
             self.last_write = Some(now.mono);
             return self.group(now, identity);
         }
-        if self.confirm_now || now.mono - self.confirmed >= CONFIRM_INTERVAL {
+        let asked = !self.questions.is_empty()
+            && self
+                .last_confirm
+                .is_none_or(|at| now.mono - at >= QUESTION_INTERVAL);
+        if asked || self.confirm_now || now.mono - self.confirmed >= CONFIRM_INTERVAL {
             self.confirm_now = false;
+            self.last_confirm = Some(now.mono);
             return Activity::Confirm;
         }
         match self.sealed.front() {
@@ -295,25 +317,25 @@
                 Step::Fenced(stamp.map(|stamp| stamp.epoch))
             }
             Progress::Broken(reason) => {
-                let sure = !commit.write.uncertain;
-                let reply = if sure {
-                    Reply::Unavailable
-                } else {
-                    Reply::Unknown
-                };
-                answers.extend(commit.answer(&reply));
+                answers.extend(commit.answer_unless_uncertain(&Reply::Unavailable));
                 Step::Broken(reason)
             }
         }
     }
 
-    fn confirm_read(&mut self, sent: Monotonic, outcome: Outcome<StoreReply>) -> Step {
+    fn confirm_read(
+        &mut self,
+        sent: Monotonic,
+        outcome: Outcome<StoreReply>,
+        answers: &mut Answers,
+    ) -> Step {
         let Outcome::Done(StoreReply::Value { entry }) = outcome else {
             self.confirm_now = true;
             return Step::Later;
         };
         if entry.as_ref().map_or(Revision(0), |entry| entry.revision) == self.revision {
             self.confirmed = self.confirmed.max(sent);
+            answers.extend(self.questions.confirmed(sent, &self.memory));
             return Step::Again;
         }
         match entry.as_ref().map(read_stamp) {
--- a/crates/daisymast_ledger/src/partition.rs
+++ b/crates/daisymast_ledger/src/partition.rs
@@ -5,15 +5,16 @@
 
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::peer::ClaimState;
-use daisymast_protocol::store::{StoreReply, StoreRequest};
-use daisymast_types::hashing;
+use daisymast_protocol::store::StoreReply;
 use daisymast_types::ids::{
-    BootId, Epoch, InstanceId, Nonce, Partition as PartitionId, RequestId, RunKey,
+    BootId, Epoch, InstanceId, Partition as PartitionId, RequestId, RunKey,
 };
 use daisymast_types::time::{Monotonic, Timestamp};
 
 use crate::commit::Answers;
+use crate::effect::{Change, Effect, Reply, Ticket};
 use crate::entry::{Entry, Settled};
+use crate::identity::Identity;
 use crate::owned::{self, Owned};
 use crate::record::RunRecord;
 use crate::takeover::{self, Takeover};
@@ -23,83 +24,6 @@
 /// Pause before a partition whose values could not be read is tried again.
 pub const BROKEN_PAUSE: Duration = Duration::from_secs(60);
 
-/// Number that the caller of a method gives and finds again in the answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub u64);
-
-/// What became of a request to the partition.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reply {
-    /// The entries are recorded. A claim is new.
-    Committed,
-    /// The id is known already. It may be a claim that is still being written.
-    Known(ClaimState),
-    /// The partition is not owned here; nothing was or will be recorded.
-    NotOwner,
-    /// The store cannot be written; nothing was or will be recorded.
-    Unavailable,
-    /// The entries may or may not be recorded, now or later.
-    Unknown,
-}
-
-/// A change of the ownership.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// The partition is owned from now on.
-    Owned(Epoch),
-    /// Another instance owns the partition; its epoch, if known.
-    Fenced(Option<Epoch>),
-    /// The ownership ended because the instance drains.
-    Released,
-    /// A value in the store cannot be read or written. It is left as it is.
-    Broken(String),
-    /// The store refused a write for its size or form.
-    Refused(String),
-}
-
-/// What the caller has to do.
-#[must_use = "a dropped effect loses a call or an answer"]
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Effect {
-    /// Make a store call and hand its outcome to [`Partition::on_store`] with the same number.
-    Call {
-        /// Number of the call.
-        call: u64,
-        /// The call.
-        request: StoreRequest,
-    },
-    /// Give an answer. Each ticket gets exactly one.
-    Answer {
-        /// Ticket of the request.
-        ticket: Ticket,
-        /// The answer.
-        reply: Reply,
-    },
-    /// The ownership changed.
-    Changed(Change),
-}
-
-/// Who acts, and its source of nonces.
-#[derive(Clone, Debug)]
-pub(crate) struct Identity {
-    pub(crate) partition: PartitionId,
-    pub(crate) owner: InstanceId,
-    pub(crate) address: String,
-    boot: BootId,
-    count: u64,
-}
-
-impl Identity {
-    pub(crate) fn nonce(&mut self) -> Nonce {
-        self.count += 1;
-        let use_number = (u128::from(self.partition.0) << 64) | u128::from(self.count);
-        Nonce(hashing::stable_pair(
-            &self.boot.0.to_le_bytes(),
-            &use_number.to_le_bytes(),
-        ))
-    }
-}
-
 #[derive(Clone, Debug)]
 enum Phase {
     Idle,
@@ -111,7 +35,7 @@
 /// A partition that is idle, being taken over, owned, or unreadable.
 ///
 /// ```
-/// use daisymast_ledger::partition;
+/// use daisymast_ledger::{effect, partition};
 /// use daisymast_types::{ids, time};
 /// let mut partition = partition::Partition::new(
 ///     ids::Partition(3),
@@ -120,7 +44,7 @@
 ///     ids::BootId(7),
 /// );
 /// let effects = partition.take_over(time::Timestamp::new(0, 1_780_000_000_000));
-/// assert!(matches!(effects[0], partition::Effect::Call { .. }));
+/// assert!(matches!(effects[0], effect::Effect::Call { .. }));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Partition {
@@ -140,13 +64,7 @@
     /// A partition that is not owned. `boot` differs for each start of the process.
     pub fn new(id: PartitionId, owner: InstanceId, address: &str, boot: BootId) -> Self {
         Self {
-            identity: Identity {
-                partition: id,
-                owner,
-                address: address.to_owned(),
-                boot,
-                count: 0,
-            },
+            identity: Identity::new(id, owner, address, boot),
             phase: Phase::Idle,
             floor: Epoch(0),
             calls: 0,
@@ -254,6 +172,20 @@
         self.record(now, ticket, vec![Entry::Settle { request, result }])
     }
 
+    /// Tells what is recorded of a request. That nothing is recorded is told only after a read that
+    /// shows the ownership, because a fenced owner does not know the claims of the next one.
+    pub fn status(&mut self, now: Timestamp, ticket: Ticket, request: RequestId) -> Vec<Effect> {
+        match (self.claim_state(&request), &mut self.phase) {
+            (Some(ClaimState::Absent), Phase::Owned(owned)) => {
+                let answers = owned.ask(now.mono, ticket, request);
+                self.answer_all(answers);
+                self.advance(now)
+            }
+            (Some(known), _) => answer(ticket, Reply::Known(known)),
+            (None, _) => answer(ticket, Reply::NotOwner),
+        }
+    }
+
     /// Records entries together.
     pub fn record(&mut self, now: Timestamp, ticket: Ticket, entries: Vec<Entry>) -> Vec<Effect> {
         match &mut self.phase {
@@ -276,6 +208,14 @@
         self.on_tick(now)
     }
 
+    /// Checks the ownership because a holder has seen a higher epoch.
+    pub fn check(&mut self, now: Timestamp) -> Vec<Effect> {
+        if let Phase::Owned(owned) = &mut self.phase {
+            owned.confirm();
+        }
+        self.advance(now)
+    }
+
     /// Checks the ownership because another instance says that it owns the partition.
     pub fn on_rival(&mut self, now: Timestamp, epoch: Epoch) -> Vec<Effect> {
         if let Phase::Owned(owned) = &mut self.phase
--- a/crates/daisymast_ledger/src/takeover.rs
+++ b/crates/daisymast_ledger/src/takeover.rs
@@ -5,10 +5,10 @@
 use daisymast_types::ids::{Epoch, Revision};
 use daisymast_types::time::{Monotonic, Timestamp};
 
+use crate::identity::Identity;
 use crate::keys;
 use crate::memory::Memory;
 use crate::owned::{Owned, SealedSegment};
-use crate::partition::Identity;
 use crate::segment::{self, Head, Segment, Stamp};
 use crate::write::{Progress, Write};
 
@@ -179,11 +179,22 @@
             // while the former owner wrote.
             return Ok(Step::Later);
         }
+        let last = last.clone();
+        self.prepare_seal(now, identity, last)
+    }
+
+    /// Marks the open segment with the new epoch, so that every write of the former owner fails.
+    fn prepare_seal(
+        &mut self,
+        now: Timestamp,
+        identity: &mut Identity,
+        last: Loaded,
+    ) -> Result<Step, String> {
         let segment = Segment {
             epoch: self.epoch,
             nonce: identity.nonce(),
             sealed: Some(now.wall),
-            ..last.segment.clone()
+            ..last.segment
         };
         let key = keys::segment(identity.partition, last.number);
         let write = Write::new(
--- a/crates/daisymast_ledger/tests/commit.rs
+++ b/crates/daisymast_ledger/tests/commit.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{Fault, Node, Store, at, recorded};
+use daisymast_ledger::effect::{Change, Reply};
 use daisymast_ledger::entry::{Entry, Origin, RunOpened, Settled, TaskEnd};
-use daisymast_ledger::partition::{Change, Reply};
 use daisymast_ledger::segment::Segment;
 use daisymast_protocol::caller::NotRunReason;
 use daisymast_protocol::peer::ClaimState;
@@ -334,3 +334,50 @@
     assert_eq!(node.changes.last(), Some(&Change::Released));
     assert!(node.partition.is_idle());
 }
+
+/// Guards against a fenced owner that tells of a request which the next owner recorded that nothing
+/// is recorded, and against a read for each question.
+#[test]
+fn absence_is_told_only_after_a_read_that_shows_the_ownership() {
+    let (mut store, mut node) = owner();
+    let ask = |node: &mut Node, store: &mut Store, time: u64, id: &str| {
+        let ticket = node.ticket();
+        let effects = node.partition.status(at(time), ticket, RequestId::from(id));
+        node.drive(at(time), store, effects, &mut |_, _| Fault::None);
+        ticket
+    };
+    let reads = store.reads;
+    let first = ask(&mut node, &mut store, 1_000, "r");
+    assert_eq!(node.answers[&first], Reply::Known(ClaimState::Absent));
+    let more: Vec<_> = (1..50)
+        .map(|more| ask(&mut node, &mut store, 1_000 + more, "r"))
+        .collect();
+    node.tick(at(1_100), &mut store);
+    for ticket in more {
+        assert_eq!(node.answers[&ticket], Reply::Known(ClaimState::Absent));
+    }
+    assert_eq!(store.reads, reads + 2);
+    let mut next = Node::new("b", 2);
+    next.take_over(at(2_000), &mut store);
+    next.claim(at(3_000), &mut store, "r");
+    let stale = ask(&mut node, &mut store, 4_000, "r");
+    assert_eq!(node.answers[&stale], Reply::NotOwner);
+}
+
+/// Guards against a question that is never answered while the store is down.
+#[test]
+fn question_is_refused_while_the_store_is_down() {
+    let (mut store, mut node) = owner();
+    let ticket = node.ticket();
+    let effects = node
+        .partition
+        .status(at(1_000), ticket, RequestId::from("r"));
+    node.drive(at(1_000), &mut store, effects, &mut |_, _| Fault::Refused);
+    for tick in 1..=20 {
+        let effects = node.partition.on_tick(at(1_000 + tick * 50));
+        node.drive(at(1_000 + tick * 50), &mut store, effects, &mut |_, _| {
+            Fault::Refused
+        });
+    }
+    assert_eq!(node.answers[&ticket], Reply::Unavailable);
+}
--- a/crates/daisymast_ledger/tests/common/mod.rs
+++ b/crates/daisymast_ledger/tests/common/mod.rs
@@ -3,7 +3,8 @@
 
 use std::collections::BTreeMap;
 
-use daisymast_ledger::partition::{Change, Effect, Partition, Reply, Ticket};
+use daisymast_ledger::effect::{Change, Effect, Reply, Ticket};
+use daisymast_ledger::partition::Partition;
 use daisymast_protocol::outcome::{CallError, Outcome};
 use daisymast_protocol::peer::ClaimState;
 use daisymast_protocol::store::{Entry, StoreReply, StoreRequest};
--- a/crates/daisymast_ledger/tests/interleavings.rs
+++ b/crates/daisymast_ledger/tests/interleavings.rs
@@ -5,10 +5,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::{Node, Store, at, recorded, refused, unknown};
-use daisymast_ledger::partition::{Effect, Reply, Ticket};
+use daisymast_ledger::effect::{Effect, Reply, Ticket};
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::peer::ClaimState;
 use daisymast_protocol::store::{StoreReply, StoreRequest};
+use daisymast_types::ids::RequestId;
 use daisymast_types::time::Timestamp;
 use proptest::prelude::{Just, Strategy, prop_oneof};
 use proptest::{collection, proptest};
@@ -22,6 +23,8 @@
     Tick(u16),
     TakeOver(usize),
     Claim(usize, u8),
+    /// Asks what is recorded.
+    Ask(usize, u8),
     /// Delivers the open call and its reply.
     Deliver(usize),
     LoseReply(usize),
@@ -41,6 +44,7 @@
         6 => (0_u16..400).prop_map(Op::Tick),
         3 => who().prop_map(Op::TakeOver),
         6 => (who(), 0..IDS).prop_map(|(who, id)| Op::Claim(who, id)),
+        2 => (who(), 0..IDS).prop_map(|(who, id)| Op::Ask(who, id)),
         14 => who().prop_map(Op::Deliver),
         2 => who().prop_map(Op::LoseReply),
         2 => who().prop_map(Op::LoseCall),
@@ -65,6 +69,8 @@
     nodes: Vec<Node>,
     open: Vec<Vec<(u64, StoreRequest)>>,
     asked: Vec<BTreeMap<Ticket, u8>>,
+    /// Questions, each with whether the id was acknowledged before.
+    questions: Vec<BTreeMap<Ticket, bool>>,
     late: Vec<StoreRequest>,
     told: BTreeMap<u8, Told>,
     clock: u64,
@@ -78,6 +84,7 @@
             nodes: vec![Node::new("a", 1), Node::new("b", 2)],
             open: vec![Vec::new(); OWNERS],
             asked: vec![BTreeMap::new(); OWNERS],
+            questions: vec![BTreeMap::new(); OWNERS],
             late: Vec::new(),
             told: BTreeMap::new(),
             clock: 0,
@@ -98,6 +105,14 @@
                 .extend(dropped.into_iter().map(|(_, request)| request));
         }
         for (ticket, reply) in std::mem::take(&mut self.nodes[who].answers) {
+            if let Some(acknowledged) = self.questions[who].remove(&ticket) {
+                let absent = reply == Reply::Known(ClaimState::Absent);
+                assert!(
+                    !(absent && acknowledged),
+                    "an acknowledged id was told to be absent"
+                );
+                continue;
+            }
             let id = self.asked[who]
                 .remove(&ticket)
                 .expect("ticket was given out");
@@ -141,6 +156,14 @@
                 self.told.entry(id).or_default().open += 1;
                 self.absorb(who, effects);
             }
+            Op::Ask(who, id) => {
+                let acknowledged = self.told.get(&id).is_some_and(|told| told.acknowledged > 0);
+                let ticket = self.nodes[who].ticket();
+                self.questions[who].insert(ticket, acknowledged);
+                let request = RequestId::from(format!("r-{id}"));
+                let effects = self.nodes[who].partition.status(now, ticket, request);
+                self.absorb(who, effects);
+            }
             Op::Deliver(who) => self.reply(who, |world, request| {
                 Outcome::Done(world.store.apply(request))
             }),
@@ -179,6 +202,7 @@
             .extend(dropped.into_iter().map(|(_, request)| request));
         // Their callers never get an answer, so their claims stay open.
         self.asked[who].clear();
+        self.questions[who].clear();
     }
 
     fn check(&mut self) {
--- a/crates/daisymast_ledger/tests/takeover.rs
+++ b/crates/daisymast_ledger/tests/takeover.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Fault, Node, Store, at, recorded};
-use daisymast_ledger::partition::{Change, Reply};
+use daisymast_ledger::effect::{Change, Reply};
 use daisymast_protocol::peer::ClaimState;
 use daisymast_types::ids::Epoch;
 
