Answer claims of an unreadable segment by what is surely known

A claim whose write may have landed before its segment became unreadable needs the answer unknown; no test held that. Both failure paths of a commit now share one rule.

--- a/crates/daisymast_ledger/src/owned.rs
+++ b/crates/daisymast_ledger/src/owned.rs
@@ -307,13 +307,7 @@
                 Step::Refused(reason)
             }
             Progress::Lost(stamp) => {
-                let sure = !commit.write.uncertain;
-                let reply = if sure {
-                    Reply::NotOwner
-                } else {
-                    Reply::Unknown
-                };
-                answers.extend(commit.answer(&reply));
+                answers.extend(commit.answer_unless_uncertain(&Reply::NotOwner));
                 Step::Fenced(stamp.map(|stamp| stamp.epoch))
             }
             Progress::Broken(reason) => {
--- a/crates/daisymast_ledger/tests/commit.rs
+++ b/crates/daisymast_ledger/tests/commit.rs
@@ -381,3 +381,22 @@
     }
     assert_eq!(node.answers[&ticket], Reply::Unavailable);
 }
+
+/// Guards against "surely not recorded" for a claim whose write may have landed before the segment
+/// became unreadable.
+#[test]
+fn unreadable_segment_after_a_lost_reply_leaves_the_claim_unknown() {
+    let (mut store, mut node) = owner();
+    let (ticket, effects) = node.claim_effects(at(1_000), "r");
+    let calls = node.absorb(effects);
+    let _ = store.apply(&calls[0].1);
+    let key = "ledger/3/seg/000000000001";
+    store.map.get_mut(key).expect("open segment").value = "?".to_owned();
+    let effects = node
+        .partition
+        .on_store(at(1_400), calls[0].0, common::unknown());
+    node.drive(at(1_400), &mut store, effects, &mut |_, _| Fault::None);
+    assert_eq!(node.answers[&ticket], Reply::Unknown);
+    assert!(matches!(node.changes.last(), Some(Change::Broken(_))));
+    assert_eq!(store.map[key].value, "?");
+}
