Keep a fenced owner from causing an exclusive task to run twice

A property test with two owners, lost replies, delayed starts, pauses and lost workers found an exclusive task in two places: a fenced owner that did not know of its fence went on polling the run and kept its tasks alive, while the new owner, which had reached the tasks once and was then paused, counted 15 s from its own last contact.

A run that was opened under a former owner is now given up only 15 min and 15 s after the takeover, unless this owner heard all other known instances during a whole lease. Then no instance that it does not see can have extended the task, and 15 s after the last contact are enough. A pause of the own process counts as a gap.

--- a/crates/daisymast_engine/src/runs.rs
+++ b/crates/daisymast_engine/src/runs.rs
@@ -71,11 +71,15 @@
     /// Ended attempts whose results are recorded, and which their workers may forget.
     forget: Vec<(WorkerId, TaskKey)>,
     round_at: Option<Monotonic>,
+    /// Time of the last tick, and time since which all other known instances were heard.
+    ticked: Monotonic,
+    all_seen_since: Monotonic,
     generation: Generation,
 }
 
 impl Runs {
     pub(crate) fn on_tick(&mut self, cx: &mut Context<'_>, claims: &mut Claims) {
+        self.watch_instances(cx);
         self.collect(cx, claims);
         let changed = self.sync_owned(cx, claims);
         let due = self.round_at.is_none_or(|last| cx.now.mono - last >= ROUND);
@@ -151,6 +155,14 @@
             self.give_back(cx, run);
             self.drop_run(run);
         }
+        let gained: Vec<Partition> = owned
+            .iter()
+            .filter(|(partition, epoch)| self.owned.get(*partition) != Some(*epoch))
+            .map(|(partition, _)| *partition)
+            .collect();
+        for partition in gained {
+            self.adopt_partition(cx, claims, partition);
+        }
         self.owned = owned;
         self.opening
             .retain(|run| self.owned.contains_key(&keys::of_run(*run)));
--- a/crates/daisymast_engine/src/runs/opening.rs
+++ b/crates/daisymast_engine/src/runs/opening.rs
@@ -2,12 +2,14 @@
 
 use daisymast_ledger::entry::{Entry, Origin};
 use daisymast_ledger::keys;
+use daisymast_membership::view::SUSPECT_AFTER;
 use daisymast_protocol::peer::PeerRequest;
 use daisymast_runs::due;
 use daisymast_runs::job::Job;
+use daisymast_runs::lease;
 use daisymast_runs::run::Run;
 use daisymast_runs::task::Phase;
-use daisymast_types::ids::RunKey;
+use daisymast_types::ids::{Partition, RunKey};
 
 use crate::claims::Claims;
 use crate::effects;
@@ -16,8 +18,25 @@
 use crate::shared::Context;
 
 impl Runs {
-    /// Follows each recorded open run, whether it was opened here or by a former owner.
-    /// `refresh` looks up the jobs of all runs again, because the manifest changed.
+    /// Takes over the open runs of a partition whose ownership is new.
+    pub(crate) fn adopt_partition(
+        &mut self,
+        cx: &Context<'_>,
+        claims: &Claims,
+        partition: Partition,
+    ) {
+        let manifest = cx.shared.manifest.as_ref();
+        for (key, record) in claims.runs(partition).into_iter().flatten() {
+            if !record.closed {
+                let job = manifest.and_then(|all| Job::of(all, &record.opened));
+                let run = Run::adopt(record, job, cx.now.mono);
+                self.runs.insert(*key, run);
+            }
+        }
+    }
+
+    /// Follows each open run that was recorded under the own ownership. `refresh` looks up the jobs
+    /// of all runs again, because the manifest changed.
     pub(crate) fn adopt_recorded(
         &mut self,
         cx: &mut Context<'_>,
@@ -33,7 +52,7 @@
                     let job = || Job::of(manifest.as_ref()?, &record.opened);
                     match self.runs.get_mut(key) {
                         None => {
-                            let run = Run::adopt(record, job(), cx.now.mono);
+                            let run = Run::new(record.opened.clone(), job(), cx.now.mono);
                             self.runs.insert(*key, run);
                         }
                         Some(run) if refresh => run.job = job(),
@@ -124,9 +143,25 @@
         }
     }
 
+    /// Notes since when all other known instances were heard without a gap. A pause of the own process
+    /// counts as a gap, because nothing is known of that time.
+    pub(crate) fn watch_instances(&mut self, cx: &Context<'_>) {
+        let now = cx.now.mono;
+        let paused = now - self.ticked >= SUSPECT_AFTER;
+        self.ticked = now;
+        let mut known = cx.shared.instances.keys();
+        if paused || !known.all(|instance| cx.shared.view.is_live(now, instance)) {
+            self.all_seen_since = now;
+        }
+    }
+
     pub(crate) fn give_up_expired(&mut self, cx: &mut Context<'_>) {
         let now = cx.now.mono;
-        let expired: Vec<_> = self.active_runs().flat_map(|run| run.expire(now)).collect();
+        let all_seen = now - self.all_seen_since >= lease::LEASE;
+        let expired: Vec<_> = self
+            .active_runs()
+            .flat_map(|run| run.expire(now, all_seen))
+            .collect();
         for key in expired {
             let detail = "no contact until its lease expired".to_owned();
             cx.fx.record("task.expired", &key.to_string(), detail);
--- a/crates/daisymast_engine/src/runs/tests.rs
+++ b/crates/daisymast_engine/src/runs/tests.rs
@@ -3,4 +3,6 @@
 mod faults;
 mod gangs;
 mod harness;
+mod holder;
+mod interleavings;
 mod ordinary;
--- a/crates/daisymast_engine/src/runs/tests/faults.rs
+++ b/crates/daisymast_engine/src/runs/tests/faults.rs
@@ -4,7 +4,8 @@
 use daisymast_types::ids::WorkerId;
 
 use crate::claims::tests::Store;
-use crate::runs::tests::harness::{Holder, Link, Node, batch, manifest};
+use crate::runs::tests::harness::{Node, batch, manifest};
+use crate::runs::tests::holder::{Holder, Link};
 
 fn started(tasks: u32) -> (Store, Holder, Node) {
     let (mut store, mut holder) = (Store::default(), Holder::new(3));
@@ -66,19 +67,22 @@
 fn new_owner_adopts_running_tasks_and_the_fenced_one_stops() {
     let (mut store, mut holder, mut former) = started(6);
     let mut next = Node::new("b", 2, &holder, manifest(vec![batch("survey", 6)], vec![]));
-    next.run(&mut store, &mut holder, 9_000);
+    next.pause(5_000);
+    next.run(&mut store, &mut holder, 14_000);
     assert_eq!((holder.starts.len(), holder.running()), (6, 6));
     holder.end_all(TaskState::Failed);
+    former.pause(14_000);
     // It does not hear the new owner, so it tries to take over again, but not within 2 s.
-    former.run(&mut store, &mut holder, 7_500);
+    former.run(&mut store, &mut holder, 16_500);
     assert!(
         former.runs.status().is_empty(),
         "its first write failed the compare"
     );
     let starts = holder.starts.len();
-    former.run(&mut store, &mut holder, 8_000);
+    former.run(&mut store, &mut holder, 17_000);
     assert_eq!(holder.starts.len(), starts);
-    next.run(&mut store, &mut holder, 20_000);
+    next.pause(17_000);
+    next.run(&mut store, &mut holder, 30_000);
     assert_eq!(holder.running(), 6);
     assert!(holder.tasks.values().all(|one| one.1.spec.key.attempt <= 2));
 }
@@ -90,10 +94,11 @@
     let (mut store, mut holder, _former) = started(1);
     holder.gone.insert(WorkerId::from("w-1"));
     let mut next = Node::new("b", 2, &holder, manifest(vec![batch("survey", 1)], vec![]));
-    next.run(&mut store, &mut holder, 915_000);
+    next.pause(5_000);
+    next.run(&mut store, &mut holder, 920_000);
     assert_eq!(holder.starts.len(), 1);
     holder.end_all(TaskState::Expired);
-    next.run(&mut store, &mut holder, 930_000);
+    next.run(&mut store, &mut holder, 935_000);
     assert_eq!(holder.starts.len(), 2);
 }
 
--- a/crates/daisymast_engine/src/runs/tests/gangs.rs
+++ b/crates/daisymast_engine/src/runs/tests/gangs.rs
@@ -4,7 +4,8 @@
 use daisymast_types::ids::WorkerId;
 
 use crate::claims::tests::Store;
-use crate::runs::tests::harness::{Holder, Node, gang, manifest};
+use crate::runs::tests::harness::{Node, gang, manifest};
+use crate::runs::tests::holder::Holder;
 
 /// Guards against reservations in another order than that of the workers, and against capacity that
 /// stays reserved.
--- /dev/null
+++ b/crates/daisymast_engine/src/runs/tests/holder.rs
@@ -0,0 +1,266 @@
+//! The instance that holds all workers, with the tasks and leases on them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use daisymast_protocol::outcome::{CallError, Outcome};
+use daisymast_protocol::peer::{PeerReply, PeerRequest, WorkerCapacity};
+use daisymast_protocol::task::{TaskReport, TaskSpec, TaskState};
+use daisymast_protocol::worker::{Fate, Refusal};
+use daisymast_types::ids::{Epoch, Partition, RunKey, TaskKey, WorkerId};
+use daisymast_types::quantities::Resources;
+use daisymast_types::time::Timestamp;
+
+/// How a call to the holder goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Link {
+    Good,
+    /// The call takes effect and its reply is lost.
+    LosesReplies,
+    /// The call takes no effect, which the caller cannot know.
+    LosesCalls,
+    /// The call takes effect 900 ms after its caller was told that its outcome is unknown.
+    Delays,
+}
+
+/// Task lease of an exclusive task, in milliseconds.
+const LEASE_MS: u64 = 10_000;
+/// Time for which a poll extends a run, in milliseconds.
+const KEEP_MS: u64 = 3_000;
+
+/// The instance that holds all workers, with the tasks on them.
+pub(crate) struct Holder {
+    pub(crate) workers: BTreeMap<WorkerId, Resources>,
+    /// Workers that the holder lost: it answers as if it never held them.
+    pub(crate) gone: BTreeSet<WorkerId>,
+    pub(crate) tasks: BTreeMap<TaskKey, (WorkerId, TaskReport)>,
+    tombstones: BTreeSet<TaskKey>,
+    pub(crate) reserved: BTreeMap<(WorkerId, RunKey), Resources>,
+    /// Workers that refuse reservations and starts.
+    pub(crate) full: BTreeSet<WorkerId>,
+    pub(crate) starts: Vec<(u64, TaskKey, WorkerId)>,
+    pub(crate) stops: Vec<TaskKey>,
+    pub(crate) reserves: Vec<WorkerId>,
+    pub(crate) polls: Vec<u64>,
+    pub(crate) start_link: Link,
+    pub(crate) poll_link: Link,
+    /// Last poll of each run, and the end of the lease of each task.
+    kept: BTreeMap<RunKey, u64>,
+    leases: BTreeMap<TaskKey, u64>,
+    late: Vec<(u64, PeerRequest)>,
+    epochs: BTreeMap<Partition, Epoch>,
+    /// Whether polls under a lower epoch than seen before are refused. A holder that was not polled
+    /// by the newer owner cannot know of it.
+    pub(crate) refuses_stale: bool,
+}
+
+impl Holder {
+    pub(crate) fn new(workers: u32) -> Self {
+        let capacity = Resources::new(8_000, 16 * 1_024, 0);
+        Self {
+            workers: (1..=workers)
+                .map(|number| (WorkerId::from(format!("w-{number}")), capacity))
+                .collect(),
+            gone: BTreeSet::new(),
+            tasks: BTreeMap::new(),
+            tombstones: BTreeSet::new(),
+            reserved: BTreeMap::new(),
+            full: BTreeSet::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+            reserves: Vec::new(),
+            polls: Vec::new(),
+            start_link: Link::Good,
+            poll_link: Link::Good,
+            kept: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            late: Vec::new(),
+            epochs: BTreeMap::new(),
+            refuses_stale: true,
+        }
+    }
+
+    pub(crate) fn held(&self) -> Vec<WorkerId> {
+        let held = self.workers.keys().filter(|one| !self.gone.contains(*one));
+        held.cloned().collect()
+    }
+
+    /// Ends all running tasks.
+    pub(crate) fn end_all(&mut self, state: TaskState) {
+        for (_, report) in self.tasks.values_mut() {
+            if report.state == TaskState::Running {
+                report.state = state;
+            }
+        }
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        let running = |one: &&(WorkerId, TaskReport)| one.1.state == TaskState::Running;
+        self.tasks.values().filter(running).count()
+    }
+
+    fn free(&self, worker: &WorkerId) -> Resources {
+        let running = self
+            .tasks
+            .values()
+            .filter(|(on, report)| on == worker && report.state == TaskState::Running)
+            .map(|(_, report)| report.spec.size);
+        let reserved = self.reserved.iter().filter(|((on, _), _)| on == worker);
+        let used = running
+            .chain(reserved.map(|(_, size)| *size))
+            .fold(Resources::ZERO, |sum, size| sum + size);
+        self.workers[worker].saturating_sub(used)
+    }
+
+    /// Extends and ends task leases, and lets delayed calls take effect.
+    pub(crate) fn tick(&mut self, now: Timestamp) {
+        let clock = now.mono.as_millis();
+        while self.late.first().is_some_and(|(due, _)| *due <= clock) {
+            let (_, request) = self.late.remove(0);
+            let _ = self.answer(now, request);
+        }
+        for (key, (worker, report)) in &mut self.tasks {
+            let lease = self.leases.entry(*key).or_insert(clock + LEASE_MS);
+            let kept = self
+                .kept
+                .get(&key.run)
+                .is_some_and(|at| clock - at < KEEP_MS);
+            if kept && !self.gone.contains(worker) {
+                *lease = clock + LEASE_MS;
+            }
+            if report.state == TaskState::Running && *lease <= clock {
+                report.state = TaskState::Expired;
+            }
+        }
+    }
+
+    pub(crate) fn call(&mut self, now: Timestamp, request: PeerRequest) -> Outcome<PeerReply> {
+        let is_start = matches!(request, PeerRequest::Start { .. });
+        let link = if is_start {
+            self.start_link
+        } else {
+            Link::Good
+        };
+        if let PeerRequest::Start { worker, task } = &request {
+            let start = (now.mono.as_millis(), task.key, worker.clone());
+            self.starts.push(start);
+        }
+        let lost = Outcome::Unknown(CallError::new("call", "holder", "deadline passed"));
+        match link {
+            Link::Good => Outcome::Done(self.answer(now, request)),
+            Link::LosesReplies => {
+                let _ = self.answer(now, request);
+                lost
+            }
+            Link::LosesCalls => lost,
+            Link::Delays => {
+                self.late.push((now.mono.as_millis() + 900, request));
+                lost
+            }
+        }
+    }
+
+    fn answer(&mut self, now: Timestamp, request: PeerRequest) -> PeerReply {
+        match request {
+            PeerRequest::Capacity => PeerReply::Capacity(
+                self.held()
+                    .into_iter()
+                    .map(|worker| WorkerCapacity {
+                        capacity: self.workers[&worker],
+                        free: self.free(&worker),
+                        open: true,
+                        worker,
+                    })
+                    .collect(),
+            ),
+            PeerRequest::Start { worker, task } => self.start(worker, task),
+            PeerRequest::PollRuns {
+                partition,
+                epoch,
+                runs,
+                recorded,
+            } => {
+                let seen = self.epochs.entry(partition).or_insert(epoch);
+                if self.refuses_stale && epoch < *seen {
+                    return PeerReply::StaleEpoch;
+                }
+                *seen = epoch.max(*seen);
+                self.polls.push(now.mono.as_millis());
+                for task in recorded {
+                    self.tasks.remove(&task);
+                }
+                let clock = now.mono.as_millis();
+                self.kept.extend(runs.iter().map(|run| (*run, clock)));
+                let gone = &self.gone;
+                let listed = self.tasks.values().filter(|(worker, report)| {
+                    runs.contains(&report.spec.key.run) && !gone.contains(worker)
+                });
+                PeerReply::Runs(listed.cloned().collect())
+            }
+            PeerRequest::ResolveTask { worker, task } => self.resolve(&worker, task),
+            PeerRequest::Stop { task, .. } => {
+                self.stops.push(task);
+                if let Some((_, report)) = self.tasks.get_mut(&task) {
+                    report.state = TaskState::Stopped;
+                }
+                PeerReply::Ok
+            }
+            PeerRequest::Reserve { worker, run, size } => {
+                self.reserves.push(worker.clone());
+                if self.full.contains(&worker) || !size.fits_in(self.free(&worker)) {
+                    return PeerReply::Refused(Refusal::NoCapacity);
+                }
+                self.reserved.insert((worker, run), size);
+                PeerReply::Ok
+            }
+            PeerRequest::Unreserve { worker, run } => {
+                self.reserved.remove(&(worker, run));
+                PeerReply::Ok
+            }
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+
+    fn start(&mut self, worker: WorkerId, spec: TaskSpec) -> PeerReply {
+        if self.gone.contains(&worker) {
+            return PeerReply::NotHolder { holder: None };
+        }
+        if self.tasks.contains_key(&spec.key) || self.tombstones.contains(&spec.key) {
+            return PeerReply::Refused(Refusal::Duplicate);
+        }
+        if let Some(reserved) = self.reserved.get_mut(&(worker.clone(), spec.key.run)) {
+            *reserved -= spec.size;
+        }
+        if self.full.contains(&worker) || !spec.size.fits_in(self.free(&worker)) {
+            return PeerReply::Refused(Refusal::NoCapacity);
+        }
+        let twice = self.tasks.values().any(|(_, report)| {
+            let key = report.spec.key;
+            report.state == TaskState::Running
+                && (key.run, key.index) == (spec.key.run, spec.key.index)
+        });
+        assert!(!twice, "{} runs in two places", spec.key);
+        let report = TaskReport {
+            state: TaskState::Running,
+            elapsed_ms: 0,
+            spec,
+        };
+        self.tasks.insert(report.spec.key, (worker, report));
+        PeerReply::Ok
+    }
+
+    fn resolve(&mut self, worker: &WorkerId, task: TaskKey) -> PeerReply {
+        if self.gone.contains(worker) {
+            return PeerReply::NotHolder { holder: None };
+        }
+        PeerReply::Fate(match self.tasks.get(&task) {
+            None => {
+                self.tombstones.insert(task);
+                Fate::NeverRan
+            }
+            Some((_, report)) if report.state == TaskState::Running => Fate::Running,
+            Some((_, report)) => Fate::Ended {
+                report: report.clone(),
+            },
+        })
+    }
+}
--- a/crates/daisymast_engine/src/runs/tests/ordinary.rs
+++ b/crates/daisymast_engine/src/runs/tests/ordinary.rs
@@ -4,7 +4,8 @@
 use daisymast_types::quantities::{Resources, Urgency};
 
 use crate::claims::tests::Store;
-use crate::runs::tests::harness::{Holder, Node, batch, manifest};
+use crate::runs::tests::harness::{Node, batch, manifest};
+use crate::runs::tests::holder::Holder;
 
 /// Guards against a run that is not opened, not completed, opened again, or whose results stay at
 /// the workers.
@@ -64,7 +65,8 @@
     first.declare(manifest(vec![batch("survey", 2)], vec![]));
     first.run(&mut store, &mut holder, 5_000);
     let mut second = Node::new("b", 2, &holder, manifest(vec![], vec![]));
-    second.run(&mut store, &mut holder, 8_000);
+    second.pause(5_000);
+    second.run(&mut store, &mut holder, 13_000);
     assert_eq!(second.runs.status().len(), 1);
     assert!(holder.stops.is_empty());
     assert_eq!(holder.running(), 2);
--- a/crates/daisymast_runs/src/lease.rs
+++ b/crates/daisymast_runs/src/lease.rs
@@ -9,6 +9,9 @@
 pub const KEEP: Duration = Duration::from_secs(3);
 /// Allowance for clocks that run at different rates.
 pub const MARGIN: Duration = Duration::from_secs(2);
+/// Time from the last extension of an exclusive attempt by its owner to its sure end: 15 s.
+pub const LEASE: Duration =
+    Duration::from_secs(KEEP.as_secs() + limits::EXCLUSIVE_TASK_LEASE.as_secs() + MARGIN.as_secs());
 /// Age of the last confirmation of ownership from which an owner no longer polls. A store outage of
 /// this length stops no running task.
 pub const CONFIRMED_WITHIN: Duration = Duration::from_secs(15 * 60);
@@ -28,18 +31,27 @@
 
 /// Time from which the attempt surely runs no longer.
 ///
+/// `rival` is the time of the takeover if a former owner may still poll the run through an instance
+/// that this owner does not see. Such a poll extends each task of the run, also one that this owner
+/// has reached before or has started itself.
+///
 /// ```
 /// use std::time::Duration;
 /// use daisymast_runs::lease;
 /// use daisymast_types::time::Monotonic;
 /// let seen = lease::Contact::Seen(Monotonic::ZERO);
-/// assert_eq!(lease::expiry(seen, true), Monotonic::ZERO + Duration::from_secs(15));
+/// assert_eq!(lease::expiry(seen, true, None), Monotonic::ZERO + Duration::from_secs(15));
+/// let rival = Some(Monotonic::ZERO);
+/// assert_eq!(lease::expiry(seen, true, rival), Monotonic::ZERO + Duration::from_secs(915));
 /// ```
-pub fn expiry(contact: Contact, exclusive: bool) -> Monotonic {
-    let lease = KEEP + limits::EXCLUSIVE_TASK_LEASE + MARGIN;
-    match (contact, exclusive) {
-        (Contact::Seen(at), true) => at + lease,
-        (Contact::Adopted(at), true) => at + CONFIRMED_WITHIN + lease,
-        (Contact::Seen(at) | Contact::Adopted(at), false) => at + SHARED_PATIENCE,
+pub fn expiry(contact: Contact, exclusive: bool, rival: Option<Monotonic>) -> Monotonic {
+    if !exclusive {
+        let (Contact::Seen(at) | Contact::Adopted(at)) = contact;
+        return at + SHARED_PATIENCE;
     }
+    let own = match contact {
+        Contact::Seen(at) => at + LEASE,
+        Contact::Adopted(at) => at + CONFIRMED_WITHIN + LEASE,
+    };
+    rival.map_or(own, |taken| own.max(taken + CONFIRMED_WITHIN + LEASE))
 }
--- a/crates/daisymast_runs/src/run.rs
+++ b/crates/daisymast_runs/src/run.rs
@@ -46,23 +46,32 @@
     pub opened: RunOpened,
     /// Its job under the manifest in force, if that is known.
     pub job: Option<Job>,
+    /// Time of the takeover, if the run was opened under a former owner, which may go on polling it.
+    taken: Option<Monotonic>,
     tasks: Vec<Task>,
 }
 
 impl Run {
-    /// A run as the ledger holds it. Its claimed tasks may run under a former owner.
-    pub fn adopt(record: &RunRecord, job: Option<Job>, now: Monotonic) -> Self {
-        let tasks = (0..record.opened.tasks)
-            .map(|index| match record.tasks.get(&index) {
-                Some(task) => Task::adopt(task, now),
-                None => Task::new(now),
-            })
-            .collect();
+    /// A run that this owner opened.
+    pub fn new(opened: RunOpened, job: Option<Job>, now: Monotonic) -> Self {
         Self {
-            opened: record.opened.clone(),
+            tasks: (0..opened.tasks).map(|_| Task::new(now)).collect(),
+            opened,
             job,
-            tasks,
+            taken: None,
+        }
+    }
+
+    /// A run as a new owner finds it in the ledger. Its claimed tasks may run under the former one.
+    pub fn adopt(record: &RunRecord, job: Option<Job>, now: Monotonic) -> Self {
+        let mut run = Self::new(record.opened.clone(), job, now);
+        run.taken = Some(now);
+        for (index, task) in &record.tasks {
+            if let Some(found) = run.task_mut(*index) {
+                *found = Task::adopt(task, now);
+            }
         }
+        run
     }
 
     /// All tasks by index.
@@ -250,16 +259,19 @@
         }
     }
 
-    /// Gives up attempts that surely run no longer. Returns them.
-    pub fn expire(&mut self, now: Monotonic) -> Vec<TaskKey> {
+    /// Gives up attempts that surely run no longer. Returns them. `all_seen` tells whether this owner
+    /// has heard of all other instances during a whole lease, so that no instance which it does not
+    /// see can have extended an attempt.
+    pub fn expire(&mut self, now: Monotonic, all_seen: bool) -> Vec<TaskKey> {
         let run = self.opened.run;
         // Without a manifest the strict rule is the safe one.
         let exclusive = self.job.as_ref().is_none_or(|job| job.exclusive);
+        let rival = self.taken.filter(|_| !all_seen);
         let mut expired = Vec::new();
         for (index, task) in (0..).zip(&mut self.tasks) {
             let over = match task.phase {
                 Phase::Claimed(since) => now - since >= START_WITHIN,
-                Phase::Active { .. } => now >= lease::expiry(task.contact, exclusive),
+                Phase::Active { .. } => now >= lease::expiry(task.contact, exclusive, rival),
                 _ => false,
             };
             if over {
--- a/crates/daisymast_runs/tests/run.rs
+++ b/crates/daisymast_runs/tests/run.rs
@@ -62,7 +62,7 @@
 fn run(exclusive: bool) -> Run {
     let opened = opened();
     let job = Job::of(&manifest(exclusive), &opened);
-    Run::adopt(&RunRecord::new(opened), job, second(0))
+    Run::new(opened, job, second(0))
 }
 
 /// A run whose task 0 was started at second `at`.
@@ -137,10 +137,10 @@
     let (mut run, key) = started(true, 10);
     let running = report(&run, key, TaskState::Running);
     assert!(!run.on_report(&running, second(20)));
-    assert!(run.expire(second(34)).is_empty());
+    assert!(run.expire(second(34), true).is_empty());
     run.on_poll_failed(second(25));
-    assert!(run.expire(second(39)).is_empty());
-    assert_eq!(run.expire(second(40)), [key]);
+    assert!(run.expire(second(39), true).is_empty());
+    assert_eq!(run.expire(second(40), true), [key]);
     assert!(
         run.waiting(second(100)) == [1],
         "not before the end is recorded"
@@ -154,8 +154,8 @@
 #[test]
 fn shared_task_is_given_up_after_five_seconds() {
     let (mut run, key) = started(false, 10);
-    assert!(run.expire(second(14)).is_empty());
-    assert_eq!(run.expire(second(15)), [key]);
+    assert!(run.expire(second(14), true).is_empty());
+    assert_eq!(run.expire(second(15), true), [key]);
 }
 
 /// Guards against a second start while the first may still take effect.
@@ -170,7 +170,7 @@
     assert!(run.startable().is_empty());
     assert_eq!(run.waiting(second(100)), [1]);
     assert_eq!(run.doubtful(), [0]);
-    assert!(run.expire(second(27)).is_empty());
+    assert!(run.expire(second(27), true).is_empty());
     let mut never = run.clone();
     never.on_fate(key, &Fate::NeverRan, second(12));
     assert_eq!(never.take_ends(second(12)), [(key, TaskEnd::Lost)]);
@@ -192,14 +192,14 @@
     let mut unreached = Run::adopt(&record, Job::of(&manifest(true), &opened()), second(0));
     assert_eq!(unreached.doubtful(), [0]);
     unreached.on_poll_failed(second(100));
-    assert!(unreached.expire(second(15 * 60 + 14)).is_empty());
+    assert!(unreached.expire(second(15 * 60 + 14), true).is_empty());
     let mut adopted = unreached.clone();
-    assert_eq!(unreached.expire(second(15 * 60 + 15)).len(), 1);
+    assert_eq!(unreached.expire(second(15 * 60 + 15), true).len(), 1);
     let key = adopted.key(0);
     let running = report(&adopted, key, TaskState::Running);
     let _ = adopted.on_report(&running, second(200));
-    assert!(adopted.expire(second(214)).is_empty());
-    assert_eq!(adopted.expire(second(215)), [key]);
+    assert!(adopted.expire(second(214), true).is_empty());
+    assert_eq!(adopted.expire(second(215), true), [key]);
 }
 
 /// Guards against endless retries, and against retries on the worker that failed the task.
@@ -297,8 +297,34 @@
     for time in 11..15 {
         let _ = run.start(0);
         run.on_start(key, StartOutcome::NotSent, second(time));
-        assert!(run.expire(second(time)).is_empty());
+        assert!(run.expire(second(time), true).is_empty());
     }
-    assert_eq!(run.expire(second(15)), [key]);
+    assert_eq!(run.expire(second(15), true), [key]);
     assert_eq!(run.take_ends(second(15)), [(key, TaskEnd::Lost)]);
 }
+
+/// Guards against two places at once when a fenced owner polls the run through an instance that the
+/// new owner does not see: the polls extend adopted tasks and also those that the new owner started.
+#[test]
+fn unseen_instances_delay_the_end_of_adopted_runs() {
+    let adopted = |index: u32| {
+        let record = RunRecord::new(opened());
+        let job = Job::of(&manifest(true), &opened());
+        let mut run = Run::adopt(&record, job, second(0));
+        assert!(run.claim(index, WorkerId::from("w-1")).is_some());
+        let _ = run.on_claim(index, ClaimOutcome::Recorded, second(20));
+        let _ = run.start(index);
+        run.on_start(run.key(index), StartOutcome::Started, second(20));
+        run
+    };
+    assert!(adopted(0).expire(second(914), false).is_empty());
+    assert_eq!(adopted(0).expire(second(915), false).len(), 1);
+    assert!(adopted(0).expire(second(34), true).is_empty());
+    assert_eq!(adopted(0).expire(second(35), true).len(), 1);
+    let (mut own, key) = started(true, 10);
+    assert_eq!(
+        own.expire(second(25), false),
+        [key],
+        "no former owner knows the run"
+    );
+}
