Place tasks by an index of free capacity, and learn true sizes

Cause: first fit ignores the shape of what it leaves, does not spread replicas, and places gangs one task after the other. Declared sizes are far off at times.

Change: `Pool` keeps open workers in a grid of free processors and memory and compares up to 128 of the tightest fitting ones by how little the task unbalances what is free. Spread counts the replicas of a run by zone, rack and worker; a gang takes the roomiest workers, or nothing. The interface stays; `set_replicas`, `set_speed` and `free` are new. `learning` keeps smoothed sizes, run times and speeds.

--- /dev/null
+++ b/crates/daisymast_placement/src/learning.rs
@@ -0,0 +1,176 @@
+//! What running tasks show of jobs and workers: true sizes, run times and speeds.
+//!
+//! Declared sizes and run times are far off at times. Each learned value is smoothed and bounded, so
+//! that one odd report changes little.
+
+use std::time::Duration;
+
+use daisymast_types::collections::FastMap;
+use daisymast_types::ids::{JobName, WorkerId};
+use daisymast_types::quantities::Resources;
+
+/// Reports of a job before its learned size is used.
+const TRUSTED_REPORTS: u32 = 8;
+/// Jobs that are remembered.
+const MAX_JOBS: usize = 16_384;
+/// Workers that are remembered.
+const MAX_WORKERS: usize = 8_192;
+/// Room above the learned use of processors, in percent. A task that is short of them slows down.
+const PROCESSOR_ROOM: u64 = 110;
+/// Room above the learned use of memory, in percent. A task that is short of it dies.
+const MEMORY_ROOM: u64 = 125;
+/// Least part of the declared processors, in percent.
+const PROCESSOR_FLOOR: u64 = 25;
+/// Least part of the declared memory, in percent.
+const MEMORY_FLOOR: u64 = 50;
+/// Bounds of the learned speed of a worker, in thousandths.
+const SPEEDS: (u64, u64) = (250, 4_000);
+
+/// Learned values of all jobs and workers.
+///
+/// ```
+/// use daisymast_placement::learning::Learning;
+/// use daisymast_types::{ids::JobName, quantities::Resources};
+/// let mut learning = Learning::default();
+/// let (job, declared) = (JobName::from("survey"), Resources::new(4_000, 8_192, 0));
+/// for _ in 0..100 {
+///     learning.on_usage(&job, Resources::new(1_000, 2_048, 0));
+/// }
+/// let largest = Resources::new(32_000, 65_536, 0);
+/// let size = learning.placement_size(&job, declared, largest);
+/// assert_eq!(size, Resources::new(1_100, 4_096, 0));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Learning {
+    jobs: FastMap<JobName, Job>,
+    workers: FastMap<WorkerId, u64>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Job {
+    reports: u32,
+    processors: u64,
+    memory: u64,
+    runs: u32,
+    run_ms: u64,
+}
+
+impl Learning {
+    /// Takes a measured use of one running task of a job. The estimate rises by half of the
+    /// difference and falls by a sixteenth, since too little is worse than too much.
+    pub fn on_usage(&mut self, job: &JobName, used: Resources) {
+        if let Some(job) = self.job(job) {
+            let first = job.reports == 0;
+            job.processors = follow(first, job.processors, used.millicores.into());
+            job.memory = follow(first, job.memory, used.memory_mib.into());
+            job.reports = job.reports.saturating_add(1);
+        }
+    }
+
+    /// Takes the run time of a task that succeeded.
+    pub fn on_run(&mut self, job: &JobName, worker: &WorkerId, elapsed: Duration) {
+        let elapsed = u64::try_from(elapsed.as_millis())
+            .unwrap_or(u64::MAX)
+            .max(1);
+        let speed = self.speed(worker).into();
+        let Some(job) = self.job(job) else {
+            return;
+        };
+        // The time that a worker of the usual speed would take.
+        let usual = (elapsed.saturating_mul(speed) / 1_000).max(1);
+        let expected = if job.runs == 0 { usual } else { job.run_ms };
+        job.run_ms = smooth(expected, usual.min(expected.saturating_mul(8)));
+        job.runs = job.runs.saturating_add(1);
+        let shown = (expected.saturating_mul(1_000) / elapsed).clamp(SPEEDS.0, SPEEDS.1);
+        if self.workers.contains_key(worker) || self.workers.len() < MAX_WORKERS {
+            let known = self.workers.entry(worker.clone()).or_insert(1_000);
+            *known = smooth(*known, shown).clamp(SPEEDS.0, SPEEDS.1);
+        }
+    }
+
+    /// Size to place a task by: the learned use with some room, at least a quarter of the declared
+    /// processors and half of the declared memory, at most what the largest worker can hold. It may
+    /// be above the declared size. Accelerators stay as declared.
+    pub fn placement_size(
+        &self,
+        job: &JobName,
+        declared: Resources,
+        largest: Resources,
+    ) -> Resources {
+        let Some(known) = self
+            .jobs
+            .get(job)
+            .filter(|job| job.reports >= TRUSTED_REPORTS)
+        else {
+            return declared;
+        };
+        let size = |used: u64, room: u64, declared: u32, floor: u64, largest: u32| {
+            let least = (u64::from(declared) * floor).div_ceil(100);
+            let size = (used.saturating_mul(room) / 100).max(least);
+            // A declared size above the largest worker stays: the task fits nowhere.
+            let most = u64::from(largest.max(declared));
+            u32::try_from(size.min(most)).unwrap_or(u32::MAX)
+        };
+        Resources::new(
+            size(
+                known.processors,
+                PROCESSOR_ROOM,
+                declared.millicores,
+                PROCESSOR_FLOOR,
+                largest.millicores,
+            ),
+            size(
+                known.memory,
+                MEMORY_ROOM,
+                declared.memory_mib,
+                MEMORY_FLOOR,
+                largest.memory_mib,
+            ),
+            declared.accelerators,
+        )
+    }
+
+    /// Learned run time of a job on a worker, if one of its tasks succeeded before.
+    pub fn run_time(&self, job: &JobName, worker: &WorkerId) -> Option<Duration> {
+        let known = self.jobs.get(job).filter(|job| job.runs > 0)?;
+        let speed = u64::from(self.speed(worker));
+        Some(Duration::from_millis(
+            known.run_ms.saturating_mul(1_000) / speed,
+        ))
+    }
+
+    /// Learned speed of a worker in thousandths of the usual one.
+    pub fn speed(&self, worker: &WorkerId) -> u32 {
+        let speed = self.workers.get(worker).copied().unwrap_or(1_000);
+        u32::try_from(speed).unwrap_or(1_000)
+    }
+
+    /// Forgets the jobs that are no longer declared.
+    pub fn retain_jobs(&mut self, declared: impl Fn(&JobName) -> bool) {
+        self.jobs.retain(|job, _| declared(job));
+    }
+
+    /// Forgets the workers that are gone.
+    pub fn retain_workers(&mut self, known: impl Fn(&WorkerId) -> bool) {
+        self.workers.retain(|worker, _| known(worker));
+    }
+
+    fn job(&mut self, job: &JobName) -> Option<&mut Job> {
+        if !self.jobs.contains_key(job) && self.jobs.len() >= MAX_JOBS {
+            return None;
+        }
+        Some(self.jobs.entry(job.clone()).or_default())
+    }
+}
+
+fn follow(first: bool, known: u64, seen: u64) -> u64 {
+    if first || seen > known {
+        known + (seen - known).div_ceil(if first { 1 } else { 2 })
+    } else {
+        known - (known - seen) / 16
+    }
+}
+
+fn smooth(known: u64, seen: u64) -> u64 {
+    (known.saturating_mul(7).saturating_add(seen) / 8).max(1)
+}
--- a/crates/daisymast_placement/src/pool.rs
+++ b/crates/daisymast_placement/src/pool.rs
@@ -1,8 +1,19 @@
 //! The workers that tasks can be placed on.
 
+use daisymast_types::collections::FastMap;
 use daisymast_types::ids::{Rack, RunKey, WorkerId, Zone};
 use daisymast_types::quantities::Resources;
 
+use crate::gang;
+use crate::grid::{Axis, Grid, Position};
+use crate::spread::{Racks, Replicas};
+
+/// Workers that a search compares before it decides. With fewer, a fleet of mixed shapes is filled
+/// less tightly, because the tightest cells hold one shape only.
+const CANDIDATES: usize = 128;
+/// Speed of a worker that is as fast as expected, in thousandths.
+const USUAL_SPEED: u32 = 1_000;
+
 /// One worker as the scheduler sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Machine {
@@ -54,65 +65,322 @@
 }
 
 /// Workers and what is free on them.
+///
+/// ```
+/// use daisymast_placement::pool::{Demand, Machine, Policy, Pool};
+/// use daisymast_types::{ids, quantities::Resources};
+/// let capacity = Resources::new(32_000, 128 * 1024, 0);
+/// let mut pool = Pool::default();
+/// pool.update(Machine {
+///     worker: ids::WorkerId::from("w-1"),
+///     zone: ids::Zone::from("Austin"),
+///     rack: ids::Rack::from("r-1"),
+///     capacity,
+///     free: capacity,
+///     open: true,
+/// });
+/// let demand = Demand {
+///     run: ids::RunKey(1),
+///     policy: Policy::Pack,
+///     size: Resources::new(4_000, 2_048, 0),
+///     avoid: Vec::new(),
+/// };
+/// assert_eq!(pool.place(&demand), Ok(ids::WorkerId::from("w-1")));
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
-    machines: Vec<Machine>,
+    pub(crate) seats: Vec<Option<Seat>>,
+    vacant: Vec<u32>,
+    index: FastMap<WorkerId, u32>,
+    /// Open workers without and with free accelerators. Tasks without accelerators take workers of
+    /// the second grid only if the first has none.
+    plain: Grid,
+    accelerated: Grid,
+    pub(crate) racks: Racks,
+    pub(crate) replicas: Replicas,
+    /// Capacities of the workers and how many have each; fleets have few shapes.
+    shapes: FastMap<Resources, u32>,
+    processors: u64,
+    memory: u64,
+}
+
+/// A worker in the pool.
+#[derive(Clone, Debug)]
+pub(crate) struct Seat {
+    pub(crate) machine: Machine,
+    pub(crate) speed: u32,
+    /// Place in the grid, if the worker is open.
+    position: Option<Position>,
 }
 
 impl Pool {
     /// Adds a worker or replaces what is known of it.
-    pub fn update(&mut self, machine: Machine) {
-        match self
-            .machines
-            .iter_mut()
-            .find(|known| known.worker == machine.worker)
-        {
-            Some(known) => *known = machine,
-            None => self.machines.push(machine),
-        }
+    pub fn update(&mut self, mut machine: Machine) {
+        let capacity = machine.capacity;
+        machine.free = within(machine.free, capacity);
+        let speed = self
+            .seat_of(&machine.worker)
+            .map_or(USUAL_SPEED, |seat| seat.speed);
+        self.remove(&machine.worker.clone());
+        let slot = self.vacant.pop().unwrap_or_else(|| {
+            self.seats.push(None);
+            u32::try_from(self.seats.len() - 1).unwrap_or(u32::MAX)
+        });
+        self.index.insert(machine.worker.clone(), slot);
+        *self.shapes.entry(capacity).or_default() += 1;
+        self.processors += u64::from(capacity.millicores);
+        self.memory += u64::from(capacity.memory_mib);
+        self.racks.insert(&machine.zone, &machine.rack, slot);
+        self.seats[slot as usize] = Some(Seat {
+            machine,
+            speed,
+            position: None,
+        });
+        self.enter_grid(slot);
     }
 
     /// Removes a worker.
     pub fn remove(&mut self, worker: &WorkerId) {
-        self.machines.retain(|machine| machine.worker != *worker);
+        let Some(slot) = self.index.remove(worker) else {
+            return;
+        };
+        self.leave_grid(slot);
+        let Some(seat) = self.seats[slot as usize].take() else {
+            return;
+        };
+        let capacity = seat.machine.capacity;
+        self.processors -= u64::from(capacity.millicores);
+        self.memory -= u64::from(capacity.memory_mib);
+        if let Some(count) = self.shapes.get_mut(&capacity) {
+            *count -= 1;
+            if *count == 0 {
+                self.shapes.remove(&capacity);
+            }
+        }
+        self.racks
+            .remove(&seat.machine.zone, &seat.machine.rack, slot);
+        self.vacant.push(slot);
     }
 
     /// Chooses a worker for one task and takes the task's size from what is free there.
     pub fn place(&mut self, demand: &Demand) -> Result<WorkerId, NoPlace> {
-        let found = self.machines.iter_mut().find(|machine| {
-            machine.open
-                && demand.size.fits_in(machine.free)
-                && !demand.avoid.contains(&machine.worker)
-        });
-        if let Some(machine) = found {
-            machine.free -= demand.size;
-            return Ok(machine.worker.clone());
+        let found = match demand.policy {
+            Policy::Spread => self.find_spread(demand),
+            Policy::Pack | Policy::Gang => self.find_packed(demand),
+        };
+        let slot = found.ok_or_else(|| self.no_place(demand.size))?;
+        self.take(slot, demand.size);
+        let seat = self.seats[slot as usize].as_ref();
+        let machine = seat.map(|seat| &seat.machine).ok_or(NoPlace::NoRoom)?;
+        if demand.policy == Policy::Spread {
+            self.replicas.add(demand.run, machine);
         }
-        let fits = self
-            .machines
-            .iter()
-            .any(|machine| demand.size.fits_in(machine.capacity));
-        Err(if fits || self.machines.is_empty() {
-            NoPlace::NoRoom
-        } else {
-            NoPlace::NeverFits
-        })
+        Ok(machine.worker.clone())
     }
 
     /// Chooses workers for all `tasks` of a job, or takes nothing at all.
     pub fn place_gang(&mut self, demand: &Demand, tasks: u32) -> Result<Vec<WorkerId>, NoPlace> {
-        let mut trial = self.clone();
-        let workers = (0..tasks)
-            .map(|_| trial.place(demand))
-            .collect::<Result<Vec<_>, _>>()?;
-        *self = trial;
+        let plan = gang::plan(self, demand, tasks).ok_or_else(|| self.no_place(demand.size))?;
+        let mut workers = Vec::new();
+        for (slot, count) in plan {
+            for _ in 0..count {
+                self.take(slot, demand.size);
+                workers.extend(self.worker(slot));
+            }
+        }
         Ok(workers)
     }
 
-    /// Gives back what a task used.
+    /// Gives back what a task used. What is free never exceeds what the worker can hold.
     pub fn release(&mut self, worker: &WorkerId, size: Resources) {
-        if let Some(machine) = self.machines.iter_mut().find(|one| one.worker == *worker) {
-            machine.free += size;
+        if let Some(slot) = self.index.get(worker).copied() {
+            self.change_free(slot, |free| free + size);
+        }
+    }
+
+    /// Replaces what is known of where the replicas of a service run. Spreading counts them, and
+    /// [`Pool::place`] adds each replica that it places; [`Pool::release`] removes none, since it does
+    /// not know the run. Workers that the pool does not know are left out.
+    pub fn set_replicas(&mut self, run: RunKey, workers: &[WorkerId]) {
+        self.replicas.clear(run);
+        for worker in workers {
+            let slot = self.index.get(worker).copied().unwrap_or(u32::MAX);
+            if let Some(Some(seat)) = self.seats.get(slot as usize) {
+                self.replicas.add(run, &seat.machine);
+            }
+        }
+    }
+
+    /// Sets the learned speed of a worker in thousandths of the expected one. Of equally good
+    /// workers the faster one is chosen.
+    pub fn set_speed(&mut self, worker: &WorkerId, speed: u32) {
+        let slot = self.index.get(worker).copied();
+        if let Some(seat) = slot.and_then(|slot| self.seats.get_mut(slot as usize)?.as_mut()) {
+            seat.speed = speed.max(1);
+        }
+    }
+
+    /// What is free on a worker.
+    pub fn free(&self, worker: &WorkerId) -> Option<Resources> {
+        self.seat_of(worker).map(|seat| seat.machine.free)
+    }
+
+    pub(crate) fn seat(&self, slot: u32) -> Option<&Seat> {
+        self.seats.get(slot as usize)?.as_ref()
+    }
+
+    /// The worker of the least score among the first candidates of the grid.
+    fn find_packed(&self, demand: &Demand) -> Option<u32> {
+        let axis = self.scarce(demand.size);
+        let mean = self.mean();
+        let grids = if demand.size.accelerators > 0 {
+            [Some(&self.accelerated), None]
+        } else {
+            [Some(&self.plain), Some(&self.accelerated)]
+        };
+        grids.into_iter().flatten().find_map(|grid| {
+            let mut best: Option<(i64, u32)> = None;
+            let mut seen = 0;
+            grid.search(demand.size, axis, |slot| {
+                let seat = self.seat(slot).filter(|seat| seat.suits(demand));
+                if let Some(seat) = seat {
+                    let score = seat.score(demand.size, mean);
+                    if best.is_none_or(|(least, _)| score < least) {
+                        best = Some((score, slot));
+                    }
+                    seen += 1;
+                }
+                seen < CANDIDATES
+            });
+            best.map(|(_, slot)| slot)
+        })
+    }
+
+    /// Quantity of which the size takes the larger part of the whole pool.
+    fn scarce(&self, size: Resources) -> Axis {
+        let processors = u128::from(size.millicores) * u128::from(self.memory);
+        let memory = u128::from(size.memory_mib) * u128::from(self.processors);
+        if processors >= memory {
+            Axis::Processors
+        } else {
+            Axis::Memory
+        }
+    }
+
+    /// Capacity of the mean worker.
+    pub(crate) fn mean(&self) -> Resources {
+        let workers = u64::try_from(self.index.len()).unwrap_or(u64::MAX).max(1);
+        let mean = |sum: u64| u32::try_from(sum / workers).unwrap_or(u32::MAX);
+        Resources::new(mean(self.processors), mean(self.memory), 0)
+    }
+
+    fn no_place(&self, size: Resources) -> NoPlace {
+        if self.shapes.is_empty() || self.shapes.keys().any(|shape| size.fits_in(*shape)) {
+            NoPlace::NoRoom
+        } else {
+            NoPlace::NeverFits
+        }
+    }
+
+    fn seat_of(&self, worker: &WorkerId) -> Option<&Seat> {
+        self.seat(*self.index.get(worker)?)
+    }
+
+    fn worker(&self, slot: u32) -> Option<WorkerId> {
+        self.seat(slot).map(|seat| seat.machine.worker.clone())
+    }
+
+    fn take(&mut self, slot: u32, size: Resources) {
+        self.change_free(slot, |free| free - size);
+    }
+
+    fn change_free(&mut self, slot: u32, change: impl Fn(Resources) -> Resources) {
+        let Some(seat) = self.seats[slot as usize].as_mut() else {
+            return;
+        };
+        let before = seat.machine.free;
+        let free = within(change(before), seat.machine.capacity);
+        seat.machine.free = free;
+        let stays = seat.position.is_none_or(|position| {
+            Grid::is_same(position, free) && (before.accelerators > 0) == (free.accelerators > 0)
+        });
+        if !stays {
+            seat.machine.free = before;
+            self.leave_grid(slot);
+            if let Some(seat) = self.seats[slot as usize].as_mut() {
+                seat.machine.free = free;
+            }
+            self.enter_grid(slot);
+        }
+    }
+
+    fn enter_grid(&mut self, slot: u32) {
+        let Some(seat) = self.seats[slot as usize].as_mut() else {
+            return;
+        };
+        if seat.machine.open {
+            let free = seat.machine.free;
+            let grid = if free.accelerators > 0 {
+                &mut self.accelerated
+            } else {
+                &mut self.plain
+            };
+            seat.position = Some(grid.insert(slot, free));
         }
     }
+
+    fn leave_grid(&mut self, slot: u32) {
+        let Some(seat) = self.seats[slot as usize].as_mut() else {
+            return;
+        };
+        let Some(position) = seat.position.take() else {
+            return;
+        };
+        let grid = if seat.machine.free.accelerators > 0 {
+            &mut self.accelerated
+        } else {
+            &mut self.plain
+        };
+        let moved = grid.remove(position);
+        if let Some(moved) = moved.and_then(|slot| self.seats[slot as usize].as_mut()) {
+            moved.position = Some(position);
+        }
+    }
+}
+
+impl Seat {
+    /// Whether the worker may take the task now.
+    pub(crate) fn suits(&self, demand: &Demand) -> bool {
+        self.machine.open
+            && demand.size.fits_in(self.machine.free)
+            && !demand.avoid.contains(&self.machine.worker)
+    }
+
+    /// How much the task changes the balance of what is free, in ten-thousandths of the mean worker;
+    /// less is better. What is free of one quantity without the other can hold nothing. The search
+    /// brings tight workers first, so of equal scores the first is the tightest.
+    pub(crate) fn score(&self, size: Resources, mean: Resources) -> i64 {
+        let before = self.machine.free;
+        let after = before - size;
+        let speed = i64::from(self.speed.min(4 * USUAL_SPEED));
+        imbalance(after, mean) - imbalance(before, mean) - speed / 100
+    }
+}
+
+fn imbalance(free: Resources, mean: Resources) -> i64 {
+    let processors = part(free.millicores, mean.millicores);
+    (processors - part(free.memory_mib, mean.memory_mib)).abs()
+}
+
+fn part(free: u32, capacity: u32) -> i64 {
+    i64::from(free) * 10_000 / i64::from(capacity.max(1))
+}
+
+/// Each quantity cut to that of the capacity.
+fn within(free: Resources, capacity: Resources) -> Resources {
+    Resources::new(
+        free.millicores.min(capacity.millicores),
+        free.memory_mib.min(capacity.memory_mib),
+        free.accelerators.min(capacity.accelerators),
+    )
 }
--- /dev/null
+++ b/crates/daisymast_placement/tests/learning.rs
@@ -0,0 +1,109 @@
+//! Learned sizes, run times and speeds.
+
+use std::time::Duration;
+
+use daisymast_placement::learning::Learning;
+use daisymast_types::ids::{JobName, WorkerId};
+use daisymast_types::quantities::Resources;
+
+const DECLARED: Resources = Resources::new(4_000, 8_192, 1);
+const LARGEST: Resources = Resources::new(32_000, 65_536, 4);
+
+fn learned(reports: usize, used: Resources) -> Resources {
+    let job = JobName::from("survey");
+    let mut learning = Learning::default();
+    for _ in 0..reports {
+        learning.on_usage(&job, used);
+    }
+    learning.placement_size(&job, DECLARED, LARGEST)
+}
+
+/// Guards against a size that rests on a few reports.
+#[test]
+fn the_declared_size_stands_until_enough_reports_came() {
+    let used = Resources::new(1_000, 1_024, 0);
+    assert_eq!(learned(7, used), DECLARED);
+    assert_ne!(learned(8, used), DECLARED);
+}
+
+/// Guards against tasks that die because memory was taken from them, and against sizes above any
+/// worker.
+#[test]
+fn learned_sizes_are_bounded() {
+    assert_eq!(
+        learned(100, Resources::ZERO),
+        Resources::new(1_000, 4_096, 1)
+    );
+    let above = learned(100, Resources::new(6_000, 16_384, 0));
+    assert_eq!(above, Resources::new(6_600, 20_480, 1));
+    let far_above = learned(100, Resources::new(90_000, 900_000, 0));
+    assert_eq!(far_above, Resources::new(32_000, 65_536, 1));
+}
+
+/// Guards against one odd report that shrinks a job, and against a slow reaction to a growing one.
+#[test]
+fn sizes_rise_fast_and_fall_slowly() {
+    let job = JobName::from("survey");
+    let mut learning = Learning::default();
+    let usual = Resources::new(4_000, 8_192, 0);
+    for _ in 0..100 {
+        learning.on_usage(&job, usual);
+    }
+    let before = learning.placement_size(&job, DECLARED, LARGEST);
+    learning.on_usage(&job, Resources::ZERO);
+    let after = learning.placement_size(&job, DECLARED, LARGEST);
+    assert!(u64::from(after.memory_mib) * 100 >= u64::from(before.memory_mib) * 93);
+    for _ in 0..4 {
+        learning.on_usage(&job, Resources::new(8_000, 16_384, 0));
+    }
+    let grown = learning.placement_size(&job, DECLARED, LARGEST);
+    assert!(grown.memory_mib > 16_384);
+}
+
+/// Guards against a slow worker that makes its jobs look long, and against speeds without bound.
+#[test]
+fn slow_workers_are_told_from_long_jobs() {
+    let mut learning = Learning::default();
+    let (fast, slow) = (WorkerId::from("w-1"), WorkerId::from("w-2"));
+    for _ in 0..200 {
+        for job in ["a", "b", "c"] {
+            learning.on_run(&JobName::from(job), &fast, Duration::from_secs(10));
+            learning.on_run(&JobName::from(job), &slow, Duration::from_secs(20));
+        }
+    }
+    let ratio = f64::from(learning.speed(&fast)) / f64::from(learning.speed(&slow));
+    assert!((1.8..=2.2).contains(&ratio), "{ratio}");
+    let time = |worker| {
+        learning
+            .run_time(&JobName::from("a"), worker)
+            .expect("known")
+    };
+    assert!(
+        (9.0..=11.0).contains(&time(&fast).as_secs_f64()),
+        "{:?}",
+        time(&fast)
+    );
+    assert!(
+        (18.0..=22.0).contains(&time(&slow).as_secs_f64()),
+        "{:?}",
+        time(&slow)
+    );
+    for _ in 0..200 {
+        learning.on_run(&JobName::from("a"), &fast, Duration::from_millis(1));
+    }
+    assert!(learning.speed(&fast) <= 4_000);
+}
+
+/// Guards against memory that is kept for retired jobs and replaced workers.
+#[test]
+fn retired_jobs_and_workers_are_forgotten() {
+    let mut learning = Learning::default();
+    let (job, worker) = (JobName::from("a"), WorkerId::from("w-1"));
+    learning.on_run(&job, &worker, Duration::from_secs(10));
+    learning.on_run(&job, &worker, Duration::from_secs(1));
+    assert_ne!(learning.speed(&worker), 1_000);
+    learning.retain_jobs(|_| false);
+    learning.retain_workers(|_| false);
+    assert_eq!(learning.run_time(&job, &worker), None);
+    assert_eq!(learning.speed(&worker), 1_000);
+}
--- /dev/null
+++ b/crates/daisymast_placement/tests/pool.rs
@@ -0,0 +1,344 @@
+//! The pool of workers.
+
+use daisymast_placement::pool::{Demand, Machine, NoPlace, Policy, Pool};
+use daisymast_types::collections::FastMap;
+use daisymast_types::ids::{Rack, RunKey, WorkerId, Zone};
+use daisymast_types::quantities::Resources;
+use proptest::prelude::*;
+
+const CAPACITY: Resources = Resources::new(8_000, 16_384, 0);
+
+fn machine(number: u32) -> Machine {
+    Machine {
+        worker: WorkerId::from(format!("w-{number}")),
+        zone: Zone::from(format!("zone-{}", number / 8)),
+        rack: Rack::from(format!("rack-{}", number / 2)),
+        capacity: CAPACITY,
+        free: CAPACITY,
+        open: true,
+    }
+}
+
+fn pool(count: u32) -> Pool {
+    let mut pool = Pool::default();
+    for number in 0..count {
+        pool.update(machine(number));
+    }
+    pool
+}
+
+fn demand(policy: Policy, millicores: u32, memory: u32) -> Demand {
+    Demand {
+        run: RunKey(1),
+        policy,
+        size: Resources::new(millicores, memory, 0),
+        avoid: Vec::new(),
+    }
+}
+
+fn number(worker: &WorkerId) -> u32 {
+    worker
+        .as_str()
+        .trim_start_matches("w-")
+        .parse()
+        .expect("a number")
+}
+
+/// Guards against a large hole that is spoiled while a tight one would do.
+#[test]
+fn packing_prefers_the_tightest_worker() {
+    let mut pool = pool(4);
+    let mut nearly_full = machine(2);
+    nearly_full.free = Resources::new(1_000, 2_048, 0);
+    pool.update(nearly_full);
+    let found = pool.place(&demand(Policy::Pack, 1_000, 2_048));
+    assert_eq!(found, Ok(WorkerId::from("w-2")));
+}
+
+/// Guards against memory that is left over without processors to use it.
+#[test]
+fn packing_keeps_the_shape_of_what_is_left() {
+    let mut pool = pool(2);
+    let mut lopsided = machine(1);
+    lopsided.free = Resources::new(4_000, 16_384, 0);
+    pool.update(lopsided);
+    let found = pool.place(&demand(Policy::Pack, 1_000, 8_192));
+    assert_eq!(found, Ok(WorkerId::from("w-1")));
+}
+
+/// Guards against replicas that share a zone, rack or worker while others have none.
+#[test]
+fn spreading_takes_zones_then_racks_then_workers() {
+    let mut pool = pool(16);
+    let demand = demand(Policy::Spread, 500, 1_024);
+    let placed: Vec<u32> = (0..32)
+        .map(|_| number(&pool.place(&demand).expect("room")))
+        .collect();
+    let distinct = |count: usize, group: u32| {
+        let mut groups: Vec<u32> = placed[..count].iter().map(|one| one / group).collect();
+        groups.sort_unstable();
+        groups.dedup();
+        groups.len()
+    };
+    assert_eq!(distinct(2, 8), 2, "two zones");
+    assert_eq!(distinct(8, 2), 8, "eight racks");
+    assert_eq!(distinct(16, 1), 16, "sixteen workers");
+    for worker in 0..16 {
+        assert_eq!(placed.iter().filter(|one| **one == worker).count(), 2);
+    }
+}
+
+/// Guards against spreading that forgets the replicas that ran before.
+#[test]
+fn spreading_counts_the_replicas_that_it_is_told_of() {
+    let mut pool = pool(16);
+    let first_zone: Vec<WorkerId> = (0..8)
+        .map(|number| WorkerId::from(format!("w-{number}")))
+        .collect();
+    pool.set_replicas(RunKey(1), &first_zone);
+    for _ in 0..8 {
+        let worker = pool
+            .place(&demand(Policy::Spread, 500, 1_024))
+            .expect("room");
+        assert!(number(&worker) >= 8);
+    }
+    pool.set_replicas(RunKey(1), &[]);
+    let other_run = Demand {
+        run: RunKey(2),
+        ..demand(Policy::Spread, 500, 1_024)
+    };
+    assert!(pool.place(&other_run).is_ok());
+}
+
+/// Guards against a gang that is scattered, and against one that is placed in part.
+#[test]
+fn a_gang_is_placed_whole_on_few_workers_or_not_at_all() {
+    let mut pool = pool(4);
+    let mut small = machine(3);
+    small.free = Resources::new(2_000, 16_384, 0);
+    pool.update(small);
+    let task = demand(Policy::Gang, 2_000, 1_024);
+    assert_eq!(pool.place_gang(&task, 14), Err(NoPlace::NoRoom));
+    for worker in 0..3 {
+        assert_eq!(
+            pool.free(&WorkerId::from(format!("w-{worker}"))),
+            Some(CAPACITY)
+        );
+    }
+    let workers = pool.place_gang(&task, 5).expect("room");
+    let on_small = workers.iter().filter(|worker| number(worker) == 3).count();
+    assert_eq!(
+        (workers.len(), on_small),
+        (5, 1),
+        "four on one worker, the rest on the tightest"
+    );
+    let mut distinct = workers;
+    distinct.dedup();
+    assert_eq!(distinct.len(), 2);
+}
+
+/// Guards against a retry on a worker where the task failed.
+#[test]
+fn avoided_workers_are_not_used() {
+    for policy in [Policy::Pack, Policy::Spread, Policy::Gang] {
+        let mut pool = pool(2);
+        let mut demand = demand(policy, 1_000, 1_024);
+        demand.avoid = vec![WorkerId::from("w-0")];
+        assert_eq!(pool.place(&demand), Ok(WorkerId::from("w-1")));
+        assert_eq!(
+            pool.place_gang(&demand, 2),
+            Ok(vec![WorkerId::from("w-1"); 2])
+        );
+        demand.avoid.push(WorkerId::from("w-1"));
+        assert_eq!(pool.place(&demand), Err(NoPlace::NoRoom));
+    }
+}
+
+/// Guards against a task that waits for ever, and against one that is rejected while it only waits.
+#[test]
+fn never_fits_is_told_from_no_room() {
+    let never = demand(Policy::Pack, 8_001, 1_024);
+    let large = demand(Policy::Pack, 8_000, 16_384);
+    assert_eq!(Pool::default().place(&never), Err(NoPlace::NoRoom));
+    let mut pool = pool(1);
+    assert_eq!(pool.place(&never), Err(NoPlace::NeverFits));
+    assert_eq!(pool.place_gang(&never, 1), Err(NoPlace::NeverFits));
+    assert!(pool.place(&large).is_ok());
+    assert_eq!(pool.place(&large), Err(NoPlace::NoRoom));
+    pool.release(&WorkerId::from("w-0"), large.size);
+    let mut closed = machine(0);
+    closed.open = false;
+    pool.update(closed);
+    assert_eq!(pool.place(&large), Err(NoPlace::NoRoom));
+    pool.remove(&WorkerId::from("w-0"));
+    assert_eq!(pool.place(&never), Err(NoPlace::NoRoom));
+}
+
+/// Guards against accelerators that are used up by tasks without need of them.
+#[test]
+fn accelerators_are_kept_for_those_who_need_them() {
+    let mut pool = pool(1);
+    let mut special = machine(1);
+    special.capacity.accelerators = 1;
+    special.free = Resources::new(1_000, 1_024, 1);
+    pool.update(special);
+    let plain = demand(Policy::Pack, 1_000, 1_024);
+    assert_eq!(pool.place(&plain), Ok(WorkerId::from("w-0")));
+    let mut needy = plain.clone();
+    needy.size.accelerators = 1;
+    assert_eq!(pool.place(&needy), Ok(WorkerId::from("w-1")));
+    assert_eq!(pool.place(&needy), Err(NoPlace::NoRoom));
+}
+
+/// Guards against slow workers that get work while equally good faster ones are free.
+#[test]
+fn faster_workers_come_first() {
+    let mut pool = pool(3);
+    pool.set_speed(&WorkerId::from("w-1"), 2_000);
+    assert_eq!(
+        pool.place(&demand(Policy::Pack, 1_000, 2_048)),
+        Ok(WorkerId::from("w-1"))
+    );
+}
+
+/// Guards against more free capacity than a worker has, for example after a task is released twice.
+#[test]
+fn free_capacity_never_exceeds_the_worker() {
+    let mut pool = pool(1);
+    let worker = WorkerId::from("w-0");
+    pool.release(&worker, CAPACITY);
+    assert_eq!(pool.free(&worker), Some(CAPACITY));
+    let mut wrong = machine(0);
+    wrong.free = Resources::new(9_000, 20_000, 3);
+    pool.update(wrong);
+    assert_eq!(pool.free(&worker), Some(CAPACITY));
+}
+
+#[derive(Clone, Debug)]
+enum Act {
+    Place(usize, Resources),
+    Gang(Resources, u32),
+    Release(usize),
+    Close(u32, bool),
+    Remove(u32),
+}
+
+fn size() -> impl Strategy<Value = Resources> {
+    (0..9_000_u32, 0..18_000_u32, 0..3_u16).prop_map(|(processors, memory, accelerators)| {
+        Resources::new(processors, memory, accelerators.saturating_sub(1))
+    })
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        8 => (0..3_usize, size()).prop_map(|(policy, size)| Act::Place(policy, size)),
+        1 => (size(), 1..8_u32).prop_map(|(size, tasks)| Act::Gang(size, tasks)),
+        6 => any::<usize>().prop_map(Act::Release),
+        1 => (0..12_u32, any::<bool>()).prop_map(|(which, open)| Act::Close(which, open)),
+        1 => (0..12_u32).prop_map(Act::Remove),
+    ]
+}
+
+/// The same workers, kept in the plainest way.
+#[derive(Default)]
+struct Model {
+    machines: FastMap<WorkerId, Machine>,
+    tasks: Vec<(WorkerId, Resources)>,
+}
+
+impl Model {
+    fn room(&self, size: Resources) -> bool {
+        self.machines
+            .values()
+            .any(|one| one.open && size.fits_in(one.free))
+    }
+
+    fn take(&mut self, worker: &WorkerId, size: Resources) {
+        let machine = self.machines.get_mut(worker).expect("a known worker");
+        assert!(
+            machine.open && size.fits_in(machine.free),
+            "{size:?} on {machine:?}"
+        );
+        machine.free -= size;
+        self.tasks.push((worker.clone(), size));
+    }
+}
+
+fn shaped(number: u32) -> Machine {
+    let mut machine = machine(number);
+    if number.is_multiple_of(3) {
+        machine.capacity = Resources::new(4_000, 8_192, 1);
+    }
+    machine.free = machine.capacity;
+    machine
+}
+
+fn step(pool: &mut Pool, model: &mut Model, act: Act) {
+    let policies = [Policy::Pack, Policy::Spread, Policy::Gang];
+    let demand = |policy, size| Demand {
+        run: RunKey(1),
+        policy,
+        size,
+        avoid: Vec::new(),
+    };
+    match act {
+        Act::Place(policy, size) => match pool.place(&demand(policies[policy], size)) {
+            Ok(worker) => model.take(&worker, size),
+            Err(_) => assert!(!model.room(size), "{size:?} was refused"),
+        },
+        Act::Gang(size, tasks) => {
+            if let Ok(workers) = pool.place_gang(&demand(Policy::Gang, size), tasks) {
+                assert_eq!(workers.len(), tasks as usize);
+                workers.iter().for_each(|worker| model.take(worker, size));
+            }
+        }
+        Act::Release(which) if !model.tasks.is_empty() => {
+            let (worker, size) = model.tasks.swap_remove(which % model.tasks.len());
+            pool.release(&worker, size);
+            if let Some(machine) = model.machines.get_mut(&worker) {
+                machine.free += size;
+            }
+        }
+        Act::Release(_) => {}
+        Act::Close(which, open) => {
+            let worker = WorkerId::from(format!("w-{which}"));
+            let known = model
+                .machines
+                .entry(worker)
+                .or_insert_with(|| shaped(which));
+            known.open = open;
+            pool.update(known.clone());
+        }
+        Act::Remove(which) => {
+            let worker = WorkerId::from(format!("w-{which}"));
+            pool.remove(&worker);
+            model.machines.remove(&worker);
+            model.tasks.retain(|(on, _)| *on != worker);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(256)
+    })]
+
+    /// Guards against a worker above its capacity, a refusal while there is room, and an index that
+    /// differs from the workers.
+    #[test]
+    fn the_pool_agrees_with_a_plain_model(acts in prop::collection::vec(act(), 1..200)) {
+        let (mut pool, mut model) = (Pool::default(), Model::default());
+        for number in 0..12 {
+            pool.update(shaped(number));
+            model.machines.insert(shaped(number).worker, shaped(number));
+        }
+        for act in acts {
+            step(&mut pool, &mut model, act);
+            for (worker, machine) in &model.machines {
+                prop_assert_eq!(pool.free(worker), Some(machine.free));
+            }
+        }
+    }
+}
