--- a/crates/daisymast_engine/src/requests.rs
+++ b/crates/daisymast_engine/src/requests.rs
@@ -40,6 +40,9 @@
 /// the ledger and the caller can ask for it.
 const FOLLOW_UP: Duration = Duration::from_secs(5);
 
+/// Time kept for the last settlements and for giving the leases back when draining.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
 /// What to do with a reply.
 #[derive(Debug)]
 pub(crate) enum Step {
@@ -80,21 +83,23 @@
     settles: claim::Settles,
     /// Zone at which the next forward starts.
     rotation: u64,
+    /// Questions of callers after the state of a request that are not answered yet.
+    questions: usize,
+    /// Time at which the instance was first seen draining.
+    draining: Option<Monotonic>,
 }
 
 impl Requests {
     pub(crate) fn on_tick(&mut self, cx: &mut Context<'_>) {
-        self.admission.refresh(cx);
+        self.admission.resize(cx);
+        self.refresh(cx);
+        self.shorten(cx);
         for key in self.admission.take_expired(cx.now.mono) {
             self.finish(cx, key, End::NotRun(NotRunReason::DeadlineUnreachable));
         }
         self.expire(cx);
         self.ask_again(cx);
         self.settle_again(cx);
-        if let Some(manifest) = cx.shared.manifest.clone() {
-            self.endpoints
-                .retain(|name| manifest.service(name).is_some());
-        }
         self.start_next(cx);
     }
 
@@ -144,9 +149,36 @@
         self.start_next(cx);
     }
 
-    /// Whether no request is in flight.
+    /// Whether no request, question or settlement is in flight.
     pub(crate) fn is_idle(&self) -> bool {
-        self.exchanges.is_empty() && self.settles.is_empty()
+        self.exchanges.is_empty() && self.settles.is_empty() && self.questions == 0
+    }
+
+    /// Takes over a new manifest.
+    fn refresh(&mut self, cx: &Context<'_>) {
+        if self.admission.refresh(cx)
+            && let Some(manifest) = &cx.shared.manifest
+        {
+            self.endpoints
+                .retain(|name| manifest.service(name).is_some());
+        }
+    }
+
+    /// Ends the requests in flight early enough that the instance can stop within its drain limit.
+    /// Their callers get a status path where the end is not known by then.
+    fn shorten(&mut self, cx: &Context<'_>) {
+        if !cx.shared.draining {
+            return;
+        }
+        let now = cx.now.mono;
+        let begun = *self.draining.get_or_insert(now);
+        let latest = begun
+            + cx.config
+                .drain_limit
+                .saturating_sub(FOLLOW_UP + SETTLE_TIME);
+        for exchange in self.exchanges.values_mut() {
+            exchange.deadline = exchange.deadline.min(latest);
+        }
     }
 
     fn accept(&mut self, cx: &mut Context<'_>, mut exchange: Exchange) {
@@ -181,7 +213,7 @@
         if self.exchanges.len() >= MAX_EXCHANGES {
             return Err(NotRunReason::Overloaded);
         }
-        self.admission.refresh(cx);
+        self.refresh(cx);
         self.admission
             .admit(cx.now.mono, key, exchange, &service.team)
     }
--- a/crates/daisymast_engine/src/requests/admission.rs
+++ b/crates/daisymast_engine/src/requests/admission.rs
@@ -57,16 +57,22 @@
 }
 
 impl Admission {
-    /// Takes over a new manifest, and the number of workers and instances of the own zone.
-    pub(crate) fn refresh(&mut self, cx: &Context<'_>) {
+    /// Takes over the number of workers and instances of the own zone.
+    pub(crate) fn resize(&mut self, cx: &Context<'_>) {
         self.shares.set_capacity(capacity(cx));
+    }
+
+    /// Takes over the manifest in force and tells whether it is a new one.
+    pub(crate) fn refresh(&mut self, cx: &Context<'_>) -> bool {
         let Some(manifest) = &cx.shared.manifest else {
-            return;
+            return false;
         };
-        if self.generation != cx.shared.generation {
-            self.generation = cx.shared.generation;
-            self.declare(manifest);
+        if self.generation == cx.shared.generation {
+            return false;
         }
+        self.generation = cx.shared.generation;
+        self.declare(manifest);
+        true
     }
 
     fn declare(&mut self, manifest: &Manifest) {
--- a/crates/daisymast_engine/src/requests/claim.rs
+++ b/crates/daisymast_engine/src/requests/claim.rs
@@ -175,7 +175,10 @@
 
     pub(super) fn ask_status(&mut self, cx: &mut Context<'_>, token: Token, id: RequestId) {
         match owner(cx, &id) {
-            Some(owner) => send_status(cx, token, id, &owner, false),
+            Some(owner) => {
+                self.questions += 1;
+                send_status(cx, token, id, &owner, false);
+            }
             None => answer_status(cx, token, &id, End::Unknown),
         }
     }
@@ -189,17 +192,19 @@
         outcome: Outcome<PeerReply>,
     ) {
         match outcome {
+            Outcome::Done(PeerReply::NotOwner { owner: Some(owner) }) if !hinted => {
+                send_status(cx, token, id, &owner, true);
+                return;
+            }
             Outcome::Done(PeerReply::ClaimState(state)) => {
                 let end = recorded_end(&id, state);
                 answer_status(cx, token, &id, end);
             }
-            Outcome::Done(PeerReply::NotOwner { owner: Some(owner) }) if !hinted => {
-                send_status(cx, token, id, &owner, true);
-            }
             Outcome::Done(_) | Outcome::NoEffect(_) | Outcome::Unknown(_) => {
                 answer_status(cx, token, &id, End::Unknown);
             }
         }
+        self.questions = self.questions.saturating_sub(1);
     }
 }
 
--- a/crates/daisymast_engine/src/requests/serve.rs
+++ b/crates/daisymast_engine/src/requests/serve.rs
@@ -87,7 +87,7 @@
         };
         let waiting = self.endpoints.arrived(cx.now.mono, service, holder, found);
         for key in waiting {
-            self.send(cx, key);
+            self.choose(cx, key);
         }
     }
 
--- a/crates/daisymast_engine/src/requests/tests.rs
+++ b/crates/daisymast_engine/src/requests/tests.rs
@@ -3,7 +3,9 @@
 mod rig;
 
 mod admission;
+mod chaos;
 mod claims;
 mod deadlines;
 mod endings;
+mod endpoints;
 mod forwards;
--- a/crates/daisymast_engine/src/requests/tests/deadlines.rs
+++ b/crates/daisymast_engine/src/requests/tests/deadlines.rs
@@ -1,6 +1,6 @@
 //! Deadlines in each state, and draining.
 
-use daisymast_protocol::caller::NotRunReason;
+use daisymast_protocol::caller::{CallerRequest, NotRunReason};
 use daisymast_protocol::peer::{PeerReply, PeerRequest, Settlement};
 use daisymast_protocol::worker::{Fate, Refusal};
 
@@ -168,3 +168,37 @@
     rig.reply(&settle, PeerReply::Ok);
     assert!(rig.requests.is_idle());
 }
+
+/// Guards against a drain that lasts longer than its limit, and against a caller that is left without
+/// an answer at its end.
+#[test]
+fn long_requests_end_within_the_drain_limit() {
+    let mut rig = Rig::new();
+    let request = CallerRequest {
+        timeout_ms: 60_000,
+        ..rig::once()
+    };
+    let call = rig.serving(&request, &["w-1"]);
+    rig.shared.draining = true;
+    rig.pass(19_000);
+    assert!(rig.answers.is_empty());
+    rig.pass(2_000);
+    rig.assert_unknown();
+    rig.pass(6_000);
+    assert!(rig.requests.is_idle());
+    let answer = rig::answer_to(&request.id, "42 USD");
+    rig.reply(&call, PeerReply::Served(answer));
+    rig.assert_unknown();
+}
+
+/// Guards against a stop while a caller waits for the state of a request.
+#[test]
+fn open_questions_are_not_idle() {
+    let mut rig = Rig::new();
+    rig.status(1, &rig::once().id);
+    assert!(!rig.requests.is_idle());
+    let call = rig.take(rig::is_status);
+    rig.unknown(&call);
+    rig.assert_unknown();
+    assert!(rig.requests.is_idle());
+}
--- a/crates/daisymast_engine/src/requests/tests/rig.rs
+++ b/crates/daisymast_engine/src/requests/tests/rig.rs
@@ -302,7 +302,7 @@
     }
 }
 
-fn endpoint(worker: &str) -> Endpoint {
+pub(super) fn endpoint(worker: &str) -> Endpoint {
     Endpoint {
         worker: WorkerId::from(worker),
         boot: BootId(9),
