Allocate the rows of the placement grid at their first use

Cause: an empty pool allocated two tables of 393 KB by computation (128 x 128 vectors of 24 bytes), which is much for a pool that lives for one decision.

Change: a row of the grid is allocated when a worker enters it.

--- a/crates/daisymast_placement/src/grid.rs
+++ b/crates/daisymast_placement/src/grid.rs
@@ -27,8 +27,9 @@
 
 #[derive(Clone, Debug)]
 pub(crate) struct Grid {
-    /// Slots of the pool by row (processors) and column (memory).
-    cells: Vec<Vec<u32>>,
+    /// Slots of the pool by row (processors) and column (memory). A row is allocated at its first
+    /// use, since few are used and pools may live for one decision only.
+    cells: Vec<Vec<Vec<u32>>>,
     /// Bit per column that is not empty, for each row.
     rows: [u128; BUCKETS],
     /// Bit per row that is not empty, for each column.
@@ -38,7 +39,7 @@
 impl Default for Grid {
     fn default() -> Self {
         Self {
-            cells: vec![Vec::new(); BUCKETS * BUCKETS],
+            cells: vec![Vec::new(); BUCKETS],
             rows: [0; BUCKETS],
             columns: [0; BUCKETS],
         }
@@ -48,7 +49,11 @@
 impl Grid {
     pub(crate) fn insert(&mut self, slot: u32, free: Resources) -> Position {
         let (row, column) = (bucket(free.millicores), bucket(free.memory_mib));
-        let cell = &mut self.cells[row * BUCKETS + column];
+        let line = &mut self.cells[row];
+        if line.is_empty() {
+            line.resize(BUCKETS, Vec::new());
+        }
+        let cell = &mut line[column];
         cell.push(slot);
         self.rows[row] |= 1 << column;
         self.columns[column] |= 1 << row;
@@ -67,7 +72,7 @@
             column,
             offset,
         } = position;
-        let cell = &mut self.cells[row * BUCKETS + column];
+        let cell = &mut self.cells[row][column];
         cell.swap_remove(offset);
         if cell.is_empty() {
             self.rows[row] &= !(1 << column);
@@ -95,8 +100,8 @@
                 let across = mask.trailing_zeros() as usize;
                 mask &= mask - 1;
                 let cell = match axis {
-                    Axis::Processors => &self.cells[line * BUCKETS + across],
-                    Axis::Memory => &self.cells[across * BUCKETS + line],
+                    Axis::Processors => &self.cells[line][across],
+                    Axis::Memory => &self.cells[across][line],
                 };
                 for slot in cell {
                     if !visit(*slot) {
