Cite the idea of the adaptive limit by what its page shows

Cause: the comment credited the package with details that its description in the registry does not show.

Change: the comment credits the adaptive limit and names the rest as ours.

Measured: nothing; a comment only.

Conclusion: the citation can be checked.

--- a/crates/daisymast_admission/src/limiter.rs
+++ b/crates/daisymast_admission/src/limiter.rs
@@ -172,9 +172,9 @@
 /// Additive increase by one and multiplicative decrease by three tenths over settled windows. The
 /// limit rises only if it was used up, and falls if the classifier counted a failure.
 ///
-/// The idea of a limit that moves between bounds by additive increase and multiplicative decrease,
-/// with settled observation windows and a classifier of the failures that count, is taken from the
-/// page of the package "dynamic-throttled-queue".
+/// A limit that adapts between bounds to what the other side takes is the idea of the package
+/// "dynamic-throttled-queue"; here it follows additive increase and multiplicative decrease, settled
+/// observation windows and a classifier of the failures that count.
 pub fn additive(is_failure: impl Fn(Ending) -> bool + Send + 'static) -> Policy {
     Policy {
         is_failure: Box::new(is_failure),
