--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -1,11 +1,19 @@
 //! Routes events to the components of an instance.
 
+#[cfg(test)]
+use std::sync::Arc;
+
+#[cfg(test)]
+use daisymast_manifest::manifest::Manifest;
 use daisymast_membership::view::View;
+use daisymast_protocol::operator::Status;
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::peer::{Heartbeat, PeerReply, PeerRequest};
 use daisymast_protocol::store::StoreReply;
 use daisymast_protocol::worker::WorkerReply;
 use daisymast_types::collections::FastMap;
+#[cfg(test)]
+use daisymast_types::ids::WorkerId;
 use daisymast_types::ids::{CallId, Generation, InstanceId, Token};
 use daisymast_types::time::Timestamp;
 
@@ -100,7 +108,7 @@
             configuration: Configuration::default(),
             control: Control::default(),
             services: Services::default(),
-            claims: Claims::default(),
+            claims: Claims::new(&config),
             runs: Runs::default(),
             requests: Requests::default(),
             config,
@@ -126,9 +134,15 @@
     /// ```
     pub fn on_event(&mut self, now: Timestamp, event: Event) -> Vec<Action> {
         self.fx.begin(now);
+        let is_tick = matches!(event, Event::Tick);
         self.dispatch(now, event);
-        while let Some(local) = self.fx.next_local() {
-            self.dispatch(now, local);
+        self.drain_local(now);
+        if is_tick {
+            // Starts come before stops of undeclared work, so a wave of cancellations delays no
+            // start. Starts at the own instance are among the local events.
+            let mut cx = context!(self, now);
+            self.control.on_tick_end(&mut cx);
+            self.drain_local(now);
         }
         self.fx.take_actions()
     }
@@ -138,11 +152,22 @@
         !self.shared.draining && self.shared.manifest.is_some()
     }
 
+    /// Status as operators read it.
+    pub fn status(&self, now: Timestamp) -> Status {
+        operator::status(&self.shared, now, &self.control, &self.runs)
+    }
+
     /// Generation in force at this instance.
     pub fn generation(&self) -> Generation {
         self.shared.generation
     }
 
+    /// Records a heartbeat as if its sender had sent it.
+    #[cfg(test)]
+    pub(crate) fn hear(&mut self, now: Timestamp, heartbeat: Heartbeat) {
+        self.shared.view.record(now.mono, heartbeat);
+    }
+
     fn dispatch(&mut self, now: Timestamp, event: Event) {
         match event {
             Event::Tick => self.tick(now),
@@ -156,7 +181,7 @@
                 self.requests.on_status(&mut cx, token, id);
             }
             Event::Operator { token, request } => {
-                let status = operator::status(&self.shared, now, &self.control, &self.runs);
+                let status = self.status(now);
                 let mut cx = context!(self, now);
                 self.configuration
                     .on_operator(&mut cx, token, request, status);
@@ -172,7 +197,34 @@
         }
     }
 
-    /// Starts come before stops of undeclared work, so a wave of cancellations delays no start.
+    /// Puts a manifest in force without the store.
+    #[cfg(test)]
+    pub(crate) fn force_manifest(&mut self, generation: Generation, manifest: Manifest) {
+        self.shared.generation = generation;
+        self.shared.manifest = Some(Arc::new(manifest));
+    }
+
+    /// All known workers, sorted.
+    #[cfg(test)]
+    pub(crate) fn known_workers(&self) -> Vec<WorkerId> {
+        let mut known: Vec<WorkerId> = self.shared.workers.keys().cloned().collect();
+        known.sort_unstable();
+        known
+    }
+
+    /// Whether the platform's list says that a worker is leaving.
+    #[cfg(test)]
+    pub(crate) fn is_listed_leaving(&self, worker: &WorkerId) -> bool {
+        let known = self.shared.workers.get(worker);
+        known.is_some_and(|known| known.leaving)
+    }
+
+    fn drain_local(&mut self, now: Timestamp) {
+        while let Some(local) = self.fx.next_local() {
+            self.dispatch(now, local);
+        }
+    }
+
     fn tick(&mut self, now: Timestamp) {
         self.fx.expire_local();
         let mut cx = context!(self, now);
@@ -181,14 +233,16 @@
         self.claims.on_tick(&mut cx);
         self.requests.on_tick(&mut cx);
         self.runs.on_tick(&mut cx);
-        self.services.on_tick(&mut cx, &self.control);
+        self.services.on_tick(&mut cx);
         self.control.on_tick(&mut cx);
         let own = self.shared.view.own_mut();
         own.generation = self.shared.generation;
         own.draining = self.shared.draining;
         own.partitions = self.claims.owned();
         own.workers = self.control.held(now);
-        if self.shared.draining && self.requests.is_idle() && self.control.is_released() {
+        let is_idle =
+            self.requests.is_idle() && self.configuration.is_idle() && self.claims.is_idle();
+        if self.shared.draining && is_idle && self.control.is_released() {
             self.fx.emit(Action::Stopped);
         }
     }
@@ -213,6 +267,7 @@
             | PeerRequest::Resolve { .. }
             | PeerRequest::Start { .. }
             | PeerRequest::Capacity
+            | PeerRequest::Replicas { .. }
             | PeerRequest::PollRuns { .. }
             | PeerRequest::Stop { .. }
             | PeerRequest::ResolveTask { .. }
