Test the request path together with the control plane

Cause: the request path was tested against scripted peers only.

Change: four tests run it with the control plane of the same instance and fake workers: an answer, a refusal, a lost reply with a recorded answer and one that never ran.

--- a/crates/daisymast_engine/src/requests/tests.rs
+++ b/crates/daisymast_engine/src/requests/tests.rs
@@ -9,3 +9,4 @@
 mod endings;
 mod endpoints;
 mod forwards;
+mod local;
