Take the partition of a request from the ledger's keys

Cause: the requests component had a copy of the rule.

Change: it calls `daisymast_ledger::keys::of_request`.

Measured: the tests of the engine pass as before, but for the one that also fails on main.

Conclusion: one rule in one place.

--- a/crates/daisymast_engine/src/requests/claim.rs
+++ b/crates/daisymast_engine/src/requests/claim.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use daisymast_ledger::keys;
 use daisymast_protocol::caller::NotRunReason;
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::peer::{ClaimState, PeerReply, PeerRequest, Settlement};
@@ -226,7 +227,7 @@
 }
 
 fn owner(cx: &Context<'_>, id: &RequestId) -> Option<InstanceId> {
-    let partition = validate::partition(id);
+    let partition = keys::of_request(id);
     let owner = cx.shared.view.partition_owner(cx.now.mono, partition);
     owner.map(|(owner, _)| owner)
 }
--- a/crates/daisymast_engine/src/requests/validate.rs
+++ b/crates/daisymast_engine/src/requests/validate.rs
@@ -6,7 +6,7 @@
 use daisymast_protocol::caller::{CallerRequest, NotRunReason};
 use daisymast_protocol::limits;
 use daisymast_types::hashing;
-use daisymast_types::ids::{Partition, RequestId};
+use daisymast_types::ids::RequestId;
 use daisymast_types::time::UnixMillis;
 use uuid::Uuid;
 
@@ -66,9 +66,3 @@
     let text = format!("{}:{service}{}", service.len(), request.body);
     format!("{:032x}", hashing::digest(text.as_bytes()))
 }
-
-/// Ledger partition of a request.
-pub(crate) fn partition(id: &RequestId) -> Partition {
-    let slot = hashing::stable(id.as_str().as_bytes()) % u64::from(limits::PARTITIONS);
-    Partition(u16::try_from(slot).unwrap_or_default())
-}
