--- a/crates/daisymast_engine/src/requests/claim.rs
+++ b/crates/daisymast_engine/src/requests/claim.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use daisymast_ledger::keys;
 use daisymast_protocol::caller::NotRunReason;
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::peer::{ClaimState, PeerReply, PeerRequest, Settlement};
@@ -175,7 +176,10 @@
 
     pub(super) fn ask_status(&mut self, cx: &mut Context<'_>, token: Token, id: RequestId) {
         match owner(cx, &id) {
-            Some(owner) => send_status(cx, token, id, &owner, false),
+            Some(owner) => {
+                self.questions += 1;
+                send_status(cx, token, id, &owner, false);
+            }
             None => answer_status(cx, token, &id, End::Unknown),
         }
     }
@@ -189,17 +193,19 @@
         outcome: Outcome<PeerReply>,
     ) {
         match outcome {
+            Outcome::Done(PeerReply::NotOwner { owner: Some(owner) }) if !hinted => {
+                send_status(cx, token, id, &owner, true);
+                return;
+            }
             Outcome::Done(PeerReply::ClaimState(state)) => {
                 let end = recorded_end(&id, state);
                 answer_status(cx, token, &id, end);
             }
-            Outcome::Done(PeerReply::NotOwner { owner: Some(owner) }) if !hinted => {
-                send_status(cx, token, id, &owner, true);
-            }
             Outcome::Done(_) | Outcome::NoEffect(_) | Outcome::Unknown(_) => {
                 answer_status(cx, token, &id, End::Unknown);
             }
         }
+        self.questions = self.questions.saturating_sub(1);
     }
 }
 
@@ -221,7 +227,7 @@
 }
 
 fn owner(cx: &Context<'_>, id: &RequestId) -> Option<InstanceId> {
-    let partition = validate::partition(id);
+    let partition = keys::of_request(id);
     let owner = cx.shared.view.partition_owner(cx.now.mono, partition);
     owner.map(|(owner, _)| owner)
 }
