--- a/crates/daisymast_entry/src/calls.rs
+++ b/crates/daisymast_entry/src/calls.rs
@@ -18,6 +18,7 @@
 use daisymast_protocol::worker::{WorkerReply, WorkerRequest};
 use daisymast_telemetry::metrics::Metrics;
 use daisymast_types::ids::{CallId, InstanceId, WorkerId};
+use daisymast_worker::client::WorkerClient;
 
 use crate::labels;
 use crate::listeners::peers::{Envelope, PATH};
@@ -30,7 +31,7 @@
 struct Shared {
     executor: Executor,
     store: StoreClient,
-    workers: Client,
+    workers: Arc<Client>,
     peers: Client,
     instance: InstanceId,
     peer_key: Key,
@@ -58,7 +59,7 @@
         Self(Arc::new(Shared {
             executor: parts.executor,
             store,
-            workers,
+            workers: Arc::new(workers),
             peers,
             instance: parts.instance,
             peer_key: parts.peer_key,
@@ -157,8 +158,9 @@
         request: &WorkerRequest,
         timeout: Duration,
     ) -> Outcome<WorkerReply> {
-        let call = Call::new(address, "/v1/worker", timeout).named("call worker", worker.as_str());
-        daisymast_http::json::post(&self.workers, &call, request).await
+        let client = Arc::clone(&self.workers);
+        let client = WorkerClient::new(client, worker, address, self.instance.as_str());
+        client.call(request, timeout).await
     }
 }
 
