--- a/crates/daisymast_admission/src/shares.rs
+++ b/crates/daisymast_admission/src/shares.rs
@@ -64,7 +64,7 @@
 /// assert_eq!(shares.start(), None);
 /// shares.finished(&quotes, Some(Duration::from_millis(5)));
 /// ```
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Shares<T> {
     capacity: u32,
     queue_limit: usize,
@@ -77,7 +77,7 @@
     rejected: u64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Line<T> {
     kind: Kind,
     queue: VecDeque<(Monotonic, T)>,
--- a/crates/daisymast_engine/src/claims.rs
+++ b/crates/daisymast_engine/src/claims.rs
@@ -33,14 +33,14 @@
 const REVIEW_INTERVAL: Duration = Duration::from_millis(200);
 
 /// What to do with a reply.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Step {
     partition: Partition,
     call: u64,
 }
 
 /// Who waits for the answer to a ticket.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Asker {
     Claim(Token, RequestId),
     Settle(Token, RequestId),
@@ -50,7 +50,7 @@
 }
 
 /// The partitions of the ledger as this instance sees them.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Claims {
     slots: Vec<Slot>,
     tickets: u64,
--- a/crates/daisymast_engine/src/claims/answers.rs
+++ b/crates/daisymast_engine/src/claims/answers.rs
@@ -12,7 +12,7 @@
 const BYTES_MAX: usize = 16 * 1024 * 1024;
 
 /// Answers in order of arrival; the oldest are dropped first.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct RecentAnswers {
     by_id: FastMap<RequestId, Answer>,
     order: VecDeque<RequestId>,
--- a/crates/daisymast_engine/src/claims/slot.rs
+++ b/crates/daisymast_engine/src/claims/slot.rs
@@ -22,7 +22,7 @@
 const SETTLED_AFTER: Duration = Duration::from_secs(60);
 
 /// A partition with its takeover policy.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Slot {
     pub(crate) id: Partition,
     pub(crate) partition: partition::Partition,
--- a/crates/daisymast_engine/src/configuration.rs
+++ b/crates/daisymast_engine/src/configuration.rs
@@ -19,7 +19,7 @@
 use submission::Submissions;
 
 /// What to do with a reply.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Step {
     /// A watch of the store key.
     Watch,
@@ -31,7 +31,7 @@
     Submission(Token, submission::Call),
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Configuration {
     in_force: InForce,
     learning: Learning,
--- a/crates/daisymast_engine/src/configuration/in_force.rs
+++ b/crates/daisymast_engine/src/configuration/in_force.rs
@@ -11,7 +11,7 @@
 use crate::shared::Context;
 
 /// Text of the manifest in force and what is known of the store key.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct InForce {
     body: String,
     /// Revision of the key when it was last read; nothing before the first read.
--- a/crates/daisymast_engine/src/configuration/learning.rs
+++ b/crates/daisymast_engine/src/configuration/learning.rs
@@ -30,7 +30,7 @@
 const FETCH_EVERY: Duration = Duration::from_millis(500);
 
 /// Open calls and due times. At most one watch, one poll and one fetch are open.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Learning {
     watch_open: bool,
     /// Whether the last watch was answered. Polling goes on until then.
--- a/crates/daisymast_engine/src/configuration/submission.rs
+++ b/crates/daisymast_engine/src/configuration/submission.rs
@@ -39,7 +39,7 @@
 }
 
 /// The record to write, and what is known of the write.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Submission {
     expected: Generation,
     nonce: Nonce,
@@ -61,7 +61,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Submissions {
     open: FastMap<Token, Submission>,
 }
--- a/crates/daisymast_engine/src/control.rs
+++ b/crates/daisymast_engine/src/control.rs
@@ -37,7 +37,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What to do with a reply.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Step {
     /// The control lease was asked for.
     Acquire { worker: WorkerId, sent: Monotonic },
@@ -85,7 +85,7 @@
     },
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Control {
     workers: FastMap<WorkerId, Worker>,
     preferences: Preferences,
--- a/crates/daisymast_engine/src/control/mirror.rs
+++ b/crates/daisymast_engine/src/control/mirror.rs
@@ -44,7 +44,7 @@
     until: Monotonic,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Mirror {
     pub(super) capacity: Resources,
     pub(super) slots: u32,
--- a/crates/daisymast_engine/src/control/polls.rs
+++ b/crates/daisymast_engine/src/control/polls.rs
@@ -23,7 +23,7 @@
 const FORGET_BATCH: usize = 256;
 
 /// Polls of run owners.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Polls {
     /// Highest epoch seen of each partition.
     epochs: FastMap<Partition, Epoch>,
--- a/crates/daisymast_engine/src/control/preferences.rs
+++ b/crates/daisymast_engine/src/control/preferences.rs
@@ -23,7 +23,7 @@
 const FALLBACK_JITTER: Duration = Duration::from_secs(4);
 
 /// The last computation and what it was based on.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Preferences {
     pub(super) holders: FastMap<WorkerId, InstanceId>,
     candidates: Vec<Candidate>,
--- a/crates/daisymast_engine/src/control/quarantine.rs
+++ b/crates/daisymast_engine/src/control/quarantine.rs
@@ -15,7 +15,7 @@
 /// Successes without a failure between them that end the quarantine.
 const RESET_SUCCESSES: u32 = 3;
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Quarantine {
     /// Whether each of the recent ends was a failure.
     recent: VecDeque<bool>,
--- a/crates/daisymast_engine/src/control/sweep.rs
+++ b/crates/daisymast_engine/src/control/sweep.rs
@@ -24,7 +24,7 @@
 const RESULT_KEEP: Duration = Duration::from_secs(60);
 
 /// Names of the jobs that the manifest in force declares.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Declared {
     generation: Option<Generation>,
     jobs: FastSet<JobName>,
--- a/crates/daisymast_engine/src/control/worker.rs
+++ b/crates/daisymast_engine/src/control/worker.rs
@@ -34,7 +34,7 @@
     pub(super) until: Option<Monotonic>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Worker {
     pub(super) lease: Lease,
     /// Stamp of the last grant, to which the mirror belongs.
--- a/crates/daisymast_engine/src/effects.rs
+++ b/crates/daisymast_engine/src/effects.rs
@@ -21,7 +21,7 @@
 const LOCAL_TOKENS: u64 = 1 << 63;
 
 /// The component that waits for a reply, and what it does with it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Step {
     Heartbeat(heartbeat::Step),
     Configuration(configuration::Step),
@@ -33,7 +33,7 @@
 }
 
 /// Actions of the current event, open calls and local exchanges.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Effects {
     instance: InstanceId,
     boot: BootId,
--- a/crates/daisymast_engine/src/heartbeat.rs
+++ b/crates/daisymast_engine/src/heartbeat.rs
@@ -37,7 +37,7 @@
 const MAX_WORKERS: usize = 4_096;
 
 /// What to do with a reply.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Step {
     /// A heartbeat was sent to an instance.
     Beat { to: InstanceId, sent: Monotonic },
@@ -45,7 +45,7 @@
     Poll,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Heartbeats {
     next_beat: Monotonic,
     next_poll: Monotonic,
@@ -198,7 +198,7 @@
 }
 
 /// Machines of one read of the platform's list.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Listed {
     instances: FastSet<InstanceId>,
     workers: FastSet<WorkerId>,
--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -43,7 +43,7 @@
 }
 
 /// One entry instance. The same struct runs in the daemon and in the fault matrix.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Instance {
     config: InstanceConfig,
     shared: Shared,
--- a/crates/daisymast_engine/src/requests.rs
+++ b/crates/daisymast_engine/src/requests.rs
@@ -44,7 +44,7 @@
 const SETTLE_TIME: Duration = Duration::from_secs(5);
 
 /// What to do with a reply.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Step {
     Claim {
         key: Key,
@@ -73,7 +73,7 @@
     Settle(claim::Settle),
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Requests {
     counter: u64,
     /// Ordered, so that a tick handles them in the same order in each run.
--- a/crates/daisymast_engine/src/requests/admission.rs
+++ b/crates/daisymast_engine/src/requests/admission.rs
@@ -37,7 +37,7 @@
     started: Option<Monotonic>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Admission {
     shares: Shares<Key>,
     quotas: Quotas,
--- a/crates/daisymast_engine/src/requests/claim.rs
+++ b/crates/daisymast_engine/src/requests/claim.rs
@@ -27,7 +27,7 @@
 }
 
 /// Settlements on their way and those that wait for the second attempt.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Settles {
     open: usize,
     delayed: Vec<(Monotonic, Settle)>,
--- a/crates/daisymast_engine/src/requests/endpoints.rs
+++ b/crates/daisymast_engine/src/requests/endpoints.rs
@@ -28,7 +28,7 @@
 }
 
 /// Endpoints of one service.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct List {
     fetched: Option<Monotonic>,
     known: Vec<Known>,
@@ -39,7 +39,7 @@
 }
 
 /// Endpoints of all services that were asked for.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Endpoints {
     lists: FastMap<JobName, List>,
     /// Requests of this instance that are at a worker now.
--- a/crates/daisymast_engine/src/runs.rs
+++ b/crates/daisymast_engine/src/runs.rs
@@ -34,7 +34,7 @@
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What to do with a reply.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Step {
     /// Free capacity of the workers of an instance.
     Capacity,
@@ -51,7 +51,7 @@
 }
 
 /// The open runs of the partitions that this instance owns.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Runs {
     owned: FastMap<Partition, Epoch>,
     runs: BTreeMap<RunKey, Run>,
--- a/crates/daisymast_engine/src/runs/gang.rs
+++ b/crates/daisymast_engine/src/runs/gang.rs
@@ -29,7 +29,7 @@
 type Plan = Vec<(WorkerId, Vec<u32>)>;
 
 /// How far a gang job has come.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Gang {
     /// Waits until a time before it tries again.
     Pausing(Monotonic),
--- a/crates/daisymast_engine/src/runs/placing.rs
+++ b/crates/daisymast_engine/src/runs/placing.rs
@@ -36,7 +36,7 @@
 const UNFIT_AFTER: Duration = Duration::from_secs(10);
 
 /// Workers as their holders last described them.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Workers {
     pub(crate) pool: Pool,
     machines: FastMap<WorkerId, (Machine, Monotonic)>,
--- a/crates/daisymast_engine/src/runs/polling.rs
+++ b/crates/daisymast_engine/src/runs/polling.rs
@@ -24,7 +24,7 @@
 const RESOLVING_MAX: usize = 64;
 
 /// One poll.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Poll {
     partition: Partition,
     holder: InstanceId,
--- a/crates/daisymast_engine/src/runs/recording.rs
+++ b/crates/daisymast_engine/src/runs/recording.rs
@@ -10,7 +10,7 @@
 use crate::shared::Context;
 
 /// Entries of one call to [`Claims::record`].
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Recording {
     Open(RunKey),
     Claim(RunKey, Vec<u32>),
--- a/crates/daisymast_engine/src/services.rs
+++ b/crates/daisymast_engine/src/services.rs
@@ -37,7 +37,7 @@
 const MAX_AVOIDED: usize = 4_096;
 
 /// What to do with a reply.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Step {
     /// A holder was asked which replicas run.
     Replicas { from: InstanceId },
@@ -49,7 +49,7 @@
     Stop,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Services {
     started: Option<Monotonic>,
     next_round: Monotonic,
--- a/crates/daisymast_engine/src/services/coverage.rs
+++ b/crates/daisymast_engine/src/services/coverage.rs
@@ -14,7 +14,7 @@
 /// Longest time for which workers that come and go hold back starts.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Coverage {
     /// Workers of the own zone that no live instance holds, and since when.
     uncovered: FastMap<WorkerId, Monotonic>,
--- a/crates/daisymast_engine/src/services/round.rs
+++ b/crates/daisymast_engine/src/services/round.rs
@@ -31,7 +31,7 @@
     Changes,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Round {
     phase: Phase,
     /// Calls without a reply.
--- a/crates/daisymast_engine/src/shared.rs
+++ b/crates/daisymast_engine/src/shared.rs
@@ -23,7 +23,7 @@
 
 /// State with one writer each: `view` and `instances` by the heartbeat component, `workers` by the
 /// heartbeat component, `manifest` and `generation` by the configuration component.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Shared {
     /// View of the instances.
     pub(crate) view: View,
--- a/crates/daisymast_engine/src/testing.rs
+++ b/crates/daisymast_engine/src/testing.rs
@@ -26,7 +26,7 @@
 pub(crate) const BOOT: BootId = BootId(1);
 
 /// A call that waits for its reply.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct WorkerCall {
     pub(crate) call: CallId,
     pub(crate) worker: WorkerId,
@@ -35,7 +35,7 @@
     pub(crate) sent: u64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct PeerCall {
     pub(crate) call: CallId,
     pub(crate) to: InstanceId,
--- a/crates/daisymast_ledger/src/owned.rs
+++ b/crates/daisymast_ledger/src/owned.rs
@@ -47,7 +47,7 @@
 }
 
 /// What follows from a reply.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Step {
     /// The next call may follow at once.
     Again,
--- a/crates/daisymast_ledger/src/takeover.rs
+++ b/crates/daisymast_ledger/src/takeover.rs
@@ -42,7 +42,7 @@
 }
 
 /// What follows from a reply.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Step {
     /// The next call is due at once.
     Again,
--- a/crates/daisymast_matrix/src/checkers.rs
+++ b/crates/daisymast_matrix/src/checkers.rs
@@ -40,6 +40,10 @@
 /// assert!(checkers::check(&empty, &checkers::Bounds::default()).is_empty());
 /// ```
 pub fn check(trace: &Trace, bounds: &Bounds) -> Vec<Violation> {
+    // A worker that was frozen reports afterwards what ended meanwhile.
+    let mut trace = trace.clone();
+    trace.seen.sort_by_key(|(at, _)| *at);
+    let trace = &trace;
     let mut found = Vec::new();
     found.extend(capacity::check(trace));
     found.extend(exclusive::check(trace));
--- /dev/null
+++ b/crates/daisymast_matrix/src/session/jobs.rs
@@ -0,0 +1,123 @@
+//! Sessions of batches and gang jobs.
+
+use daisymast_protocol::task::TaskState;
+use daisymast_types::collections::FastSet;
+use daisymast_types::ids::{Generation, JobName, TaskKey};
+
+use crate::checkers::Violation;
+use crate::session::{self, Session, requests};
+use crate::trace::Seen;
+use crate::world::{Node, World};
+
+pub(super) fn sessions() -> Vec<Session> {
+    vec![
+        Session {
+            name: "exclusive batch run",
+            periodic: false,
+            window_ms: 8_000,
+            act: |world| {
+                let text = session::manifest("r2", SURVEY, "");
+                session::submit(world, "austin-e1", 1, text);
+            },
+            finish: |world| completed(world, "route-survey", 3),
+        },
+        Session {
+            name: "gang job",
+            periodic: false,
+            window_ms: 8_000,
+            act: |world| {
+                let text = session::manifest("r2", "", RECONCILIATION);
+                session::submit(world, "temple-e1", 1, text);
+            },
+            finish: |world| completed(world, "reconciliation", 4),
+        },
+        Session {
+            name: "batch retired while it runs",
+            periodic: false,
+            window_ms: 4_000,
+            act: |world| {
+                let text = session::manifest("r2", LONG_SURVEY, "");
+                session::submit(world, "austin-e1", 1, text);
+                world.run_for(4_000);
+                let text = session::manifest("r3", "", "");
+                session::submit(world, "waco-e1", 2, text);
+            },
+            finish: retired,
+        },
+    ]
+}
+
+/// Three exclusive tasks of 4 s each. The period is a day, so one run is due in a session.
+const SURVEY: &str = r#"{"name":"route-survey","team":"crews","every_s":86400,"tasks":3,
+    "size":{"millicores":4000,"memory_mib":4096},"exclusive":true,"run_s":4,"deadline_s":86400}"#;
+
+/// Exclusive tasks that run for longer than the session.
+const LONG_SURVEY: &str = r#"{"name":"route-survey","team":"crews","every_s":86400,"tasks":3,
+    "size":{"millicores":4000,"memory_mib":4096},"exclusive":true,"run_s":3600,"deadline_s":86400}"#;
+
+/// Four tasks that start together.
+const RECONCILIATION: &str = r#"{"name":"reconciliation","team":"crews","tasks":4,
+    "size":{"millicores":8000,"memory_mib":4096},"exclusive":true,"run_s":4}"#;
+
+/// Whether the operator's manifest came into force at all; a submission under a fault may fail.
+fn in_force(world: &World, generation: Generation) -> bool {
+    world.instances().iter().any(|id| {
+        world
+            .node(id)
+            .is_some_and(|node| node.generation() >= generation)
+    })
+}
+
+/// If the manifest was accepted, all tasks of the job succeed in the end.
+fn completed(world: &mut World, job: &str, tasks: u32) -> Vec<Violation> {
+    let mut found = requests::recovered(world);
+    if !in_force(world, Generation(2)) {
+        return found;
+    }
+    let job = JobName::from(job);
+    let mut started: FastSet<TaskKey> = FastSet::default();
+    let mut done: FastSet<u32> = FastSet::default();
+    for (_, seen) in &world.trace.seen {
+        match seen {
+            Seen::TaskStarted { spec, .. } if spec.job == job => {
+                started.insert(spec.key);
+            }
+            Seen::TaskEnded {
+                key,
+                state: TaskState::Succeeded,
+                ..
+            } if started.contains(key) => {
+                done.insert(key.index);
+            }
+            _ => {}
+        }
+    }
+    if done.len() != tasks as usize {
+        let detail = format!("{job}: {} of {tasks} tasks succeeded", done.len());
+        found.push(session::violation(world, "runs in full", detail));
+    }
+    found
+}
+
+/// The checkers report strays; here the new manifest has to be the one in force.
+fn retired(world: &mut World) -> Vec<Violation> {
+    let mut found = requests::recovered(world);
+    // A submission that conflicted or failed under the fault is sent again by the pipeline.
+    let current = world
+        .instances()
+        .iter()
+        .filter_map(|id| world.node(id))
+        .map(Node::generation)
+        .max();
+    let Some(current) = current else { return found };
+    let text = session::manifest("r3", "", "");
+    session::submit(world, "temple-e2", current.0, text);
+    world.run_for(5_000);
+    if !in_force(world, current.next()) {
+        let detail = format!("generation {} is not accepted", current.next());
+        found.push(session::violation(world, "recovers", detail));
+    }
+    world.accepted(current.next(), session::declared(&[]));
+    world.run_for(25_000);
+    found
+}
--- /dev/null
+++ b/crates/daisymast_matrix/src/session/leases.rs
@@ -0,0 +1,50 @@
+//! Sessions of control leases, ledger partitions and leaving workers.
+
+use crate::session::{self, Session, requests};
+
+pub(super) fn sessions() -> Vec<Session> {
+    vec![
+        Session {
+            name: "control leases renewed",
+            periodic: true,
+            window_ms: 1_000,
+            act: |_| {},
+            finish: requests::recovered,
+        },
+        Session {
+            name: "holder dies and its leases move",
+            periodic: true,
+            window_ms: 4_500,
+            act: |world| world.crash(&session::instance("austin-e1")),
+            finish: requests::recovered,
+        },
+        Session {
+            name: "partition owner dies with open claims",
+            periodic: false,
+            window_ms: 6_000,
+            act: |world| {
+                for number in 10..16 {
+                    let id = requests::unique(world.now(), number);
+                    requests::ask(world, "waco-e2", "invoices", &id);
+                }
+                world.run_for(2);
+                world.crash(&session::instance("austin-e1"));
+            },
+            finish: requests::recovered,
+        },
+        Session {
+            name: "worker leaves",
+            periodic: false,
+            window_ms: 3_000,
+            act: |world| {
+                let worker = world.worker_ids().into_iter().next();
+                if let Some(worker) = worker {
+                    world.leave(&worker);
+                }
+                requests::ask(world, "austin-e1", "quotes", "q-3");
+                requests::ask(world, "austin-e2", "quotes", "q-4");
+            },
+            finish: requests::recovered,
+        },
+    ]
+}
--- /dev/null
+++ b/crates/daisymast_matrix/src/session/manifests.rs
@@ -0,0 +1,67 @@
+//! Sessions of operators.
+
+use daisymast_types::ids::Generation;
+
+use crate::checkers::Violation;
+use crate::session::{self, Session, requests};
+use crate::world::{Node, World};
+
+pub(super) fn sessions() -> Vec<Session> {
+    vec![
+        Session {
+            name: "manifest accepted and spread",
+            periodic: true,
+            window_ms: 700,
+            act: |world| submit_empty(world, "austin-e1", "r2"),
+            finish: spread,
+        },
+        Session {
+            name: "two operators race",
+            periodic: false,
+            window_ms: 2_000,
+            act: |world| {
+                submit_empty(world, "austin-e1", "r2");
+                submit_empty(world, "waco-e1", "r3");
+            },
+            finish: spread,
+        },
+        Session {
+            name: "instance joins while the store is down",
+            periodic: false,
+            window_ms: 8_000,
+            act: |world| {
+                world.take_store_down();
+                world.crash(&session::instance("austin-e2"));
+            },
+            finish: |world| {
+                world.reconnect();
+                spread(world)
+            },
+        },
+    ]
+}
+
+fn submit_empty(world: &mut World, at: &str, release: &str) {
+    let text = session::manifest(release, "", "");
+    session::submit(world, at, 1, text);
+}
+
+/// All running instances have the same generation, and at most one of two racing submissions won.
+fn spread(world: &mut World) -> Vec<Violation> {
+    world.run_for(6_000);
+    let mut found = requests::recovered(world);
+    let generations: Vec<Generation> = world
+        .instances()
+        .iter()
+        .filter_map(|id| world.node(id))
+        .filter(|node| node.is_running())
+        .map(Node::generation)
+        .collect();
+    let same = generations.windows(2).all(|pair| pair[0] == pair[1]);
+    let newest = generations.iter().max().copied().unwrap_or_default();
+    if !same || newest < Generation(1) || newest > Generation(2) {
+        let detail = format!("generations in force: {generations:?}");
+        found.push(session::violation(world, "in force", detail));
+    }
+    found
+}
--- /dev/null
+++ b/crates/daisymast_matrix/src/session/requests.rs
@@ -0,0 +1,128 @@
+//! Sessions of callers.
+
+use daisymast_protocol::caller::{CallerReply, CallerRequest};
+use daisymast_types::ids::{JobName, RequestId};
+use uuid::Uuid;
+
+use crate::checkers::Violation;
+use crate::session::{self, Session};
+use crate::trace::Seen;
+use crate::world::{WALL_START_MS, World};
+
+pub(super) fn sessions() -> Vec<Session> {
+    vec![
+        Session {
+            name: "idempotent request",
+            periodic: false,
+            window_ms: 1_500,
+            act: |world| ask(world, "austin-e1", "quotes", "q-1"),
+            finish: recovered,
+        },
+        Session {
+            name: "non-idempotent request",
+            periodic: false,
+            window_ms: 1_500,
+            act: |world| ask(world, "austin-e1", "invoices", &unique(world.now(), 1)),
+            finish: recovered,
+        },
+        Session {
+            name: "same id at two instances",
+            periodic: false,
+            window_ms: 1_500,
+            act: |world| {
+                let id = unique(world.now(), 2);
+                ask(world, "austin-e1", "invoices", &id);
+                ask(world, "waco-e2", "invoices", &id);
+            },
+            finish: recovered,
+        },
+        Session {
+            name: "instance drains with requests in flight",
+            periodic: false,
+            window_ms: 2_000,
+            act: |world| {
+                ask(world, "austin-e1", "quotes", "q-2");
+                ask(world, "austin-e1", "invoices", &unique(world.now(), 3));
+                world.drain(&session::instance("austin-e1"));
+            },
+            finish: recovered,
+        },
+    ]
+}
+
+/// Time within which the callers of the sessions want their answer, in milliseconds.
+const TIMEOUT_MS: u64 = 5_000;
+
+pub(super) fn ask(world: &mut World, at: &str, service: &str, id: &str) {
+    let request = CallerRequest {
+        id: RequestId::from(id),
+        service: JobName::from(service),
+        idempotent: service == "quotes",
+        timeout_ms: TIMEOUT_MS,
+        body: "plaza 7".to_owned(),
+    };
+    world.ask(&session::instance(at), request);
+}
+
+/// A UUID of version 7 issued at virtual time `now`.
+pub(super) fn unique(now: u64, number: u8) -> String {
+    let random = [number; 10];
+    uuid::Builder::from_unix_timestamp_millis(WALL_START_MS + now, &random)
+        .into_uuid()
+        .to_string()
+}
+
+/// After the faults, every zone serves both kinds of requests again.
+pub(super) fn recovered(world: &mut World) -> Vec<Violation> {
+    let mut ids = Vec::new();
+    for (index, at) in ["austin-e2", "temple-e1", "waco-e1"]
+        .into_iter()
+        .enumerate()
+    {
+        let id = format!("after-{index}");
+        ask(world, at, "quotes", &id);
+        ids.push(id);
+        let number = 100 + u8::try_from(index).unwrap_or_default();
+        let id = unique(world.now(), number);
+        ask(world, at, "invoices", &id);
+        ids.push(id);
+    }
+    world.run_for(TIMEOUT_MS + 1_000);
+    ids.iter()
+        .filter(|id| !is_done(world, id))
+        .map(|id| not_served(world, id))
+        .collect()
+}
+
+fn is_done(world: &World, id: &str) -> bool {
+    world.trace.seen.iter().any(|(_, seen)| {
+        matches!(seen, Seen::CallerAnswered { id: answered, reply: CallerReply::Done { .. }, .. }
+            if answered.as_str() == id)
+    })
+}
+
+fn not_served(world: &World, id: &str) -> Violation {
+    let reply = world
+        .trace
+        .seen
+        .iter()
+        .rev()
+        .find_map(|(_, seen)| match seen {
+            Seen::CallerAnswered {
+                id: answered,
+                reply,
+                ..
+            } if answered.as_str() == id => Some(reply),
+            _ => None,
+        });
+    let kind = if Uuid::try_parse(id).is_ok() {
+        "invoice"
+    } else {
+        "quote"
+    };
+    session::violation(
+        world,
+        "recovers",
+        format!("{kind} {id} after the faults: {reply:?}"),
+    )
+}
--- /dev/null
+++ b/crates/daisymast_matrix/src/world.rs
@@ -0,0 +1,265 @@
+//! Several instances, workers and a platform on one virtual clock.
+//!
+//! The world carries out the actions of the same [`Instance`] struct that the daemon runs. Every
+//! message between parties passes [`World::transmit`], where an armed fault may strike.
+
+mod build;
+mod carry;
+mod faults;
+mod node;
+mod workers;
+
+use std::collections::BTreeMap;
+
+use daisymast_engine::event::Event;
+use daisymast_platform::model::{PlatformModel, WaiterId};
+use daisymast_protocol::caller::CallerRequest;
+use daisymast_protocol::operator::{OperatorReply, OperatorRequest};
+use daisymast_protocol::store::StoreReply;
+use daisymast_types::collections::FastMap;
+use daisymast_types::ids::{Generation, InstanceId, JobName, RequestId, Token, WorkerId};
+
+use crate::fault::Armed;
+use crate::network::{Body, CallRef, Cuts, Message, Party};
+use crate::trace::{Seen, Trace};
+
+pub use build::Layout;
+pub use node::Node;
+pub use workers::Host;
+
+/// Wall-clock time at virtual time zero: 2026-12-04 00:00 UTC, in milliseconds.
+pub const WALL_START_MS: u64 = 1_796_342_400_000;
+/// Time between two ticks of a party, in milliseconds.
+const TICK_MS: u64 = 50;
+/// Latency of one message, in milliseconds: the larger of the users' two figures.
+const LATENCY_MS: u64 = 1;
+
+/// Something that happens at a virtual time.
+#[derive(Clone, Debug)]
+enum Due {
+    TickInstance(InstanceId, u64),
+    TickWorkers,
+    Arrive(Message),
+    ReplyLater(Message, StoreReply),
+    Deadline(CallRef, Party),
+    Resume(InstanceId),
+    ResumeWorker(WorkerId),
+    Replace(InstanceId),
+    ReplaceWorker(WorkerId),
+    Heal,
+}
+
+/// One step of a session as golden files show it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Line {
+    /// Virtual time in milliseconds, counted from the start of the session.
+    pub at: u64,
+    /// What happened.
+    pub text: String,
+}
+
+/// The whole test bed.
+#[derive(Clone)]
+pub struct World {
+    now: u64,
+    sequence: u64,
+    due: BTreeMap<(u64, u64), Due>,
+    nodes: BTreeMap<InstanceId, Node>,
+    hosts: BTreeMap<WorkerId, Host>,
+    platform: PlatformModel,
+    /// Store exchanges whose reply comes later, by the model's waiter.
+    waiting: FastMap<WaiterId, Message>,
+    cuts: Cuts,
+    armed: Vec<Armed>,
+    /// Step counter and start time of the session, once it is recorded.
+    session: Option<(usize, u64)>,
+    periodic: bool,
+    struck: usize,
+    replies: FastMap<(InstanceId, Token), OperatorReply>,
+    next_token: u64,
+    /// What was seen so far.
+    pub trace: Trace,
+    /// Steps of the recorded session.
+    pub lines: Vec<Line>,
+}
+
+impl World {
+    /// Virtual time in milliseconds.
+    pub fn now(&self) -> u64 {
+        self.now
+    }
+
+    /// Number of steps of the session so far.
+    pub fn steps(&self) -> usize {
+        self.session.map_or(0, |(steps, _)| steps)
+    }
+
+    /// Number of armed faults that struck.
+    pub fn struck(&self) -> usize {
+        self.struck
+    }
+
+    /// Starts to count steps. Messages of the exchanges that go on all the time count only if
+    /// `periodic` is set.
+    pub fn record(&mut self, armed: Vec<Armed>, periodic: bool) {
+        self.session = Some((0, self.now));
+        self.armed = armed;
+        self.periodic = periodic;
+    }
+
+    /// Stops counting steps and disarms faults that did not strike.
+    pub fn end_record(&mut self) {
+        self.armed.clear();
+        self.periodic = false;
+    }
+
+    /// Lets `millis` of virtual time pass.
+    pub fn run_for(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while let Some((&(at, sequence), _)) = self.due.first_key_value() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            if let Some(due) = self.due.remove(&(at, sequence)) {
+                self.handle(due);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Sends a caller's request to an instance, or to the next live one as a balancer does.
+    pub fn ask(&mut self, instance: &InstanceId, request: CallerRequest) {
+        let Some(instance) = self.live_from(instance) else {
+            return;
+        };
+        let token = self.token();
+        self.trace.push(
+            self.now,
+            Seen::CallerAsked {
+                instance: instance.clone(),
+                id: request.id.clone(),
+                service: request.service.clone(),
+                idempotent: request.idempotent,
+                body: request.body.clone(),
+            },
+        );
+        self.line(&format!("caller -> {instance}: request {}", request.id));
+        if let Some(node) = self.nodes.get_mut(&instance) {
+            node.callers.insert(token, request.id.clone());
+        }
+        self.feed(&instance, Event::Caller { token, request });
+    }
+
+    /// Sends an operator's request; the reply is read by [`World::operator_reply`].
+    pub fn operate(&mut self, instance: &InstanceId, request: OperatorRequest) -> Token {
+        let token = self.token();
+        self.line(&format!("operator -> {instance}"));
+        self.feed(instance, Event::Operator { token, request });
+        token
+    }
+
+    /// The reply to an operator's request, if it came.
+    pub fn operator_reply(&self, instance: &InstanceId, token: Token) -> Option<&OperatorReply> {
+        self.replies.get(&(instance.clone(), token))
+    }
+
+    /// Records that a manifest was accepted.
+    pub fn accepted(&mut self, generation: Generation, declared: Vec<JobName>) {
+        self.trace.push(
+            self.now,
+            Seen::Accepted {
+                generation,
+                declared,
+            },
+        );
+    }
+
+    /// Asks an instance to drain.
+    pub fn drain(&mut self, instance: &InstanceId) {
+        self.trace.push(
+            self.now,
+            Seen::Draining {
+                instance: instance.clone(),
+            },
+        );
+        self.line(&format!("{instance} drains"));
+        self.feed(instance, Event::Drain);
+    }
+
+    /// Ids of all instances.
+    pub fn instances(&self) -> Vec<InstanceId> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    /// The instance of that id.
+    pub fn node(&self, instance: &InstanceId) -> Option<&Node> {
+        self.nodes.get(instance)
+    }
+
+    /// Ids of all workers.
+    pub fn worker_ids(&self) -> Vec<WorkerId> {
+        self.hosts.keys().cloned().collect()
+    }
+
+    /// The worker of that id.
+    pub fn host(&self, worker: &WorkerId) -> Option<&Host> {
+        self.hosts.get(worker)
+    }
+
+    fn live_from(&self, instance: &InstanceId) -> Option<InstanceId> {
+        let live = |node: &&Node| node.is_running();
+        let later = self.nodes.range(instance.clone()..).map(|(_, node)| node);
+        later
+            .chain(self.nodes.values())
+            .find(live)
+            .map(|node| node.id().clone())
+    }
+
+    fn token(&mut self) -> Token {
+        self.next_token += 1;
+        Token(self.next_token)
+    }
+
+    fn schedule(&mut self, at: u64, due: Due) {
+        self.sequence += 1;
+        self.due.insert((at.max(self.now), self.sequence), due);
+    }
+
+    fn line(&mut self, text: &str) {
+        if let Some((_, start)) = self.session {
+            let at = self.now - start;
+            self.lines.push(Line {
+                at,
+                text: text.to_owned(),
+            });
+        }
+    }
+
+    fn handle(&mut self, due: Due) {
+        match due {
+            Due::TickInstance(instance, boot) => self.tick_instance(&instance, boot),
+            Due::TickWorkers => self.tick_workers(),
+            Due::Arrive(message) => self.arrive(message),
+            Due::ReplyLater(request, reply) => self.reply(request, Body::StoreReply(reply)),
+            Due::Deadline(call, to) => self.expire(&call, &to),
+            Due::Resume(instance) => self.resume(&instance),
+            Due::ResumeWorker(worker) => self.resume_worker(&worker),
+            Due::Replace(instance) => self.replace(&instance),
+            Due::ReplaceWorker(worker) => self.replace_worker(&worker),
+            Due::Heal => self.heal(),
+        }
+    }
+
+    /// Requests that got no answer yet.
+    pub fn unanswered(&self) -> Vec<(InstanceId, RequestId)> {
+        self.nodes
+            .values()
+            .flat_map(|node| {
+                node.callers
+                    .values()
+                    .map(|id| (node.id().clone(), id.clone()))
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/daisymast_matrix/src/world/build.rs
@@ -0,0 +1,114 @@
+//! Builds a world of three zones.
+
+use std::collections::BTreeMap;
+
+use daisymast_engine::config::{InstanceConfig, Seed, WorkerSeed};
+use daisymast_platform::model::PlatformModel;
+use daisymast_types::collections::FastMap;
+use daisymast_types::ids::{BootId, InstanceId, Rack, WorkerId, Zone};
+use daisymast_types::quantities::Resources;
+
+use crate::network::Cuts;
+use crate::trace::{Seen, Trace};
+use crate::world::{Due, Host, Node, World};
+
+/// Size of a world.
+#[derive(Clone, Copy, Debug)]
+pub struct Layout {
+    /// Entry instances of each zone.
+    pub instances: usize,
+    /// Workers of each zone.
+    pub workers: usize,
+    /// Capacity of a worker.
+    pub capacity: Resources,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Self {
+            instances: 2,
+            workers: 2,
+            capacity: Resources::new(32_000, 128 * 1024, 2),
+        }
+    }
+}
+
+/// Zones of the first users.
+const ZONES: [&str; 3] = ["austin", "temple", "waco"];
+
+impl World {
+    /// A world at virtual time zero, in which nothing was declared yet.
+    pub fn new(layout: Layout) -> Self {
+        let seeds = seeds(layout);
+        let workers = worker_seeds(layout);
+        let mut world = Self {
+            now: 0,
+            sequence: 0,
+            due: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            platform: PlatformModel::default(),
+            waiting: FastMap::default(),
+            cuts: Cuts::default(),
+            armed: Vec::new(),
+            session: None,
+            periodic: false,
+            struck: 0,
+            replies: FastMap::default(),
+            next_token: 0,
+            trace: Trace::default(),
+            lines: Vec::new(),
+        };
+        for seed in &workers {
+            let host = Host::new(seed, layout.capacity);
+            let (worker, capacity) = (seed.worker.clone(), layout.capacity);
+            world.trace.push(0, Seen::WorkerJoined { worker, capacity });
+            world.hosts.insert(seed.worker.clone(), host);
+        }
+        for (index, seed) in seeds.iter().enumerate() {
+            let config =
+                InstanceConfig::builder(seed.instance.clone(), seed.zone.clone(), BootId(1))
+                    .address(&seed.address)
+                    .seeds(seeds.clone())
+                    .workers(workers.clone())
+                    .build();
+            world
+                .nodes
+                .insert(seed.instance.clone(), Node::new(config, 1, 0));
+            // Ticks of the instances are spread, as those of real processes are.
+            world.schedule(
+                7 * index as u64,
+                Due::TickInstance(seed.instance.clone(), 1),
+            );
+        }
+        world.schedule(0, Due::TickWorkers);
+        world
+    }
+}
+
+fn seeds(layout: Layout) -> Vec<Seed> {
+    per_zone(layout.instances, "e")
+        .map(|(zone, name)| Seed {
+            instance: InstanceId::from(name.as_str()),
+            zone,
+            address: name,
+        })
+        .collect()
+}
+
+fn worker_seeds(layout: Layout) -> Vec<WorkerSeed> {
+    per_zone(layout.workers, "w")
+        .map(|(zone, name)| WorkerSeed {
+            worker: WorkerId::from(name.as_str()),
+            rack: Rack::from(format!("{zone}-r1")),
+            zone,
+            address: name,
+        })
+        .collect()
+}
+
+fn per_zone(count: usize, kind: &str) -> impl Iterator<Item = (Zone, String)> {
+    ZONES.into_iter().flat_map(move |zone| {
+        (1..=count).map(move |index| (Zone::from(zone), format!("{zone}-{kind}{index}")))
+    })
+}
--- /dev/null
+++ b/crates/daisymast_matrix/src/world/node.rs
@@ -0,0 +1,384 @@
+//! An entry instance in the world: running, paused or dead.
+
+use std::collections::BTreeMap;
+
+use daisymast_engine::config::InstanceConfig;
+use daisymast_engine::event::{Action, Event};
+use daisymast_engine::instance::Instance;
+use daisymast_protocol::outcome::{CallError, Outcome};
+use daisymast_types::collections::FastMap;
+use daisymast_types::ids::{BootId, CallId, Generation, InstanceId, RequestId, Token};
+
+use crate::fault::REPLACED_AFTER_MS;
+use crate::network::{Body, CallRef, Message, Party};
+use crate::trace::Seen;
+use crate::world::{Due, LATENCY_MS, TICK_MS, World};
+
+/// An entry instance and what the world knows of it.
+#[derive(Clone)]
+pub struct Node {
+    pub(super) config: InstanceConfig,
+    pub(super) instance: Option<Instance>,
+    pub(super) boot: u64,
+    pub(super) started: u64,
+    pub(super) paused: bool,
+    pub(super) buffered: Vec<Event>,
+    pub(super) calls: FastMap<CallId, Party>,
+    pub(super) callers: BTreeMap<Token, RequestId>,
+    pub(super) peers: FastMap<Token, Message>,
+    pub(super) generation: Generation,
+    pub(super) drained: bool,
+}
+
+impl Node {
+    /// A process that starts at `started`.
+    pub(super) fn new(config: InstanceConfig, boot: u64, started: u64) -> Self {
+        let mut config = config;
+        config.boot = BootId(boot * 1_000 + 7);
+        Self {
+            instance: Some(Instance::new(config.clone())),
+            config,
+            boot,
+            started,
+            paused: false,
+            buffered: Vec::new(),
+            calls: FastMap::default(),
+            callers: BTreeMap::new(),
+            peers: FastMap::default(),
+            generation: Generation::default(),
+            drained: false,
+        }
+    }
+
+    /// Id of the instance.
+    pub fn id(&self) -> &InstanceId {
+        &self.config.instance
+    }
+
+    /// Whether the process runs, be it paused or not.
+    pub fn is_running(&self) -> bool {
+        self.instance.is_some()
+    }
+
+    /// Generation in force at the instance.
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+}
+
+impl World {
+    /// Hands an event to an instance, or buffers it while the process is paused.
+    pub(super) fn feed(&mut self, instance: &InstanceId, event: Event) {
+        let Some(node) = self.nodes.get_mut(instance) else {
+            return;
+        };
+        if node.paused {
+            node.buffered.push(event);
+            return;
+        }
+        let now = daisymast_types::time::Timestamp::new(
+            self.now - node.started,
+            super::WALL_START_MS + self.now,
+        );
+        let Some(running) = node.instance.as_mut() else {
+            return;
+        };
+        let actions = running.on_event(now, event);
+        let generation = running.generation();
+        if generation != node.generation {
+            node.generation = generation;
+            let seen = Seen::InForce {
+                instance: instance.clone(),
+                generation,
+            };
+            self.trace.push(self.now, seen);
+        }
+        let boot = node.boot;
+        for action in actions {
+            self.act(instance, boot, action);
+        }
+    }
+
+    fn act(&mut self, instance: &InstanceId, boot: u64, action: Action) {
+        // A fault at an earlier action of the same event may have ended the process.
+        if self
+            .nodes
+            .get(instance)
+            .is_none_or(|node| !node.is_running() || node.boot != boot)
+        {
+            return;
+        }
+        match action {
+            Action::CallStore {
+                call,
+                request,
+                timeout,
+            } => {
+                self.call(
+                    instance,
+                    call,
+                    Party::Platform,
+                    Body::Store(request),
+                    timeout,
+                );
+            }
+            Action::CallWorker {
+                call,
+                worker,
+                request,
+                timeout,
+                ..
+            } => {
+                let to = Party::Worker(worker);
+                self.call(instance, call, to, Body::Worker(request), timeout);
+            }
+            Action::CallPeer {
+                call,
+                instance: peer,
+                request,
+                timeout,
+                ..
+            } => {
+                let to = Party::Instance(peer);
+                self.call(instance, call, to, Body::Peer(request), timeout);
+            }
+            Action::AnswerPeer { token, reply } => {
+                let node = self.nodes.get_mut(instance);
+                if let Some(request) = node.and_then(|node| node.peers.remove(&token)) {
+                    self.reply(request, Body::PeerReply(reply));
+                }
+            }
+            Action::AnswerCaller { token, reply } => {
+                let node = self.nodes.get_mut(instance);
+                let Some(id) = node.and_then(|node| node.callers.remove(&token)) else {
+                    return;
+                };
+                let name = format!("{reply:?}");
+                let end = name.find([' ', '{']).unwrap_or(name.len());
+                self.line(&format!("{instance} -> caller: {id} {}", &name[..end]));
+                let seen = Seen::CallerAnswered {
+                    instance: instance.clone(),
+                    id,
+                    reply,
+                };
+                self.trace.push(self.now, seen);
+            }
+            Action::AnswerOperator { token, reply } => {
+                self.replies.insert((instance.clone(), token), reply);
+            }
+            Action::Record(event) => {
+                self.line(&format!(
+                    "{} {} {}",
+                    event.source, event.step, event.subject
+                ));
+            }
+            Action::Stopped => self.stopped(instance),
+        }
+    }
+
+    fn call(
+        &mut self,
+        instance: &InstanceId,
+        call: CallId,
+        to: Party,
+        body: Body,
+        timeout: std::time::Duration,
+    ) {
+        let Some(node) = self.nodes.get_mut(instance) else {
+            return;
+        };
+        node.calls.insert(call, to.clone());
+        let call = CallRef {
+            instance: instance.clone(),
+            boot: node.boot,
+            call,
+        };
+        let timeout = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+        let deadline = self.now.saturating_add(timeout);
+        self.schedule(deadline, Due::Deadline(call.clone(), to.clone()));
+        let from = Party::Instance(instance.clone());
+        self.transmit(Message {
+            from,
+            to,
+            call,
+            deadline,
+            body,
+        });
+    }
+
+    /// Sends the reply of an exchange back to the instance that called.
+    pub(super) fn reply(&mut self, request: Message, body: Body) {
+        let Message {
+            from,
+            to,
+            call,
+            deadline,
+            ..
+        } = request;
+        self.transmit(Message {
+            from: to,
+            to: from,
+            call,
+            deadline,
+            body,
+        });
+    }
+
+    /// The deadline of a call has passed; its outcome is unknown unless a reply came.
+    pub(super) fn expire(&mut self, call: &CallRef, to: &Party) {
+        let error = CallError::new("wait for reply", &format!("{to:?}"), "deadline passed");
+        self.settle(call, |party| match party {
+            Party::Platform => Event::StoreReply {
+                call: call.call,
+                outcome: Outcome::Unknown(error),
+            },
+            Party::Worker(_) => Event::WorkerReply {
+                call: call.call,
+                outcome: Outcome::Unknown(error),
+            },
+            Party::Instance(_) => Event::PeerReply {
+                call: call.call,
+                outcome: Outcome::Unknown(error),
+            },
+        });
+    }
+
+    /// The peer refused the connection, so the call surely took no effect.
+    pub(super) fn refuse(&mut self, call: &CallRef) {
+        let error = CallError::new("connect", "peer", "connection refused");
+        self.settle(call, |party| match party {
+            Party::Platform => Event::StoreReply {
+                call: call.call,
+                outcome: Outcome::NoEffect(error),
+            },
+            Party::Worker(_) => Event::WorkerReply {
+                call: call.call,
+                outcome: Outcome::NoEffect(error),
+            },
+            Party::Instance(_) => Event::PeerReply {
+                call: call.call,
+                outcome: Outcome::NoEffect(error),
+            },
+        });
+    }
+
+    /// Ends a call with the event that `event` makes, unless the call has ended already.
+    pub(super) fn settle(&mut self, call: &CallRef, event: impl FnOnce(Party) -> Event) {
+        let Some(node) = self.nodes.get_mut(&call.instance) else {
+            return;
+        };
+        if node.boot != call.boot || !node.is_running() {
+            return;
+        }
+        if let Some(party) = node.calls.remove(&call.call) {
+            let event = event(party);
+            self.feed(&call.instance, event);
+        }
+    }
+
+    pub(super) fn tick_instance(&mut self, instance: &InstanceId, boot: u64) {
+        let Some(node) = self.nodes.get(instance) else {
+            return;
+        };
+        if node.boot != boot || !node.is_running() {
+            return;
+        }
+        if !node.paused {
+            self.feed(instance, Event::Tick);
+        }
+        self.schedule(
+            self.now + TICK_MS,
+            Due::TickInstance(instance.clone(), boot),
+        );
+    }
+
+    /// Ends a process without notice. Its callers' connections break.
+    pub(super) fn kill(&mut self, instance: &InstanceId) {
+        let Some(node) = self.nodes.get_mut(instance) else {
+            return;
+        };
+        if node.instance.take().is_none() {
+            return;
+        }
+        let callers = std::mem::take(&mut node.callers);
+        let peers = std::mem::take(&mut node.peers);
+        node.calls.clear();
+        node.buffered.clear();
+        node.paused = false;
+        for id in callers.into_values() {
+            self.trace.push(
+                self.now,
+                Seen::CallerCutOff {
+                    instance: instance.clone(),
+                    id,
+                },
+            );
+        }
+        self.trace.push(
+            self.now,
+            Seen::InstanceRestarted {
+                instance: instance.clone(),
+            },
+        );
+        self.line(&format!("{instance} dies"));
+        // The connections of exchanges in progress break: their outcome is unknown at once.
+        for request in peers.into_values() {
+            let at = self.now + LATENCY_MS;
+            self.schedule(at, Due::Deadline(request.call, request.to));
+        }
+        self.schedule(self.now + REPLACED_AFTER_MS, Due::Replace(instance.clone()));
+    }
+
+    /// Ends a process without notice; a new one replaces it after a while.
+    pub fn crash(&mut self, instance: &InstanceId) {
+        self.kill(instance);
+    }
+
+    pub(super) fn replace(&mut self, instance: &InstanceId) {
+        let Some(node) = self.nodes.get_mut(instance) else {
+            return;
+        };
+        if node.is_running() || node.drained {
+            return;
+        }
+        let boot = node.boot + 1;
+        *node = Node::new(node.config.clone(), boot, self.now);
+        self.schedule(self.now + 1, Due::TickInstance(instance.clone(), boot));
+    }
+
+    pub(super) fn pause(&mut self, instance: &InstanceId, millis: u64) {
+        if let Some(node) = self.nodes.get_mut(instance) {
+            node.paused = true;
+            self.line(&format!("{instance} is paused"));
+            self.schedule(self.now + millis, Due::Resume(instance.clone()));
+        }
+    }
+
+    pub(super) fn resume(&mut self, instance: &InstanceId) {
+        let Some(node) = self.nodes.get_mut(instance) else {
+            return;
+        };
+        node.paused = false;
+        for event in std::mem::take(&mut node.buffered) {
+            self.feed(instance, event);
+        }
+    }
+
+    fn stopped(&mut self, instance: &InstanceId) {
+        let Some(node) = self.nodes.get_mut(instance) else {
+            return;
+        };
+        if node.drained {
+            return;
+        }
+        node.drained = true;
+        node.instance = None;
+        self.line(&format!("{instance} has drained"));
+        self.trace.push(
+            self.now,
+            Seen::Drained {
+                instance: instance.clone(),
+            },
+        );
+    }
+}
--- /dev/null
+++ b/crates/daisymast_matrix/tests/golden.rs
@@ -0,0 +1,19 @@
+//! Golden files of whole sessions without a fault, one line for each message and change of state.
+
+use std::fmt::Write;
+
+use daisymast_matrix::matrix;
+
+#[test]
+fn sessions_without_faults() {
+    let (base, sessions) = matrix::setting();
+    for session in &sessions {
+        let world = matrix::play(&base, session, Vec::new());
+        let mut text = String::new();
+        for line in &world.lines {
+            let _ = writeln!(text, "{:>5} ms  {}", line.at, line.text);
+        }
+        let name = session.name.replace(' ', "_");
+        insta::assert_snapshot!(name, text);
+    }
+}
--- /dev/null
+++ b/crates/daisymast_matrix/tests/matrix.rs
@@ -0,0 +1,25 @@
+//! Every single fault at every step of every session.
+
+use std::thread;
+
+use daisymast_matrix::matrix;
+
+#[test]
+fn single_faults() {
+    let (base, sessions) = matrix::setting();
+    let cells = matrix::single_faults(&base, &sessions);
+    let threads = thread::available_parallelism().map_or(4, std::num::NonZero::get);
+    let report = matrix::run(&base, &sessions, &cells, threads);
+    #[expect(
+        clippy::print_stdout,
+        reason = "the size of the matrix belongs to the test's output"
+    )]
+    {
+        println!("{report}");
+    }
+    assert!(
+        report.failures.is_empty(),
+        "{report}\n{}",
+        report.summary(&sessions)
+    );
+}
--- a/crates/daisymast_platform/src/model.rs
+++ b/crates/daisymast_platform/src/model.rs
@@ -99,7 +99,7 @@
 /// };
 /// assert_eq!(reply, StoreReply::Written { revision: Revision(1) });
 /// ```
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct PlatformModel {
     state: State,
     members: MemberList,
--- a/crates/daisymast_platform/src/model/members.rs
+++ b/crates/daisymast_platform/src/model/members.rs
@@ -25,13 +25,13 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Change {
     Register(Member),
     Remove(MemberId),
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct MemberList {
     lag: Duration,
     visible: BTreeMap<Who, Member>,
--- a/crates/daisymast_worker/src/model.rs
+++ b/crates/daisymast_worker/src/model.rs
@@ -65,7 +65,7 @@
 /// let reply = worker.on_request(Monotonic::ZERO, acquire);
 /// assert!(matches!(reply, model::ModelReply::Answer(WorkerReply::Granted(_))));
 /// ```
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct WorkerModel {
     settings: ModelSettings,
     lease: Lease,
--- a/crates/daisymast_worker/src/model/lease.rs
+++ b/crates/daisymast_worker/src/model/lease.rs
@@ -10,7 +10,7 @@
 pub const TTL_MAX: Duration = Duration::from_secs(60);
 
 /// Result of asking for the lease.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) enum Acquired {
     /// The lease is granted under a new epoch.
     New,
@@ -21,7 +21,7 @@
 }
 
 /// At most one holder, until the worker's own clock says that its time is over.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Lease {
     boot: BootId,
     epoch: Epoch,
--- a/crates/daisymast_worker/src/model/log.rs
+++ b/crates/daisymast_worker/src/model/log.rs
@@ -63,7 +63,7 @@
 }
 
 /// The last [`LOG_ENTRIES`] entries.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Log {
     entries: VecDeque<LogEntry>,
     dropped: u64,
--- a/crates/daisymast_worker/src/model/memory.rs
+++ b/crates/daisymast_worker/src/model/memory.rs
@@ -15,7 +15,7 @@
 pub const FINISHED_TTL: Duration = Duration::from_secs(120);
 
 /// Fates by id. An id is dropped only when the memory is full and the time of the id is over.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Memory<K> {
     limit: usize,
     fates: FastMap<K, Fate>,
--- a/crates/daisymast_worker/src/model/renewals.rs
+++ b/crates/daisymast_worker/src/model/renewals.rs
@@ -9,7 +9,7 @@
 
 /// Longest wait of a renewal for a change.
 pub const RENEW_WAIT_MAX: Duration = Duration::from_secs(20);
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Renewal {
     stamp: LeaseStamp,
     since: u64,
--- a/crates/daisymast_worker/src/model/requests.rs
+++ b/crates/daisymast_worker/src/model/requests.rs
@@ -12,7 +12,7 @@
 use super::log::{Log, LogEvent};
 use super::memory::Memory;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Serving {
     exchange: ExchangeId,
     request: ServeRequest,
@@ -21,7 +21,7 @@
 }
 
 /// All requests that a worker knows, each served at most once.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Requests {
     slots: usize,
     serving: BTreeMap<RequestId, Serving>,
--- a/crates/daisymast_worker/src/model/tasks.rs
+++ b/crates/daisymast_worker/src/model/tasks.rs
@@ -16,7 +16,7 @@
 /// When and how a task ends by itself.
 pub(super) type End = (Monotonic, TaskState);
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Running {
     /// The task, with the processors that it may use at present.
     spec: TaskSpec,
@@ -47,14 +47,14 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Ended {
     report: TaskReport,
     seq: u64,
 }
 
 /// All tasks that a worker knows. The sizes of the running ones fit in its capacity.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Tasks {
     capacity: Resources,
     used: Resources,
