--- a/crates/daisymast_engine/src/runs/tests/holder.rs
+++ b/crates/daisymast_engine/src/runs/tests/holder.rs
@@ -227,8 +227,9 @@
         if self.tasks.contains_key(&spec.key) || self.tombstones.contains(&spec.key) {
             return PeerReply::Refused(Refusal::Duplicate);
         }
+        // A start uses the reservation of its run as far as it goes.
         if let Some(reserved) = self.reserved.get_mut(&(worker.clone(), spec.key.run)) {
-            *reserved -= spec.size;
+            *reserved = reserved.saturating_sub(spec.size);
         }
         if self.full.contains(&worker) || !spec.size.fits_in(self.free(&worker)) {
             return PeerReply::Refused(Refusal::NoCapacity);
