--- a/crates/daisymast_engine/src/runs/tests/faults.rs
+++ b/crates/daisymast_engine/src/runs/tests/faults.rs
@@ -149,3 +149,20 @@
     node.run(&mut store, &mut holder, 36_000);
     assert_eq!(holder.running(), 3);
 }
+
+/// Guards against a start that is sent before its claim is durable.
+#[test]
+fn claims_wait_for_the_store_before_their_starts_are_sent() {
+    let (mut store, mut holder) = (Store::default(), Holder::new(3));
+    let mut node = Node::new("a", 1, &holder, manifest(vec![batch("survey", 3)], vec![]));
+    while node.steps("run.opened") == 0 {
+        let next = node.now.mono.as_millis() + 50;
+        node.run(&mut store, &mut holder, next);
+    }
+    store.down = true;
+    node.run(&mut store, &mut holder, 20_000);
+    assert!(holder.starts.is_empty());
+    store.down = false;
+    node.run(&mut store, &mut holder, 25_000);
+    assert_eq!(holder.running(), 3);
+}
