Keep ledger segments in slots and move claims to claim files

Cause: at the peak the one list of a takeover passed 8 MB within 10 min, because all segments were kept for 24 h, and an owner kept 24 h of claims without a bound.

Change: 64 slots for segments, overwritten by compare-and-swap and never deleted; claims of sealed segments go to claim files by hour before a slot is used again. An owner keeps claims for 75 min and at most 49,152; beyond that, and for ids older than 65 min, a claim is refused as not recorded. Questions after older ids read the files. Files are deleted after 25 h.

--- a/crates/daisymast_ledger/src/commit.rs
+++ b/crates/daisymast_ledger/src/commit.rs
@@ -55,6 +55,11 @@
         self.items.is_empty()
     }
 
+    /// Claims that wait or are being written.
+    pub(crate) fn claims(&self) -> usize {
+        self.claims.len()
+    }
+
     /// State of a claim that is not yet recorded. It may still fail, but the one who asks must not
     /// run the request in either case.
     pub(crate) fn claim_state(&self, request: &RequestId) -> Option<ClaimState> {
--- a/crates/daisymast_ledger/src/keys.rs
+++ b/crates/daisymast_ledger/src/keys.rs
@@ -4,6 +4,10 @@
 use daisymast_types::hashing;
 use daisymast_types::ids::{Partition, RequestId, RunKey};
 
+/// Segments of a partition in the store. One list reads them all: 64 of at most 119 KB (the largest
+/// value at twice the peak) are 7.6 MB.
+pub const SLOTS: u64 = 64;
+
 /// All partitions of the ledger.
 pub fn partitions() -> impl Iterator<Item = Partition> {
     (0..limits::PARTITIONS).map(Partition)
@@ -37,14 +41,24 @@
     format!("ledger/{partition}/seg/")
 }
 
-/// Key of one segment. The number has a fixed width, so that key order is the order of the segments.
+/// Key of the slot that holds a segment. Slots are overwritten in turn and never deleted.
 pub fn segment(partition: Partition, number: u64) -> String {
-    format!("ledger/{partition}/seg/{number:012}")
+    format!("ledger/{partition}/seg/{:012}", slot(number))
+}
+
+/// Slot of a segment.
+pub fn slot(number: u64) -> u64 {
+    number % SLOTS
+}
+
+/// Prefix of the claim files of one hour since 1970.
+pub fn files(partition: Partition, hour: u64) -> String {
+    format!("ledger/{partition}/claims/{hour:08}/")
 }
 
-/// Number of the segment with that key.
-pub fn segment_number(partition: Partition, key: &str) -> Option<u64> {
-    key.strip_prefix(&segments(partition))?.parse().ok()
+/// Key of the claim file that starts with the claims of segment `from`.
+pub fn file(partition: Partition, hour: u64, from: u64) -> String {
+    format!("ledger/{partition}/claims/{hour:08}/{from:012}")
 }
 
 fn of_hash(hash: u64) -> Partition {
--- a/crates/daisymast_ledger/src/lib.rs
+++ b/crates/daisymast_ledger/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod effect;
 pub mod entry;
+pub mod file;
 pub mod keys;
 pub mod partition;
 pub mod record;
@@ -13,7 +14,10 @@
 mod commit;
 mod identity;
 mod memory;
+mod merge;
 mod owned;
 mod questions;
+mod search;
+mod sweep;
 mod takeover;
 mod write;
--- a/crates/daisymast_ledger/src/memory.rs
+++ b/crates/daisymast_ledger/src/memory.rs
@@ -3,15 +3,25 @@
 use std::collections::BTreeMap;
 
 use daisymast_protocol::peer::ClaimState;
-use daisymast_types::collections::FastMap;
+use daisymast_types::collections::{FastMap, FastSet};
 use daisymast_types::ids::{InstanceId, RequestId, RunKey};
 use daisymast_types::time::UnixMillis;
 
 use crate::entry::{Entry, Settled};
+use crate::file::{ClaimFile, ClaimRecord};
 use crate::record::RunRecord;
 use crate::segment::Segment;
 
-/// A claim and the segment whose deletion ends its memory.
+/// Claims that an owner keeps. With the default allocator a claim takes about 260 bytes, so 16
+/// partitions on one node keep at most about 200 MB.
+pub(crate) const CLAIMS_MAX: usize = 49_152;
+/// Time for which a claim is kept after its segment was sealed. An id may be accepted from 5 min
+/// before its issue time to one hour after it; the rest is a margin for clocks that differ.
+pub(crate) const MEMORY_MS: u64 = 75 * 60_000;
+/// Age from which the owner itself refuses an id: its claim may have left the memory.
+pub(crate) const CLAIM_AGE_MS: u64 = 65 * 60_000;
+
+/// A claim and how it ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Claimed {
     pub(crate) digest: String,
@@ -19,11 +29,39 @@
     pub(crate) settled: Option<Settled>,
 }
 
-/// Claims of all retained segments and runs of the newest one.
+impl Claimed {
+    /// Answer to the question after the request.
+    pub(crate) fn state(&self) -> ClaimState {
+        let digest = self.digest.clone();
+        match self.settled {
+            None => ClaimState::Claimed {
+                by: self.by.clone(),
+                digest,
+            },
+            Some(Settled::Answered) => ClaimState::Answered {
+                digest,
+                answer: None,
+            },
+            Some(Settled::NotRun(reason)) => ClaimState::NotRun { digest, reason },
+        }
+    }
+}
+
+/// Claims of one segment, or of a file under the number of its first segment.
+#[derive(Clone, Debug, Default)]
+struct Bucket {
+    /// When the segment was sealed.
+    at: Option<UnixMillis>,
+    claims: Vec<RequestId>,
+    /// Requests whose results the segment holds. Cleared when a file holds them.
+    settles: Vec<RequestId>,
+}
+
+/// Recent claims, and runs of the newest segment.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Memory {
     claims: FastMap<RequestId, Claimed>,
-    by_segment: BTreeMap<u64, Vec<RequestId>>,
+    buckets: BTreeMap<u64, Bucket>,
     runs: BTreeMap<RunKey, RunRecord>,
 }
 
@@ -39,6 +77,72 @@
         for entry in &segment.entries {
             self.apply(number, entry);
         }
+        if let Some(at) = segment.sealed {
+            self.seal(number, at);
+        }
+    }
+
+    /// Adds a claim file that was read. Files come before segments.
+    pub(crate) fn load_file(&mut self, file: &ClaimFile) {
+        for ClaimRecord(request, digest, by, settled) in &file.claims {
+            self.claim(file.from, request, digest, by);
+            if let Some(result) = settled {
+                self.settle(request, *result);
+            }
+        }
+        self.seal(file.from, file.at);
+    }
+
+    /// Notes when a segment was sealed.
+    pub(crate) fn seal(&mut self, number: u64, at: UnixMillis) {
+        let bucket = self.buckets.entry(number).or_default();
+        bucket.at = bucket.at.max(Some(at));
+    }
+
+    /// Claims of a segment, and earlier claims whose results are in it.
+    pub(crate) fn records(&self, number: u64) -> Vec<ClaimRecord> {
+        let Some(bucket) = self.buckets.get(&number) else {
+            return Vec::new();
+        };
+        let claimed: FastSet<&RequestId> = bucket.claims.iter().collect();
+        let settled = bucket.settles.iter().filter(|id| !claimed.contains(*id));
+        bucket
+            .claims
+            .iter()
+            .chain(settled)
+            .filter_map(|id| {
+                let claimed = self.claims.get(id)?;
+                let (digest, by) = (claimed.digest.clone(), claimed.by.clone());
+                Some(ClaimRecord(id.clone(), digest, by, claimed.settled))
+            })
+            .collect()
+    }
+
+    /// Drops what is old and in files: those cover segments up to `merged`.
+    pub(crate) fn drop_old(&mut self, wall: UnixMillis, merged: u64) {
+        while let Some(first) = self.buckets.first_entry()
+            && *first.key() <= merged
+            && first
+                .get()
+                .at
+                .is_some_and(|at| at.0.saturating_add(MEMORY_MS) <= wall.0)
+        {
+            for request in first.remove().claims {
+                self.claims.remove(&request);
+            }
+        }
+    }
+
+    /// Forgets which segments held results that are now in files.
+    pub(crate) fn merged(&mut self, through: u64) {
+        for (_, bucket) in self.buckets.range_mut(..=through) {
+            bucket.settles = Vec::new();
+        }
+    }
+
+    /// Claims in memory.
+    pub(crate) fn len(&self) -> usize {
+        self.claims.len()
     }
 
     pub(crate) fn apply(&mut self, number: u64, entry: &Entry) {
@@ -48,7 +152,13 @@
                 digest,
                 by,
             } => self.claim(number, request, digest, by),
-            Entry::Settle { request, result } => self.settle(request, *result),
+            Entry::Settle { request, result } => {
+                self.settle(request, *result);
+                if self.claims.contains_key(request) {
+                    let bucket = self.buckets.entry(number).or_default();
+                    bucket.settles.push(request.clone());
+                }
+            }
             Entry::RunOpened(opened) => {
                 self.runs
                     .entry(opened.run)
@@ -90,21 +200,9 @@
 
     /// Answer to the question after a request.
     pub(crate) fn claim_state(&self, request: &RequestId) -> ClaimState {
-        let Some(claimed) = self.claims.get(request) else {
-            return ClaimState::Absent;
-        };
-        let digest = claimed.digest.clone();
-        match claimed.settled {
-            None => ClaimState::Claimed {
-                by: claimed.by.clone(),
-                digest,
-            },
-            Some(Settled::Answered) => ClaimState::Answered {
-                digest,
-                answer: None,
-            },
-            Some(Settled::NotRun(reason)) => ClaimState::NotRun { digest, reason },
-        }
+        self.claims
+            .get(request)
+            .map_or(ClaimState::Absent, Claimed::state)
     }
 
     pub(crate) fn runs(&self) -> &BTreeMap<RunKey, RunRecord> {
@@ -126,13 +224,6 @@
         self.runs.values().cloned().collect()
     }
 
-    /// Drops the claims of a deleted segment.
-    pub(crate) fn drop_segment(&mut self, number: u64) {
-        for request in self.by_segment.remove(&number).unwrap_or_default() {
-            self.claims.remove(&request);
-        }
-    }
-
     fn claim(&mut self, number: u64, request: &RequestId, digest: &str, by: &InstanceId) {
         if self.claims.contains_key(request) {
             return;
@@ -143,10 +234,8 @@
             settled: None,
         };
         self.claims.insert(request.clone(), claimed);
-        self.by_segment
-            .entry(number)
-            .or_default()
-            .push(request.clone());
+        let bucket = self.buckets.entry(number).or_default();
+        bucket.claims.push(request.clone());
     }
 
     fn close(&mut self, run: RunKey) {
--- a/crates/daisymast_ledger/src/owned.rs
+++ b/crates/daisymast_ledger/src/owned.rs
@@ -1,4 +1,4 @@
-//! An owned partition: group commit, confirmation of the ownership, deletion of old segments.
+//! An owned partition: group commit, confirmation of the ownership, claim files.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -6,17 +6,22 @@
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::peer::ClaimState;
 use daisymast_protocol::store::{Entry as StoreEntry, StoreReply, StoreRequest};
+use daisymast_types::collections::FastMap;
 use daisymast_types::ids::{Epoch, RequestId, Revision};
 use daisymast_types::time::{Monotonic, Timestamp, UnixMillis};
 
 use crate::commit::{Answers, Commit, Queue};
 use crate::effect::{Reply, Ticket};
 use crate::entry::Entry;
+use crate::file::{self, MERGE_AGE_MS, MERGE_SEGMENTS, RECORD_AGE_MS, Written};
 use crate::identity::Identity;
-use crate::keys;
-use crate::memory::Memory;
+use crate::keys::{self, SLOTS};
+use crate::memory::{CLAIM_AGE_MS, CLAIMS_MAX, Memory};
+use crate::merge::{Merge, SealedSegment};
 use crate::questions::Questions;
+use crate::search::{Found, Searches};
 use crate::segment::{self, SEAL_BYTES, SEAL_ENTRIES, Segment, Stamp};
+use crate::sweep::Sweep;
 use crate::write::{Progress, Write};
 
 /// Least time between the starts of two writes of a partition.
@@ -26,16 +31,14 @@
 pub(crate) const CONFIRM_INTERVAL: Duration = Duration::from_secs(60);
 /// Least time between two reads for the sake of questions; those that come meanwhile share one.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for which a sealed segment is kept, in milliseconds.
-pub(crate) const RETENTION_MS: u64 = 24 * 3_600 * 1_000;
-
-/// A sealed segment in the store.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SealedSegment {
-    pub(crate) number: u64,
-    pub(crate) revision: Revision,
-    pub(crate) at: UnixMillis,
-}
+/// Time after which a segment with entries is sealed, so that its claims get into a file.
+const SEAL_AGE: Duration = Duration::from_secs(600);
+/// Slots that stay free for the segments that takeovers open.
+const SPARE_SLOTS: u64 = 8;
+/// Time of ownership after which old files are looked for; a takeover is busy enough.
+const SWEEP_AFTER: Duration = Duration::from_secs(60);
+/// Pause after the store refused a claim file.
+const MERGE_PAUSE: Duration = Duration::from_secs(10);
 
 /// What the open store call is for.
 #[derive(Clone, Debug)]
@@ -43,7 +46,10 @@
     None,
     Commit(Box<Commit>),
     Confirm,
-    Delete(SealedSegment),
+    Merge(Merge),
+    /// List of the claim files of an hour for a question.
+    Search(u64),
+    Sweep(StoreRequest),
 }
 
 /// What follows from a reply.
@@ -64,46 +70,61 @@
 /// State of an owned partition.
 #[derive(Clone, Debug)]
 pub(crate) struct Owned {
-    number: u64,
-    /// Revision of the open segment; zero as long as it was not written.
+    /// Revision of the slot of the open segment.
     revision: Revision,
+    /// Revisions of all slots that were ever written.
+    slots: FastMap<u64, Revision>,
     segment: Segment,
     /// Bytes of the entries of the open segment.
     bytes: usize,
+    /// Time of the first write of entries to it.
+    filled: Option<Monotonic>,
     pub(crate) memory: Memory,
     pub(crate) queue: Queue,
+    /// Sealed segments whose claims are in no file.
     sealed: VecDeque<SealedSegment>,
+    /// Last segment whose claims are in files.
+    merged: u64,
+    merge_after: Monotonic,
     activity: Activity,
     last_write: Option<Monotonic>,
+    since: Monotonic,
     /// Time of sending of the last call that showed the ownership.
     pub(crate) confirmed: Monotonic,
     confirm_now: bool,
     questions: Questions,
+    searches: Searches,
+    sweep: Sweep,
     last_confirm: Option<Monotonic>,
 }
 
 impl Owned {
     pub(crate) fn new(
-        number: u64,
-        revision: Revision,
         segment: Segment,
+        slots: FastMap<u64, Revision>,
         memory: Memory,
-        sealed: VecDeque<SealedSegment>,
+        (sealed, merged): (VecDeque<SealedSegment>, u64),
         confirmed: Monotonic,
     ) -> Self {
         Self {
-            number,
-            revision,
+            revision: revision_of(&slots, segment.number),
+            slots,
             segment,
             bytes: 0,
+            filled: None,
             memory,
             queue: Queue::default(),
             sealed,
+            merged,
+            merge_after: Monotonic::ZERO,
             activity: Activity::None,
             last_write: Some(confirmed),
+            since: confirmed,
             confirmed,
             confirm_now: false,
             questions: Questions::default(),
+            searches: Searches::default(),
+            sweep: Sweep::default(),
             last_confirm: None,
         }
     }
@@ -129,15 +150,30 @@
         answer.map(|reply| (ticket, reply)).into_iter().collect()
     }
 
-    /// Queues a question after a request of which nothing is known.
-    pub(crate) fn ask(&mut self, now: Monotonic, ticket: Ticket, id: RequestId) -> Answers {
-        self.questions.push(now, ticket, id)
+    /// Whether no further claim may be kept in memory.
+    pub(crate) fn is_full(&self) -> bool {
+        self.memory.len() + self.queue.claims() >= CLAIMS_MAX
+    }
+
+    /// Queues a question after a request of which nothing is in memory.
+    pub(crate) fn ask(&mut self, now: Timestamp, ticket: Ticket, id: RequestId) -> Answers {
+        match file::issued(&id) {
+            Some(issued) if now.wall.0.saturating_sub(issued.0) >= RECORD_AGE_MS => {
+                vec![(ticket, Reply::Unavailable)]
+            }
+            Some(issued) if now.wall.0.saturating_sub(issued.0) >= CLAIM_AGE_MS => {
+                let now = (now.mono, now.wall);
+                self.searches.push(now, ticket, id, issued)
+            }
+            _ => self.questions.push(now.mono, ticket, id),
+        }
     }
 
     /// Answers that are due because they waited too long.
     pub(crate) fn expire(&mut self, now: Monotonic) -> Answers {
         let mut answers = self.queue.expire(now);
         answers.extend(self.questions.expire(now));
+        answers.extend(self.searches.expire(now));
         if let Activity::Commit(commit) = &mut self.activity {
             answers.extend(commit.expire(now));
         }
@@ -148,9 +184,10 @@
     pub(crate) fn has_waiters(&self) -> bool {
         let writing = match &self.activity {
             Activity::Commit(commit) => commit.has_waiters(),
-            Activity::None | Activity::Confirm | Activity::Delete(_) => false,
+            _ => false,
         };
-        writing || !self.queue.is_empty() || !self.questions.is_empty()
+        let asked = !self.questions.is_empty() || !self.searches.is_empty();
+        writing || asked || !self.queue.is_empty()
     }
 
     /// The call that is due, if any. Only asked for while no call is open.
@@ -162,17 +199,17 @@
         if matches!(self.activity, Activity::None) {
             self.activity = self.next_activity(now, identity);
         }
-        let key = |number| keys::segment(identity.partition, number);
         match &self.activity {
             Activity::None => None,
             Activity::Commit(commit) => Some(commit.write.request()),
             Activity::Confirm => Some(StoreRequest::Get {
-                key: key(self.number),
+                key: keys::segment(identity.partition, self.segment.number),
             }),
-            Activity::Delete(sealed) => Some(StoreRequest::Delete {
-                key: key(sealed.number),
-                expect: sealed.revision,
+            Activity::Merge(merge) => merge.request(),
+            Activity::Search(hour) => Some(StoreRequest::List {
+                prefix: keys::files(identity.partition, *hour),
             }),
+            Activity::Sweep(request) => Some(request.clone()),
         }
     }
 
@@ -195,7 +232,9 @@
                 other => self.not_landed(*commit, other, answers),
             },
             Activity::Confirm => self.confirm_read(sent, outcome, answers),
-            Activity::Delete(sealed) => self.deleted(sealed, &outcome),
+            Activity::Merge(merge) => self.merge_written(sent, &merge, &outcome),
+            Activity::Search(hour) => self.searched(hour, outcome, answers),
+            Activity::Sweep(_) => self.swept(outcome),
         }
     }
 
@@ -205,6 +244,8 @@
         let mut answers = queue.clear(unsent);
         let mut questions = self.questions;
         answers.extend(questions.clear(unsent));
+        let mut searches = self.searches;
+        answers.extend(searches.clear(unsent));
         if let Activity::Commit(commit) = self.activity {
             answers.extend(commit.answer(&Reply::Unknown));
         }
@@ -215,7 +256,8 @@
         let rested = self
             .last_write
             .is_none_or(|at| now.mono - at >= COMMIT_INTERVAL);
-        if !self.queue.is_empty() && rested {
+        let aged = self.is_aged(now.mono);
+        if (!self.queue.is_empty() || aged) && rested && !self.is_blocked() {
             self.last_write = Some(now.mono);
             return self.group(now, identity);
         }
@@ -228,11 +270,53 @@
             self.last_confirm = Some(now.mono);
             return Activity::Confirm;
         }
-        match self.sealed.front() {
-            Some(first) if now.wall.0.saturating_sub(first.at.0) >= RETENTION_MS => {
-                Activity::Delete(*first)
+        if let Some(merge) = self.next_merge(now, identity) {
+            return Activity::Merge(merge);
+        }
+        if let Some(hour) = self.searches.hour() {
+            return Activity::Search(hour);
+        }
+        self.memory.drop_old(now.wall, self.merged);
+        if now.mono - self.since < SWEEP_AFTER {
+            return Activity::None;
+        }
+        let sweep = self.sweep.request(identity.partition, now.wall);
+        sweep.map_or(Activity::None, Activity::Sweep)
+    }
+
+    fn is_aged(&self, now: Monotonic) -> bool {
+        self.filled.is_some_and(|at| now - at >= SEAL_AGE)
+    }
+
+    /// Whether the next segments would overwrite claims that are in no file.
+    fn is_blocked(&self) -> bool {
+        self.sealed
+            .front()
+            .is_some_and(|first| first.number + SLOTS <= self.segment.number + SPARE_SLOTS)
+    }
+
+    /// The claim file that is due. Segments without claims need none.
+    fn next_merge(&mut self, now: Timestamp, identity: &Identity) -> Option<Merge> {
+        while let Some(first) = self.sealed.front() {
+            let due = self.sealed.len() >= MERGE_SEGMENTS
+                || now.wall.0.saturating_sub(first.at.0) >= MERGE_AGE_MS;
+            if !due || now.mono < self.merge_after {
+                return None;
             }
-            _ => Activity::None,
+            let merge = Merge::prepare(identity.partition, now.wall, &self.memory, &self.sealed)?;
+            if merge.request().is_some() {
+                return Some(merge);
+            }
+            self.note_merged(merge.through);
+        }
+        None
+    }
+
+    fn note_merged(&mut self, through: u64) {
+        self.merged = self.merged.max(through);
+        self.memory.merged(through);
+        while self.sealed.front().is_some_and(|one| one.number <= through) {
+            self.sealed.pop_front();
         }
     }
 
@@ -243,10 +327,11 @@
         let added = items.iter().flat_map(|item| item.entries.iter().cloned());
         segment.entries.extend(added);
         let bytes = self.bytes + items.iter().map(|item| item.bytes).sum::<usize>();
-        if segment.entries.len() >= SEAL_ENTRIES || bytes >= SEAL_BYTES {
+        let full = segment.entries.len() >= SEAL_ENTRIES || bytes >= SEAL_BYTES;
+        if full || self.is_aged(now.mono) {
             segment.sealed = Some(now.wall);
         }
-        let key = keys::segment(identity.partition, self.number);
+        let key = keys::segment(identity.partition, segment.number);
         let Ok(value) = segment::encode(&segment) else {
             self.queue.put_back(items);
             return Activity::None;
@@ -263,22 +348,24 @@
         for item in &commit.items {
             self.queue.forget(item);
             for entry in &item.entries {
-                self.memory.apply(self.number, entry);
+                self.memory.apply(self.segment.number, entry);
             }
         }
         self.revision = revision;
         self.segment = commit.segment.clone();
+        let number = self.segment.number;
+        self.slots.insert(keys::slot(number), revision);
         self.bytes = commit.bytes;
-        if let Some(at) = self.segment.sealed {
-            self.sealed.push_back(SealedSegment {
-                number: self.number,
-                revision,
-                at,
-            });
-            self.number += 1;
-            self.revision = Revision(0);
+        if !self.segment.entries.is_empty() {
+            self.filled = self.filled.or(self.last_write);
+        }
+        if let Some(at) = self.segment.sealed.take() {
+            self.sealed.push_back(SealedSegment { number, at });
+            self.memory.seal(number, at);
+            self.segment.number += 1;
+            self.revision = revision_of(&self.slots, self.segment.number);
             self.bytes = 0;
-            self.segment.sealed = None;
+            self.filled = None;
             self.segment.runs = self.memory.copy_runs(wall);
             self.segment.entries.clear();
         }
@@ -339,21 +426,60 @@
         }
     }
 
-    fn deleted(&mut self, sealed: SealedSegment, outcome: &Outcome<StoreReply>) -> Step {
-        match outcome {
-            Outcome::Done(StoreReply::Written { .. } | StoreReply::Conflict { entry: None }) => {
-                self.sealed.pop_front();
-                self.memory.drop_segment(sealed.number);
+    fn merge_written(
+        &mut self,
+        sent: Monotonic,
+        merge: &Merge,
+        outcome: &Outcome<StoreReply>,
+    ) -> Step {
+        let Outcome::Done(reply) = outcome else {
+            return Step::Later;
+        };
+        match file::written(merge.through, reply) {
+            Written::Through(through) => {
+                self.note_merged(through);
                 Step::Again
             }
-            Outcome::Done(StoreReply::Conflict { entry: Some(_) }) => {
-                self.confirm_now = true;
-                self.sealed.pop_front();
-                Step::Later
+            Written::Later => Step::Later,
+            Written::Refused(reason) => {
+                self.merge_after = sent + MERGE_PAUSE;
+                Step::Refused(reason)
             }
-            Outcome::Done(_) | Outcome::NoEffect(_) | Outcome::Unknown(_) => Step::Later,
+            Written::Broken(reason) => Step::Broken(reason),
         }
     }
+
+    fn searched(&mut self, hour: u64, outcome: Outcome<StoreReply>, answers: &mut Answers) -> Step {
+        let Outcome::Done(StoreReply::Entries { entries }) = outcome else {
+            return Step::Later;
+        };
+        match self.searches.listed(hour, &entries) {
+            Ok(Found::Next) => {}
+            Ok(Found::Known(ticket, state)) => answers.push((ticket, Reply::Known(state))),
+            // A fenced owner does not know the files of the next one.
+            Ok(Found::Absent(ticket, id, since)) => {
+                answers.extend(self.questions.push(since, ticket, id));
+            }
+            Err(reason) => return Step::Broken(reason),
+        }
+        Step::Again
+    }
+
+    fn swept(&mut self, outcome: Outcome<StoreReply>) -> Step {
+        match outcome {
+            Outcome::Done(StoreReply::Entries { entries }) => self.sweep.listed(entries),
+            Outcome::Done(StoreReply::Written { .. } | StoreReply::Conflict { .. }) => {
+                self.sweep.deleted();
+            }
+            _ => return Step::Later,
+        }
+        Step::Again
+    }
+}
+
+/// Revision of the slot of a segment; zero if it was never written.
+fn revision_of(slots: &FastMap<u64, Revision>, number: u64) -> Revision {
+    slots.get(&keys::slot(number)).copied().unwrap_or_default()
 }
 
 fn read_stamp(entry: &StoreEntry) -> Result<Stamp, String> {
--- a/crates/daisymast_ledger/src/partition.rs
+++ b/crates/daisymast_ledger/src/partition.rs
@@ -14,7 +14,9 @@
 use crate::commit::Answers;
 use crate::effect::{Change, Effect, Reply, Ticket};
 use crate::entry::{Entry, Settled};
+use crate::file;
 use crate::identity::Identity;
+use crate::memory::CLAIM_AGE_MS;
 use crate::owned::{self, Owned};
 use crate::record::RunRecord;
 use crate::takeover::{self, Takeover};
@@ -136,6 +138,10 @@
     ) -> Vec<Effect> {
         match self.claim_state(&request) {
             Some(ClaimState::Absent) => {
+                let full = self.owned().is_some_and(Owned::is_full);
+                if full || is_old(now, &request) {
+                    return answer(ticket, Reply::Unavailable);
+                }
                 let entry = Entry::Claim {
                     request,
                     digest,
@@ -177,7 +183,7 @@
     pub fn status(&mut self, now: Timestamp, ticket: Ticket, request: RequestId) -> Vec<Effect> {
         match (self.claim_state(&request), &mut self.phase) {
             (Some(ClaimState::Absent), Phase::Owned(owned)) => {
-                let answers = owned.ask(now.mono, ticket, request);
+                let answers = owned.ask(now, ticket, request);
                 self.answer_all(answers);
                 self.advance(now)
             }
@@ -364,6 +370,11 @@
     }
 }
 
+/// Whether the claim of a request may have left the memory, so that a new one could be a second one.
+fn is_old(now: Timestamp, request: &RequestId) -> bool {
+    file::issued(request).is_some_and(|issued| now.wall.0.saturating_sub(issued.0) >= CLAIM_AGE_MS)
+}
+
 fn answer(ticket: Ticket, reply: Reply) -> Vec<Effect> {
     vec![Effect::Answer { ticket, reply }]
 }
--- /dev/null
+++ b/crates/daisymast_ledger/src/search.rs
@@ -0,0 +1,134 @@
+//! Questions after requests that are too old for the memory of the owner.
+
+use std::collections::VecDeque;
+
+use daisymast_protocol::peer::ClaimState;
+use daisymast_protocol::store::Entry;
+use daisymast_types::ids::RequestId;
+use daisymast_types::time::{Monotonic, UnixMillis};
+
+use crate::commit::{Answers, WAIT_LIMIT};
+use crate::effect::{Reply, Ticket};
+use crate::file;
+use crate::memory::Claimed;
+
+/// Searches that may wait. Each reads up to 25 lists, and commits wait for each list.
+const SEARCHES_MAX: usize = 16;
+/// An id may be issued this long after the time of the instance that accepts it.
+const AHEAD_MS: u64 = 600_000;
+
+#[derive(Clone, Debug)]
+struct Search {
+    ticket: Ticket,
+    id: RequestId,
+    since: Monotonic,
+    /// Next hour to read, and the last one.
+    hour: u64,
+    last: u64,
+    found: Option<Claimed>,
+}
+
+/// Searches in order of arrival; the first one is being worked on.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Searches(VecDeque<Search>);
+
+/// What follows from a list.
+#[derive(Clone, Debug)]
+pub(crate) enum Found {
+    /// The next hour is due.
+    Next,
+    /// The request is recorded.
+    Known(Ticket, ClaimState),
+    /// No file names the request.
+    Absent(Ticket, RequestId, Monotonic),
+}
+
+impl Searches {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub(crate) fn push(
+        &mut self,
+        now: (Monotonic, UnixMillis),
+        ticket: Ticket,
+        id: RequestId,
+        issued: UnixMillis,
+    ) -> Answers {
+        if self.0.len() >= SEARCHES_MAX {
+            return vec![(ticket, Reply::Unavailable)];
+        }
+        self.0.push_back(Search {
+            ticket,
+            id,
+            since: now.0,
+            hour: file::hour(UnixMillis(issued.0.saturating_sub(AHEAD_MS))),
+            // The wall clock of a former owner may have been ahead.
+            last: file::hour(now.1) + 1,
+            found: None,
+        });
+        Answers::new()
+    }
+
+    /// Hour to list for the first search.
+    pub(crate) fn hour(&self) -> Option<u64> {
+        self.0.front().map(|search| search.hour)
+    }
+
+    /// Takes the list of an hour.
+    pub(crate) fn listed(&mut self, hour: u64, entries: &[Entry]) -> Result<Found, String> {
+        let Some(search) = self.0.front_mut().filter(|search| search.hour == hour) else {
+            return Ok(Found::Next);
+        };
+        for entry in entries {
+            if !entry.value.contains(search.id.as_str()) {
+                continue;
+            }
+            for record in file::read(entry)?.claims {
+                if record.0 == search.id {
+                    let found = search.found.get_or_insert(Claimed {
+                        digest: record.1,
+                        by: record.2,
+                        settled: None,
+                    });
+                    found.settled = found.settled.or(record.3);
+                }
+            }
+        }
+        let settled = search
+            .found
+            .as_ref()
+            .is_some_and(|found| found.settled.is_some());
+        search.hour += 1;
+        if search.hour <= search.last && !settled {
+            return Ok(Found::Next);
+        }
+        let Some(search) = self.0.pop_front() else {
+            return Ok(Found::Next);
+        };
+        Ok(match search.found {
+            Some(found) => Found::Known(search.ticket, found.state()),
+            None => Found::Absent(search.ticket, search.id, search.since),
+        })
+    }
+
+    /// Gives up searches that wait too long.
+    pub(crate) fn expire(&mut self, now: Monotonic) -> Answers {
+        let mut answers = Answers::new();
+        while let Some(first) = self.0.front()
+            && now - first.since >= WAIT_LIMIT
+        {
+            answers.push((first.ticket, Reply::Unavailable));
+            self.0.pop_front();
+        }
+        answers
+    }
+
+    /// Gives up all searches.
+    pub(crate) fn clear(&mut self, reply: &Reply) -> Answers {
+        self.0
+            .drain(..)
+            .map(|search| (search.ticket, reply.clone()))
+            .collect()
+    }
+}
--- a/crates/daisymast_ledger/src/segment.rs
+++ b/crates/daisymast_ledger/src/segment.rs
@@ -37,6 +37,8 @@
     pub epoch: Epoch,
     /// Mark of the last write.
     pub nonce: Nonce,
+    /// Number, from 1. The key names only its slot.
+    pub number: u64,
     /// Time at which the segment was sealed. Nothing is added to a sealed segment.
     pub sealed: Option<UnixMillis>,
     /// Runs as they stood when the segment was opened.
--- /dev/null
+++ b/crates/daisymast_ledger/src/sweep.rs
@@ -0,0 +1,50 @@
+//! Deleting claim files whose hour is over for a day.
+
+use std::collections::VecDeque;
+
+use daisymast_protocol::store::{Entry, StoreRequest};
+use daisymast_types::ids::{Partition, Revision};
+use daisymast_types::time::UnixMillis;
+
+use crate::file;
+use crate::keys;
+
+/// Hours that were looked at, and files to delete.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Sweep {
+    /// Next hour to look at.
+    hour: Option<u64>,
+    files: VecDeque<(String, Revision)>,
+}
+
+impl Sweep {
+    /// The call that is due, if any.
+    pub(crate) fn request(
+        &mut self,
+        partition: Partition,
+        wall: UnixMillis,
+    ) -> Option<StoreRequest> {
+        if let Some((key, expect)) = self.files.front().cloned() {
+            return Some(StoreRequest::Delete { key, expect });
+        }
+        let now = file::hour(wall);
+        let hour = *self
+            .hour
+            .get_or_insert(now.saturating_sub(file::SWEEP_HOURS));
+        (hour + file::RETENTION_HOURS <= now).then(|| StoreRequest::List {
+            prefix: keys::files(partition, hour),
+        })
+    }
+
+    /// Takes the list of the hour.
+    pub(crate) fn listed(&mut self, entries: Vec<Entry>) {
+        let files = entries.into_iter().map(|entry| (entry.key, entry.revision));
+        self.files.extend(files);
+        self.hour = self.hour.map(|hour| hour + 1);
+    }
+
+    /// The first file is deleted, or somebody else changed it.
+    pub(crate) fn deleted(&mut self) {
+        self.files.pop_front();
+    }
+}
--- a/crates/daisymast_ledger/src/takeover.rs
+++ b/crates/daisymast_ledger/src/takeover.rs
@@ -1,14 +1,19 @@
 //! Taking over a partition: head, fence, read back, open.
 
+use std::collections::VecDeque;
+
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::store::{Entry, StoreReply, StoreRequest};
+use daisymast_types::collections::FastMap;
 use daisymast_types::ids::{Epoch, Revision};
-use daisymast_types::time::{Monotonic, Timestamp};
+use daisymast_types::time::{Monotonic, Timestamp, UnixMillis};
 
+use crate::file::{self, ClaimFile, Written};
 use crate::identity::Identity;
 use crate::keys;
-use crate::memory::Memory;
-use crate::owned::{Owned, SealedSegment};
+use crate::memory::{MEMORY_MS, Memory};
+use crate::merge::{Merge, SealedSegment};
+use crate::owned::Owned;
 use crate::segment::{self, Head, Segment, Stamp};
 use crate::write::{Progress, Write};
 
@@ -26,6 +31,10 @@
     WriteHead(Write),
     List,
     Seal(Write, Segment),
+    /// Reads the claim files of an hour. The hours follow the list of the segments, because a slot is
+    /// overwritten only after a file holds its claims.
+    Files(u64),
+    Merge(Merge),
     Open(Write, Segment),
 }
 
@@ -38,6 +47,9 @@
     /// Segment that is opened if no segment is found; the same for every owner until one exists.
     first: u64,
     loaded: Vec<Loaded>,
+    files: Vec<ClaimFile>,
+    /// Last segment whose claims are in files, as far as known.
+    merged: u64,
     memory: Memory,
 }
 
@@ -64,6 +76,8 @@
             epoch: floor,
             first: 1,
             loaded: Vec::new(),
+            files: Vec::new(),
+            merged: 0,
             memory: Memory::default(),
         }
     }
@@ -76,6 +90,12 @@
             Stage::List => StoreRequest::List {
                 prefix: keys::segments(identity.partition),
             },
+            Stage::Files(hour) => StoreRequest::List {
+                prefix: keys::files(identity.partition, *hour),
+            },
+            Stage::Merge(merge) => merge.request().unwrap_or_else(|| StoreRequest::Get {
+                key: keys::head(identity.partition),
+            }),
             Stage::WriteHead(write) | Stage::Seal(write, _) | Stage::Open(write, _) => {
                 write.request()
             }
@@ -92,13 +112,21 @@
         let result = match &mut self.stage {
             Stage::ReadHead => self.head_read(identity, outcome),
             Stage::List => self.listed(now, identity, outcome),
+            Stage::Files(hour) => {
+                let hour = *hour;
+                self.files_read(now, identity, hour, outcome)
+            }
+            Stage::Merge(merge) => {
+                let through = merge.through;
+                self.merge_written(now, identity, through, &outcome)
+            }
             Stage::WriteHead(write) => {
                 let progress = write.on_reply(outcome);
                 self.head_written(&progress)
             }
             Stage::Seal(write, _) => {
                 let progress = write.on_reply(outcome);
-                self.sealed(now, identity, &progress)
+                self.sealed(now, &progress)
             }
             Stage::Open(write, _) => {
                 let progress = write.on_reply(outcome);
@@ -169,10 +197,10 @@
             .filter(|one| one.segment.sealed.is_none())
             .count();
         let Some(last) = self.loaded.last() else {
-            return self.prepare_open(now, identity);
+            return Ok(self.read_files(now));
         };
         if last.segment.sealed.is_some() && open == 0 {
-            return self.prepare_open(now, identity);
+            return Ok(self.read_files(now));
         }
         if open > 1 || last.segment.sealed.is_some() {
             // A segment is opened only after the one before it was sealed, so the list was read
@@ -207,12 +235,7 @@
         Ok(Step::Again)
     }
 
-    fn sealed(
-        &mut self,
-        now: Timestamp,
-        identity: &mut Identity,
-        progress: &Progress,
-    ) -> Result<Step, String> {
+    fn sealed(&mut self, now: Timestamp, progress: &Progress) -> Result<Step, String> {
         let Progress::Landed(revision) = progress else {
             return self.relist(progress);
         };
@@ -220,28 +243,117 @@
             last.segment = segment.clone();
             last.revision = *revision;
         }
-        self.prepare_open(now, identity)
+        Ok(self.read_files(now))
     }
 
-    /// Rebuilds the state from the segments, which are all sealed, and opens the next one.
-    fn prepare_open(&mut self, now: Timestamp, identity: &mut Identity) -> Result<Step, String> {
+    /// Starts to read the files whose claims may have to be in memory.
+    fn read_files(&mut self, now: Timestamp) -> Step {
+        self.files.clear();
+        let since = UnixMillis(now.wall.0.saturating_sub(MEMORY_MS));
+        self.stage = Stage::Files(file::hour(since));
+        Step::Again
+    }
+
+    fn files_read(
+        &mut self,
+        now: Timestamp,
+        identity: &mut Identity,
+        hour: u64,
+        outcome: Outcome<StoreReply>,
+    ) -> Result<Step, String> {
+        let Outcome::Done(StoreReply::Entries { entries }) = outcome else {
+            return Ok(Step::Later);
+        };
+        for entry in &entries {
+            let file = file::read(entry)?;
+            self.merged = self.merged.max(file.through);
+            self.files.push(file);
+        }
+        // The wall clock of the former owner may have been ahead.
+        if hour <= file::hour(now.wall) {
+            self.stage = Stage::Files(hour + 1);
+            return Ok(Step::Again);
+        }
         self.memory = Memory::default();
+        for file in std::mem::take(&mut self.files) {
+            self.memory.load_file(&file);
+        }
         for one in &self.loaded {
             self.memory.load(one.number, &one.segment);
         }
+        self.prepare_open(now, identity)
+    }
+
+    fn merge_written(
+        &mut self,
+        now: Timestamp,
+        identity: &mut Identity,
+        through: u64,
+        outcome: &Outcome<StoreReply>,
+    ) -> Result<Step, String> {
+        let Outcome::Done(reply) = outcome else {
+            return Ok(Step::Later);
+        };
+        match file::written(through, reply) {
+            Written::Through(through) => {
+                self.merged = self.merged.max(through);
+                self.prepare_open(now, identity)
+            }
+            Written::Later => Ok(Step::Later),
+            Written::Refused(reason) | Written::Broken(reason) => Err(reason),
+        }
+    }
+
+    /// Sealed segments whose claims are in no file.
+    fn unmerged(&self) -> VecDeque<SealedSegment> {
+        self.loaded
+            .iter()
+            .filter(|one| one.number > self.merged)
+            .map(|one| SealedSegment {
+                number: one.number,
+                at: one.segment.sealed.unwrap_or_default(),
+            })
+            .collect()
+    }
+
+    /// Opens the next segment, after a file holds the claims of the one in its slot.
+    fn prepare_open(&mut self, now: Timestamp, identity: &mut Identity) -> Result<Step, String> {
+        let number = self.next_number();
+        let mut sealed = self.unmerged();
+        while let Some(first) = sealed.front()
+            && first.number + keys::SLOTS <= number
+        {
+            let merge = Merge::prepare(identity.partition, now.wall, &self.memory, &sealed)
+                .ok_or("a claim file cannot be written")?;
+            if merge.request().is_some() {
+                self.stage = Stage::Merge(merge);
+                return Ok(Step::Again);
+            }
+            self.merged = merge.through;
+            sealed = self.unmerged();
+        }
         let segment = Segment {
             epoch: self.epoch,
             nonce: identity.nonce(),
+            number,
             sealed: None,
             runs: self.memory.copy_runs(now.wall),
             entries: Vec::new(),
         };
-        let key = keys::segment(identity.partition, self.next_number());
-        let write = Write::new(key, segment::encode(&segment)?, Revision(0), segment.nonce);
+        let key = keys::segment(identity.partition, number);
+        let expect = self.slot_revision(number);
+        let write = Write::new(key, segment::encode(&segment)?, expect, segment.nonce);
         self.stage = Stage::Open(write, segment);
         Ok(Step::Again)
     }
 
+    fn slot_revision(&self, number: u64) -> Revision {
+        self.loaded
+            .iter()
+            .find(|one| keys::slot(one.number) == keys::slot(number))
+            .map_or(Revision(0), |one| one.revision)
+    }
+
     fn opened(&mut self, sent: Monotonic, progress: &Progress) -> Result<Step, String> {
         let Progress::Landed(revision) = progress else {
             return self.relist(progress);
@@ -249,17 +361,18 @@
         let Stage::Open(_, segment) = &self.stage else {
             return Ok(Step::Later);
         };
-        let sealed = self.loaded.iter().map(|one| SealedSegment {
-            number: one.number,
-            revision: one.revision,
-            at: one.segment.sealed.unwrap_or_default(),
-        });
+        let mut slots: FastMap<u64, Revision> = self
+            .loaded
+            .iter()
+            .map(|one| (keys::slot(one.number), one.revision))
+            .collect();
+        slots.insert(keys::slot(segment.number), *revision);
+        let sealed = self.unmerged();
         Ok(Step::Owned(Box::new(Owned::new(
-            self.next_number(),
-            *revision,
             segment.clone(),
+            slots,
             std::mem::take(&mut self.memory),
-            sealed.collect(),
+            (sealed, self.merged),
             sent,
         ))))
     }
@@ -299,12 +412,14 @@
 fn load(identity: &Identity, entries: &[Entry]) -> Result<Vec<Loaded>, String> {
     let mut loaded = Vec::with_capacity(entries.len());
     for entry in entries {
-        let number = keys::segment_number(identity.partition, &entry.key)
-            .ok_or_else(|| format!("{} is not the key of a segment", entry.key))?;
+        let segment: Segment = segment::decode(&entry.key, &entry.value)?;
+        if keys::segment(identity.partition, segment.number) != entry.key {
+            return Err(format!("{} holds another segment", entry.key));
+        }
         loaded.push(Loaded {
-            number,
+            number: segment.number,
             revision: entry.revision,
-            segment: segment::decode(&entry.key, &entry.value)?,
+            segment,
         });
     }
     loaded.sort_by_key(|one| one.number);
--- a/crates/daisymast_ledger/tests/common/mod.rs
+++ b/crates/daisymast_ledger/tests/common/mod.rs
@@ -13,7 +13,7 @@
 
 pub(crate) const WALL: u64 = 1_780_000_000_000;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct Store {
     pub map: BTreeMap<String, Entry>,
     pub revision: u64,
@@ -218,6 +218,14 @@
         ticket
     }
 
+    /// Asks for the record of a request without faults; the answer, if it came at once.
+    pub(crate) fn status(&mut self, now: Timestamp, store: &mut Store, id: &str) -> Option<Reply> {
+        let ticket = self.ticket();
+        let effects = self.partition.status(now, ticket, RequestId::from(id));
+        self.drive(now, store, effects, &mut |_, _| Fault::None);
+        self.answers.remove(&ticket)
+    }
+
     pub(crate) fn state(&self, id: &str) -> Option<ClaimState> {
         self.partition.claim_state(&RequestId::from(id))
     }
@@ -234,6 +242,13 @@
     Timestamp::new(millis, WALL + millis)
 }
 
+/// UUID of version 7 that is issued `millis` after [`WALL`].
+pub(crate) fn issued(millis: u64, number: u64) -> String {
+    let time = WALL + millis;
+    let (high, low) = (time >> 16, time & 0xffff);
+    format!("{high:08x}-{low:04x}-7000-8000-{number:012x}")
+}
+
 /// What a fresh owner finds recorded of a request.
 pub(crate) fn recorded(store: &mut Store, now: Timestamp, id: &str) -> bool {
     let mut reader = Node::new("reader", 9_999 + store.revision);
--- a/crates/daisymast_ledger/tests/interleavings.rs
+++ b/crates/daisymast_ledger/tests/interleavings.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::LazyLock;
 
 use common::{Node, Store, at, recorded, refused, unknown};
 use daisymast_ledger::effect::{Effect, Reply, Ticket};
@@ -14,6 +15,7 @@
 use proptest::prelude::{Just, Strategy, prop_oneof};
 use proptest::{collection, proptest};
 
+static WORN: LazyLock<Store> = LazyLock::new(worn_store);
 const OWNERS: usize = 2;
 const IDS: u8 = 6;
 
@@ -21,6 +23,8 @@
 enum Op {
     /// Lets time pass.
     Tick(u16),
+    /// Lets 11 minutes pass, after which segments are sealed and claim files written.
+    Wait,
     TakeOver(usize),
     Claim(usize, u8),
     /// Asks what is recorded.
@@ -56,6 +60,23 @@
     ]
 }
 
+/// Operations with long pauses. At most five of them take effect, because ids without an issue time
+/// are remembered for 75 minutes only.
+fn long_op() -> impl Strategy<Value = Op> {
+    prop_oneof![9 => op(), 1 => Just(Op::Wait)]
+}
+
+/// A store in which so many segments were opened that most slots are taken and a file is due.
+fn worn_store() -> Store {
+    let mut store = Store::default();
+    for boot in 0..60 {
+        let mut node = Node::new("z", 1_000 + boot);
+        node.take_over(at(boot * 10), &mut store);
+        node.claim(at(boot * 10 + 500), &mut store, &format!("old-{boot}"));
+    }
+    store
+}
+
 /// What callers were told of an id.
 #[derive(Default)]
 struct Told {
@@ -74,6 +95,7 @@
     late: Vec<StoreRequest>,
     told: BTreeMap<u8, Told>,
     clock: u64,
+    waits: u32,
     boots: u64,
 }
 
@@ -88,6 +110,7 @@
             late: Vec::new(),
             told: BTreeMap::new(),
             clock: 0,
+            waits: 0,
             boots: 2,
         }
     }
@@ -146,6 +169,12 @@
                     self.absorb(who, effects);
                 }
             }
+            Op::Wait if self.waits == 5 => {}
+            Op::Wait => {
+                self.waits += 1;
+                self.clock += 11 * 60_000;
+                self.step(Op::Tick(0));
+            }
             Op::TakeOver(who) => {
                 let effects = self.nodes[who].partition.take_over(now);
                 self.absorb(who, effects);
@@ -254,4 +283,24 @@
         }
         world.check();
     }
+
+    /// Guards against the same faults, and the loss of older claims, while segments are merged into
+    /// claim files and their slots are used again.
+    #[test]
+    fn files_lose_no_claim(ops in collection::vec(long_op(), 1..240)) {
+        let mut world = World::new();
+        world.store = WORN.clone();
+        world.clock = 2_000;
+        for op in ops {
+            world.step(op);
+        }
+        world.check();
+        world.clock += 100;
+        let mut reader = Node::new("reader", 98);
+        reader.take_over(world.now(), &mut world.store);
+        for number in 0..60 {
+            let state = reader.state(&format!("old-{number}"));
+            assert!(matches!(state, Some(ClaimState::Claimed { .. })), "old-{number}: {state:?}");
+        }
+    }
 }
