Give each session its own time to settle and thin out outages among heartbeats

Change: sessions with jobs settle for 35 s, the others for 18 s; in the two sessions that count periodic messages outages start at every fourth step, while faults of single messages still strike at every step.

--- a/crates/daisymast_matrix/src/fault.rs
+++ b/crates/daisymast_matrix/src/fault.rs
@@ -70,6 +70,24 @@
     ];
 }
 
+impl Fault {
+    /// Whether the fault lasts for a while and does not concern one message.
+    pub fn is_outage(self) -> bool {
+        matches!(
+            self,
+            Self::StoreDown
+                | Self::StoreSlow
+                | Self::StoreLosesAnswers
+                | Self::ZoneOffPlatform
+                | Self::ZoneOffZones
+                | Self::ZoneOffAll
+                | Self::InstanceOff
+                | Self::WorkerFails
+                | Self::WorkerDies
+        )
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{self:?}")
--- a/crates/daisymast_matrix/src/matrix.rs
+++ b/crates/daisymast_matrix/src/matrix.rs
@@ -11,9 +11,9 @@
 use crate::session::{self, Session};
 use crate::world::World;
 
-/// Time between the end of the counted steps and the final checks, in milliseconds. Longer than an
-/// outage with the time to restart an exclusive task after it.
-const SETTLE_MS: u64 = 35_000;
+/// Outages last for seconds, and the exchanges that go on all the time send a message every few
+/// milliseconds. In sessions that count those, outages start at every fourth step.
+const OUTAGE_STRIDE: usize = 4;
 
 /// One fault at one step of one session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,7 +62,7 @@
 pub fn run_cell(base: &World, session: &Session, armed: Vec<Armed>) -> Vec<Violation> {
     let result = panic::catch_unwind(AssertUnwindSafe(|| {
         let mut world = play(base, session, armed);
-        world.run_for(SETTLE_MS);
+        world.run_for(session.settle_ms);
         let mut found = (session.finish)(&mut world);
         let bounds = Bounds {
             settled_ms: world.now(),
@@ -86,7 +86,11 @@
     for (index, session) in sessions.iter().enumerate() {
         let steps = play(base, session, Vec::new()).steps();
         for step in 0..steps {
-            cells.extend(Fault::ALL.iter().map(|&fault| Cell {
+            let is_outage_step = !session.periodic || step % OUTAGE_STRIDE == 0;
+            let faults = Fault::ALL
+                .iter()
+                .filter(|fault| is_outage_step || !fault.is_outage());
+            cells.extend(faults.map(|&fault| Cell {
                 session: index,
                 armed: Armed { step, fault },
                 second: None,
--- a/crates/daisymast_matrix/src/session.rs
+++ b/crates/daisymast_matrix/src/session.rs
@@ -20,6 +20,9 @@
     pub periodic: bool,
     /// Time during which steps are counted, in milliseconds.
     pub window_ms: u64,
+    /// Time between the end of the counted steps and the final checks, in milliseconds. Longer than
+    /// what is left of an outage with the time to recover from it.
+    pub settle_ms: u64,
     /// What is done.
     pub act: fn(&mut World),
     /// What must be true once all faults are over. Safety is checked by the checkers; this makes
@@ -42,6 +45,12 @@
      {"name":"invoices","team":"crews","replicas":6,
       "size":{"millicores":2000,"memory_mib":2048}}"#;
 
+/// Time to settle after an outage of 8 s: leases move within 5 s and the configuration spreads within
+/// 5 s.
+const SETTLE_MS: u64 = 18_000;
+/// Time to settle with exclusive tasks, which start again 15 s after the last contact at the latest.
+const JOBS_SETTLE_MS: u64 = 35_000;
+
 /// Time for a fresh system to elect owners, take leases and start all replicas, in milliseconds.
 const WARM_UP_MS: u64 = 15_000;
 
--- a/crates/daisymast_matrix/src/session/jobs.rs
+++ b/crates/daisymast_matrix/src/session/jobs.rs
@@ -15,6 +15,7 @@
             name: "exclusive batch run",
             periodic: false,
             window_ms: 8_000,
+            settle_ms: session::JOBS_SETTLE_MS,
             act: |world| {
                 let text = session::manifest("r2", SURVEY, "");
                 session::submit(world, "austin-e1", 1, text);
@@ -25,6 +26,7 @@
             name: "gang job",
             periodic: false,
             window_ms: 8_000,
+            settle_ms: session::JOBS_SETTLE_MS,
             act: |world| {
                 let text = session::manifest("r2", "", RECONCILIATION);
                 session::submit(world, "temple-e1", 1, text);
@@ -35,6 +37,7 @@
             name: "batch retired while it runs",
             periodic: false,
             window_ms: 4_000,
+            settle_ms: session::JOBS_SETTLE_MS,
             act: |world| {
                 let text = session::manifest("r2", LONG_SURVEY, "");
                 session::submit(world, "austin-e1", 1, text);
--- a/crates/daisymast_matrix/src/session/leases.rs
+++ b/crates/daisymast_matrix/src/session/leases.rs
@@ -8,13 +8,15 @@
             name: "control leases renewed",
             periodic: true,
             window_ms: 1_000,
+            settle_ms: session::SETTLE_MS,
             act: |_| {},
             finish: requests::recovered,
         },
         Session {
             name: "holder dies and its leases move",
-            periodic: true,
+            periodic: false,
             window_ms: 4_500,
+            settle_ms: session::SETTLE_MS,
             act: |world| world.crash(&session::instance("austin-e1")),
             finish: requests::recovered,
         },
@@ -22,6 +24,7 @@
             name: "partition owner dies with open claims",
             periodic: false,
             window_ms: 6_000,
+            settle_ms: session::SETTLE_MS,
             act: |world| {
                 for number in 10..16 {
                     let id = requests::unique(world.now(), number);
@@ -36,6 +39,7 @@
             name: "worker leaves",
             periodic: false,
             window_ms: 3_000,
+            settle_ms: session::SETTLE_MS,
             act: |world| {
                 let worker = world.worker_ids().into_iter().next();
                 if let Some(worker) = worker {
--- a/crates/daisymast_matrix/src/session/manifests.rs
+++ b/crates/daisymast_matrix/src/session/manifests.rs
@@ -12,6 +12,7 @@
             name: "manifest accepted and spread",
             periodic: true,
             window_ms: 700,
+            settle_ms: session::SETTLE_MS,
             act: |world| submit_empty(world, "austin-e1", "r2"),
             finish: spread,
         },
@@ -19,6 +20,7 @@
             name: "two operators race",
             periodic: false,
             window_ms: 2_000,
+            settle_ms: session::SETTLE_MS,
             act: |world| {
                 submit_empty(world, "austin-e1", "r2");
                 submit_empty(world, "waco-e1", "r3");
@@ -29,6 +31,7 @@
             name: "instance joins while the store is down",
             periodic: false,
             window_ms: 8_000,
+            settle_ms: session::SETTLE_MS,
             act: |world| {
                 world.take_store_down();
                 world.crash(&session::instance("austin-e2"));
--- a/crates/daisymast_matrix/src/session/requests.rs
+++ b/crates/daisymast_matrix/src/session/requests.rs
@@ -15,6 +15,7 @@
             name: "idempotent request",
             periodic: false,
             window_ms: 1_500,
+            settle_ms: session::SETTLE_MS,
             act: |world| ask(world, "austin-e1", "quotes", "q-1"),
             finish: recovered,
         },
@@ -22,6 +23,7 @@
             name: "non-idempotent request",
             periodic: false,
             window_ms: 1_500,
+            settle_ms: session::SETTLE_MS,
             act: |world| ask(world, "austin-e1", "invoices", &unique(world.now(), 1)),
             finish: recovered,
         },
@@ -29,6 +31,7 @@
             name: "same id at two instances",
             periodic: false,
             window_ms: 1_500,
+            settle_ms: session::SETTLE_MS,
             act: |world| {
                 let id = unique(world.now(), 2);
                 ask(world, "austin-e1", "invoices", &id);
@@ -40,6 +43,7 @@
             name: "instance drains with requests in flight",
             periodic: false,
             window_ms: 2_000,
+            settle_ms: session::SETTLE_MS,
             act: |world| {
                 ask(world, "austin-e1", "quotes", "q-2");
                 ask(world, "austin-e1", "invoices", &unique(world.now(), 3));
