--- a/crates/daisymast_matrix/src/fault.rs
+++ b/crates/daisymast_matrix/src/fault.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::network::{Message, Party};
+
 /// What goes wrong at one step. A step is one message of a session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Fault {
@@ -21,6 +23,8 @@
     Twice,
     /// The message arrives after the ones that were sent next.
     Reordered,
+    /// The answer in the message is that of another caller's request.
+    Crossed,
     /// The sender is paused past its leases right after the message left, and resumes.
     SenderPauses,
     /// The receiver is paused past its leases with the message in its buffer, and resumes.
@@ -47,7 +51,7 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::SenderDiesBefore,
         Self::SenderDiesAfter,
         Self::ReceiverDiesBefore,
@@ -56,6 +60,7 @@
         Self::Late,
         Self::Twice,
         Self::Reordered,
+        Self::Crossed,
         Self::SenderPauses,
         Self::ReceiverPauses,
         Self::StoreDown,
@@ -71,6 +76,18 @@
 }
 
 impl Fault {
+    /// Whether the fault can strike at a message of that name between these parties.
+    pub fn applies_to(self, message: &Message) -> bool {
+        let is_worker = |party: &Party| matches!(party, Party::Worker(_));
+        match self {
+            Self::Crossed => message.body.answer().is_some(),
+            Self::WorkerFails | Self::WorkerDies => {
+                is_worker(&message.from) || is_worker(&message.to)
+            }
+            _ => true,
+        }
+    }
+
     /// Whether the fault lasts for a while and does not concern one message.
     pub fn is_outage(self) -> bool {
         matches!(
--- a/crates/daisymast_matrix/src/matrix.rs
+++ b/crates/daisymast_matrix/src/matrix.rs
@@ -84,12 +84,11 @@
 pub fn single_faults(base: &World, sessions: &[Session]) -> Vec<Cell> {
     let mut cells = Vec::new();
     for (index, session) in sessions.iter().enumerate() {
-        let steps = play(base, session, Vec::new()).steps();
-        for step in 0..steps {
+        for (step, message) in play(base, session, Vec::new()).sent.iter().enumerate() {
             let is_outage_step = !session.periodic || step % OUTAGE_STRIDE == 0;
-            let faults = Fault::ALL
-                .iter()
-                .filter(|fault| is_outage_step || !fault.is_outage());
+            let faults = Fault::ALL.iter().filter(|fault| {
+                fault.applies_to(message) && (is_outage_step || !fault.is_outage())
+            });
             cells.extend(faults.map(|&fault| Cell {
                 session: index,
                 armed: Armed { step, fault },
--- a/crates/daisymast_matrix/src/network.rs
+++ b/crates/daisymast_matrix/src/network.rs
@@ -2,7 +2,7 @@
 
 use daisymast_protocol::peer::{PeerReply, PeerRequest};
 use daisymast_protocol::store::{StoreReply, StoreRequest};
-use daisymast_protocol::worker::{WorkerReply, WorkerRequest};
+use daisymast_protocol::worker::{Answer, WorkerReply, WorkerRequest};
 use daisymast_types::ids::{CallId, InstanceId, WorkerId, Zone};
 
 /// One end of a link.
@@ -65,6 +65,24 @@
         }
     }
 
+    /// The answer for a caller, if the message carries one.
+    pub fn answer(&self) -> Option<&Answer> {
+        match self {
+            Self::WorkerReply(WorkerReply::Served { answer })
+            | Self::PeerReply(PeerReply::Served(answer)) => Some(answer),
+            _ => None,
+        }
+    }
+
+    /// The answer for a caller, if the message carries one.
+    pub fn answer_mut(&mut self) -> Option<&mut Answer> {
+        match self {
+            Self::WorkerReply(WorkerReply::Served { answer })
+            | Self::PeerReply(PeerReply::Served(answer)) => Some(answer),
+            _ => None,
+        }
+    }
+
     /// Name of the message, for golden files and reports.
     pub fn name(&self) -> String {
         let full = match self {
--- a/crates/daisymast_matrix/src/world.rs
+++ b/crates/daisymast_matrix/src/world.rs
@@ -79,8 +79,10 @@
     next_token: u64,
     /// What was seen so far.
     pub trace: Trace,
-    /// Steps of the recorded session.
+    /// Steps and changes of state of the recorded session.
     pub lines: Vec<Line>,
+    /// Messages of the recorded session, one for each step.
+    pub sent: Vec<Message>,
 }
 
 impl World {
--- a/crates/daisymast_matrix/src/world/build.rs
+++ b/crates/daisymast_matrix/src/world/build.rs
@@ -58,6 +58,7 @@
             next_token: 0,
             trace: Trace::default(),
             lines: Vec::new(),
+            sent: Vec::new(),
         };
         for seed in &workers {
             let host = Host::new(seed, layout.capacity);
--- a/crates/daisymast_matrix/src/world/faults.rs
+++ b/crates/daisymast_matrix/src/world/faults.rs
@@ -1,7 +1,9 @@
 //! Strikes faults at the steps of a session.
 
 use daisymast_platform::model::Faults;
-use daisymast_types::ids::{InstanceId, WorkerId, Zone};
+use daisymast_protocol::worker::{Answer, ServeRequest};
+use daisymast_types::ids::{InstanceId, JobName, RequestId, WorkerId, Zone};
+use daisymast_worker::model as worker_model;
 
 use crate::fault::{Fault, LATE_MS, OUTAGE_MS, REORDER_MS};
 use crate::network::{Message, Party};
@@ -32,6 +34,7 @@
         }
         let step = *steps;
         *steps += 1;
+        self.sent.push(message.clone());
         let text = format!(
             "{} -> {}: {}",
             party_name(&message.from),
@@ -74,6 +77,13 @@
                 self.send(message.clone(), LATENCY_MS);
                 self.send(message, LATENCY_MS + REORDER_MS);
             }
+            Fault::Crossed => {
+                let mut message = message;
+                if let Some(answer) = message.body.answer_mut() {
+                    *answer = other_answer();
+                }
+                self.send(message, LATENCY_MS);
+            }
             Fault::Reordered => self.send(message, LATENCY_MS + REORDER_MS),
             Fault::SenderPauses => {
                 let sender = message.from.clone();
@@ -220,6 +230,17 @@
     }
 }
 
+/// A whole answer to another caller's request.
+fn other_answer() -> Answer {
+    let request = ServeRequest {
+        id: RequestId::from("another-caller"),
+        service: JobName::from("quotes"),
+        idempotent: true,
+        body: "plaza 9".to_owned(),
+    };
+    worker_model::answer(&request)
+}
+
 /// Delay of a slow store, in milliseconds: a thousand times its usual few milliseconds.
 const SLOW_STORE_MS: u64 = 3_000;
 
