Refuse to resolve a request for another start of the worker

Cause: a worker that restarted, and whose holder had not noticed, answered NeverRan for a request that its former process had run. The request path then took another endpoint, so a non-idempotent request could run twice.

Change: WorkerRequest::Resolve carries the start (boot) of the process that got the request. The worker model refuses another one with StaleLease, which the control component passes on as Uncertain; it also drops the lease.

Measured: restarted_worker_does_not_speak_for_its_former_process failed before the check ("left: Resolved { fate: NeverRan }, right: Refused { reason: StaleLease }") and passes with it.

Conclusion: NeverRan is the word of the process that got the request. Task attempts need no start: a restart ends them, so none runs in two places.

--- a/crates/daisymast_engine/src/control/serving.rs
+++ b/crates/daisymast_engine/src/control/serving.rs
@@ -127,7 +127,10 @@
         if stamp.boot != boot {
             return Some(PeerReply::Uncertain);
         }
-        let request = WorkerRequest::Resolve { id: id.clone() };
+        let request = WorkerRequest::Resolve {
+            boot,
+            id: id.clone(),
+        };
         let step = Step::Resolve { worker, token, id };
         self.call(cx, step, request, CALL_TIMEOUT);
         None
--- a/crates/daisymast_engine/src/control/tests/serving.rs
+++ b/crates/daisymast_engine/src/control/tests/serving.rs
@@ -144,3 +144,24 @@
         assert_eq!(bench.answer(token), Some(expected));
     }
 }
+
+/// Guards against a true "not run" in the name of a worker that restarted before the holder noticed.
+#[test]
+fn refused_resolution_is_uncertain() {
+    let mut bench = ready();
+    let resolve = PeerRequest::Resolve {
+        worker: WorkerId::from("w-1"),
+        boot: BOOT,
+        id: RequestId::from("q-1"),
+    };
+    let token = bench.ask("entry-2", resolve);
+    let open = bench
+        .take_call(
+            |request| matches!(request, WorkerRequest::Resolve { boot, .. } if *boot == BOOT),
+        )
+        .expect("a question to that start of the worker");
+    let reason = Refusal::StaleLease;
+    bench.reply(open.call, Outcome::Done(WorkerReply::Refused { reason }));
+    assert_eq!(bench.answer(token), Some(PeerReply::Uncertain));
+    assert!(free_slots(&mut bench).is_empty(), "the lease is lost");
+}
--- a/crates/daisymast_protocol/src/worker.rs
+++ b/crates/daisymast_protocol/src/worker.rs
@@ -88,6 +88,9 @@
     },
     /// Asks what became of a request. One that never ran is refused from now on.
     Resolve {
+        /// Start of the worker's process that got the request. Another start does not remember what
+        /// ran before it and refuses the question with [`Refusal::StaleLease`].
+        boot: BootId,
         /// Request in question.
         id: RequestId,
     },
@@ -223,7 +226,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Refusal {
-    /// The lease has expired, or the stamp is not the current one.
+    /// The lease has expired, or the stamp or the start of the process is not the current one.
     StaleLease,
     /// The message came after its `not_after`.
     Late,
--- a/crates/daisymast_worker/src/model.rs
+++ b/crates/daisymast_worker/src/model.rs
@@ -282,7 +282,10 @@
                 self.tasks.forget(now, &tasks);
                 Ok(())
             }
-            WorkerRequest::Resolve { id } => {
+            WorkerRequest::Resolve { boot, id } => {
+                if boot != self.lease.stamp().boot {
+                    return Err(Refusal::StaleLease);
+                }
                 let fate = self.requests.resolve(now, id)?;
                 return Ok(WorkerReply::Resolved { fate });
             }
--- a/crates/daisymast_worker/tests/common/mod.rs
+++ b/crates/daisymast_worker/tests/common/mod.rs
@@ -153,7 +153,15 @@
 }
 
 pub(crate) fn resolve(id: &str) -> WorkerRequest {
-    WorkerRequest::Resolve { id: id.into() }
+    resolve_of(BootId(7), id)
+}
+
+/// A question to the start of the worker that got the request.
+pub(crate) fn resolve_of(boot: BootId, id: &str) -> WorkerRequest {
+    WorkerRequest::Resolve {
+        boot,
+        id: id.into(),
+    }
 }
 
 pub(crate) fn resolve_task(run: u64) -> WorkerRequest {
--- a/crates/daisymast_worker/tests/daemon.rs
+++ b/crates/daisymast_worker/tests/daemon.rs
@@ -139,7 +139,10 @@
         let begin = Instant::now();
         let fate = loop {
             assert!(begin.elapsed() < BOUND, "request did not end");
-            match holder.ask(&resolve("r-1")).await {
+            match holder
+                .ask(&common::resolve_of(holder.stamp.boot, "r-1"))
+                .await
+            {
                 WorkerReply::Resolved {
                     fate: Fate::Running,
                 } => Timer::after(Duration::from_millis(5)).await,
--- a/crates/daisymast_worker/tests/order.rs
+++ b/crates/daisymast_worker/tests/order.rs
@@ -254,7 +254,7 @@
             }
             (WorkerRequest::Release { .. }, WorkerReply::Ok) => self.live = None,
             (
-                WorkerRequest::Resolve { id },
+                WorkerRequest::Resolve { id, .. },
                 WorkerReply::Resolved {
                     fate: Fate::NeverRan,
                 },
--- a/crates/daisymast_worker/tests/requests.rs
+++ b/crates/daisymast_worker/tests/requests.rs
@@ -4,11 +4,13 @@
 mod common;
 
 use common::{
-    Bench, batch, refused, renew, replica, request, resolve, resolved, serve, start, stop,
+    Bench, batch, refused, renew, replica, request, resolve, resolve_of, resolved, serve, start,
+    stop,
 };
 use daisymast_protocol::worker::{Fate, LeaseStamp, Refusal, WorkerReply};
 use daisymast_types::hashing;
-use daisymast_worker::model::{self, LogEvent, ModelReply};
+use daisymast_types::ids::BootId;
+use daisymast_worker::model::{self, LogEvent, ModelReply, WorkerModel};
 use daisymast_worker::settings::ModelSettings;
 
 /// A worker with one replica of the service.
@@ -80,6 +82,22 @@
     assert_eq!(replies, [never, (serving, refused(Refusal::Duplicate))]);
 }
 
+/// Guards against a worker that restarted and says of a request of its former process that it never
+/// ran: a request that may not be repeated would then run a second time.
+#[test]
+fn restarted_worker_does_not_speak_for_its_former_process() {
+    let (mut bench, stamp) = bench();
+    bench.defer(serve(stamp, "r-1"));
+    bench.model = WorkerModel::new(ModelSettings::default(), BootId(8));
+    // The holder has not noticed the restart, so it asks under its former lease.
+    let question = || resolve_of(stamp.boot, "r-1");
+    assert_eq!(bench.ask(question()), refused(Refusal::StaleLease));
+    let grant = bench.grant("i-1", 3_000);
+    assert_eq!(bench.ask(question()), refused(Refusal::StaleLease));
+    let present = resolve_of(grant.stamp.boot, "r-1");
+    assert_eq!(bench.ask(present), resolved(Fate::NeverRan));
+}
+
 /// Guards against a request at a worker on which its service does not run.
 #[test]
 fn request_needs_a_running_replica() {
