Count running replicas when a new one is placed

Cause: the pool of a service round knew no replicas, so a missing replica could go to the rack in which the others run.

Change: the round gives the pool the workers of the lasting replicas.

Conclusion: the loss of a rack no longer takes replicas that had room elsewhere.

--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -204,6 +204,14 @@
         self.shared.manifest = Some(Arc::new(manifest));
     }
 
+    /// Moves a known worker to another rack.
+    #[cfg(test)]
+    pub(crate) fn force_rack(&mut self, worker: &WorkerId, rack: &str) {
+        if let Some(known) = self.shared.workers.get_mut(worker) {
+            known.rack = rack.into();
+        }
+    }
+
     /// All known workers, sorted.
     #[cfg(test)]
     pub(crate) fn known_workers(&self) -> Vec<WorkerId> {
--- a/crates/daisymast_engine/src/services/round.rs
+++ b/crates/daisymast_engine/src/services/round.rs
@@ -232,6 +232,8 @@
             .into_iter()
             .map(|(_, worker)| worker)
             .collect();
+        // Spreading counts the replicas that already run, so that a missing one goes to another rack.
+        pool.set_replicas(duty.run, &occupied);
         let mut sent = 0;
         for index in indexes {
             let Some(worker) = self.choose(pool, duty, &occupied) else {
--- a/crates/daisymast_engine/src/services/tests.rs
+++ b/crates/daisymast_engine/src/services/tests.rs
@@ -50,6 +50,23 @@
     assert_eq!(indexes(&bench), [0, 1, 2, 3]);
 }
 
+/// Guards against a new replica in the rack of those that already run, while another rack is free: the
+/// service would be lost with the rack.
+#[test]
+fn new_replica_goes_to_another_rack_than_running_ones() {
+    for service in ["quotes", "parcels", "lifts", "halls", "invoices", "desks"] {
+        let mut bench = ready(&[]);
+        bench.instance.force_rack(&WorkerId::from("w-4"), "r-2");
+        let running = replica(service, 0);
+        bench.worker("w-0").report(&running, TaskState::Running);
+        let declared = manifest(&[(service, 2)]);
+        bench.instance.force_manifest(Generation(1), declared);
+        bench.run_to(4_000);
+        assert_eq!(indexes(&bench), [0, 1]);
+        assert_eq!(bench.worker("w-4").running().len(), 1, "{service}");
+    }
+}
+
 /// Guards against a change that takes effect late, and against stopping other replicas than the
 /// highest ones.
 #[test]
