Run a gang job once for each distinct declaration

Cause: the run key was (job name, release), so each release stopped and started a gang job that it left unchanged.

Change: the key is made of the job's name and a stable hash of all fields of its declaration. The new optional field revision (default 0) runs the same job again. The ledger notes the time of opening instead of the release, and the record of a closed run is dropped once its declaration is not in force and 24 h have passed since it was opened. Generations alone decided before, so the record was dropped at once and an earlier declaration would have run again.

Conclusion: configuration changes restart only the gang jobs that they change.

--- a/crates/daisymast_engine/src/runs/opening.rs
+++ b/crates/daisymast_engine/src/runs/opening.rs
@@ -17,6 +17,10 @@
 use crate::runs::{PEER_TIMEOUT, Runs, Step};
 use crate::shared::Context;
 
+/// Least time from the opening of a gang job's run to the deletion of its record. Until then a release
+/// that goes back to an earlier declaration does not repeat its run.
+const GANG_KEEP_MS: u64 = 24 * 3_600_000;
+
 impl Runs {
     /// Takes over the open runs of a partition whose ownership is new.
     pub(crate) fn adopt_partition(
@@ -58,10 +62,12 @@
                         Some(run) if refresh => run.job = job(),
                         Some(_) => {}
                     }
-                } else if let (Origin::Release(release), Some(manifest)) =
-                    (&record.opened.origin, &manifest)
-                    && *release != manifest.release
+                } else if let Origin::Declared(opened) = record.opened.origin
+                    && cx.now.wall.0.saturating_sub(opened.0) >= GANG_KEEP_MS
                     && record.opened.generation < cx.shared.generation
+                    && manifest
+                        .as_ref()
+                        .is_some_and(|all| Job::of(all, &record.opened).is_none())
                 {
                     superseded.push(*key);
                 }
--- a/crates/daisymast_engine/src/runs/tests/harness.rs
+++ b/crates/daisymast_engine/src/runs/tests/harness.rs
@@ -241,5 +241,6 @@
         size: SIZE,
         exclusive: true,
         run_s: 60,
+        revision: 0,
     }
 }
--- a/crates/daisymast_engine/src/runs/tests/holder.rs
+++ b/crates/daisymast_engine/src/runs/tests/holder.rs
@@ -98,6 +98,13 @@
         self.tasks.values().filter(running).count()
     }
 
+    /// Runs of the running tasks.
+    pub(crate) fn running_runs(&self) -> BTreeSet<RunKey> {
+        let running = |one: &&(WorkerId, TaskReport)| one.1.state == TaskState::Running;
+        let running = self.tasks.values().filter(running);
+        running.map(|(_, report)| report.spec.key.run).collect()
+    }
+
     fn free(&self, worker: &WorkerId) -> Resources {
         let running = self
             .tasks
--- a/crates/daisymast_ledger/src/entry.rs
+++ b/crates/daisymast_ledger/src/entry.rs
@@ -1,7 +1,7 @@
 //! Entries of a partition.
 
 use daisymast_protocol::caller::NotRunReason;
-use daisymast_types::ids::{Generation, InstanceId, JobName, Release, RequestId, RunKey, WorkerId};
+use daisymast_types::ids::{Generation, InstanceId, JobName, RequestId, RunKey, WorkerId};
 use daisymast_types::time::UnixMillis;
 use serde::{Deserialize, Serialize};
 
@@ -82,8 +82,8 @@
     /// take the job for a retired one.
     pub generation: Generation,
     /// Wall time until which the run could be opened again if its record were lost. The record is
-    /// kept until then, even if the run is closed. Nothing for a gang job, which is kept until its
-    /// release is no longer in force.
+    /// kept until then, even if the run is closed. Nothing for a gang job, whose record its owner
+    /// drops when its declaration is no longer in force and a day has passed.
     pub until: Option<UnixMillis>,
 }
 
@@ -93,8 +93,8 @@
 pub enum Origin {
     /// A recurring batch was due at this time.
     Due(UnixMillis),
-    /// A release declares a gang job.
-    Release(Release),
+    /// A manifest declares a gang job; the run was opened at this time.
+    Declared(UnixMillis),
 }
 
 /// How an attempt of a task ended.
--- a/crates/daisymast_manifest/src/manifest.rs
+++ b/crates/daisymast_manifest/src/manifest.rs
@@ -84,7 +84,7 @@
     pub deadline_s: u64,
 }
 
-/// A job that needs all its tasks at once. It runs once a release.
+/// A job that needs all its tasks at once. It runs once for each distinct declaration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GangJob {
@@ -104,6 +104,9 @@
     pub exclusive: bool,
     /// Expected run time of a task in seconds.
     pub run_s: u64,
+    /// Raised by an operator to run the same job again.
+    #[serde(default)]
+    pub revision: u32,
 }
 
 impl Manifest {
@@ -136,9 +139,28 @@
     ))
 }
 
-/// Key of the run of a gang job, which is the same for the whole life of a release.
-pub fn gang_run(name: &JobName, release: &Release) -> RunKey {
-    RunKey(hashing::stable(format!("gang/{name}/{release}").as_bytes()))
+/// Key of the run of a gang job: the same for as long as no field of its declaration changes, over
+/// any number of releases. Fields that the text leaves out count with their defaults.
+///
+/// ```
+/// use daisymast_manifest::manifest;
+/// let mut plan: manifest::GangJob = serde_json::from_str(
+///     r#"{"name": "route-plan", "team": "crews", "tasks": 4, "run_s": 60,
+///         "size": {"millicores": 1000, "memory_mib": 512}}"#,
+/// )?;
+/// let first = manifest::gang_run(&plan);
+/// plan.revision = 1;
+/// assert_ne!(manifest::gang_run(&plan), first);
+/// # Ok::<(), serde_json::Error>(())
+/// ```
+pub fn gang_run(job: &GangJob) -> RunKey {
+    // Plain fields with string keys always have a JSON form; its order is that of the struct.
+    let declaration = serde_json::to_string(job).unwrap_or_default();
+    let declaration = hashing::stable(declaration.as_bytes());
+    let name = &job.name;
+    RunKey(hashing::stable(
+        format!("gang/{name}/{declaration:016x}").as_bytes(),
+    ))
 }
 
 /// Key under which the replicas of a service run. It survives a change of release, so that an
--- a/crates/daisymast_runs/src/due.rs
+++ b/crates/daisymast_runs/src/due.rs
@@ -6,7 +6,7 @@
 use daisymast_types::time::UnixMillis;
 
 /// Runs that should exist at `wall`: of each batch the one with the latest due time, as long as its
-/// deadline has not passed, and each gang job once a release. Earlier due times are never made up
+/// deadline has not passed, and each declared gang job. Earlier due times are never made up
 /// for, so neither an outage nor a new batch causes a flood of old runs.
 pub fn due_runs(manifest: &Manifest, generation: Generation, wall: UnixMillis) -> Vec<RunOpened> {
     let batches = manifest.batches.iter().filter_map(|batch| {
@@ -21,9 +21,9 @@
         })
     });
     let gangs = manifest.gang_jobs.iter().map(|job| RunOpened {
-        run: manifest::gang_run(&job.name, &manifest.release),
+        run: manifest::gang_run(job),
         job: job.name.clone(),
-        origin: Origin::Release(manifest.release.clone()),
+        origin: Origin::Declared(wall),
         tasks: job.tasks,
         generation,
         until: None,
--- a/crates/daisymast_runs/src/job.rs
+++ b/crates/daisymast_runs/src/job.rs
@@ -1,7 +1,7 @@
 //! What a manifest says of the tasks of a run.
 
 use daisymast_ledger::entry::{Origin, RunOpened};
-use daisymast_manifest::manifest::Manifest;
+use daisymast_manifest::manifest::{self, Manifest};
 use daisymast_protocol::task::{Kind, TaskSpec};
 use daisymast_types::ids::{JobName, TaskKey, Team};
 use daisymast_types::quantities::{Resources, Urgency};
@@ -26,8 +26,8 @@
 }
 
 impl Job {
-    /// The job of a run, if the manifest declares it. A gang job of another release is a run of its
-    /// own, which replaces this one.
+    /// The job of a run, if the manifest declares it. A gang job with another declaration is
+    /// a run of its own, which replaces this one.
     pub fn of(manifest: &Manifest, opened: &RunOpened) -> Option<Self> {
         match &opened.origin {
             Origin::Due(_) => {
@@ -42,10 +42,10 @@
                     run_ms: job.run_s.saturating_mul(1_000),
                 })
             }
-            Origin::Release(release) => {
+            Origin::Declared(_) => {
                 let mut jobs = manifest.gang_jobs.iter();
                 let job = jobs.find(|job| job.name == opened.job)?;
-                (*release == manifest.release).then(|| Self {
+                (manifest::gang_run(job) == opened.run).then(|| Self {
                     name: job.name.clone(),
                     team: job.team.clone(),
                     kind: Kind::Gang,
