Measure messages, time and memory by number of workers and instances

The costs at the target size were not known. The world of the matrix gets an optional meter and up to five zones, and daisymast-slopes runs it with batches, services and requests, and fits lines by least squares.

--- /dev/null
+++ b/crates/daisymast_load/src/bin/daisymast-slopes.rs
@@ -0,0 +1,76 @@
+//! Prints what an instance costs as a function of workers and instances.
+
+use std::io::Write;
+
+use anyhow::Context;
+use daisymast_load::slopes::{report, sample, scene};
+use lexopt::prelude::{Long, ValueExt};
+
+fn main() -> anyhow::Result<()> {
+    let mut arguments = lexopt::Parser::from_env();
+    let mut base = scene::Scene {
+        zones: 5,
+        instances: 2,
+        workers: 40,
+        starts: 0.675,
+        requests: 0.0,
+        seconds: 20,
+    };
+    let mut sweep: Option<(report::Axis, Vec<usize>)> = None;
+    let mut json = None;
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            Long("zones") => base.zones = arguments.value()?.parse()?,
+            Long("instances") => base.instances = arguments.value()?.parse()?,
+            Long("workers") => base.workers = arguments.value()?.parse()?,
+            Long("starts") => base.starts = arguments.value()?.parse()?,
+            Long("requests") => base.requests = arguments.value()?.parse()?,
+            Long("seconds") => base.seconds = arguments.value()?.parse()?,
+            Long("sweep-workers") => {
+                sweep = Some((report::Axis::Workers, list(&arguments.value()?.string()?)?));
+            }
+            Long("sweep-instances") => {
+                sweep = Some((
+                    report::Axis::Instances,
+                    list(&arguments.value()?.string()?)?,
+                ));
+            }
+            Long("json") => json = Some(arguments.value()?),
+            _ => return Err(argument.unexpected().into()),
+        }
+    }
+    let (axis, sizes) = sweep.unwrap_or((report::Axis::Workers, vec![base.workers]));
+    let samples: Vec<_> = sizes
+        .into_iter()
+        .map(|size| match axis {
+            report::Axis::Workers => scene::Scene {
+                workers: size,
+                ..base
+            },
+            report::Axis::Instances => scene::Scene {
+                instances: size,
+                ..base
+            },
+        })
+        .map(sample::take)
+        .collect();
+    let rows = report::rows(axis, &samples);
+    let title = format!("{base:?}");
+    let mut output = std::io::stdout().lock();
+    write!(output, "{}", report::table(&title, axis, &samples, &rows))?;
+    if let Some(path) = json {
+        let text = serde_json::to_string_pretty(&(&samples, &rows))?;
+        std::fs::write(&path, text).with_context(|| format!("write {}", path.display()))?;
+    }
+    Ok(())
+}
+
+/// Numbers for each zone, separated by commas.
+fn list(text: &str) -> anyhow::Result<Vec<usize>> {
+    text.split(',')
+        .map(|part| {
+            let number = part.trim().parse();
+            number.with_context(|| format!("size: {part:?} is not a whole number"))
+        })
+        .collect()
+}
--- a/crates/daisymast_load/src/lib.rs
+++ b/crates/daisymast_load/src/lib.rs
@@ -1,1 +1,3 @@
-//! Open-loop load tool with per-kind waiting times.
+//! Open-loop load tool with per-kind waiting times, and the slopes behind docs/CAPACITY.md.
+
+pub mod slopes;
--- /dev/null
+++ b/crates/daisymast_load/src/slopes/fit.rs
@@ -0,0 +1,58 @@
+//! Straight lines through measured points.
+
+use serde::Serialize;
+
+/// A line by least squares.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Line {
+    /// Value at zero.
+    pub base: f64,
+    /// Rise for each unit.
+    pub slope: f64,
+    /// Root mean square of the residuals, as a part of the mean value.
+    pub residual: f64,
+}
+
+impl Line {
+    /// Value of the line at `x`.
+    pub fn at(&self, x: f64) -> f64 {
+        self.base + self.slope * x
+    }
+}
+
+/// The line through the points with the least sum of squares. The slope is zero if all points have
+/// the same `x`.
+///
+/// ```
+/// use daisymast_load::slopes::fit;
+/// let line = fit::line(&[(1.0, 3.0), (2.0, 5.0), (3.0, 7.0)]);
+/// assert!((line.slope - 2.0).abs() < 1e-9);
+/// assert!((line.base - 1.0).abs() < 1e-9);
+/// ```
+#[allow(clippy::cast_precision_loss, reason = "a handful of points")]
+pub fn line(points: &[(f64, f64)]) -> Line {
+    let count = points.len().max(1) as f64;
+    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
+    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
+    let spread: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let common: f64 = points
+        .iter()
+        .map(|(x, y)| (x - mean_x) * (y - mean_y))
+        .sum();
+    let slope = if spread > 0.0 { common / spread } else { 0.0 };
+    let base = mean_y - slope * mean_x;
+    let squares: f64 = points
+        .iter()
+        .map(|(x, y)| (y - base - slope * x).powi(2))
+        .sum();
+    let residual = if mean_y.abs() > 0.0 {
+        (squares / count).sqrt() / mean_y.abs()
+    } else {
+        0.0
+    };
+    Line {
+        base,
+        slope,
+        residual,
+    }
+}
--- /dev/null
+++ b/crates/daisymast_load/src/slopes/report.rs
@@ -0,0 +1,131 @@
+//! Tables of samples and their lines.
+
+use std::fmt::Write;
+
+use serde::Serialize;
+
+use crate::slopes::fit::{self, Line};
+use crate::slopes::sample::Sample;
+
+/// What the samples of one sweep differ in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Axis {
+    /// All workers, with the same number of instances.
+    Workers,
+    /// All instances, with the same number of workers.
+    Instances,
+}
+
+impl Axis {
+    #[allow(clippy::cast_precision_loss, reason = "counts below 2^53")]
+    fn of(self, sample: &Sample) -> f64 {
+        match self {
+            Self::Workers => sample.scene.all_workers() as f64,
+            Self::Instances => sample.scene.all_instances() as f64,
+        }
+    }
+}
+
+/// A quantity of the system and its line.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// Name with unit.
+    pub name: String,
+    /// Value of each sample.
+    pub values: Vec<f64>,
+    /// Line over the axis of the sweep.
+    pub line: Line,
+}
+
+/// All quantities of a sweep.
+pub fn rows(axis: Axis, samples: &[Sample]) -> Vec<Row> {
+    let mut rows: Vec<Row> = SCALARS
+        .iter()
+        .map(|(name, value)| row(axis, samples, (*name).to_owned(), value))
+        .collect();
+    for name in keys(samples, |sample| sample.messages.keys().cloned().collect()) {
+        let rate = |sample: &Sample| sample.messages.get(&name).copied().unwrap_or_default();
+        let number = format!("{name} /s");
+        rows.push(row(axis, samples, number, &|sample| rate(sample).messages));
+        let bytes = format!("{name} B/s");
+        rows.push(row(axis, samples, bytes, &|sample| rate(sample).bytes));
+    }
+    for name in keys(samples, |sample| sample.events.keys().cloned().collect()) {
+        let cost = |sample: &Sample| sample.events.get(&name).copied().unwrap_or_default();
+        let time = format!("on {name} ms/s");
+        rows.push(row(axis, samples, time, &|sample| cost(sample).millis));
+    }
+    rows
+}
+
+type Value = fn(&Sample) -> f64;
+
+const SCALARS: [(&str, Value); 17] = [
+    ("task starts /s", |sample| sample.starts),
+    ("median start delay ms", |sample| sample.delay_median),
+    ("p99 start delay ms", |sample| sample.delay_p99),
+    ("requests done /s", |sample| sample.done),
+    ("requests other /s", |sample| sample.other),
+    ("running tasks", |sample| sample.running),
+    ("mean instance ms/s", |sample| sample.mean_millis),
+    ("busiest instance ms/s", |sample| sample.most_millis),
+    ("state of an instance KiB", |sample| sample.state_kib),
+    ("timeline of busiest /s", |sample| sample.records),
+    ("change in force ms", |sample| sample.change_ms),
+    ("store writes /s", |sample| sample.store_writes),
+    ("store reads /s", |sample| sample.store_reads),
+    ("store values B", |sample| sample.store_bytes),
+    ("longest store value B", |sample| sample.longest_value),
+    ("all messages /s", |sample| {
+        sample.messages.values().map(|rate| rate.messages).sum()
+    }),
+    ("all messages B/s", |sample| {
+        sample.messages.values().map(|rate| rate.bytes).sum()
+    }),
+];
+
+fn row(axis: Axis, samples: &[Sample], name: String, value: &dyn Fn(&Sample) -> f64) -> Row {
+    let values: Vec<f64> = samples.iter().map(value).collect();
+    let points: Vec<(f64, f64)> = samples
+        .iter()
+        .map(|sample| axis.of(sample))
+        .zip(values.iter().copied())
+        .collect();
+    Row {
+        name,
+        values,
+        line: fit::line(&points),
+    }
+}
+
+fn keys(samples: &[Sample], of: impl Fn(&Sample) -> Vec<String>) -> Vec<String> {
+    let mut keys: Vec<String> = samples.iter().flat_map(of).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    keys
+}
+
+/// The rows as a table in Markdown.
+pub fn table(title: &str, axis: Axis, samples: &[Sample], rows: &[Row]) -> String {
+    let mut text = format!("## {title}\n\n| quantity |");
+    for sample in samples {
+        let _ = write!(text, " {} |", axis.of(sample));
+    }
+    text.push_str(" base | slope | residual % |\n|");
+    text.push_str(&" --- |".repeat(samples.len() + 4));
+    text.push('\n');
+    for row in rows {
+        let _ = write!(text, "| {} |", row.name);
+        for value in &row.values {
+            let _ = write!(text, " {value:.1} |");
+        }
+        let line = row.line;
+        let percent = line.residual * 100.0;
+        let _ = writeln!(
+            text,
+            " {:.3} | {:.4} | {percent:.1} |",
+            line.base, line.slope
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/daisymast_load/src/slopes/sample.rs
@@ -0,0 +1,247 @@
+//! What one system of a given size costs.
+
+use std::collections::BTreeMap;
+use std::hint::black_box;
+
+use daisymast_engine::instance::Instance;
+use daisymast_matrix::meter::{Edge, Meter};
+use daisymast_matrix::trace::Seen;
+use daisymast_matrix::world::{WALL_START_MS, World};
+use daisymast_protocol::caller::CallerReply;
+use daisymast_types::ids::InstanceId;
+use serde::Serialize;
+
+use crate::slopes::scene::{self, Driver, Scene};
+
+/// Copies of an instance whose memory is measured.
+const COPIES: usize = 40;
+
+/// Rates of one kind of message over the whole system.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Rate {
+    /// Messages a second.
+    pub messages: f64,
+    /// Encoded bytes a second, without HTTP.
+    pub bytes: f64,
+}
+
+/// Rates of one kind of event over the whole system.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Cost {
+    /// Events a second.
+    pub events: f64,
+    /// Milliseconds of `on_event` a second.
+    pub millis: f64,
+}
+
+/// Measured values of a scene.
+#[derive(Clone, Debug, Serialize)]
+pub struct Sample {
+    /// Size and load.
+    pub scene: Scene,
+    /// Batch task starts a second that workers saw.
+    pub starts: f64,
+    /// Median milliseconds from the due time of a batch to the start of a task of it. Delays
+    /// repeat after the ten seconds between two due times.
+    pub delay_median: f64,
+    /// 99th percentile of these delays.
+    pub delay_p99: f64,
+    /// Requests a second that were answered with `done`.
+    pub done: f64,
+    /// Requests a second that were answered otherwise.
+    pub other: f64,
+    /// Running tasks in the status of all instances.
+    pub running: f64,
+    /// Messages by edge and kind.
+    pub messages: BTreeMap<String, Rate>,
+    /// Events by kind.
+    pub events: BTreeMap<String, Cost>,
+    /// Milliseconds of `on_event` a second at the mean instance.
+    pub mean_millis: f64,
+    /// The same at the instance with the most.
+    pub most_millis: f64,
+    /// Memory of the state of one instance in KiB, mean over the instances measured.
+    pub state_kib: f64,
+    /// Events of the timeline a second at the instance with the most.
+    pub records: f64,
+    /// Milliseconds from the submission of a change under load until it was in force at all
+    /// instances; 0 if that took longer than the time waited.
+    pub change_ms: f64,
+    /// Writes of the store a second.
+    pub store_writes: f64,
+    /// Reads, lists and watches of the store a second.
+    pub store_reads: f64,
+    /// Bytes of all values in the store.
+    pub store_bytes: f64,
+    /// Longest value in the store.
+    pub longest_value: f64,
+}
+
+/// Settles the scene and measures it.
+pub fn take(scene: Scene) -> Sample {
+    let mut driver = scene.settle();
+    let from = driver.world.trace.seen.len();
+    let before = driver.world.platform().counts();
+    driver.world.start_meter();
+    driver.run(scene.seconds * 1_000);
+    let meter = driver.world.take_meter().unwrap_or_default();
+    let after = driver.world.platform().counts();
+    let per_second = |count: u64| whole(count) / whole(scene.seconds);
+    let (starts, done, other) = seen(&driver, from);
+    let delays = delays(&driver, from);
+    let (mean_millis, most_millis) = time_by_instance(&scene, &meter);
+    let state_kib = state_kib(&driver.world);
+    let change_ms = driver.change().map_or(0.0, whole);
+    let values = driver.world.platform().entries();
+    let lengths: Vec<u64> = values.map(|entry| entry.value.len() as u64).collect();
+    Sample {
+        scene,
+        starts: per_second(starts),
+        delay_median: percentile(&delays, 50),
+        delay_p99: percentile(&delays, 99),
+        done: per_second(done),
+        other: per_second(other),
+        running: running(&driver.world),
+        messages: rates(&scene, &meter),
+        events: costs(&scene, &meter),
+        mean_millis,
+        most_millis,
+        state_kib,
+        change_ms,
+        records: per_second(meter.records.values().copied().max().unwrap_or(0)),
+        store_writes: per_second(after.writes - before.writes),
+        store_reads: per_second(after.reads - before.reads),
+        store_bytes: whole(lengths.iter().sum()),
+        longest_value: whole(lengths.iter().copied().max().unwrap_or(0)),
+    }
+}
+
+/// Sorted delays from the due time of a batch to the starts of its tasks.
+fn delays(driver: &Driver, from: usize) -> Vec<u64> {
+    let period = scene::BATCHES * 1_000;
+    let starts = driver.world.trace.seen[from..].iter();
+    let mut delays: Vec<u64> = starts
+        .filter_map(|(at, seen)| {
+            let Seen::TaskStarted { spec, .. } = seen else {
+                return None;
+            };
+            let index: u64 = spec.job.as_str().strip_prefix("batch-")?.parse().ok()?;
+            Some((WALL_START_MS + at + period - index * 1_000) % period)
+        })
+        .collect();
+    delays.sort_unstable();
+    delays
+}
+
+fn percentile(sorted: &[u64], percent: usize) -> f64 {
+    let index = (sorted.len() * percent / 100).min(sorted.len().saturating_sub(1));
+    sorted.get(index).map_or(0.0, |value| whole(*value))
+}
+
+fn seen(driver: &Driver, from: usize) -> (u64, u64, u64) {
+    let (mut starts, mut done, mut other) = (0, 0, 0);
+    for (_, seen) in &driver.world.trace.seen[from..] {
+        match seen {
+            Seen::TaskStarted { .. } => starts += 1,
+            Seen::CallerAnswered { reply, .. } => match reply {
+                CallerReply::Done { .. } => done += 1,
+                CallerReply::NotRun { .. } | CallerReply::Unknown { .. } => other += 1,
+            },
+            _ => {}
+        }
+    }
+    (starts, done, other)
+}
+
+/// Running tasks in the status of all instances.
+fn running(world: &World) -> f64 {
+    let now = daisymast_types::time::Timestamp::new(world.now(), WALL_START_MS + world.now());
+    instances(world)
+        .flat_map(|(_, instance)| instance.status(now).running)
+        .map(|(_, tasks)| whole(u64::from(tasks)))
+        .sum()
+}
+
+fn instances(world: &World) -> impl Iterator<Item = (InstanceId, &Instance)> {
+    world.instances().into_iter().filter_map(|id| {
+        let instance = world.node(&id)?.instance()?;
+        Some((id, instance))
+    })
+}
+
+fn rates(scene: &Scene, meter: &Meter) -> BTreeMap<String, Rate> {
+    let seconds = whole(scene.seconds);
+    let edge = |edge| match edge {
+        Edge::Peer => "peer",
+        Edge::Store => "store",
+        Edge::Worker => "worker",
+    };
+    let each = meter.messages.iter().map(|((between, name), count)| {
+        let rate = Rate {
+            messages: whole(count.messages) / seconds,
+            bytes: whole(count.bytes) / seconds,
+        };
+        (format!("{}.{name}", edge(*between)), rate)
+    });
+    each.collect()
+}
+
+fn costs(scene: &Scene, meter: &Meter) -> BTreeMap<String, Cost> {
+    let seconds = whole(scene.seconds);
+    let mut costs: BTreeMap<String, Cost> = BTreeMap::new();
+    for ((_, name), work) in &meter.work {
+        let cost = costs.entry(name.clone()).or_default();
+        cost.events += whole(work.events) / seconds;
+        cost.millis += work.time.as_secs_f64() * 1_000.0 / seconds;
+    }
+    costs
+}
+
+fn time_by_instance(scene: &Scene, meter: &Meter) -> (f64, f64) {
+    let mut times: BTreeMap<&InstanceId, f64> = BTreeMap::new();
+    for ((instance, _), work) in &meter.work {
+        *times.entry(instance).or_default() += work.time.as_secs_f64() * 1_000.0;
+    }
+    let seconds = whole(scene.seconds);
+    let sum: f64 = times.values().sum();
+    let most = times.values().copied().fold(0.0, f64::max);
+    (
+        sum / seconds / whole(scene.all_instances() as u64),
+        most / seconds,
+    )
+}
+
+/// Memory that copies of an instance add to the process. Shared strings and the manifest are not
+/// copied, so they are not part of it.
+fn state_kib(world: &World) -> f64 {
+    let all: Vec<&Instance> = instances(world).map(|(_, instance)| instance).collect();
+    // The first copies fill gaps that earlier work left in the heap.
+    let filler: Vec<Instance> = all
+        .iter()
+        .cycle()
+        .take(COPIES)
+        .map(|i| (*i).clone())
+        .collect();
+    let before = resident_kib();
+    let copies: Vec<Instance> = all
+        .iter()
+        .cycle()
+        .take(COPIES)
+        .map(|i| (*i).clone())
+        .collect();
+    let after = resident_kib();
+    black_box((&filler, &copies));
+    (after - before).max(0.0) / whole(COPIES as u64)
+}
+
+fn resident_kib() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let value = line.and_then(|line| line.split_whitespace().nth(1));
+    value.and_then(|text| text.parse().ok()).unwrap_or(0.0)
+}
+
+#[allow(clippy::cast_precision_loss, reason = "counts below 2^53")]
+fn whole(count: u64) -> f64 {
+    count as f64
+}
--- a/crates/daisymast_matrix/src/lib.rs
+++ b/crates/daisymast_matrix/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod checkers;
 pub mod fault;
 pub mod matrix;
+pub mod meter;
 pub mod network;
 pub mod session;
 pub mod trace;
--- /dev/null
+++ b/crates/daisymast_matrix/src/meter.rs
@@ -0,0 +1,143 @@
+//! Counts the messages, the encoded bytes and the processor time of a world.
+
+use std::collections::BTreeMap;
+use std::fmt::{self, Debug, Write};
+use std::time::Duration;
+
+use daisymast_engine::event::Event;
+use daisymast_protocol::outcome::Outcome;
+use daisymast_types::ids::InstanceId;
+
+use crate::network::{Body, Message, Party};
+
+/// Who talks to whom.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Edge {
+    /// Between two instances.
+    Peer,
+    /// Between an instance and the store.
+    Store,
+    /// Between an instance and a worker.
+    Worker,
+}
+
+/// Messages of one kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Number of messages.
+    pub messages: u64,
+    /// Sum of their encoded lengths, without HTTP.
+    pub bytes: u64,
+}
+
+/// Events of one kind at one instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Number of events.
+    pub events: u64,
+    /// Real time in `on_event`.
+    pub time: Duration,
+}
+
+/// What was counted since [`crate::world::World::start_meter`].
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    /// Messages by edge and name.
+    pub messages: BTreeMap<(Edge, String), Count>,
+    /// Handled events by instance and name.
+    pub work: BTreeMap<(InstanceId, String), Work>,
+    /// Events of the timeline by instance.
+    pub records: BTreeMap<InstanceId, u64>,
+}
+
+impl Meter {
+    pub(crate) fn message(&mut self, message: &Message) {
+        let edge = match (&message.from, &message.to) {
+            (Party::Platform, _) | (_, Party::Platform) => Edge::Store,
+            (Party::Worker(_), _) | (_, Party::Worker(_)) => Edge::Worker,
+            (Party::Instance(_), Party::Instance(_)) => Edge::Peer,
+        };
+        let key = (edge, body_name(&message.body));
+        let count = self.messages.entry(key).or_default();
+        count.messages += 1;
+        count.bytes += encoded_length(&message.body) as u64;
+    }
+
+    pub(crate) fn event(&mut self, instance: &InstanceId, name: String, time: Duration) {
+        let work = self.work.entry((instance.clone(), name)).or_default();
+        work.events += 1;
+        work.time += time;
+    }
+
+    pub(crate) fn record(&mut self, instance: &InstanceId) {
+        *self.records.entry(instance.clone()).or_default() += 1;
+    }
+}
+
+/// Name of an event, with the message that it carries.
+pub(crate) fn event_name(event: &Event) -> String {
+    match event {
+        Event::Tick | Event::Drain => head(event),
+        Event::Caller { .. } | Event::CallerStatus { .. } => head(event),
+        Event::Operator { request, .. } => format!("Operator.{}", head(request)),
+        Event::Peer { request, .. } => format!("Peer.{}", head(request)),
+        Event::StoreReply { outcome, .. } => format!("StoreReply.{}", reply_name(outcome)),
+        Event::WorkerReply { outcome, .. } => format!("WorkerReply.{}", reply_name(outcome)),
+        Event::PeerReply { outcome, .. } => format!("PeerReply.{}", reply_name(outcome)),
+    }
+}
+
+fn reply_name<T: Debug>(outcome: &Outcome<T>) -> String {
+    match outcome {
+        Outcome::Done(reply) => head(reply),
+        Outcome::NoEffect(_) => "NoEffect".to_owned(),
+        Outcome::Unknown(_) => "Unknown".to_owned(),
+    }
+}
+
+fn body_name(body: &Body) -> String {
+    match body {
+        Body::Store(request) => head(request),
+        Body::StoreReply(reply) => format!("Reply.{}", head(reply)),
+        Body::Worker(request) => head(request),
+        Body::WorkerReply(reply) => format!("Reply.{}", head(reply)),
+        Body::Peer(request) => head(request),
+        Body::PeerReply(reply) => format!("Reply.{}", head(reply)),
+    }
+}
+
+/// Length of the message as the daemons encode it: MessagePack with names between instances, JSON
+/// towards store and workers.
+fn encoded_length(body: &Body) -> usize {
+    match body {
+        Body::Store(request) => serde_json::to_vec(request).map_or(0, |text| text.len()),
+        Body::StoreReply(reply) => serde_json::to_vec(reply).map_or(0, |text| text.len()),
+        Body::Worker(request) => serde_json::to_vec(request).map_or(0, |text| text.len()),
+        Body::WorkerReply(reply) => serde_json::to_vec(reply).map_or(0, |text| text.len()),
+        Body::Peer(request) => rmp_serde::to_vec_named(request).map_or(0, |bytes| bytes.len()),
+        Body::PeerReply(reply) => rmp_serde::to_vec_named(reply).map_or(0, |bytes| bytes.len()),
+    }
+}
+
+/// First word of the debug output, without formatting the rest of a large message.
+fn head(value: &impl Debug) -> String {
+    let mut head = Head::default();
+    // The error only ends the formatting after the first word.
+    let _ = write!(head, "{value:?}");
+    head.0
+}
+
+#[derive(Default)]
+struct Head(String);
+
+impl Write for Head {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        let end = text.find([' ', '(', '{']).unwrap_or(text.len());
+        self.0.push_str(&text[..end]);
+        if end < text.len() {
+            Err(fmt::Error)
+        } else {
+            Ok(())
+        }
+    }
+}
--- a/crates/daisymast_matrix/src/world.rs
+++ b/crates/daisymast_matrix/src/world.rs
@@ -20,6 +20,7 @@
 use daisymast_types::ids::{Generation, InstanceId, JobName, RequestId, Token, WorkerId};
 
 use crate::fault::Armed;
+use crate::meter::Meter;
 use crate::network::{Body, CallRef, Cuts, Message, Party};
 use crate::trace::{Seen, Trace};
 
@@ -77,6 +78,7 @@
     struck: usize,
     replies: FastMap<(InstanceId, Token), OperatorReply>,
     next_token: u64,
+    meter: Option<Box<Meter>>,
     /// What was seen so far.
     pub trace: Trace,
     /// Steps of the recorded session.
@@ -113,6 +115,21 @@
         self.periodic = false;
     }
 
+    /// Starts to count messages and processor time from zero.
+    pub fn start_meter(&mut self) {
+        self.meter = Some(Box::default());
+    }
+
+    /// What was counted since the start; counting ends.
+    pub fn take_meter(&mut self) -> Option<Meter> {
+        self.meter.take().map(|meter| *meter)
+    }
+
+    /// The platform.
+    pub fn platform(&self) -> &PlatformModel {
+        &self.platform
+    }
+
     /// Lets `millis` of virtual time pass.
     pub fn run_for(&mut self, millis: u64) {
         let end = self.now + millis;
--- a/crates/daisymast_matrix/src/world/build.rs
+++ b/crates/daisymast_matrix/src/world/build.rs
@@ -1,12 +1,14 @@
-//! Builds a world of three zones.
+//! Builds a world.
 
 use std::collections::BTreeMap;
 
 use daisymast_engine::config::{InstanceConfig, Seed, WorkerSeed};
 use daisymast_platform::model::PlatformModel;
+use daisymast_protocol::store::{Member, MemberId};
 use daisymast_types::collections::FastMap;
 use daisymast_types::ids::{BootId, InstanceId, Rack, WorkerId, Zone};
 use daisymast_types::quantities::Resources;
+use daisymast_types::time::Monotonic;
 
 use crate::network::Cuts;
 use crate::trace::{Seen, Trace};
@@ -15,6 +17,8 @@
 /// Size of a world.
 #[derive(Clone, Copy, Debug)]
 pub struct Layout {
+    /// Zones, at most five.
+    pub zones: usize,
     /// Entry instances of each zone.
     pub instances: usize,
     /// Workers of each zone.
@@ -26,6 +30,7 @@
 impl Default for Layout {
     fn default() -> Self {
         Self {
+            zones: 3,
             instances: 2,
             workers: 2,
             capacity: Resources::new(32_000, 128 * 1024, 2),
@@ -33,8 +38,8 @@
     }
 }
 
-/// Zones of the first users.
-const ZONES: [&str; 3] = ["austin", "temple", "waco"];
+/// Three zones of the first users, and two more for the sizes of the target.
+const ZONES: [&str; 5] = ["austin", "temple", "waco", "bryan", "killeen"];
 
 impl World {
     /// A world at virtual time zero, in which nothing was declared yet.
@@ -56,6 +61,7 @@
             struck: 0,
             replies: FastMap::default(),
             next_token: 0,
+            meter: None,
             trace: Trace::default(),
             lines: Vec::new(),
         };
@@ -84,10 +90,31 @@
         world.schedule(0, Due::TickWorkers);
         world
     }
+
+    /// Enters all instances and workers into the platform's list, which is empty otherwise.
+    pub fn list_members(&mut self, layout: Layout) {
+        let now = Monotonic::from_millis(self.now);
+        let instances = seeds(layout)
+            .into_iter()
+            .map(|seed| (MemberId::Instance(seed.instance), seed.zone, seed.address));
+        let workers = worker_seeds(layout).into_iter().map(|seed| {
+            let who = MemberId::Worker(seed.worker, seed.rack);
+            (who, seed.zone, seed.address)
+        });
+        for (who, zone, address) in instances.chain(workers) {
+            let member = Member {
+                who,
+                zone,
+                address,
+                leaving: false,
+            };
+            self.platform.register(now, member);
+        }
+    }
 }
 
 fn seeds(layout: Layout) -> Vec<Seed> {
-    per_zone(layout.instances, "e")
+    per_zone(layout.zones, layout.instances, "e")
         .map(|(zone, name)| Seed {
             instance: InstanceId::from(name.as_str()),
             zone,
@@ -97,7 +124,7 @@
 }
 
 fn worker_seeds(layout: Layout) -> Vec<WorkerSeed> {
-    per_zone(layout.workers, "w")
+    per_zone(layout.zones, layout.workers, "w")
         .map(|(zone, name)| WorkerSeed {
             worker: WorkerId::from(name.as_str()),
             rack: Rack::from(format!("{zone}-r1")),
@@ -107,8 +134,8 @@
         .collect()
 }
 
-fn per_zone(count: usize, kind: &str) -> impl Iterator<Item = (Zone, String)> {
-    ZONES.into_iter().flat_map(move |zone| {
+fn per_zone(zones: usize, count: usize, kind: &str) -> impl Iterator<Item = (Zone, String)> {
+    ZONES.into_iter().take(zones).flat_map(move |zone| {
         (1..=count).map(move |index| (Zone::from(zone), format!("{zone}-{kind}{index}")))
     })
 }
--- a/crates/daisymast_matrix/src/world/faults.rs
+++ b/crates/daisymast_matrix/src/world/faults.rs
@@ -10,6 +10,9 @@
 impl World {
     /// Sends a message, and lets the fault strike that is armed for this step.
     pub(super) fn transmit(&mut self, message: Message) {
+        if let Some(meter) = self.meter.as_mut() {
+            meter.message(&message);
+        }
         let Some(step) = self.count_step(&message) else {
             self.send(message, LATENCY_MS);
             return;
--- a/crates/daisymast_matrix/src/world/node.rs
+++ b/crates/daisymast_matrix/src/world/node.rs
@@ -1,6 +1,7 @@
 //! An entry instance in the world: running, paused or dead.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use daisymast_engine::config::InstanceConfig;
 use daisymast_engine::event::{Action, Event};
@@ -10,6 +11,7 @@
 use daisymast_types::ids::{BootId, CallId, Generation, InstanceId, RequestId, Token};
 
 use crate::fault::REPLACED_AFTER_MS;
+use crate::meter;
 use crate::network::{Body, CallRef, Message, Party};
 use crate::trace::Seen;
 use crate::world::{Due, LATENCY_MS, TICK_MS, World};
@@ -55,6 +57,11 @@
         &self.config.instance
     }
 
+    /// The state machine, while the process runs.
+    pub fn instance(&self) -> Option<&Instance> {
+        self.instance.as_ref()
+    }
+
     /// Whether the process runs, be it paused or not.
     pub fn is_running(&self) -> bool {
         self.instance.is_some()
@@ -83,7 +90,12 @@
         let Some(running) = node.instance.as_mut() else {
             return;
         };
+        let metered = self.meter.is_some().then(|| meter::event_name(&event));
+        let before = Instant::now();
         let actions = running.on_event(now, event);
+        if let (Some(meter), Some(name)) = (self.meter.as_mut(), metered) {
+            meter.event(instance, name, before.elapsed());
+        }
         let generation = running.generation();
         if generation != node.generation {
             node.generation = generation;
@@ -167,6 +179,9 @@
                 self.replies.insert((instance.clone(), token), reply);
             }
             Action::Record(event) => {
+                if let Some(meter) = self.meter.as_mut() {
+                    meter.record(instance);
+                }
                 self.line(&format!(
                     "{} {} {}",
                     event.source, event.step, event.subject
