--- a/crates/daisymast_engine/src/services/tests.rs
+++ b/crates/daisymast_engine/src/services/tests.rs
@@ -1,11 +1,13 @@
 //! Replicas of services on a virtual clock.
 
-use daisymast_manifest::manifest::Service;
+use daisymast_manifest::manifest::{Service, TeamQuota};
+use daisymast_manifest::quota;
 use daisymast_protocol::outcome::Outcome;
 use daisymast_protocol::peer::{PeerReply, PeerRequest, Replicas};
 use daisymast_protocol::task::{TaskSpec, TaskState};
 use daisymast_protocol::worker::{WorkerReply, WorkerRequest};
 use daisymast_types::ids::{Generation, InstanceId, WorkerId, Zone};
+use daisymast_types::quantities::Urgency;
 use proptest::{prop_assert, prop_assert_eq, proptest};
 
 use super::share::share;
@@ -50,6 +52,43 @@
     assert_eq!(indexes(&bench), [0, 1, 2, 3]);
 }
 
+/// Guards against a new replica in the rack of those that already run, while another rack is free: the
+/// service would be lost with the rack.
+#[test]
+fn new_replica_goes_to_another_rack_than_running_ones() {
+    for service in ["quotes", "parcels", "lifts", "halls", "invoices", "desks"] {
+        let mut bench = ready(&[]);
+        bench.instance.force_rack(&WorkerId::from("w-4"), "r-2");
+        let running = replica(service, 0);
+        bench.worker("w-0").report(&running, TaskState::Running);
+        let declared = manifest(&[(service, 2)]);
+        bench.instance.force_manifest(Generation(1), declared);
+        bench.run_to(4_000);
+        assert_eq!(indexes(&bench), [0, 1]);
+        assert_eq!(bench.worker("w-4").running().len(), 1, "{service}");
+    }
+}
+
+/// Guards against services that take more than the quota of their team, and against a quota that goes
+/// to the less urgent one.
+#[test]
+fn services_take_no_more_than_the_quota_of_their_team() {
+    let mut bench = ready(&[]);
+    let mut declared = manifest(&[("desks", 5), ("quotes", 3)]);
+    declared.services[1].urgency = Urgency::Urgent;
+    let service = &declared.services[0];
+    declared.teams = vec![TeamQuota {
+        name: service.team.clone(),
+        quota: quota::multiple(service.size, 4),
+    }];
+    bench.instance.force_manifest(Generation(1), declared);
+    bench.run_to(6_000);
+    let running = bench.workers.values().flat_map(FakeWorker::running);
+    let mut names: Vec<String> = running.map(|task| task.job.to_string()).collect();
+    names.sort_unstable();
+    assert_eq!(names, ["desks", "quotes", "quotes", "quotes"]);
+}
+
 /// Guards against a change that takes effect late, and against stopping other replicas than the
 /// highest ones.
 #[test]
