Make room for urgent work on a full fleet

Cause: an urgent or normal task that found no room waited until less urgent tasks ended by themselves.

Change: after 1 s without room the run owner sends the new peer message Reclaim to the holder of the worker on which the least has to be stopped. The holder stops the least urgent and cheapest tasks there, with a checkpoint, and reserves the room for the run that asked. Each urgency class keeps 20% of the fleet, an owner asks for at most 32 rooms a second, and a batch task that was started again is not stopped in its first 30 s. WorkerCapacity gets the additive field classes (use by urgency). The decision is daisymast_placement's reclaim module.

Gang jobs and services do not ask for room yet.

--- a/crates/daisymast_engine/src/control.rs
+++ b/crates/daisymast_engine/src/control.rs
@@ -6,6 +6,7 @@
 mod polls;
 mod preferences;
 mod quarantine;
+mod reclaim;
 mod serving;
 mod sweep;
 mod tasks;
@@ -108,7 +109,7 @@
     }
 
     /// Answers `Endpoints`, `Serve`, `Resolve`, `Start`, `Capacity`, `Replicas`, `PollRuns`, `Stop`,
-    /// `ResolveTask`, `Reserve`, `Unreserve` and `HandOver`.
+    /// `ResolveTask`, `Reserve`, `Unreserve`, `Reclaim` and `HandOver`.
     pub(crate) fn on_peer(
         &mut self,
         cx: &mut Context<'_>,
@@ -141,6 +142,12 @@
                 Some(self.reserve(cx, &worker, run, size))
             }
             PeerRequest::Unreserve { worker, run } => Some(self.unreserve(cx, &worker, run)),
+            PeerRequest::Reclaim {
+                worker,
+                run,
+                size,
+                classes,
+            } => Some(self.reclaim(cx, &worker, (run, size), &classes)),
             PeerRequest::HandOver { worker } => Some(self.hand_over(cx, from, &worker)),
             _ => None,
         };
--- a/crates/daisymast_engine/src/control/mirror.rs
+++ b/crates/daisymast_engine/src/control/mirror.rs
@@ -7,7 +7,7 @@
 use daisymast_protocol::worker::{Grant, WorkerMillis};
 use daisymast_types::collections::FastMap;
 use daisymast_types::ids::{JobName, RunKey, TaskKey, Team};
-use daisymast_types::quantities::Resources;
+use daisymast_types::quantities::{Resources, Urgency};
 use daisymast_types::time::Monotonic;
 
 /// Weight of an older service time against a new one.
@@ -161,16 +161,29 @@
         self.capacity.saturating_sub(used)
     }
 
-    /// What the tasks of batches and gang jobs use or may use soon, by team.
-    pub(super) fn teams(&self) -> Vec<(Team, Resources)> {
+    /// Tasks that run or may run soon.
+    fn specs(&self) -> impl Iterator<Item = &TaskSpec> {
         let running = self
             .tasks
             .values()
             .filter(|known| !known.report.state.is_ended())
             .map(|known| &known.report.spec);
-        let starting = self.pending.values().map(|start| &start.spec);
+        running.chain(self.pending.values().map(|start| &start.spec))
+    }
+
+    /// What all tasks use or may use soon, by urgency.
+    pub(super) fn classes(&self) -> Vec<(Urgency, Resources)> {
+        let mut classes: BTreeMap<Urgency, Resources> = BTreeMap::new();
+        for spec in self.specs() {
+            *classes.entry(spec.urgency).or_default() += spec.size;
+        }
+        classes.into_iter().collect()
+    }
+
+    /// What the tasks of batches and gang jobs use or may use soon, by team.
+    pub(super) fn teams(&self) -> Vec<(Team, Resources)> {
         let mut teams: BTreeMap<&Team, Resources> = BTreeMap::new();
-        for spec in running.chain(starting) {
+        for spec in self.specs() {
             if spec.kind != Kind::Service {
                 *teams.entry(&spec.team).or_default() += spec.size;
             }
--- /dev/null
+++ b/crates/daisymast_engine/src/control/reclaim.rs
@@ -0,0 +1,65 @@
+//! Makes room on held workers for more urgent tasks.
+
+use std::time::Duration;
+
+use daisymast_placement::reclaim::{self, Candidate};
+use daisymast_protocol::peer::PeerReply;
+use daisymast_protocol::task::Kind;
+use daisymast_protocol::worker::Refusal;
+use daisymast_types::ids::{RunKey, WorkerId};
+use daisymast_types::quantities::{Resources, Urgency};
+use daisymast_types::time::Monotonic;
+
+use super::Control;
+use super::mirror::Mirror;
+use super::serving::is_leaving;
+use super::tasks::{MAX_DEBITS, RESERVATION_TTL};
+use crate::shared::Context;
+
+impl Control {
+    /// Stops less urgent tasks, with a checkpoint, and reserves the room for the run that asks.
+    pub(super) fn reclaim(
+        &mut self,
+        cx: &mut Context<'_>,
+        worker: &WorkerId,
+        (run, size): (RunKey, Resources),
+        classes: &[Urgency],
+    ) -> PeerReply {
+        let now = cx.now.mono;
+        let Some((state, _)) = self.acting(now, worker) else {
+            return self.not_holder(cx, worker);
+        };
+        state.mirror.expire(now);
+        if is_leaving(cx, state, worker)
+            || state.quarantine.is_active()
+            || state.mirror.debits() >= MAX_DEBITS
+        {
+            return PeerReply::Refused(Refusal::NoCapacity);
+        }
+        // A reservation of the same run is of an earlier request and would be replaced.
+        let free = state.mirror.free(now, Some(run));
+        let running = candidates(&state.mirror, now);
+        let Some(victims) = reclaim::victims(free, size, classes, &running) else {
+            return PeerReply::Refused(Refusal::NoCapacity);
+        };
+        state.mirror.reserve(run, size, now + RESERVATION_TTL);
+        for task in victims {
+            cx.fx
+                .record("task.reclaimed", &task.to_string(), worker.to_string());
+            self.send_stop(cx, worker, task, None, true);
+        }
+        PeerReply::Ok
+    }
+}
+
+fn candidates(mirror: &Mirror, now: Monotonic) -> Vec<Candidate> {
+    let running = mirror.tasks().filter(|one| !one.report.state.is_ended());
+    let candidates = running.map(|one| Candidate {
+        task: one.report.spec.key,
+        urgency: one.report.spec.urgency,
+        size: one.report.spec.size,
+        service: one.report.spec.kind == Kind::Service,
+        elapsed: Duration::from_millis(one.report.elapsed_ms) + (now - one.seen),
+    });
+    candidates.collect()
+}
--- a/crates/daisymast_engine/src/control/tasks.rs
+++ b/crates/daisymast_engine/src/control/tasks.rs
@@ -16,9 +16,9 @@
 use crate::shared::Context;
 
 /// Time for which a reservation holds.
-const RESERVATION_TTL: Duration = Duration::from_secs(2);
+pub(super) const RESERVATION_TTL: Duration = Duration::from_secs(2);
 /// Reservations and unreported starts of one worker.
-const MAX_DEBITS: usize = 256;
+pub(super) const MAX_DEBITS: usize = 256;
 
 impl Control {
     /// Free capacity of the held workers.
@@ -34,6 +34,7 @@
                 free: worker.mirror.free(now, None),
                 open: worker.quarantine.allows_start(now) && !is_leaving(cx, worker, id),
                 teams: worker.mirror.teams(),
+                classes: worker.mirror.classes(),
             })
             .collect();
         found.sort_by(|a, b| a.worker.cmp(&b.worker));
--- a/crates/daisymast_engine/src/control/tests/capacity.rs
+++ b/crates/daisymast_engine/src/control/tests/capacity.rs
@@ -5,7 +5,7 @@
 use daisymast_protocol::task::{TaskSpec, TaskState};
 use daisymast_protocol::worker::{Refusal, WorkerReply};
 use daisymast_types::ids::{RunKey, Token, WorkerId};
-use daisymast_types::quantities::Resources;
+use daisymast_types::quantities::{Resources, Urgency};
 use proptest::prelude::any;
 use proptest::{prop_assert, prop_assert_eq, proptest};
 
@@ -96,6 +96,47 @@
     assert_eq!(capacity(&mut bench).teams, used(1_000, 100));
 }
 
+/// Guards against a stop of work that is as urgent, of a service where a batch is enough, and against
+/// room that another run takes before the one it was made for.
+#[test]
+fn reclaim_stops_the_least_urgent_and_keeps_the_room() {
+    let mut bench = ready();
+    let mut replica = replica("quotes", 0);
+    replica.size = Resources::new(2_000, 100, 0);
+    let specs = [
+        (sized(0, 2_000), Urgency::Background),
+        (sized(1, 2_000), Urgency::Normal),
+        (sized(2, 2_000), Urgency::Urgent),
+        (replica, Urgency::Background),
+    ];
+    for (mut spec, urgency) in specs {
+        spec.urgency = urgency;
+        bench.worker("w-1").report(&spec, TaskState::Running);
+    }
+    bench.run_for(1_100);
+    let reclaim = |millicores| PeerRequest::Reclaim {
+        worker: WorkerId::from("w-1"),
+        run: RunKey(9),
+        size: Resources::new(millicores, 100, 0),
+        classes: vec![Urgency::Background],
+    };
+    assert_eq!(bench.answer_to(reclaim(5_000)), FULL);
+    assert!(bench.take_stop().is_none());
+    assert_eq!(bench.answer_to(reclaim(2_000)), PeerReply::Ok);
+    assert_eq!(bench.take_stop(), Some(sized(0, 2_000).key));
+    assert!(bench.take_stop().is_none());
+    bench
+        .worker("w-1")
+        .report(&sized(0, 2_000), TaskState::Stopped);
+    bench.run_for(1_100);
+    let other = start(&mut bench, "entry-2", &sized(7, 1_000));
+    assert_eq!(bench.answer(other), Some(FULL));
+    let mut own = sized(0, 2_000);
+    own.key.run = RunKey(9);
+    start(&mut bench, "entry-2", &own);
+    assert!(bench.take_start().is_some());
+}
+
 /// Guards against a start of unknown outcome that ran and is counted twice or not at all.
 #[test]
 fn unknown_start_that_ran_is_counted_once() {
--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -278,6 +278,7 @@
             }
             PeerRequest::Endpoints { .. }
             | PeerRequest::Serve { .. }
+            | PeerRequest::Reclaim { .. }
             | PeerRequest::Resolve { .. }
             | PeerRequest::Start { .. }
             | PeerRequest::Capacity
--- a/crates/daisymast_engine/src/runs.rs
+++ b/crates/daisymast_engine/src/runs.rs
@@ -5,6 +5,7 @@
 mod placing;
 mod polling;
 mod quota;
+mod reclaiming;
 mod recording;
 #[cfg(test)]
 mod tests;
@@ -26,6 +27,7 @@
 use crate::claims::Claims;
 use crate::runs::gang::Gang;
 use crate::runs::placing::Workers;
+use crate::runs::reclaiming::Reclaims;
 use crate::runs::recording::Recording;
 use crate::shared::Context;
 
@@ -47,6 +49,8 @@
     Resolve(TaskKey),
     /// Reservation of the worker at that position of a gang's plan.
     Reserve { run: RunKey, position: usize },
+    /// Request to make room for a task of a run.
+    Reclaim { run: RunKey, worker: WorkerId },
     /// A call whose reply changes nothing.
     Ignore,
 }
@@ -66,6 +70,7 @@
     unfit: FastMap<RunKey, (Monotonic, bool)>,
     gangs: FastMap<RunKey, Gang>,
     workers: Workers,
+    reclaims: Reclaims,
     starts_open: usize,
     polls_open: FastSet<(Partition, InstanceId)>,
     resolving: FastSet<TaskKey>,
@@ -90,7 +95,9 @@
         }
         self.record_ends(cx, claims);
         if !cx.shared.draining {
+            self.use_rooms(cx, claims);
             self.place(cx, claims);
+            self.reclaim(cx);
         }
         self.send_starts(cx);
     }
@@ -113,6 +120,7 @@
             Step::Reserve { run, position } => {
                 self.reserve_reply(cx, claims, run, position, &outcome);
             }
+            Step::Reclaim { run, worker } => self.reclaim_reply(cx, (run, worker), &outcome),
             Step::Ignore => {}
         }
     }
--- a/crates/daisymast_engine/src/runs/placing.rs
+++ b/crates/daisymast_engine/src/runs/placing.rs
@@ -36,6 +36,9 @@
 /// answers of all holders arrive within that time.
 const UNFIT_AFTER: Duration = Duration::from_secs(10);
 
+/// Place of a run in the order of placement: whether its class has its share, urgency, due time, key.
+type Waiting = (bool, std::cmp::Reverse<Urgency>, u64, RunKey);
+
 /// Workers as their holders last described them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Workers {
@@ -61,7 +64,8 @@
         }
     }
 
-    fn drop_old(&mut self, now: Monotonic) {
+    /// Drops the workers that were not described lately. Returns them.
+    fn drop_old(&mut self, now: Monotonic) -> Vec<WorkerId> {
         let mut old: Vec<WorkerId> = Vec::new();
         self.machines.retain(|worker, (_, seen)| {
             let fresh = now - *seen < CAPACITY_MAX_AGE;
@@ -70,10 +74,11 @@
             }
             fresh
         });
-        for worker in old {
-            self.pool.remove(&worker);
-            self.usage.remove(&worker);
+        for worker in &old {
+            self.pool.remove(worker);
+            self.usage.remove(worker);
         }
+        old
     }
 }
 
@@ -89,7 +94,7 @@
         self.reduce_excess(cx);
         let placed = |run: &Run| run.tasks().filter(|(_, task)| task.is_placed()).count();
         let mut room = PLACED_MAX.saturating_sub(self.runs.values().map(placed).sum());
-        for (_, _, key) in order {
+        for (_, _, _, key) in order {
             let kind = self
                 .runs
                 .get(&key)
@@ -102,8 +107,10 @@
         }
     }
 
-    /// Runs with waiting tasks: urgent before normal before background, then by age.
-    fn waiting_runs(&self, now: Monotonic) -> Vec<(std::cmp::Reverse<Urgency>, u64, RunKey)> {
+    /// Runs with waiting tasks: those that starve in a class below its share first, then urgent
+    /// before normal before background, then by age.
+    pub(crate) fn waiting_runs(&self, now: Monotonic) -> Vec<Waiting> {
+        let below = self.reclaims.below_share();
         let mut order: Vec<_> = self
             .runs
             .iter()
@@ -114,7 +121,9 @@
                     return None;
                 }
                 let until = run.opened.until.map_or(u64::MAX, |until| until.0);
-                Some((std::cmp::Reverse(urgency), until, *key))
+                let starved = self.reclaims.is_starved(now, *key);
+                let is_lent = !(starved && below.contains(&urgency));
+                Some((is_lent, std::cmp::Reverse(urgency), until, *key))
             })
             .collect();
         order.sort_unstable();
@@ -131,7 +140,9 @@
             return;
         }
         self.workers.asked = Some(now);
-        self.workers.drop_old(now);
+        for worker in self.workers.drop_old(now) {
+            self.reclaims.remove(&worker);
+        }
         let mut instances: Vec<InstanceId> = cx
             .shared
             .view
@@ -168,6 +179,7 @@
                 .iter()
                 .fold(Resources::ZERO, |sum, (_, size)| sum + *size);
             self.worker_described(cx, &worker, sum);
+            self.reclaims.describe(&worker);
             self.workers.usage.describe(worker, &placed);
         }
     }
@@ -205,7 +217,7 @@
         room: usize,
     ) -> usize {
         let (mut entries, mut tasks) = (Vec::new(), Vec::new());
-        let mut unfit = false;
+        let (mut unfit, mut is_starved) = (false, false);
         let Some(run) = self.runs.get_mut(&key) else {
             return 0;
         };
@@ -223,11 +235,13 @@
                 }
                 Err(reason) => {
                     unfit = reason == NoPlace::NeverFits;
+                    is_starved = !unfit;
                     break;
                 }
             }
         }
         self.note_fit(cx, key, unfit);
+        self.reclaims.note(cx.now.mono, key, is_starved);
         let count = tasks.len();
         if count > 0 {
             let ticket = claims.record(cx, key, entries);
--- a/crates/daisymast_engine/src/runs/tests.rs
+++ b/crates/daisymast_engine/src/runs/tests.rs
@@ -7,3 +7,4 @@
 mod interleavings;
 mod ordinary;
 mod quotas;
+mod reclaims;
--- a/crates/daisymast_engine/src/runs/tests/holder.rs
+++ b/crates/daisymast_engine/src/runs/tests/holder.rs
@@ -1,13 +1,15 @@
 //! The instance that holds all workers, with the tasks and leases on them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
+use daisymast_placement::reclaim::{self, Candidate};
 use daisymast_protocol::outcome::{CallError, Outcome};
 use daisymast_protocol::peer::{PeerReply, PeerRequest, WorkerCapacity};
 use daisymast_protocol::task::{TaskReport, TaskSpec, TaskState};
 use daisymast_protocol::worker::{Fate, Refusal};
 use daisymast_types::ids::{Epoch, Partition, RunKey, TaskKey, Team, WorkerId};
-use daisymast_types::quantities::Resources;
+use daisymast_types::quantities::{Resources, Urgency};
 use daisymast_types::time::Timestamp;
 
 /// How a call to the holder goes wrong.
@@ -114,6 +116,46 @@
         specs.map(|spec| (spec.team.clone(), spec.size)).collect()
     }
 
+    fn classes(&self, worker: &WorkerId) -> Vec<(Urgency, Resources)> {
+        let on = self.tasks.values().filter(|(on, _)| on == worker);
+        let running = on.filter(|(_, report)| report.state == TaskState::Running);
+        running
+            .map(|(_, report)| (report.spec.urgency, report.spec.size))
+            .collect()
+    }
+
+    /// Makes room as the control component does.
+    fn reclaim(
+        &mut self,
+        worker: WorkerId,
+        run: RunKey,
+        size: Resources,
+        from: &[Urgency],
+    ) -> PeerReply {
+        let on = self.tasks.values().filter(|(on, _)| *on == worker);
+        let running: Vec<Candidate> = on
+            .filter(|(_, report)| report.state == TaskState::Running)
+            .map(|(_, report)| Candidate {
+                task: report.spec.key,
+                urgency: report.spec.urgency,
+                size: report.spec.size,
+                service: false,
+                elapsed: Duration::from_millis(report.elapsed_ms),
+            })
+            .collect();
+        let Some(victims) = reclaim::victims(self.free(&worker), size, from, &running) else {
+            return PeerReply::Refused(Refusal::NoCapacity);
+        };
+        self.reserved.insert((worker, run), size);
+        for task in victims {
+            self.stops.push(task);
+            if let Some((_, report)) = self.tasks.get_mut(&task) {
+                report.state = TaskState::Stopped;
+            }
+        }
+        PeerReply::Ok
+    }
+
     fn free(&self, worker: &WorkerId) -> Resources {
         let running = self
             .tasks
@@ -185,6 +227,7 @@
                         free: self.free(&worker),
                         open: true,
                         teams: self.teams(&worker),
+                        classes: self.classes(&worker),
                         worker,
                     })
                     .collect(),
@@ -229,6 +272,12 @@
                 self.reserved.insert((worker, run), size);
                 PeerReply::Ok
             }
+            PeerRequest::Reclaim {
+                worker,
+                run,
+                size,
+                classes,
+            } => self.reclaim(worker, run, size, &classes),
             PeerRequest::Unreserve { worker, run } => {
                 self.reserved.remove(&(worker, run));
                 PeerReply::Ok
--- a/crates/daisymast_entry/src/calls.rs
+++ b/crates/daisymast_entry/src/calls.rs
@@ -187,6 +187,7 @@
         PeerRequest::Replicas { .. } => "read replicas",
         PeerRequest::PollRuns { .. } => "poll runs",
         PeerRequest::Stop { .. } => "stop task",
+        PeerRequest::Reclaim { .. } => "reclaim",
         PeerRequest::ResolveTask { .. } => "resolve task",
         PeerRequest::Reserve { .. } => "reserve capacity",
         PeerRequest::Unreserve { .. } => "return reservation",
--- a/crates/daisymast_placement/src/lib.rs
+++ b/crates/daisymast_placement/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod baseline;
 pub mod learning;
 pub mod pool;
+pub mod reclaim;
 
 mod gang;
 mod grid;
--- a/crates/daisymast_protocol/src/peer.rs
+++ b/crates/daisymast_protocol/src/peer.rs
@@ -4,7 +4,7 @@
     BootId, Epoch, Generation, InstanceId, JobName, Partition, RequestId, RunKey, TaskKey, Team,
     WorkerId, Zone,
 };
-use daisymast_types::quantities::Resources;
+use daisymast_types::quantities::{Resources, Urgency};
 use serde::{Deserialize, Serialize};
 
 use crate::caller::{CallerReply, CallerRequest, NotRunReason};
@@ -130,6 +130,17 @@
         /// Run of the reservation.
         run: RunKey,
     },
+    /// Asks the holder to stop tasks on a worker until a task fits, and to reserve that room.
+    Reclaim {
+        /// Worker to make room on.
+        worker: WorkerId,
+        /// Run that the room is for.
+        run: RunKey,
+        /// Room that is needed.
+        size: Resources,
+        /// Urgencies of the tasks that may be stopped.
+        classes: Vec<Urgency>,
+    },
     /// Asks the holder to release a worker whose preferred holder is the sender.
     HandOver {
         /// Worker in question.
@@ -211,6 +222,9 @@
     /// What the tasks of batches and gang jobs use there, by team. Teams without a task are left out.
     #[serde(default)]
     pub teams: Vec<(Team, Resources)>,
+    /// What all tasks use there, by urgency. Urgencies without a task are left out.
+    #[serde(default)]
+    pub classes: Vec<(Urgency, Resources)>,
 }
 
 /// The replicas of some services on the workers that one instance holds.
