Log work that a worker refuses before it looks at it

Cause: the log of a worker stand-in showed only what started, so a test could not see whether instances still send work to a leaving worker or under an expired lease. Change: refusals for a stale lease, lateness and leaving are logged with the epoch. The worker tests compare the log without refusals as before, and one test looks at the refusals.

--- a/crates/daisymast_matrix/src/world/workers.rs
+++ b/crates/daisymast_matrix/src/world/workers.rs
@@ -139,7 +139,9 @@
                     worker: worker.clone(),
                     id,
                 }),
-                LogEvent::Granted { .. } | LogEvent::RequestEnded { .. } => None,
+                LogEvent::Granted { .. }
+                | LogEvent::RequestEnded { .. }
+                | LogEvent::WorkRefused { .. } => None,
             };
             if let Some(seen) = seen {
                 self.trace.push(host.started + entry.at.as_millis(), seen);
--- a/crates/daisymast_worker/src/model/log.rs
+++ b/crates/daisymast_worker/src/model/log.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use daisymast_protocol::task::TaskState;
+use daisymast_protocol::worker::Refusal;
 use daisymast_types::ids::{Epoch, InstanceId, RequestId, TaskKey};
 use daisymast_types::quantities::Resources;
 use daisymast_types::time::Monotonic;
@@ -32,6 +33,14 @@
         /// New epoch.
         epoch: Epoch,
     },
+    /// A task or a request was sent under a stale lease, too late, or to a leaving worker. Other
+    /// refusals are not logged: an overload would fill the log with them.
+    WorkRefused {
+        /// Epoch of the lease under which it was sent.
+        epoch: Epoch,
+        /// Why it was refused.
+        reason: Refusal,
+    },
     /// A task started.
     TaskStarted {
         /// The attempt.
--- a/crates/daisymast_worker/src/model/work.rs
+++ b/crates/daisymast_worker/src/model/work.rs
@@ -6,6 +6,7 @@
 use daisymast_protocol::worker::{LeaseStamp, Refusal, ServeRequest, WorkerMillis};
 use daisymast_types::time::Monotonic;
 
+use super::log::LogEvent;
 use super::tasks::End;
 use super::{ExchangeId, WorkerModel, clock};
 
@@ -48,18 +49,24 @@
     }
 
     fn check_new_work(
-        &self,
+        &mut self,
         now: Monotonic,
         (stamp, not_after): (LeaseStamp, WorkerMillis),
     ) -> Result<(), Refusal> {
-        self.check(now, stamp)?;
-        if clock(now) >= not_after {
-            Err(Refusal::Late)
-        } else if self.settings.faults.leaving {
-            Err(Refusal::Leaving)
-        } else {
-            Ok(())
+        let checked = self.check(now, stamp).and_then(|()| {
+            if clock(now) >= not_after {
+                Err(Refusal::Late)
+            } else if self.settings.faults.leaving {
+                Err(Refusal::Leaving)
+            } else {
+                Ok(())
+            }
+        });
+        if let Err(reason) = checked {
+            let epoch = stamp.epoch;
+            self.log.add(now, LogEvent::WorkRefused { epoch, reason });
         }
+        checked
     }
 
     pub(super) fn check(&self, now: Monotonic, stamp: LeaseStamp) -> Result<(), Refusal> {
--- a/crates/daisymast_worker/tests/common/mod.rs
+++ b/crates/daisymast_worker/tests/common/mod.rs
@@ -86,7 +86,14 @@
         self.model.set_faults(self.time(), faults);
     }
 
+    /// Log of what the worker did, without what it refused.
     pub(crate) fn log(&self) -> Vec<LogEntry> {
+        let mut log = self.full_log();
+        log.retain(|entry| !matches!(entry.event, LogEvent::WorkRefused { .. }));
+        log
+    }
+
+    pub(crate) fn full_log(&self) -> Vec<LogEntry> {
         self.model.log().cloned().collect()
     }
 
--- a/crates/daisymast_worker/tests/order.rs
+++ b/crates/daisymast_worker/tests/order.rs
@@ -293,7 +293,9 @@
                     assert!(served.insert(id.clone()), "{id} was served twice");
                     assert!(!self.never_ran.contains(id.as_str()), "{id} ran after all");
                 }
-                LogEvent::RequestEnded { .. } | LogEvent::Granted { .. } => {}
+                LogEvent::RequestEnded { .. }
+                | LogEvent::Granted { .. }
+                | LogEvent::WorkRefused { .. } => {}
             }
         }
         for (_, size) in running {
--- a/crates/daisymast_worker/tests/tasks.rs
+++ b/crates/daisymast_worker/tests/tasks.rs
@@ -9,7 +9,7 @@
 use daisymast_protocol::task::{TaskReport, TaskSpec, TaskState};
 use daisymast_protocol::worker::{Fate, LeaseStamp, Refusal, WorkerReply, WorkerRequest};
 use daisymast_types::quantities::Resources;
-use daisymast_worker::model::ModelReply;
+use daisymast_worker::model::{LogEvent, ModelReply};
 use daisymast_worker::settings::ModelSettings;
 
 fn bench() -> Bench {
@@ -269,6 +269,12 @@
     assert_eq!(bench.ask(common::serve(stamp, "r-1")), leaving);
     assert!(bench.grant("i-1", 60_000).leaving);
     assert_eq!(bench.model.used().millicores, 1_000);
+    let refusal = LogEvent::WorkRefused {
+        epoch: stamp.epoch,
+        reason: Refusal::Leaving,
+    };
+    let logged = bench.full_log().into_iter().map(|entry| entry.event);
+    assert_eq!(logged.filter(|event| *event == refusal).count(), 2);
 }
 
 /// Guards against fault and speed switches that do nothing.
