End the pending watch of a caller that the platform refuses

Cause: the switch 'refuse' applied to new calls only. A watch that was pending still delivered a change to a zone that was meant to be cut off. Change: such a watch ends as unreachable, as it does when the platform is down. The other tests of the platform were not run to the end.

--- a/crates/daisymast_platform/src/model.rs
+++ b/crates/daisymast_platform/src/model.rs
@@ -56,6 +56,13 @@
     pub refuse: Vec<String>,
 }
 
+impl Faults {
+    /// Whether this caller cannot reach the platform.
+    fn cuts_off(&self, caller: &str) -> bool {
+        self.down || self.refuse.iter().any(|name| name == caller)
+    }
+}
+
 /// Calls since the start. A pending watch counts as one call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
@@ -75,6 +82,7 @@
 
 #[derive(Clone, Debug)]
 struct Waiter {
+    caller: String,
     key: String,
     seen: Revision,
     deadline: Monotonic,
@@ -132,7 +140,7 @@
         caller: &str,
         request: StoreRequest,
     ) -> ModelReply {
-        if self.faults.down || self.faults.refuse.iter().any(|name| name == caller) {
+        if self.faults.cuts_off(caller) {
             self.counts.unreachable += 1;
             return ModelReply::Unreachable;
         }
@@ -158,7 +166,9 @@
                 let reply = self.state.delete(&key, expect);
                 self.answer_write(reply)
             }
-            StoreRequest::Watch { key, seen, wait_ms } => self.watch(now, key, seen, wait_ms),
+            StoreRequest::Watch { key, seen, wait_ms } => {
+                self.watch(now, caller, (key, seen), wait_ms)
+            }
             StoreRequest::Members => {
                 let members = self.members.visible(now);
                 self.answer(StoreReply::Members { members })
@@ -174,7 +184,7 @@
         }
         let mut resolved = Vec::new();
         for (id, waiter) in &self.waiters {
-            if self.faults.down {
+            if self.faults.cuts_off(&waiter.caller) {
                 resolved.push((*id, ModelReply::Unreachable));
                 continue;
             }
@@ -251,7 +261,13 @@
         self.counts
     }
 
-    fn watch(&mut self, now: Monotonic, key: String, seen: Revision, wait_ms: u64) -> ModelReply {
+    fn watch(
+        &mut self,
+        now: Monotonic,
+        caller: &str,
+        (key, seen): (String, Revision),
+        wait_ms: u64,
+    ) -> ModelReply {
         let entry = self.state.get(&key);
         if revision(entry) != seen || wait_ms == 0 || self.stopping {
             let entry = entry.cloned();
@@ -264,6 +280,7 @@
         self.next_waiter += 1;
         let deadline = now + Duration::from_millis(wait_ms).min(WATCH_WAIT);
         let waiter = Waiter {
+            caller: caller.to_owned(),
             key,
             seen,
             deadline,
--- a/crates/daisymast_platform/tests/model.rs
+++ b/crates/daisymast_platform/tests/model.rs
@@ -203,6 +203,28 @@
     assert_eq!(model.counts().unreachable, 1);
 }
 
+/// Guards against a partition that a pending watch still reaches through.
+#[test]
+fn pending_watch_ends_when_its_caller_is_cut_off() {
+    let mut model = PlatformModel::default();
+    let watch = || StoreRequest::Watch {
+        key: "a".to_owned(),
+        seen: Revision(0),
+        wait_ms: 10_000,
+    };
+    let ModelReply::Waiting(cut) = model.on_request_from(START, "i-1", watch()) else {
+        panic!("the first watch does not wait");
+    };
+    let ModelReply::Waiting(_) = model.on_request_from(START, "i-2", watch()) else {
+        panic!("the second watch does not wait");
+    };
+    model.set_faults(Faults {
+        refuse: vec!["i-1".to_owned()],
+        ..Faults::default()
+    });
+    assert_eq!(model.on_tick(START), [(cut, ModelReply::Unreachable)]);
+}
+
 /// Guards against a lost reply whose write did not take effect, and a lost conflict.
 #[test]
 fn lost_reply_is_of_a_write_that_took_effect() {
