Add failure tests with real processes on loopback

Change: crate daisymast_cluster, a harness that starts the built binaries and ends only these, and tests of a killed and a paused instance, a paused platform, a cut zone, a rolling restart, a leaving worker and manifest changes.

--- /dev/null
+++ b/crates/daisymast_cluster/src/judge.rs
@@ -0,0 +1,155 @@
+//! Checks what workers, callers and timelines showed, by the rules of the fault matrix.
+
+use std::time::Instant;
+
+use daisymast_matrix::checkers::{self, Bounds, Violation};
+use daisymast_matrix::trace::{Seen, Trace};
+use daisymast_protocol::task::{Kind, TaskSpec};
+use daisymast_protocol::worker::Refusal;
+use daisymast_types::ids::{Epoch, InstanceId, WorkerId};
+use daisymast_types::quantities::Urgency;
+use daisymast_worker::daemon::LogReply;
+use daisymast_worker::model::{LogEntry, LogEvent};
+use daisymast_worker::settings::ModelSettings;
+
+use crate::load::{End, Record};
+
+/// Log of one worker, with the start of its clock.
+#[derive(Clone, Debug)]
+pub struct WorkerLog {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Time just before its process started. Worker time runs from a moment after it.
+    pub started: Instant,
+    /// The log.
+    pub log: LogReply,
+}
+
+impl WorkerLog {
+    /// Tasks and requests that the worker started, after the first `skip` entries.
+    pub fn starts(&self, skip: usize) -> impl Iterator<Item = &LogEntry> {
+        self.log.entries.iter().skip(skip).filter(|entry| {
+            matches!(
+                entry.event,
+                LogEvent::TaskStarted { .. } | LogEvent::RequestStarted { .. }
+            )
+        })
+    }
+
+    /// Epochs of the work that was refused for this reason, after the first `skip` entries.
+    pub fn refused(&self, skip: usize, wanted: Refusal) -> Vec<Epoch> {
+        let entries = self.log.entries.iter().skip(skip);
+        let refused = entries.filter_map(|entry| match &entry.event {
+            LogEvent::WorkRefused { epoch, reason } if *reason == wanted => Some(*epoch),
+            _ => None,
+        });
+        refused.collect()
+    }
+
+    /// Last instance that was granted the control lease.
+    pub fn holder(&self) -> Option<&InstanceId> {
+        let entries = self.log.entries.iter().rev();
+        entries
+            .filter_map(|entry| match &entry.event {
+                LogEvent::Granted { holder, .. } => Some(holder),
+                _ => None,
+            })
+            .next()
+    }
+}
+
+/// Breaches of the rules on capacity, exclusive tasks, answers and repeats.
+///
+/// # Panics
+/// A worker has dropped a part of its log.
+pub fn violations(born: Instant, logs: &[WorkerLog], records: &[Record]) -> Vec<Violation> {
+    let mut trace = Trace::default();
+    // Starts come first, so that they precede an answer of the same millisecond.
+    for log in logs {
+        assert_eq!(log.log.dropped, 0, "{} dropped log entries", log.worker);
+        add_worker(&mut trace, born, log);
+    }
+    for record in records {
+        add_caller(&mut trace, born, record);
+    }
+    checkers::check(&trace, &Bounds::default())
+}
+
+fn millis(born: Instant, at: Instant) -> u64 {
+    u64::try_from((at - born).as_millis()).unwrap_or(u64::MAX)
+}
+
+fn add_worker(trace: &mut Trace, born: Instant, log: &WorkerLog) {
+    let worker = &log.worker;
+    let joined = Seen::WorkerJoined {
+        worker: worker.clone(),
+        capacity: ModelSettings::default().capacity,
+    };
+    trace.push(0, joined);
+    let started = millis(born, log.started);
+    for entry in &log.log.entries {
+        let worker = worker.clone();
+        let seen = match &entry.event {
+            LogEvent::TaskStarted {
+                task,
+                size,
+                exclusive,
+                ..
+            } => Seen::TaskStarted {
+                worker,
+                // The log names no job, and the rules that are checked need none.
+                spec: TaskSpec {
+                    key: *task,
+                    job: "unnamed".into(),
+                    team: "unnamed".into(),
+                    kind: Kind::Batch,
+                    urgency: Urgency::default(),
+                    size: *size,
+                    exclusive: *exclusive,
+                    run_ms: 0,
+                },
+            },
+            LogEvent::TaskEnded { task, state } => Seen::TaskEnded {
+                worker,
+                key: *task,
+                state: *state,
+            },
+            LogEvent::RequestStarted { id, .. } => Seen::RequestStarted {
+                worker,
+                id: id.clone(),
+            },
+            LogEvent::Granted { .. }
+            | LogEvent::RequestEnded { .. }
+            | LogEvent::WorkRefused { .. } => continue,
+        };
+        trace.push(started + entry.at.as_millis(), seen);
+    }
+}
+
+fn add_caller(trace: &mut Trace, born: Instant, record: &Record) {
+    let request = &record.request;
+    for one in &record.tries {
+        let instance = InstanceId::from(one.instance.as_str());
+        let asked = Seen::CallerAsked {
+            instance: instance.clone(),
+            id: request.id.clone(),
+            service: request.service.clone(),
+            idempotent: request.idempotent,
+            body: request.body.clone(),
+        };
+        trace.push(millis(born, one.asked), asked);
+        let id = request.id.clone();
+        let seen = match &one.end {
+            End::Answered(reply) => Seen::CallerAnswered {
+                instance,
+                id,
+                reply: reply.clone(),
+            },
+            // A caller that was refused knows that nothing ran, but it has no answer.
+            End::Broken(_) | End::Refused(_) => Seen::CallerCutOff { instance, id },
+            // Left open, so that the rule of one answer for each caller is broken.
+            End::Silent => continue,
+        };
+        trace.push(millis(born, one.ended), seen);
+    }
+}
--- /dev/null
+++ b/crates/daisymast_cluster/tests/zone_cut.rs
@@ -0,0 +1,103 @@
+//! An availability zone is cut off from the platform and from the other zones.
+
+use std::time::{Duration, Instant};
+
+use daisymast_cluster::cell::{self, Cell, Plan};
+use daisymast_cluster::load::{Load, Record};
+use daisymast_cluster::wait;
+use daisymast_platform::model::Faults as PlatformFaults;
+use daisymast_protocol::operator::OperatorReply;
+use daisymast_types::ids::Generation;
+use daisymast_worker::settings::Faults;
+
+const ZONE: &str = "Temple";
+/// A configuration is in force everywhere within this time.
+const IN_FORCE: Duration = Duration::from_secs(5);
+
+/// Guards against a zone that stops serving without the platform and the other zones, and against
+/// one that keeps an old configuration after it can reach them again.
+#[test]
+fn a_cut_zone_serves_quotes_and_catches_up() {
+    let plan = Plan {
+        relays: true,
+        ..Plan::default()
+    };
+    cell::run("zone_cut", plan, async |cell| {
+        let own: Vec<String> = names(cell, true);
+        let others: Vec<String> = names(cell, false);
+        set_cut(cell, &own, &others, true).await;
+        cell.balance(|name| own.iter().any(|one| one == name));
+        // 10 s of quotes in the zone, longer than heartbeats and leases last.
+        let quotes = cell.send(Load::quotes(200, Duration::from_millis(50)));
+        smol::Timer::after(Duration::from_secs(5)).await;
+        let reply = cell
+            .submit(&others[0], Generation(1), cell::manifest(2))
+            .await;
+        let generation = Generation(2);
+        assert_eq!(reply, OperatorReply::Accepted { generation });
+        let records = quotes.finish().await;
+        let unserved: Vec<&Record> = records
+            .iter()
+            .filter(|one| !one.last().end.is_done())
+            .collect();
+        assert!(
+            unserved.is_empty(),
+            "quotes without an answer: {unserved:?}"
+        );
+        let statuses = cell.statuses().await;
+        for name in &own {
+            assert_eq!(
+                statuses[name].generation,
+                Generation(1),
+                "{name} is not cut off"
+            );
+        }
+
+        set_cut(cell, &own, &others, false).await;
+        let healed = Instant::now();
+        wait::until(IN_FORCE, "the zone has the new configuration", async || {
+            let statuses = cell.statuses().await;
+            let has = |name| {
+                statuses
+                    .get(name)
+                    .is_some_and(|one| one.generation == generation)
+            };
+            own.iter().all(has).then_some(())
+        })
+        .await;
+        cell::report(&format!(
+            "in force {:?} after the end of the cut",
+            healed.elapsed()
+        ));
+        cell.judge(&records).await;
+    });
+}
+
+fn names(cell: &Cell, inside: bool) -> Vec<String> {
+    let all = cell.instances.iter();
+    let chosen = all.filter(|(_, one)| (one.zone == ZONE) == inside);
+    chosen.map(|(name, _)| name.clone()).collect()
+}
+
+async fn set_cut(cell: &Cell, own: &[String], others: &[String], cut: bool) {
+    let all = own.iter().flat_map(|a| others.iter().map(move |b| (a, b)));
+    let pairs = all.flat_map(|(a, b)| [(a.clone(), b.clone()), (b.clone(), a.clone())]);
+    let refused = |names: &[String]| if cut { names.to_vec() } else { Vec::new() };
+    cell.cuts
+        .set(if cut { pairs.collect() } else { Vec::new() });
+    cell.set_platform(PlatformFaults {
+        refuse: refused(own),
+        ..PlatformFaults::default()
+    })
+    .await;
+    let inside = Faults {
+        refuse: refused(others),
+        ..Faults::default()
+    };
+    cell.set_workers(&inside, |zone, _| zone == ZONE).await;
+    let outside = Faults {
+        refuse: refused(own),
+        ..Faults::default()
+    };
+    cell.set_workers(&outside, |zone, _| zone != ZONE).await;
+}
