Move partitions of a draining instance without failed claims

Cause: a draining instance gives up its ledger partitions at once, but the others learned of it by their next heartbeat or only by its silence, and the next owner waited 2 s to be sure of its view. Claims in between were answered as not run within milliseconds. Ruled out: late answers and fenced commits, none of the failed requests was unknown.

Change: a draining instance tells all instances at once that it drains and what it still owns, and stops only when they know or 500 ms have passed. The next owner takes a partition that a draining instance has left without the wait of 2 s. A claim that surely was not recorded because the partition has no owner is tried again for up to 1.5 s; a store that cannot be written is still reported at once. The harness of the process tests places the work of a worker just after, not before, the message that caused it: a request that a draining instance refused and that ran elsewhere milliseconds later seemed to start before the refusal.

--- a/crates/daisymast_cluster/src/judge.rs
+++ b/crates/daisymast_cluster/src/judge.rs
@@ -19,7 +19,9 @@
 pub struct WorkerLog {
     /// The worker.
     pub worker: WorkerId,
-    /// Time just before its process started. Worker time runs from a moment after it.
+    /// Time just after its clock started. What a worker did is thus placed a moment too late, never
+    /// before the message that caused it: a request that a draining instance refused and that the
+    /// balancer sent elsewhere within milliseconds would otherwise seem to start before the refusal.
     pub started: Instant,
     /// The log.
     pub log: LogReply,
--- a/crates/daisymast_cluster/src/process.rs
+++ b/crates/daisymast_cluster/src/process.rs
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub struct Process {
     child: Child,
-    /// Time just before the start.
+    /// Time at which the process had printed its addresses, which it does after its clock started.
     pub started: Instant,
 }
 
@@ -47,7 +47,6 @@
         let file = folder.join(format!("{name}.json"));
         std::fs::write(&file, settings.to_string()).expect("write settings");
         let log = File::create(folder.join(format!("{name}.err"))).expect("create a log");
-        let started = Instant::now();
         let mut child = Command::new(programs::folder().join(program))
             .arg("--settings")
             .arg(&file)
@@ -57,7 +56,11 @@
             .spawn()
             .expect("start a process");
         let output = child.stdout.take().expect("a standard output");
-        let process = Self { child, started };
+        // Ends the child also when the line does not come.
+        let mut process = Self {
+            child,
+            started: Instant::now(),
+        };
         let line = smol::unblock(move || {
             let mut line = String::new();
             BufReader::new(output).read_line(&mut line).map(|_| line)
@@ -67,6 +70,7 @@
             panic!("{name} printed no addresses within {START:?}");
         };
         let line = future::or(line, late).await.expect("read the addresses");
+        process.started = Instant::now();
         let printed = serde_json::from_str(&line);
         let printed = printed.unwrap_or_else(|error| panic!("{name} printed {line:?}: {error}"));
         (process, printed)
--- a/crates/daisymast_engine/src/claims.rs
+++ b/crates/daisymast_engine/src/claims.rs
@@ -196,6 +196,13 @@
     /// instance says it owns.
     fn review(&mut self, cx: &mut Context<'_>) {
         let candidates = cx.shared.view.candidates(cx.now.mono, None);
+        let draining: Vec<InstanceId> = cx
+            .shared
+            .view
+            .peers(cx.now.mono)
+            .filter(|peer| peer.draining)
+            .map(|peer| peer.instance.clone())
+            .collect();
         for (index, id) in keys::partitions().enumerate() {
             let best = rendezvous::owner(&rendezvous_item(id), &candidates);
             let preferred = best.as_ref() == Some(&cx.config.instance);
@@ -204,7 +211,7 @@
                 .view
                 .partition_owner(cx.now.mono, id)
                 .filter(|(instance, _)| *instance != cx.config.instance);
-            let effects = self.slots[index].review(cx.now, preferred, rival);
+            let effects = self.slots[index].review(cx.now, preferred, (rival, &draining));
             self.perform(cx, index, effects);
         }
     }
--- a/crates/daisymast_engine/src/claims/slot.rs
+++ b/crates/daisymast_engine/src/claims/slot.rs
@@ -26,6 +26,8 @@
 pub(crate) struct Slot {
     pub(crate) id: Partition,
     pub(crate) partition: partition::Partition,
+    /// Other instance that was seen as the owner last.
+    last_rival: Option<InstanceId>,
     preferred_since: Option<Monotonic>,
     owned_since: Option<Monotonic>,
     not_before: Monotonic,
@@ -40,6 +42,7 @@
         Self {
             id,
             partition: partition::Partition::new(id, owner, &config.address, config.boot),
+            last_rival: None,
             preferred_since: None,
             owned_since: None,
             not_before: Monotonic::ZERO,
@@ -48,14 +51,23 @@
         }
     }
 
-    /// Takes the partition over if this instance was preferred long enough. An owner that is no
-    /// longer preferred keeps the partition until it is fenced.
+    /// Takes the partition over if this instance was preferred long enough, or at once if a draining
+    /// instance has given it up. An owner that is no longer preferred keeps the partition until it is
+    /// fenced.
     pub(crate) fn review(
         &mut self,
         now: Timestamp,
         preferred: bool,
-        rival: Option<(InstanceId, Epoch)>,
+        (rival, draining): (Option<(InstanceId, Epoch)>, &[InstanceId]),
     ) -> Vec<Effect> {
+        let abandoned = rival.is_none()
+            && self
+                .last_rival
+                .as_ref()
+                .is_some_and(|last| draining.contains(last));
+        if let Some((instance, _)) = &rival {
+            self.last_rival = Some(instance.clone());
+        }
         if !preferred {
             self.preferred_since = None;
         }
@@ -66,7 +78,8 @@
             return Vec::new();
         }
         let since = *self.preferred_since.get_or_insert(now.mono);
-        if now.mono - since < STEADY || now.mono < self.not_before {
+        let is_steady = abandoned || now.mono - since >= STEADY;
+        if !is_steady || now.mono < self.not_before {
             return Vec::new();
         }
         self.partition.take_over(now)
--- a/crates/daisymast_engine/src/configuration/tests/submissions.rs
+++ b/crates/daisymast_engine/src/configuration/tests/submissions.rs
@@ -165,6 +165,9 @@
         rig.run(&mut store, Event::StoreReply { call, outcome });
     }
     assert_eq!(rig.answers, [(Token(1), accepted(1))]);
+    // The other instances are told of the drain first; the one that does not answer gets 500 ms.
+    rig.pass(&mut store, SECOND);
+    let now = rig.timestamp();
     assert!(is_stopped(&rig.instance.on_event(now, Event::Tick)));
 }
 
--- a/crates/daisymast_engine/src/heartbeat.rs
+++ b/crates/daisymast_engine/src/heartbeat.rs
@@ -51,6 +51,9 @@
     next_poll: Monotonic,
     is_polling: bool,
     rounds: usize,
+    /// Owned partitions of the last heartbeat that went to all instances while draining, and the
+    /// time at which it was sent.
+    announced: Option<(usize, Monotonic)>,
     /// Instances whose reply is awaited; they get no second heartbeat meanwhile.
     waiting: FastSet<InstanceId>,
     /// Since when a known machine is absent from the list.
@@ -64,6 +67,7 @@
             self.next_beat = cx.now.mono + INTERVAL;
             self.beat(cx);
         }
+        self.announce_drain(cx);
         if cx.now.mono >= self.next_poll && !self.is_polling {
             self.is_polling = true;
             let step = effects::Step::Heartbeat(Step::Poll);
@@ -71,6 +75,35 @@
         }
     }
 
+    /// Whether all instances that answer within one interval know that this one is draining and owns
+    /// nothing. Without that they would go on asking it until its silence is noticed.
+    pub(crate) fn is_drain_announced(&self, now: Monotonic) -> bool {
+        self.announced.is_some_and(|(owned, sent)| {
+            owned == 0 && (self.waiting.is_empty() || now - sent >= INTERVAL)
+        })
+    }
+
+    /// Tells all instances at once that this one drains and which partitions it has given up.
+    fn announce_drain(&mut self, cx: &mut Context<'_>) {
+        let own = cx.shared.view.own();
+        let owned = own.partitions.len();
+        if !own.draining || self.announced.is_some_and(|(last, _)| last == owned) {
+            return;
+        }
+        self.announced = Some((owned, cx.now.mono));
+        let mut others: Vec<InstanceId> = cx
+            .shared
+            .instances
+            .keys()
+            .filter(|instance| **instance != cx.config.instance)
+            .cloned()
+            .collect();
+        others.sort_unstable();
+        for to in others {
+            self.send(cx, to);
+        }
+    }
+
     pub(crate) fn on_heartbeat(
         &mut self,
         cx: &mut Context<'_>,
--- a/crates/daisymast_engine/src/instance.rs
+++ b/crates/daisymast_engine/src/instance.rs
@@ -256,7 +256,8 @@
         own.workers = self.control.held(now);
         let is_idle =
             self.requests.is_idle() && self.configuration.is_idle() && self.claims.is_idle();
-        if self.shared.draining && is_idle && self.control.is_released() {
+        let is_done = self.control.is_released() && self.heartbeats.is_drain_announced(now.mono);
+        if self.shared.draining && is_idle && is_done {
             self.fx.emit(Action::Stopped);
         }
     }
--- a/crates/daisymast_engine/src/requests.rs
+++ b/crates/daisymast_engine/src/requests.rs
@@ -98,6 +98,7 @@
             self.finish(cx, key, End::NotRun(NotRunReason::DeadlineUnreachable));
         }
         self.expire(cx);
+        self.claim_again(cx);
         self.ask_again(cx);
         self.settle_again(cx);
         self.start_next(cx);
@@ -286,7 +287,7 @@
             return;
         };
         match exchange.state {
-            State::Queued | State::Choosing => {
+            State::Queued | State::Unclaimed { .. } | State::Choosing => {
                 self.finish(cx, key, End::NotRun(NotRunReason::DeadlineUnreachable));
             }
             State::Claiming
--- a/crates/daisymast_engine/src/requests/claim.rs
+++ b/crates/daisymast_engine/src/requests/claim.rs
@@ -18,6 +18,13 @@
 /// Pause before the second and last attempt to settle; longer than it takes to suspect an owner.
 const SETTLE_PAUSE: Duration = Duration::from_millis(2_500);
 
+/// Time for which a claim is tried at a partition without an owner. A partition of a draining
+/// instance has its next owner within a second: half a second until all instances know, and a
+/// takeover of a few store calls.
+const CLAIM_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Pause between two attempts to claim.
+const CLAIM_PAUSE: Duration = Duration::from_millis(100);
+
 /// How a claimed request ended, on its way to the ledger.
 #[derive(Clone, Debug)]
 pub(crate) struct Settle {
@@ -46,7 +53,36 @@
         };
         match owner(cx, &exchange.request.id) {
             Some(owner) => self.send_claim(cx, key, &owner, false),
-            None => self.finish(cx, key, End::NotRun(NotRunReason::LedgerUnavailable)),
+            None => self.unclaimed(cx, key),
+        }
+    }
+
+    /// Tries again later, or ends the exchange as surely not claimed.
+    fn unclaimed(&mut self, cx: &mut Context<'_>, key: Key) {
+        let Some(exchange) = self.exchanges.get_mut(&key) else {
+            return;
+        };
+        let retry = cx.now.mono + CLAIM_PAUSE;
+        let since = *exchange.claim_since.get_or_insert(cx.now.mono);
+        if retry < exchange.deadline && retry - since <= CLAIM_PATIENCE {
+            exchange.state = State::Unclaimed { retry };
+        } else {
+            self.finish(cx, key, End::NotRun(NotRunReason::LedgerUnavailable));
+        }
+    }
+
+    pub(super) fn claim_again(&mut self, cx: &mut Context<'_>) {
+        let now = cx.now.mono;
+        let is_due = |state: &State| matches!(state, State::Unclaimed { retry } if *retry <= now);
+        let mut due: Vec<Key> = self
+            .exchanges
+            .iter()
+            .filter(|(_, exchange)| is_due(&exchange.state))
+            .map(|(key, _)| *key)
+            .collect();
+        due.sort_unstable();
+        for key in due {
+            self.claim(cx, key);
         }
     }
 
@@ -60,6 +96,7 @@
             return;
         }
         exchange.state = State::Claiming;
+        exchange.claim_since.get_or_insert(cx.now.mono);
         let request = PeerRequest::Claim {
             id: exchange.request.id.clone(),
             digest: validate::claim_digest(&exchange.request),
@@ -96,8 +133,11 @@
             Outcome::Done(PeerReply::NotOwner { owner: Some(owner) }) if !hinted => {
                 self.send_claim(cx, key, &owner, true);
             }
-            Outcome::Done(PeerReply::NotOwner { .. } | PeerReply::LedgerUnavailable)
-            | Outcome::NoEffect(_) => {
+            Outcome::Done(PeerReply::NotOwner { .. }) | Outcome::NoEffect(_) => {
+                self.unclaimed(cx, key);
+            }
+            // The owner cannot write, so the answer has to be prompt.
+            Outcome::Done(PeerReply::LedgerUnavailable) => {
                 self.finish(cx, key, End::NotRun(NotRunReason::LedgerUnavailable));
             }
             Outcome::Done(_) | Outcome::Unknown(_) => self.finish(cx, key, End::Unknown),
--- a/crates/daisymast_engine/src/requests/exchange.rs
+++ b/crates/daisymast_engine/src/requests/exchange.rs
@@ -29,6 +29,9 @@
     Queued,
     /// Waits for the acknowledgement of its claim.
     Claiming,
+    /// Surely not claimed so far, because the partition has no owner at the moment. The claim is
+    /// sent again at `retry`.
+    Unclaimed { retry: Monotonic },
     /// Waits for the list of endpoints.
     Choosing,
     /// Sent to the holder of a worker.
@@ -70,6 +73,8 @@
     pub(crate) state: State,
     /// Quota and slot that are given back when the caller has its answer.
     pub(crate) taken: Option<Taken>,
+    /// Time of the first attempt to claim the request.
+    pub(crate) claim_since: Option<Monotonic>,
     /// Whether this instance has to settle the claim of the request.
     pub(crate) claimed: bool,
     /// Whether an instance of another zone sent the request.
@@ -94,6 +99,7 @@
             request,
             state: State::Queued,
             taken: None,
+            claim_since: None,
             claimed: false,
             forwarded: matches!(reply_to, ReplyTo::Peer(_)),
             uncertain: false,
