--- a/crates/daisymast_load/src/bin/daisymast-slopes.rs
+++ b/crates/daisymast_load/src/bin/daisymast-slopes.rs
@@ -6,6 +6,21 @@
 use daisymast_load::slopes::{report, sample, scene};
 use lexopt::prelude::{Long, ValueExt};
 
+const HELP: &str = "\
+daisymast-slopes: cost of an instance by number of workers and instances
+
+Usage: daisymast-slopes [OPTIONS]
+
+  --zones N                              availability zones
+  --instances N, --workers N             in each zone
+  --starts X, --requests X               each second and worker
+  --seconds N                            virtual time that is measured
+  --sweep-workers A,B,..                 sizes to compare
+  --sweep-instances A,B,..               sizes to compare
+  --json FILE                            write the samples
+  --help, --version
+";
+
 fn main() -> anyhow::Result<()> {
     let mut arguments = lexopt::Parser::from_env();
     let mut base = scene::Scene {
@@ -20,6 +35,14 @@
     let mut json = None;
     while let Some(argument) = arguments.next()? {
         match argument {
+            Long("help") => return print(HELP),
+            Long("version") => {
+                return print(concat!(
+                    "daisymast-slopes ",
+                    env!("CARGO_PKG_VERSION"),
+                    "\n"
+                ));
+            }
             Long("zones") => base.zones = arguments.value()?.parse()?,
             Long("instances") => base.instances = arguments.value()?.parse()?,
             Long("workers") => base.workers = arguments.value()?.parse()?,
@@ -74,3 +97,7 @@
         })
         .collect()
 }
+
+fn print(text: &str) -> anyhow::Result<()> {
+    write!(std::io::stdout().lock(), "{text}").context("print")
+}
