Remove the allowance for dead code from the engine

Cause: the allowance dates from the time when the components were stubs; it hid three methods that nothing calls. Change: the allowance and the methods are gone. Early refusal, which one of them seemed to serve, happens in the shares themselves. Measured: clippy with warnings denied is clean; 168 engine tests and 2 examples pass. Conclusion: unused code shows again.

--- a/crates/daisymast_engine/src/effects.rs
+++ b/crates/daisymast_engine/src/effects.rs
@@ -76,11 +76,6 @@
         self.steps.remove(&call)
     }
 
-    /// Calls that wait for a reply.
-    pub(crate) fn open_calls(&self) -> usize {
-        self.steps.len()
-    }
-
     /// A number that differs for each use and each start of a process.
     pub(crate) fn nonce(&mut self) -> Nonce {
         let count = self.next_count();
--- a/crates/daisymast_engine/src/lib.rs
+++ b/crates/daisymast_engine/src/lib.rs
@@ -4,9 +4,6 @@
 //! same messages as to other instances, so it makes no difference to them whether the holder of a
 //! worker or the owner of a partition is local.
 
-// The interfaces stand before the components that use them.
-#![allow(dead_code)]
-
 pub mod config;
 pub mod effects;
 pub mod event;
--- a/crates/daisymast_engine/src/requests/admission.rs
+++ b/crates/daisymast_engine/src/requests/admission.rs
@@ -1,8 +1,6 @@
 //! Bounds of the requests that an instance takes and sends: team quotas, shares of the kinds of work
 //! and the retry budget. Each service is a kind.
 
-use std::time::Duration;
-
 use daisymast_admission::quota::{Limit, Quotas};
 use daisymast_admission::retry::Budget;
 use daisymast_admission::shares::{Kind, Refusal, Shares};
@@ -156,11 +154,6 @@
     pub(crate) fn try_retry(&mut self, now: Monotonic) -> bool {
         self.budget.try_retry(now)
     }
-
-    /// Time that a request of the service would wait now.
-    pub(crate) fn expected_wait(&self, service: &JobName) -> Option<Duration> {
-        self.shares.expected_wait(service)
-    }
 }
 
 /// Slots of the zone's workers, divided by the live instances of the zone.
--- a/crates/daisymast_engine/src/shared.rs
+++ b/crates/daisymast_engine/src/shared.rs
@@ -46,10 +46,3 @@
     pub(crate) shared: &'a mut Shared,
     pub(crate) fx: &'a mut Effects,
 }
-
-impl Context<'_> {
-    /// Zone of an instance, if known.
-    pub(crate) fn zone_of(&self, instance: &InstanceId) -> Option<&Zone> {
-        self.shared.instances.get(instance).map(|(zone, _)| zone)
-    }
-}
