--- /dev/null
+++ b/crates/daisymast_election/src/candidate.rs
@@ -0,0 +1,226 @@
+//! When a node that is not the scheduler tries to become it.
+
+use std::time::Duration;
+
+use daisymast_types::time;
+
+use crate::record;
+
+/// Time without an answer of the scheduler after which a node looks for another.
+pub const SUSPECT: Duration = Duration::from_millis(900);
+/// Time without a confirmed commit after which a scheduler is suspected.
+pub const STALE: Duration = Duration::from_millis(1_500);
+/// Time for which the journal has to stand still before a node takes over that cannot ask most
+/// others.
+pub const STALLED: Duration = Duration::from_millis(2_000);
+/// Delay of a candidate for each node that goes before it.
+pub const RANK_DELAY: Duration = Duration::from_millis(70);
+
+/// Delay of the smallest machine while the other nodes are not known.
+pub const SMALL_DELAY: Duration = Duration::from_millis(300);
+/// Thousandths of a core.
+const WHOLE_CORE: u32 = 1_000;
+
+/// What a node should do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Go on pinging the scheduler.
+    Follow,
+    /// Read the leader key and the beat.
+    Inspect,
+    /// Ask the other nodes whether they reach the scheduler, then inspect again.
+    Probe,
+    /// Try to take over from the term, 0 if there is none, after a delay.
+    Campaign {
+        /// Revision of the leader key that is to be replaced.
+        term: u64,
+        /// Whether the former scheduler gave the role back.
+        resigned: bool,
+        /// Time to wait first, so that larger nodes go before.
+        delay: Duration,
+    },
+}
+
+/// What other nodes said when asked about the scheduler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Poll {
+    /// Nodes that were asked.
+    pub asked: usize,
+    /// Nodes that answered and do not reach the scheduler either, or know a stale one.
+    pub agreed: usize,
+}
+
+/// A node's view of the scheduler.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    me: record::Member,
+    elected: Option<record::Elected>,
+    /// Whether the leader key was read at all.
+    inspected: bool,
+    heard: time::Monotonic,
+    /// Time without a confirmed commit, as the scheduler last told it.
+    stale: Duration,
+    beat: u64,
+    beat_changed: time::Monotonic,
+    beat_read: bool,
+    members: Vec<record::Member>,
+    poll: Option<Poll>,
+    inspected_since_heard: bool,
+    /// The scheduler's process said that it does not schedule.
+    disowned: bool,
+}
+
+impl Candidate {
+    /// A node that knows of no scheduler.
+    pub fn new(me: record::Member, now: time::Monotonic) -> Self {
+        Self {
+            me,
+            elected: None,
+            inspected: false,
+            heard: now,
+            stale: Duration::ZERO,
+            beat: 0,
+            beat_changed: now,
+            beat_read: false,
+            members: Vec::new(),
+            poll: None,
+            inspected_since_heard: false,
+            disowned: false,
+        }
+    }
+
+    /// The scheduler that is known.
+    pub fn elected(&self) -> Option<&record::Elected> {
+        self.elected.as_ref()
+    }
+
+    /// The nodes that the scheduler last named.
+    pub fn members(&self) -> &[record::Member] {
+        &self.members
+    }
+
+    /// The scheduler answered a ping.
+    pub fn on_pong(
+        &mut self,
+        stale: Duration,
+        members: Vec<record::Member>,
+        now: time::Monotonic,
+    ) {
+        self.heard = now;
+        self.stale = stale;
+        if !members.is_empty() {
+            self.members = members;
+        }
+        self.poll = None;
+        self.inspected_since_heard = false;
+    }
+
+    /// The leader key and the beat were read, or a node told of a scheduler. Terms only rise.
+    pub fn on_inspect(
+        &mut self,
+        elected: Option<record::Elected>,
+        beat: u64,
+        now: time::Monotonic,
+    ) {
+        self.inspected = true;
+        self.inspected_since_heard = true;
+        if beat != self.beat || !self.beat_read {
+            self.beat = beat;
+            self.beat_changed = now;
+            self.beat_read = true;
+        }
+        match elected {
+            Some(elected) => self.on_elected(elected, now),
+            None => self.elected = None,
+        }
+    }
+
+    /// A scheduler is known; an earlier term is ignored.
+    pub fn on_elected(&mut self, elected: record::Elected, now: time::Monotonic) {
+        let known = self.elected.as_ref().map_or(0, |known| known.term);
+        if elected.term > known {
+            self.elected = Some(elected);
+            self.heard = now;
+            self.stale = Duration::ZERO;
+            self.beat_changed = now;
+            self.poll = None;
+            self.disowned = false;
+        }
+    }
+
+    /// The scheduler's process answered that it does not schedule in this term, nor knows a later
+    /// one: it was started anew.
+    pub fn on_disowned(&mut self, term: u64) {
+        self.disowned = self.elected.as_ref().is_some_and(|elected| elected.term == term);
+    }
+
+    /// The other nodes were asked.
+    pub fn on_poll(&mut self, poll: Poll) {
+        self.poll = Some(poll);
+    }
+
+    /// Whether the scheduler is reached and has the store.
+    pub fn is_content(&self, now: time::Monotonic) -> bool {
+        self.elected.as_ref().is_some_and(|elected| !elected.leader.resigned)
+            && !self.disowned
+            && now - self.heard <= SUSPECT
+            && self.stale <= STALE
+    }
+
+    /// What to do next.
+    pub fn next(&mut self, now: time::Monotonic) -> Step {
+        let Some(elected) = self.elected.clone() else {
+            if !self.inspected {
+                return Step::Inspect;
+            }
+            self.inspected = false;
+            return self.campaign(0, true);
+        };
+        if elected.leader.resigned {
+            if !self.inspected {
+                return Step::Inspect;
+            }
+            self.inspected = false;
+            return self.campaign(elected.term, true);
+        }
+        if self.is_content(now) {
+            return Step::Follow;
+        }
+        if !self.inspected_since_heard {
+            return Step::Inspect;
+        }
+        self.inspected_since_heard = false;
+        if self.disowned || (self.beat_read && now - self.beat_changed >= STALLED) {
+            return self.campaign(elected.term, false);
+        }
+        match self.poll.take() {
+            None => {
+                self.inspected_since_heard = true;
+                Step::Probe
+            }
+            Some(poll) if poll.asked > 0 && poll.agreed * 2 > poll.asked => {
+                self.campaign(elected.term, false)
+            }
+            Some(_) => Step::Inspect,
+        }
+    }
+
+    fn campaign(&self, term: u64, resigned: bool) -> Step {
+        let before = self.members.iter().filter(|other| {
+            other.id != self.me.id
+                && (other.millicores, &other.id) > (self.me.millicores, &self.me.id)
+                && self.elected.as_ref().is_none_or(|e| e.leader.node.id != other.id)
+        });
+        let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
+        let mut delay = RANK_DELAY * rank.min(8);
+        if self.members.is_empty() {
+            // The others are not known yet, so the size alone decides who goes first.
+            delay += SMALL_DELAY * (WHOLE_CORE - self.me.millicores.min(WHOLE_CORE)) / WHOLE_CORE;
+        }
+        Step::Campaign {
+            term,
+            resigned,
+            delay,
+        }
+    }
+}
--- a/crates/daisymast_http/src/client.rs
+++ b/crates/daisymast_http/src/client.rs
@@ -33,6 +33,8 @@
     pub peer: &'a str,
     /// Key that authenticates the message, if the peer asks for one.
     pub key: Option<&'a auth::Key>,
+    /// One more header, as name and value.
+    pub header: Option<(&'a str, &'a str)>,
 }
 
 impl<'a> Call<'a> {
@@ -45,9 +47,17 @@
             step: "call",
             peer: "peer",
             key: None,
+            header: None,
         }
     }
 
+    /// Adds a header.
+    #[must_use]
+    pub fn with_header(mut self, name: &'a str, value: &'a str) -> Self {
+        self.header = Some((name, value));
+        self
+    }
+
     /// Sets the step and the peer that errors name.
     #[must_use]
     pub fn named(mut self, step: &'a str, peer: &'a str) -> Self {
@@ -133,6 +143,11 @@
         self.exchange(call, Method::GET, "", Bytes::new()).await
     }
 
+    /// Deletes what a path names and waits for the whole answer.
+    pub async fn delete(&self, call: &Call<'_>) -> Outcome<Response> {
+        self.exchange(call, Method::DELETE, "", Bytes::new()).await
+    }
+
     /// Idle connections that are kept for an address.
     pub fn idle_connections(&self, address: SocketAddr) -> usize {
         self.pool.idle(address)
@@ -238,6 +253,9 @@
     let mut builder = http::Request::builder()
         .uri(call.path)
         .header(header::HOST, call.address.to_string());
+    if let Some((name, value)) = call.header {
+        builder = builder.header(name, value);
+    }
     if !content_type.is_empty() {
         builder = builder.header(header::CONTENT_TYPE, content_type);
     }
--- a/crates/daisymast_http/src/server.rs
+++ b/crates/daisymast_http/src/server.rs
@@ -65,6 +65,8 @@
     pub content_type: &'static str,
     /// Whole body.
     pub body: Bytes,
+    /// Time after which the caller may come back, in whole seconds.
+    pub retry_after: Option<u32>,
     aborted: bool,
 }
 
@@ -81,10 +83,18 @@
             status: StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
             content_type,
             body: body.into(),
+            retry_after: None,
             aborted: false,
         }
     }
 
+    /// Tells the caller when to come back, in whole seconds.
+    #[must_use]
+    pub fn with_retry_after(mut self, seconds: u32) -> Self {
+        self.retry_after = Some(seconds);
+        self
+    }
+
     /// Closes the connection without an answer, for stand-ins that simulate a lost answer.
     pub fn abort() -> Self {
         Self {
--- a/crates/daisymast_http/src/server/connection.rs
+++ b/crates/daisymast_http/src/server/connection.rs
@@ -162,6 +162,9 @@
         header::CONTENT_TYPE,
         HeaderValue::from_static(response.content_type),
     );
+    if let Some(seconds) = response.retry_after {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
     if close {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- /dev/null
+++ b/crates/daisymast_jobs/src/book.rs
@@ -0,0 +1,133 @@
+//! All jobs, rebuilt from the journal.
+
+use daisymast_types::collections;
+use daisymast_types::ids;
+
+use crate::job;
+use crate::queue;
+use crate::record;
+use crate::spec;
+
+/// All jobs that are known.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    jobs: collections::FastMap<spec::JobId, job::Job>,
+    queues: collections::FastMap<ids::QueueName, queue::Queue>,
+}
+
+impl Book {
+    /// A job.
+    pub fn job(&self, id: spec::JobId) -> Option<&job::Job> {
+        self.jobs.get(&id)
+    }
+
+    /// Terms of a queue that has accepted a job.
+    pub fn queue(&self, name: &ids::QueueName) -> Option<&queue::Queue> {
+        self.queues.get(name)
+    }
+
+    /// Sets the terms of a queue.
+    pub fn set_queue(&mut self, terms: queue::Queue) {
+        self.queues.insert(terms.name.clone(), terms);
+    }
+
+    /// A job, to change it.
+    pub fn job_mut(&mut self, id: spec::JobId) -> Option<&mut job::Job> {
+        self.jobs.get_mut(&id)
+    }
+
+    /// All jobs.
+    pub fn iter(&self) -> impl Iterator<Item = (spec::JobId, &job::Job)> {
+        self.jobs.iter().map(|(&id, job)| (id, job))
+    }
+
+    /// Adds a job unless its id is known. Returns whether it was added.
+    pub fn insert(&mut self, id: spec::JobId, job: job::Job) -> bool {
+        match self.jobs.entry(id) {
+            std::collections::hash_map::Entry::Occupied(_) => false,
+            std::collections::hash_map::Entry::Vacant(slot) => {
+                slot.insert(job);
+                true
+            }
+        }
+    }
+
+    /// Forgets a job.
+    pub fn remove(&mut self, id: spec::JobId) {
+        self.jobs.remove(&id);
+    }
+
+    /// Applies one record of the journal. A record about an unknown job is ignored: its job was
+    /// dropped from the journal.
+    pub fn apply(&mut self, record: record::Record) {
+        match record {
+            record::Record::Queue { terms } => self.set_queue(terms),
+            record::Record::Accepted {
+                job,
+                queue,
+                spec,
+                at,
+            } => {
+                self.insert(job, job::Job::new(queue, spec, at));
+            }
+            record::Record::Placed { step, run, tasks } => self.place(step, run, tasks),
+            record::Record::Done { task } => {
+                if let Some(job) = self.job_mut(task.step.job) {
+                    job.finish(task);
+                }
+            }
+            record::Record::GangDone { step } => self.finish_gang(step),
+            record::Record::Failed { task, run } => {
+                if let Some(job) = self.job_mut(task.step.job) {
+                    job.fail(task, run);
+                }
+            }
+            record::Record::GaveUp { job } => {
+                if let Some(job) = self.job_mut(job) {
+                    job.failed = true;
+                }
+            }
+            record::Record::Cancelled { job } => {
+                if let Some(job) = self.job_mut(job) {
+                    job.cancelled = true;
+                }
+            }
+        }
+    }
+
+    /// Notes that tasks were given workers under a run number.
+    pub fn place(&mut self, step: spec::StepId, run: u32, tasks: Vec<(u32, ids::WorkerId)>) {
+        let Some(job) = self.job_mut(step.job) else {
+            return;
+        };
+        job.started = true;
+        job.begin(step.occurrence);
+        for (index, worker) in tasks {
+            let Some(task) = job.task_mut(step.task(index)) else {
+                continue;
+            };
+            task.run = task.run.max(run);
+            if task.phase != job::Phase::Done {
+                task.phase = job::Phase::Placed { worker };
+            }
+        }
+    }
+
+    /// Notes that all tasks of a gang are done.
+    pub fn finish_gang(&mut self, step: spec::StepId) {
+        let Some(job) = self.job_mut(step.job) else {
+            return;
+        };
+        let count = job.tasks(step).map_or(0, |tasks| tasks.tasks.len());
+        for index in 0..count {
+            job.finish(step.task(u32::try_from(index).unwrap_or(u32::MAX)));
+        }
+    }
+
+    /// Marks the states of all jobs as stored, after the whole journal was applied.
+    pub fn show_all(&mut self) {
+        for job in self.jobs.values_mut() {
+            job.shown = job.state();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_jobs/src/lib.rs
@@ -0,0 +1,7 @@
+//! Jobs, their steps and tasks, and the journal records from which they are rebuilt.
+
+pub mod book;
+pub mod job;
+pub mod queue;
+pub mod record;
+pub mod spec;
--- /dev/null
+++ b/crates/daisymast_jobs/src/record.rs
@@ -0,0 +1,89 @@
+//! Journal records. What they say has happened before anything that depends on it is done.
+
+use daisymast_types::ids;
+use daisymast_types::time;
+use serde::{Deserialize, Serialize};
+
+use crate::queue;
+use crate::spec;
+
+/// One change of a job, as the journal keeps it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    /// Terms of a queue with which its next jobs are accepted. They outlast the queue itself, as its
+    /// accepted jobs still have to be finished.
+    Queue {
+        /// The terms.
+        terms: queue::Queue,
+    },
+    /// A job was accepted.
+    Accepted {
+        /// Its id.
+        job: spec::JobId,
+        /// Queue that took it.
+        queue: ids::QueueName,
+        /// Its content.
+        spec: spec::JobSpec,
+        /// When it was accepted.
+        at: time::UnixMillis,
+    },
+    /// Tasks of a step were given workers; their starts are sent afterwards.
+    Placed {
+        /// The step.
+        step: spec::StepId,
+        /// Run number that all of them use.
+        run: u32,
+        /// Positions of the tasks and their workers.
+        tasks: Vec<(u32, ids::WorkerId)>,
+    },
+    /// A task is done.
+    Done {
+        /// The task.
+        task: spec::TaskId,
+    },
+    /// A gang is done.
+    GangDone {
+        /// Its step.
+        step: spec::StepId,
+    },
+    /// A run of a task failed through its own fault or that of its worker.
+    Failed {
+        /// The task; for a gang, any of its tasks.
+        task: spec::TaskId,
+        /// The run.
+        run: u32,
+    },
+    /// A task of the job has used up its attempts.
+    GaveUp {
+        /// The job.
+        job: spec::JobId,
+    },
+    /// A caller cancelled the job.
+    Cancelled {
+        /// The job.
+        job: spec::JobId,
+    },
+}
+
+/// Encodes a batch of records for one key of the store.
+///
+/// # Errors
+/// None in practice: all records have a MessagePack form.
+pub fn encode(batch: &[Record]) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    rmp_serde::to_vec(batch)
+}
+
+/// Decodes a batch.
+///
+/// ```
+/// use daisymast_jobs::{record, spec};
+/// let batch = vec![record::Record::Cancelled { job: spec::JobId(7) }];
+/// let bytes = record::encode(&batch).unwrap();
+/// assert_eq!(record::decode(&bytes).unwrap(), batch);
+/// ```
+///
+/// # Errors
+/// The bytes are no batch of this or an earlier release.
+pub fn decode(bytes: &[u8]) -> Result<Vec<Record>, rmp_serde::decode::Error> {
+    rmp_serde::from_slice(bytes)
+}
--- /dev/null
+++ b/crates/daisymast_jobs/src/spec.rs
@@ -0,0 +1,199 @@
+//! What a caller submits: a graph of steps, each with a number of equal tasks.
+
+use std::fmt;
+
+use daisymast_types::ids;
+use daisymast_types::quantities;
+use serde::{Deserialize, Serialize};
+
+/// Id that the caller chose for a job. Its text form has 16 lower-case hexadecimal digits.
+///
+/// ```
+/// use daisymast_jobs::spec;
+/// let id = spec::JobId::parse("5c0e7a21d94b36f8").unwrap();
+/// assert_eq!(id.to_string(), "5c0e7a21d94b36f8");
+/// assert!(spec::JobId::parse("5C0E7A21D94B36F8").is_none());
+/// ```
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct JobId(pub u64);
+
+impl JobId {
+    /// Digits of the text form.
+    pub const DIGITS: usize = 16;
+
+    /// Reads the text form. Upper case is refused, as the text could not be given back unchanged.
+    pub fn parse(text: &str) -> Option<Self> {
+        let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        if text.len() != Self::DIGITS || !text.bytes().all(is_digit) {
+            return None;
+        }
+        u64::from_str_radix(text, 16).ok().map(Self)
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Debug for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self}")
+    }
+}
+
+/// One step of one occurrence of a job.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StepId {
+    /// The job.
+    pub job: JobId,
+    /// Occurrence, 0 for a job that runs once.
+    pub occurrence: u32,
+    /// Position of the step in the job.
+    pub step: u16,
+}
+
+impl StepId {
+    /// The task with a position in this step.
+    pub fn task(self, index: u32) -> TaskId {
+        TaskId { step: self, index }
+    }
+}
+
+/// One task.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct TaskId {
+    /// The step that it belongs to.
+    pub step: StepId,
+    /// Position in the step.
+    pub index: u32,
+}
+
+/// A step: equal tasks that become ready together.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Step {
+    /// Number of tasks.
+    pub tasks: u32,
+    /// What each task needs.
+    pub size: quantities::Resources,
+    /// Declared run time of a task, in milliseconds.
+    pub estimate_ms: u32,
+    /// Steps that must be done first.
+    pub after: Vec<u16>,
+    /// The tasks can be resumed from a checkpoint.
+    pub checkpoints: bool,
+    /// The tasks run all together or not at all.
+    pub gang: bool,
+    /// The tasks are slow if they are spread over several racks.
+    pub same_rack: bool,
+    /// Label that a worker must have.
+    pub requires: Option<ids::WorkerLabel>,
+    /// Rack that holds the data; tasks are slow elsewhere.
+    pub rack: Option<ids::WorkerLabel>,
+    /// Most tasks of the step on one worker, 0 for no limit.
+    pub spread: u32,
+    /// Several copies of a task may run at the same time.
+    pub speculative: bool,
+    /// The tasks run until the job is cancelled.
+    pub lasting: bool,
+    /// The tasks use only the processors that others leave.
+    pub fills: bool,
+    /// Tasks that the scheduler itself may make unavailable at a time, 0 if not limited.
+    pub max_unavailable: u32,
+}
+
+/// Times at which a recurring job runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// First due time, in milliseconds since the Unix epoch.
+    pub start_ms: u64,
+    /// Time between two occurrences, in milliseconds.
+    pub interval_ms: u64,
+    /// Number of occurrences.
+    pub count: u32,
+}
+
+/// Content of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// Text that is handed to each task.
+    pub payload: String,
+    /// Steps.
+    pub steps: Vec<Step>,
+    /// Times of a recurring job.
+    pub schedule: Option<Schedule>,
+}
+
+/// Why a job cannot be accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SpecError {
+    /// Field at fault.
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl fmt::Display for SpecError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.field, self.reason)
+    }
+}
+
+impl std::error::Error for SpecError {}
+
+/// Most tasks of a job.
+pub const MAX_TASKS: u32 = 20_000;
+/// Most steps of a job.
+pub const MAX_STEPS: usize = 1_000;
+
+impl JobSpec {
+    /// Checks the graph of steps and the bounds.
+    ///
+    /// ```
+    /// use daisymast_jobs::spec;
+    /// let step = spec::Step { tasks: 2, after: vec![0], ..spec::Step::default() };
+    /// let job = spec::JobSpec { steps: vec![step], ..spec::JobSpec::default() };
+    /// assert_eq!(job.check().unwrap_err().field, "after");
+    /// ```
+    ///
+    /// # Errors
+    /// No step, a step without tasks, too many tasks, or a dependency that is not on an earlier
+    /// step.
+    pub fn check(&self) -> Result<(), SpecError> {
+        let error = |field, reason: String| Err(SpecError { field, reason });
+        if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
+            return error("steps", format!("1 to {MAX_STEPS} steps are allowed"));
+        }
+        let mut tasks = 0_u32;
+        for (position, step) in self.steps.iter().enumerate() {
+            if step.tasks == 0 {
+                return error("count", format!("step {position} has no task"));
+            }
+            tasks = tasks.saturating_add(step.tasks);
+            if step.after.iter().any(|&before| usize::from(before) >= position) {
+                return error("after", format!("step {position} may only name earlier steps"));
+            }
+        }
+        if tasks > MAX_TASKS {
+            return error("count", format!("{tasks} tasks, at most {MAX_TASKS} are allowed"));
+        }
+        Ok(())
+    }
+
+    /// Longest chain of declared run times, in milliseconds.
+    pub fn critical_path_ms(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let begin = step.after.iter().map(|&before| ends[usize::from(before)]).max();
+            ends.push(begin.unwrap_or(0) + u64::from(step.estimate_ms));
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/daisymast_node/src/configuration.rs
@@ -0,0 +1,70 @@
+//! The operator's configuration: read, then watched.
+
+use std::sync::Arc;
+
+use daisymast_adapter::{configuration, keys, store};
+use smol::Timer;
+
+use crate::constants;
+use crate::context;
+
+/// Keeps the configuration up to date for as long as the process runs.
+pub async fn keep(context: Arc<context::Context>) {
+    loop {
+        match read(&context).await {
+            Ok(revision) => watch(&context, revision).await,
+            Err(error) => log::debug!("configuration was not read: {error}"),
+        }
+        Timer::after(constants::STORE_RETRY).await;
+    }
+}
+
+async fn read(context: &context::Context) -> Result<u64, store::Failure> {
+    let item = context
+        .store
+        .read(keys::CONFIGURATION, constants::STORE_TIMEOUT)
+        .await?;
+    let Some(item) = item else {
+        return Ok(0);
+    };
+    take(context, &item);
+    Ok(item.revision)
+}
+
+/// Watches until the history is lost or the store does not answer.
+async fn watch(context: &context::Context, mut revision: u64) {
+    loop {
+        let watched = context
+            .store
+            .watch(
+                keys::CONFIGURATION,
+                revision,
+                constants::WATCH_WAIT,
+                constants::WATCH_TIMEOUT,
+            )
+            .await;
+        match watched {
+            Ok(store::Watched::Changes(changes, next)) => {
+                for change in changes {
+                    if let store::Change::Put(item) = change {
+                        take(context, &item);
+                    }
+                }
+                revision = next;
+            }
+            Ok(store::Watched::HistoryLost) | Err(_) => return,
+        }
+    }
+}
+
+fn take(context: &context::Context, item: &store::Item) {
+    if item.key != keys::CONFIGURATION {
+        return;
+    }
+    match configuration::decode(&item.value) {
+        Ok(config) => {
+            context.configure(config);
+        }
+        Err(error) => log::warn!("configuration at revision {}: {error}", item.revision),
+    }
+}
--- /dev/null
+++ b/crates/daisymast_node/src/constants.rs
@@ -0,0 +1,49 @@
+//! Times and limits of a node.
+
+use std::time::Duration;
+
+/// Pause between two pings of the scheduler.
+pub const PING_PAUSE: Duration = Duration::from_millis(300);
+/// Time for a ping.
+pub const PING_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for one read or commit at the store, above its answers while it is slow.
+pub const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time that a watch waits for a change.
+pub const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+/// Time after which a watch counts as silent.
+pub const WATCH_TIMEOUT: Duration = Duration::from_millis(2_100);
+/// Pause after a call to the store that failed.
+pub const STORE_RETRY: Duration = Duration::from_millis(150);
+/// Shortest time between two commits, so that they gather records.
+pub const COMMIT_PAUSE: Duration = Duration::from_millis(15);
+/// Longest time without a commit: then the term is confirmed by an empty one.
+pub const RENEW: Duration = Duration::from_millis(500);
+/// Time between two ticks of the scheduler.
+pub const TICK: Duration = Duration::from_millis(50);
+/// Time for an order to a worker.
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time beyond its wait for a look at a worker.
+pub const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time within which a node that has pinged counts as alive.
+pub const ALIVE: Duration = Duration::from_millis(1_500);
+/// Time for a caller's request at the scheduler.
+pub const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Time for which a request waits for a scheduler before it is refused.
+pub const LEADER_WAIT: Duration = Duration::from_millis(250);
+/// Pause before a request is sent to the scheduler again.
+pub const FORWARD_RETRY: Duration = Duration::from_millis(60);
+/// Time after which a request whose outcome is not known is given up.
+pub const FORWARD_LIMIT: Duration = Duration::from_millis(2_600);
+/// Time after which a refused caller may come back.
+pub const RETRY_AFTER_S: u32 = 1;
+/// Time from SIGTERM for which new connections are still served: the platform's balancer needs two
+/// missed readiness checks, a second apart, to leave the node out.
+pub const DRAIN: Duration = Duration::from_millis(2_600);
+/// Part of the time to a SIGKILL that is left for the exit.
+pub const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time after which an idle connection of a caller is closed.
+pub const CALLER_IDLE: Duration = Duration::from_secs(60);
+/// Age from which an idle connection to another process is not used again.
+pub const IDLE_AGE: Duration = Duration::from_secs(12);
+/// Bytes of one batch of the journal; larger ones are split over several keys.
+pub const BATCH_BYTES: usize = 400_000;
--- /dev/null
+++ b/crates/daisymast_node/src/context.rs
@@ -0,0 +1,148 @@
+//! What all parts of a node share.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use daisymast_adapter::{settings, store};
+use daisymast_election::{candidate, record};
+use daisymast_http::{client, executor};
+use daisymast_scheduler::config;
+
+use crate::clock;
+use crate::constants;
+use crate::lead;
+
+/// What all parts of a node share.
+#[derive(Debug)]
+pub struct Context {
+    /// Runs the node's tasks.
+    pub executor: executor::Executor,
+    /// Settings of this process.
+    pub settings: settings::Settings,
+    /// Distinguishes lives of the node.
+    pub life: u64,
+    /// The store.
+    pub store: store::Store,
+    /// Client for other nodes.
+    pub peers: client::Client,
+    /// Client for workers.
+    pub workers: client::Client,
+    /// Client for the advice service.
+    pub advice: client::Client,
+    candidate: Mutex<candidate::Candidate>,
+    config: Mutex<Option<Arc<config::Configuration>>>,
+    lead: Mutex<Option<Arc<lead::Lead>>>,
+    draining: AtomicBool,
+    term: AtomicU64,
+}
+
+impl Context {
+    /// The shared parts of a node that was just started.
+    pub fn new(executor: executor::Executor, settings: settings::Settings) -> Self {
+        let limits = client::Settings {
+            idle_connections: 16,
+            idle_age: constants::IDLE_AGE,
+            ..client::Settings::default()
+        };
+        let client = || client::Client::new(Arc::clone(&executor), limits);
+        let me = member(&settings);
+        Self {
+            life: fastrand::u64(1..),
+            store: store::Store::new(client(), settings.store),
+            peers: client(),
+            workers: client(),
+            advice: client(),
+            candidate: Mutex::new(candidate::Candidate::new(me, clock::now())),
+            config: Mutex::new(None),
+            lead: Mutex::new(None),
+            draining: AtomicBool::new(false),
+            term: AtomicU64::new(0),
+            executor,
+            settings,
+        }
+    }
+
+    /// This node.
+    pub fn member(&self) -> record::Member {
+        member(&self.settings)
+    }
+
+    /// The node's view of the scheduler.
+    pub fn candidate(&self) -> MutexGuard<'_, candidate::Candidate> {
+        lock(&self.candidate)
+    }
+
+    /// The configuration in force, once there is one.
+    pub fn config(&self) -> Option<Arc<config::Configuration>> {
+        lock(&self.config).clone()
+    }
+
+    /// Version of the configuration in force, 0 before the first.
+    pub fn config_version(&self) -> u64 {
+        self.config().map_or(0, |config| config.version)
+    }
+
+    /// Takes a configuration into force unless a later one already is. Returns whether it was taken.
+    pub fn configure(&self, config: config::Configuration) -> bool {
+        let mut known = lock(&self.config);
+        if known.as_ref().is_some_and(|known| known.version >= config.version) {
+            return false;
+        }
+        log::info!("configuration {} is in force", config.version);
+        let config = Arc::new(config);
+        *known = Some(Arc::clone(&config));
+        drop(known);
+        if let Some(lead) = self.lead() {
+            lead.configure(config);
+        }
+        true
+    }
+
+    /// The scheduler of this process, while it is elected.
+    pub fn lead(&self) -> Option<Arc<lead::Lead>> {
+        lock(&self.lead).clone()
+    }
+
+    /// Sets the scheduler of this process.
+    pub fn set_lead(&self, lead: Option<Arc<lead::Lead>>) {
+        *lock(&self.lead) = lead;
+    }
+
+    /// Term in which this process schedules, also while it reads the journal.
+    pub fn term(&self) -> Option<u64> {
+        Some(self.term.load(Ordering::Relaxed)).filter(|&term| term > 0)
+    }
+
+    /// Sets the term in which this process schedules, 0 for none.
+    pub fn set_term(&self, term: u64) {
+        self.term.store(term, Ordering::Relaxed);
+    }
+
+    /// Whether the process is about to end.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// The process is about to end.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.config().is_some() && self.candidate().elected().is_some()
+    }
+}
+
+fn member(settings: &settings::Settings) -> record::Member {
+    record::Member {
+        id: settings.instance.clone(),
+        address: settings.peers,
+        millicores: settings.millicores,
+    }
+}
+
+/// The shared values are valid after each statement, so a panic elsewhere does not spoil them.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daisymast_node/src/follow.rs
@@ -0,0 +1,233 @@
+//! Pings of the scheduler, and candidacy when it is lost.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisymast_adapter::{keys, store};
+use daisymast_election::{candidate, record};
+use daisymast_protocol::outcome;
+use daisymast_types::time;
+use smol::Timer;
+
+use crate::clock;
+use crate::constants;
+use crate::context;
+use crate::lead;
+use crate::peers;
+
+/// Follows or schedules for as long as the process runs.
+pub async fn run(context: Arc<context::Context>) {
+    let mut last_led = 0;
+    loop {
+        if let Some(term) = own_term(&context)
+            && term > last_led
+        {
+            // A commit whose answer was lost may still have won.
+            last_led = term;
+            lead(&context, term, clock::now(), false).await;
+            continue;
+        }
+        if context.is_draining() {
+            ping(&context).await;
+            Timer::after(constants::PING_PAUSE).await;
+            continue;
+        }
+        let step = context.candidate().next(clock::now());
+        match step {
+            candidate::Step::Follow => {
+                ping(&context).await;
+                Timer::after(constants::PING_PAUSE).await;
+            }
+            candidate::Step::Inspect => {
+                ping(&context).await;
+                inspect(&context).await;
+                Timer::after(constants::STORE_RETRY).await;
+            }
+            candidate::Step::Probe => probe(&context).await,
+            candidate::Step::Campaign {
+                term,
+                resigned,
+                delay,
+            } => {
+                Timer::after(delay).await;
+                if let Some(won) = campaign(&context, term).await {
+                    last_led = won.term;
+                    lead(&context, won.term, won.sent, resigned).await;
+                }
+            }
+        }
+    }
+}
+
+async fn ping(context: &context::Context) {
+    let elected = context.candidate().elected().cloned();
+    let Some(elected) = elected else {
+        for seed in context.settings.seeds.clone() {
+            if seed != context.settings.peers {
+                ping_at(context, seed, None).await;
+            }
+        }
+        return;
+    };
+    let address = elected.leader.node.address;
+    if address != context.settings.peers {
+        ping_at(context, address, Some(elected.term)).await;
+    }
+}
+
+async fn ping_at(context: &context::Context, address: std::net::SocketAddr, term: Option<u64>) {
+    let request = peers::Request::Ping {
+        from: context.member(),
+        version: context.config_version(),
+    };
+    let answer = peers::call(context, address, &request, constants::PING_TIMEOUT).await;
+    let outcome::Outcome::Done(peers::Reply::Pong(pong)) = answer else {
+        return;
+    };
+    let now = clock::now();
+    if let Some(config) = pong.config {
+        context.configure(config);
+    }
+    let mut candidate = context.candidate();
+    if let Some(known) = pong.known {
+        let elected = record::Elected {
+            term: known.term,
+            leader: known.leader,
+        };
+        candidate.on_elected(elected, now);
+    }
+    match term {
+        Some(term) if pong.leads == Some(term) => {
+            candidate.on_pong(Duration::from_millis(pong.stale_ms), pong.members, now);
+        }
+        Some(term) => candidate.on_disowned(term),
+        None => {}
+    }
+}
+
+/// Reads who schedules, and whether the journal grows.
+async fn inspect(context: &context::Context) {
+    let timeout = constants::STORE_TIMEOUT;
+    let leader = context.store.read(keys::LEADER, timeout).await;
+    let beat = context.store.read(keys::BEAT, timeout).await;
+    let (Ok(leader), Ok(beat)) = (leader, beat) else {
+        return;
+    };
+    let elected = leader.and_then(|item| {
+        let leader = serde_json::from_slice(&item.value).ok()?;
+        Some(record::Elected {
+            term: item.revision,
+            leader,
+        })
+    });
+    let beat = beat.map_or(0, |item| item.revision);
+    context
+        .candidate()
+        .on_inspect(elected, beat, clock::now());
+}
+
+/// Asks the other nodes whether they reach the scheduler.
+async fn probe(context: &Arc<context::Context>) {
+    let others: Vec<record::Member> = {
+        let candidate = context.candidate();
+        let leader = candidate.elected().map(|elected| elected.leader.node.id.clone());
+        let me = &context.settings.instance;
+        let others = candidate.members().iter();
+        others
+            .filter(|member| member.id != *me && Some(&member.id) != leader.as_ref())
+            .cloned()
+            .collect()
+    };
+    // This node counts itself.
+    let mut poll = candidate::Poll {
+        asked: others.len() + 1,
+        agreed: 1,
+    };
+    let asked: Vec<_> = others
+        .into_iter()
+        .map(|member| {
+            let context = Arc::clone(context);
+            let executor = Arc::clone(&context.executor);
+            executor.spawn(async move {
+                let request = peers::Request::Ping {
+                    from: context.member(),
+                    version: context.config_version(),
+                };
+                let call =
+                    peers::call(&context, member.address, &request, constants::PING_TIMEOUT);
+                match call.await {
+                    outcome::Outcome::Done(peers::Reply::Pong(pong)) => !pong.content,
+                    _ => false,
+                }
+            })
+        })
+        .collect();
+    for task in asked {
+        poll.agreed += usize::from(task.await);
+    }
+    context.candidate().on_poll(poll);
+}
+
+/// Term in which the store names this life of this node.
+fn own_term(context: &context::Context) -> Option<u64> {
+    let candidate = context.candidate();
+    let elected = candidate.elected()?;
+    let leader = &elected.leader;
+    let mine = leader.node.id == context.settings.instance && leader.life == context.life;
+    (mine && !leader.resigned).then_some(elected.term)
+}
+
+/// An election that this node won.
+struct Won {
+    term: u64,
+    sent: time::Monotonic,
+}
+
+/// Tries to take over from a term.
+async fn campaign(context: &context::Context, term: u64) -> Option<Won> {
+    let known = context
+        .candidate()
+        .elected()
+        .map_or(0, |elected| elected.term);
+    if known > term || context.is_draining() {
+        return None;
+    }
+    let leader = record::Leader {
+        node: context.member(),
+        life: context.life,
+        resigned: false,
+    };
+    let value = serde_json::to_vec(&leader).ok()?;
+    let transaction = store::Transaction::default()
+        .expect(keys::LEADER, term)
+        .put(keys::LEADER, value);
+    let sent = clock::now();
+    let committed = context
+        .store
+        .commit(&transaction, constants::STORE_TIMEOUT)
+        .await;
+    match committed {
+        Ok(store::Committed::Done(term)) => {
+            let elected = record::Elected { term, leader };
+            context.candidate().on_elected(elected, clock::now());
+            Some(Won { term, sent })
+        }
+        Ok(store::Committed::Conflict(_) | store::Committed::Refused) | Err(_) => {
+            inspect(context).await;
+            None
+        }
+    }
+}
+
+async fn lead(
+    context: &Arc<context::Context>,
+    term: u64,
+    sent: time::Monotonic,
+    resigned: bool,
+) {
+    log::info!("elected in term {term}");
+    context.set_term(term);
+    lead::run(context, term, sent, resigned).await;
+    context.set_term(0);
+    log::info!("term {term} has ended");
+}
--- /dev/null
+++ b/crates/daisymast_node/src/lead.rs
@@ -0,0 +1,413 @@
+//! The scheduler of one term and the calls that it makes.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use daisymast_adapter::workers;
+use daisymast_election::{authority, record};
+use daisymast_jobs::spec;
+use daisymast_protocol::outcome;
+use daisymast_scheduler::{action, config, constants as limits, lease, scheduler};
+use daisymast_types::{collections, ids, time};
+use futures_lite::future;
+use smol::Timer;
+
+use crate::clock;
+use crate::constants;
+use crate::context::{self, lock};
+use crate::peers;
+
+mod directory;
+mod journal;
+
+/// The scheduler of one term.
+#[derive(Debug)]
+pub struct Lead {
+    term: u64,
+    scheduler: Mutex<scheduler::Scheduler>,
+    authority: Mutex<authority::Authority>,
+    alive: Mutex<collections::FastMap<ids::InstanceId, (record::Member, time::Monotonic)>>,
+    me: record::Member,
+    waiting: Mutex<collections::FastMap<u64, async_channel::Sender<action::Answer>>>,
+    last_token: AtomicU64,
+    /// Wakes the driver.
+    wake: async_channel::Sender<()>,
+    woken: async_channel::Receiver<()>,
+    deposed: AtomicBool,
+    /// Whether a commit is open.
+    committing: AtomicBool,
+}
+
+impl Lead {
+    fn new(
+        term: u64,
+        scheduler: scheduler::Scheduler,
+        sent: time::Monotonic,
+        me: record::Member,
+    ) -> Self {
+        let (wake, woken) = async_channel::bounded(1);
+        Self {
+            term,
+            scheduler: Mutex::new(scheduler),
+            authority: Mutex::new(authority::Authority::new(sent, limits::AUTHORITY)),
+            alive: Mutex::default(),
+            me,
+            waiting: Mutex::default(),
+            last_token: AtomicU64::new(0),
+            wake,
+            woken,
+            deposed: AtomicBool::new(false),
+            committing: AtomicBool::new(false),
+        }
+    }
+
+    /// The term: revision of the leader key and fencing token.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Time since the last confirmed commit, in milliseconds.
+    pub fn stale_ms(&self, now: time::Monotonic) -> u64 {
+        lease::millis(lock(&self.authority).age(now))
+    }
+
+    /// Nodes that have pinged lately, and this one.
+    pub fn members(&self, now: time::Monotonic) -> Vec<record::Member> {
+        let mut members = vec![self.me.clone()];
+        for (member, at) in lock(&self.alive).values() {
+            if now - *at < constants::ALIVE {
+                members.push(member.clone());
+            }
+        }
+        members
+    }
+
+    /// A node has pinged.
+    pub fn on_ping(&self, from: record::Member, now: time::Monotonic) {
+        if from.id != self.me.id {
+            lock(&self.alive).insert(from.id.clone(), (from, now));
+        }
+    }
+
+    /// Takes a configuration into force.
+    pub fn configure(&self, config: Arc<config::Configuration>) {
+        lock(&self.scheduler).configure(config);
+        self.poke();
+    }
+
+    /// Accepts a job and waits until it is stored.
+    pub async fn submit(
+        &self,
+        job: spec::JobId,
+        queue: ids::QueueName,
+        spec: spec::JobSpec,
+    ) -> peers::Reply {
+        let now = clock::timestamp();
+        self.answer(|scheduler, token| scheduler.submit(token, job, queue, spec, now))
+            .await
+    }
+
+    /// Cancels a job and waits until that is stored.
+    pub async fn cancel(&self, job: spec::JobId) -> peers::Reply {
+        let now = clock::now();
+        let reply = self
+            .answer(|scheduler, token| scheduler.cancel(token, job, now))
+            .await;
+        if matches!(reply, peers::Reply::Served(peers::Served::NoSuchJob)) {
+            return self.confirmed(now, peers::Served::NoSuchJob).await;
+        }
+        reply
+    }
+
+    /// State of a job.
+    pub async fn state(&self, job: spec::JobId) -> peers::Reply {
+        let state = lock(&self.scheduler).state(job);
+        match state {
+            Some(state) => peers::Reply::Served(state.into()),
+            None => {
+                self.confirmed(clock::now(), peers::Served::NoSuchJob)
+                    .await
+            }
+        }
+    }
+
+    /// Number of jobs of a queue that have not started.
+    pub fn pending(&self, queue: &ids::QueueName) -> peers::Reply {
+        peers::Reply::Served(peers::Served::Pending(lock(&self.scheduler).pending(queue)))
+    }
+
+    /// Gives an answer that only the present scheduler may give: once a commit that was sent after
+    /// the question has confirmed the term.
+    async fn confirmed(&self, asked: time::Monotonic, answer: peers::Served) -> peers::Reply {
+        let begun = clock::now();
+        while !self.deposed.load(Ordering::Relaxed) {
+            let now = clock::now();
+            if lock(&self.authority).age(now) < now - asked {
+                return peers::Reply::Served(answer);
+            }
+            if now - begun > constants::FORWARD_TIMEOUT {
+                break;
+            }
+            Timer::after(constants::TICK).await;
+        }
+        peers::Reply::Unknown
+    }
+
+    async fn answer(&self, ask: impl FnOnce(&mut scheduler::Scheduler, u64)) -> peers::Reply {
+        let token = self.last_token.fetch_add(1, Ordering::Relaxed) + 1;
+        let (send, receive) = async_channel::bounded(1);
+        lock(&self.waiting).insert(token, send);
+        ask(&mut lock(&self.scheduler), token);
+        self.poke();
+        match receive.recv().await {
+            Ok(action::Answer::Accepted) => peers::Reply::Served(peers::Served::Accepted),
+            Ok(action::Answer::Cancelled) => peers::Reply::Served(peers::Served::Cancelled),
+            Ok(action::Answer::NoSuchJob) => peers::Reply::Served(peers::Served::NoSuchJob),
+            Err(_) => peers::Reply::Unknown,
+        }
+    }
+
+    /// Something changed: the driver has work.
+    fn poke(&self) {
+        // A full channel means that the driver is woken already.
+        let _ = self.wake.try_send(());
+    }
+
+    fn depose(&self) {
+        self.deposed.store(true, Ordering::Relaxed);
+        self.poke();
+    }
+
+    /// Changes the scheduler and wakes the driver.
+    fn update(&self, change: impl FnOnce(&mut scheduler::Scheduler)) {
+        change(&mut lock(&self.scheduler));
+        self.poke();
+    }
+
+    /// Hands an answer to the caller that waits for it.
+    fn deliver(&self, action: action::Action) {
+        if let action::Action::Answer { token, answer } = action
+            && let Some(waiting) = lock(&self.waiting).remove(&token)
+        {
+            // The caller may have gone.
+            let _ = waiting.try_send(answer);
+        }
+    }
+
+    /// Ends the waits of callers: their outcome is not known.
+    fn close(&self) {
+        self.deposed.store(true, Ordering::Relaxed);
+        lock(&self.waiting).clear();
+    }
+}
+
+/// Schedules in a term until it ends.
+pub async fn run(
+    context: &Arc<context::Context>,
+    term: u64,
+    sent: time::Monotonic,
+    resigned: bool,
+) {
+    let Some((book, next_batch)) = journal::replay(context, term).await else {
+        return;
+    };
+    let config = loop {
+        if let Some(config) = context.config() {
+            break config;
+        }
+        if context.is_draining() {
+            return;
+        }
+        Timer::after(constants::TICK).await;
+    };
+    let now = clock::timestamp();
+    let former = if resigned {
+        Duration::ZERO
+    } else {
+        limits::AUTHORITY
+    };
+    let lease = limits::LEASE.mul_f64(limits::SLOW_CLOCK_PERMILLE as f64 / 1_000.0);
+    let former_end = sent + former + lease + limits::LEASE_MARGIN * 2;
+    let scheduler = scheduler::Scheduler::resume(config, book, former_end, now);
+    let lead = Arc::new(Lead::new(term, scheduler, sent, context.member()));
+    context.set_lead(Some(Arc::clone(&lead)));
+    if let Some(config) = context.config() {
+        lead.configure(config);
+    }
+    let directory = context
+        .executor
+        .spawn(directory::keep(Arc::clone(context), Arc::clone(&lead)));
+    let committer = context.executor.spawn(journal::keep(
+        Arc::clone(context),
+        Arc::clone(&lead),
+        next_batch,
+    ));
+    drive(context, &lead).await;
+    context.set_lead(None);
+    drop(directory);
+    if context.is_draining() && !lead.deposed.load(Ordering::Relaxed) {
+        journal::finish(&lead).await;
+        committer.cancel().await;
+        journal::resign(context, term).await;
+    } else {
+        drop(committer);
+    }
+    lead.close();
+}
+
+/// Carries actions out until the term ends.
+async fn drive(context: &Arc<context::Context>, lead: &Arc<Lead>) {
+    let mut next_tick = time::Monotonic::ZERO;
+    loop {
+        let now = clock::timestamp();
+        let authorized = lock(&lead.authority).holds(now.mono);
+        if lead.deposed.load(Ordering::Relaxed) || !authorized || context.is_draining() {
+            log::info!(
+                "scheduling of term {} ends: authority {authorized}, draining {}",
+                lead.term,
+                context.is_draining()
+            );
+            return;
+        }
+        let actions = {
+            let mut scheduler = lock(&lead.scheduler);
+            if now.mono >= next_tick {
+                next_tick = now.mono + constants::TICK;
+                let alive: Vec<ids::InstanceId> = lead
+                    .members(now.mono)
+                    .into_iter()
+                    .map(|member| member.id)
+                    .collect();
+                scheduler.set_advisors(&alive);
+                scheduler.tick(now);
+            } else {
+                scheduler.flush(now.mono);
+            }
+            scheduler.take_actions()
+        };
+        for action in actions {
+            carry_out(context, lead, action);
+        }
+        let pause = next_tick - clock::now();
+        future::or(
+            async {
+                let _ = lead.woken.recv().await;
+            },
+            async {
+                Timer::after(pause).await;
+            },
+        )
+        .await;
+    }
+}
+
+fn carry_out(context: &Arc<context::Context>, lead: &Arc<Lead>, action: action::Action) {
+    match action {
+        action::Action::Answer { .. } => lead.deliver(action),
+        action::Action::Deposed => lead.depose(),
+        action => {
+            let call = call(Arc::clone(context), Arc::clone(lead), action);
+            context.executor.spawn(call).detach();
+        }
+    }
+}
+
+async fn call(context: Arc<context::Context>, lead: Arc<Lead>, action: action::Action) {
+    match action {
+        action::Action::Hold {
+            target,
+            deadline_ms,
+            noted,
+            wait,
+        } => {
+            let hold = workers::Hold {
+                deadline_ms,
+                token: lead.term,
+                noted,
+                wait_ms: lease::millis(wait),
+            };
+            let timeout = wait + constants::LOOK_TIMEOUT;
+            let outcome = workers::hold(&context.workers, worker(&target), hold, timeout).await;
+            let now = clock::now();
+            lead.update(|scheduler| scheduler.on_look(target.index, outcome, now));
+        }
+        action::Action::Start(start) => {
+            let order = workers::Start {
+                task: start.task,
+                run: start.run,
+                payload: &start.spec.payload,
+                deadline_ms: start.deadline_ms,
+                token: lead.term,
+                checkpoint: start.checkpoint.as_deref(),
+                ticket: start.ticket.as_deref(),
+            };
+            let target = worker(&start.target);
+            let outcome =
+                workers::start(&context.workers, target, &order, constants::ORDER_TIMEOUT).await;
+            let now = clock::now();
+            let place = start.target.index;
+            lead.update(|scheduler| {
+                scheduler.on_start(place, start.task, start.run, outcome, now);
+            });
+        }
+        action::Action::Stop { target, task, run } => {
+            let order = workers::stop(
+                &context.workers,
+                worker(&target),
+                task,
+                run,
+                lead.term,
+                constants::ORDER_TIMEOUT,
+            );
+            let outcome = order.await;
+            let now = clock::now();
+            lead.update(|scheduler| scheduler.on_stop(target.index, task, run, outcome, now));
+        }
+        action::Action::Ask {
+            call,
+            advisor,
+            step,
+            workers,
+            timeout,
+        } => {
+            let answer = ask(&context, &lead, &advisor, step, workers, timeout).await;
+            let now = clock::now();
+            lead.update(|scheduler| scheduler.on_advice(call, answer, now));
+        }
+        action::Action::Answer { .. } | action::Action::Deposed => {}
+    }
+}
+
+fn worker(target: &action::Target) -> workers::Target<'_> {
+    workers::Target {
+        id: &target.id,
+        address: target.address,
+    }
+}
+
+async fn ask(
+    context: &context::Context,
+    lead: &Lead,
+    advisor: &ids::InstanceId,
+    step: spec::StepId,
+    workers: Vec<String>,
+    timeout: Duration,
+) -> Option<Vec<(String, String)>> {
+    if *advisor == lead.me.id {
+        return peers::ask(context, step, &workers, timeout).await;
+    }
+    let address = {
+        let alive = lock(&lead.alive);
+        alive.get(advisor).map(|(member, _)| member.address)?
+    };
+    let request = peers::Request::Ask {
+        step,
+        workers,
+        timeout_ms: lease::millis(timeout),
+    };
+    match peers::call(context, address, &request, timeout).await {
+        outcome::Outcome::Done(peers::Reply::Advice(answer)) => answer,
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/daisymast_node/src/lead/directory.rs
@@ -0,0 +1,98 @@
+//! The workers that the store lists.
+
+use std::sync::Arc;
+
+use daisymast_adapter::{directory, keys, store};
+use smol::Timer;
+
+use crate::clock;
+use crate::constants;
+use crate::context;
+use crate::lead;
+
+/// Keeps the scheduler's list of workers up to date for as long as the term lasts.
+pub(super) async fn keep(context: Arc<context::Context>, lead: Arc<lead::Lead>) {
+    loop {
+        match list(&context, &lead).await {
+            Ok(revision) => watch(&context, &lead, revision).await,
+            Err(error) => log::debug!("workers were not listed: {error}"),
+        }
+        Timer::after(constants::STORE_RETRY).await;
+    }
+}
+
+async fn list(context: &context::Context, lead: &lead::Lead) -> Result<u64, store::Failure> {
+    let mut after = String::new();
+    let mut revision = None;
+    let mut entries = Vec::new();
+    loop {
+        let page = context
+            .store
+            .page(keys::WORKERS, &after, constants::STORE_TIMEOUT)
+            .await?;
+        // Pages are no snapshot, so the watch begins before the first of them.
+        revision.get_or_insert(page.revision);
+        if let Some(last) = page.items.last() {
+            after.clone_from(&last.key);
+        }
+        let decoded = page.items.iter();
+        entries.extend(decoded.filter_map(|item| directory::decode(&item.key, &item.value)));
+        if !page.more {
+            break;
+        }
+    }
+    let listed: Vec<_> = entries.iter().map(|entry| entry.id.clone()).collect();
+    let now = clock::now();
+    lead.update(|scheduler| {
+        scheduler.retain_workers(&listed, now);
+        for entry in entries {
+            scheduler.worker_listed(entry, now);
+        }
+    });
+    Ok(revision.unwrap_or(0))
+}
+
+/// Watches until the history is lost or the store does not answer.
+async fn watch(context: &context::Context, lead: &lead::Lead, mut revision: u64) {
+    loop {
+        let watched = context
+            .store
+            .watch(
+                keys::WORKERS,
+                revision,
+                constants::WATCH_WAIT,
+                constants::WATCH_TIMEOUT,
+            )
+            .await;
+        let Ok(store::Watched::Changes(changes, next)) = watched else {
+            return;
+        };
+        revision = next;
+        if changes.is_empty() {
+            continue;
+        }
+        let now = clock::now();
+        lead.update(|scheduler| {
+            for change in changes {
+                match change {
+                    store::Change::Put(item) => {
+                        match directory::decode(&item.key, &item.value) {
+                            Some(entry) => scheduler.worker_listed(entry, now),
+                            // An entry that cannot be read names no worker to use.
+                            None => {
+                                if let Some(id) = directory::worker_of(&item.key) {
+                                    scheduler.worker_unlisted(&id, now);
+                                }
+                            }
+                        }
+                    }
+                    store::Change::Removed(key) => {
+                        if let Some(id) = directory::worker_of(&key) {
+                            scheduler.worker_unlisted(&id, now);
+                        }
+                    }
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/daisymast_node/src/lead/journal.rs
@@ -0,0 +1,207 @@
+//! The journal: read at the begin of a term, then written one batch at a time.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use daisymast_adapter::{keys, store};
+use daisymast_election::record as election;
+use daisymast_jobs::{book, record};
+use smol::Timer;
+
+use crate::clock;
+use crate::constants;
+use crate::context::{self, lock};
+use crate::lead;
+
+/// Reads the journal. The term's own write of the leader key precedes this read, so no former
+/// scheduler can add to it any more. Returns the jobs and the number of the next batch.
+pub(super) async fn replay(context: &context::Context, term: u64) -> Option<(book::Book, u64)> {
+    let mut book = book::Book::default();
+    let mut next = 1;
+    let mut after = String::new();
+    loop {
+        if context.is_draining() || is_replaced(context, term) {
+            return None;
+        }
+        let page = context
+            .store
+            .page(keys::JOURNAL, &after, constants::STORE_TIMEOUT)
+            .await;
+        let page = match page {
+            Ok(page) => page,
+            Err(error) => {
+                log::warn!("journal was not read: {error}");
+                Timer::after(constants::STORE_RETRY).await;
+                continue;
+            }
+        };
+        for item in &page.items {
+            match record::decode(&item.value) {
+                Ok(batch) => batch.into_iter().for_each(|record| book.apply(record)),
+                Err(error) => log::error!("batch {} does not decode: {error}", item.key),
+            }
+        }
+        if let Some(last) = page.items.last() {
+            after.clone_from(&last.key);
+            let number = last.key.strip_prefix(keys::JOURNAL).map(str::parse::<u64>);
+            if let Some(Ok(number)) = number {
+                next = number + 1;
+            }
+        }
+        if !page.more {
+            return Some((book, next));
+        }
+    }
+}
+
+fn is_replaced(context: &context::Context, term: u64) -> bool {
+    let candidate = context.candidate();
+    candidate.elected().is_some_and(|elected| elected.term > term)
+}
+
+/// Writes batches, and confirms the term while there is nothing to write.
+pub(super) async fn keep(context: Arc<context::Context>, lead: Arc<lead::Lead>, mut next: u64) {
+    let mut last = clock::now();
+    loop {
+        let batch = lock(&lead.scheduler).take_batch();
+        let Some(batch) = batch else {
+            if clock::now() - last >= constants::RENEW {
+                last = clock::now();
+                let transaction = transaction(&lead);
+                commit(&context, &lead, &transaction, None).await;
+            }
+            Timer::after(constants::COMMIT_PAUSE).await;
+            if lead.deposed.load(Ordering::Relaxed) {
+                return;
+            }
+            continue;
+        };
+        lead.committing.store(true, Ordering::Relaxed);
+        last = clock::now();
+        let Some(written) = write(&context, &lead, &batch, next).await else {
+            return;
+        };
+        next += written;
+        let now = clock::now();
+        lead.update(|scheduler| scheduler.committed(now));
+        lead.committing.store(false, Ordering::Relaxed);
+        let spent = clock::now() - last;
+        Timer::after(constants::COMMIT_PAUSE.saturating_sub(spent)).await;
+    }
+}
+
+/// Writes a batch, over several keys if it is large. Returns their number, none if the term ended.
+async fn write(
+    context: &context::Context,
+    lead: &lead::Lead,
+    batch: &[record::Record],
+    next: u64,
+) -> Option<u64> {
+    let bytes = match record::encode(batch) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!("batch {next} does not encode: {error}");
+            lead.depose();
+            return None;
+        }
+    };
+    if bytes.len() > constants::BATCH_BYTES && batch.len() > 1 {
+        let (first, second) = batch.split_at(batch.len() / 2);
+        let written = Box::pin(write(context, lead, first, next)).await?;
+        let more = Box::pin(write(context, lead, second, next + written)).await?;
+        return Some(written + more);
+    }
+    let key = keys::batch(next);
+    let transaction = transaction(lead)
+        .expect(&key, 0)
+        .put(&key, bytes.clone());
+    let done = commit(context, lead, &transaction, Some((&key, &bytes))).await;
+    done.then_some(1)
+}
+
+fn transaction(lead: &lead::Lead) -> store::Transaction {
+    store::Transaction::default()
+        .expect(keys::LEADER, lead.term)
+        .put(keys::BEAT, lead.term.to_string().into_bytes())
+}
+
+/// Commits until the outcome is known. The conditions let a repeated commit take effect once.
+/// Returns whether it took effect.
+async fn commit(
+    context: &context::Context,
+    lead: &lead::Lead,
+    transaction: &store::Transaction,
+    written: Option<(&str, &[u8])>,
+) -> bool {
+    while !lead.deposed.load(Ordering::Relaxed) {
+        let sent = clock::now();
+        let committed = context
+            .store
+            .commit(transaction, constants::STORE_TIMEOUT)
+            .await;
+        match committed {
+            Ok(store::Committed::Done(_)) => {
+                lock(&lead.authority).confirm(sent);
+                return true;
+            }
+            Ok(store::Committed::Conflict(items)) => {
+                let leads = items
+                    .iter()
+                    .any(|item| item.key == keys::LEADER && item.revision == lead.term);
+                let stored = written.is_some_and(|(key, bytes)| {
+                    items.iter().any(|item| item.key == key && item.value == bytes)
+                });
+                if leads && stored {
+                    lock(&lead.authority).confirm(sent);
+                    return true;
+                }
+                log::info!("term {} was replaced", lead.term);
+                lead.depose();
+                return false;
+            }
+            Ok(store::Committed::Refused) => Timer::after(constants::STORE_RETRY / 2).await,
+            Err(_) => Timer::after(constants::COMMIT_PAUSE).await,
+        };
+    }
+    false
+}
+
+/// Waits for the open commit, before the role is given back.
+pub(super) async fn finish(lead: &lead::Lead) {
+    let begun = clock::now();
+    while lead.committing.load(Ordering::Relaxed)
+        && clock::now() - begun < constants::STORE_TIMEOUT
+    {
+        Timer::after(constants::COMMIT_PAUSE).await;
+    }
+    let answers = {
+        let mut scheduler = lock(&lead.scheduler);
+        scheduler.take_actions()
+    };
+    for action in answers {
+        lead.deliver(action);
+    }
+}
+
+/// Gives the role back, so that another node takes it at once.
+pub(super) async fn resign(context: &context::Context, term: u64) {
+    let leader = election::Leader {
+        node: context.member(),
+        life: context.life,
+        resigned: true,
+    };
+    let Ok(value) = serde_json::to_vec(&leader) else {
+        return;
+    };
+    let transaction = store::Transaction::default()
+        .expect(keys::LEADER, term)
+        .put(keys::LEADER, value);
+    let committed = context
+        .store
+        .commit(&transaction, constants::STORE_TIMEOUT)
+        .await;
+    if let Ok(store::Committed::Done(term)) = committed {
+        let elected = election::Elected { term, leader };
+        context.candidate().on_elected(elected, clock::now());
+    }
+}
--- /dev/null
+++ b/crates/daisymast_node/src/process.rs
@@ -0,0 +1,208 @@
+//! One node as a running process: command line, listeners, signals, drain.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use anyhow::Context as _;
+use daisymast_adapter::settings;
+use daisymast_http::{executor, server};
+use daisymast_telemetry::logging;
+use futures_lite::future;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use smol::Timer;
+use smol::net::TcpListener;
+
+use crate::configuration;
+use crate::constants;
+use crate::context;
+use crate::follow;
+use crate::front;
+use crate::peers;
+
+const HELP: &str = "\
+Usage: daisymast-node [--settings FILE] [--check]
+
+Serves callers on this machine and, if elected, schedules.
+
+  --settings FILE  settings file; without it, the environment variable names it
+  --check          check the settings and exit
+  --help           print this text
+  --version        print the version
+";
+
+/// Pause between two looks at the signals that have arrived.
+const SIGNAL_POLL: Duration = Duration::from_millis(100);
+
+struct Arguments {
+    settings: PathBuf,
+    check: bool,
+}
+
+/// Entry point of the program.
+pub fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            let _ = std::io::Write::write_all(
+                &mut std::io::stderr(),
+                format!("daisymast-node: {error:#}\n").as_bytes(),
+            );
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> anyhow::Result<()> {
+    let Some(arguments) = arguments()? else {
+        return Ok(());
+    };
+    let settings = settings::Settings::read(&arguments.settings)?;
+    if arguments.check {
+        return Ok(());
+    }
+    logging::start_on(log::LevelFilter::Info, logging::Output::Standard)?;
+    log::info!("node {} starts", settings.instance);
+    executor::run(1, async |executor| {
+        run(executor, settings, arguments.settings).await
+    })
+}
+
+fn arguments() -> anyhow::Result<Option<Arguments>> {
+    let mut settings = std::env::var_os(settings::PATH_VARIABLE).map(PathBuf::from);
+    let mut check = false;
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            lexopt::Arg::Long("settings") => settings = Some(parser.value()?.into()),
+            lexopt::Arg::Long("check") => check = true,
+            lexopt::Arg::Long("help") => return print(HELP),
+            lexopt::Arg::Long("version") => {
+                return print(concat!("daisymast-node ", env!("CARGO_PKG_VERSION"), "\n"));
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let settings = settings
+        .with_context(|| format!("--settings or {} is needed", settings::PATH_VARIABLE))?;
+    Ok(Some(Arguments { settings, check }))
+}
+
+fn print(text: &str) -> anyhow::Result<Option<Arguments>> {
+    std::io::Write::write_all(&mut std::io::stdout(), text.as_bytes())?;
+    Ok(None)
+}
+
+async fn run(
+    executor: executor::Executor,
+    settings: settings::Settings,
+    path: PathBuf,
+) -> anyhow::Result<()> {
+    let signals = Signals::register()?;
+    let context = Arc::new(context::Context::new(Arc::clone(&executor), settings));
+    let callers = serve_callers(&context).await?;
+    let peers = serve_peers(&context).await?;
+    let readiness = serve_readiness(&context).await?;
+    let tasks = [
+        executor.spawn(configuration::keep(Arc::clone(&context))),
+        executor.spawn(follow::run(Arc::clone(&context))),
+    ];
+    signals.wait_for_end(&path).await;
+    log::info!("node {} drains", context.settings.instance);
+    let begun = Instant::now();
+    context.drain();
+    Timer::after(constants::DRAIN).await;
+    let grace = Duration::from_millis(context.settings.grace_ms);
+    let left = grace
+        .saturating_sub(constants::EXIT_MARGIN)
+        .saturating_sub(begun.elapsed());
+    future::or(callers.shutdown(), async {
+        Timer::after(left).await;
+    })
+    .await;
+    drop((tasks, peers, readiness));
+    log::info!("node {} stops", context.settings.instance);
+    Ok(())
+}
+
+async fn bind(name: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("bind {name} to {address}"))
+}
+
+async fn serve_callers(context: &Arc<context::Context>) -> anyhow::Result<server::Server> {
+    let listener = bind("the listener for callers", context.settings.callers).await?;
+    let limits = server::Limits::default().with_header_timeout(constants::CALLER_IDLE);
+    let shared = Arc::clone(context);
+    let handler = move |request| front::serve(Arc::clone(&shared), request);
+    Ok(server::Server::start(&context.executor, listener, limits, handler)?)
+}
+
+async fn serve_peers(context: &Arc<context::Context>) -> anyhow::Result<server::Server> {
+    let listener = bind("the listener for nodes", context.settings.peers).await?;
+    let limits = server::Limits::default()
+        .with_header_timeout(constants::CALLER_IDLE)
+        .with_body_bytes(4 * 1024 * 1024);
+    let shared = Arc::clone(context);
+    let handler = move |request| peers::serve(Arc::clone(&shared), request);
+    Ok(server::Server::start(&context.executor, listener, limits, handler)?)
+}
+
+async fn serve_readiness(context: &Arc<context::Context>) -> anyhow::Result<server::Server> {
+    let listener = bind("the listener for readiness", context.settings.readiness).await?;
+    let limits = server::Limits::default().with_header_timeout(constants::CALLER_IDLE);
+    let shared = Arc::clone(context);
+    let handler = move |_| {
+        let ready = shared.is_ready();
+        async move {
+            if ready {
+                server::Response::text(200, "ready")
+            } else {
+                server::Response::text(503, "not ready")
+            }
+        }
+    };
+    Ok(server::Server::start(&context.executor, listener, limits, handler)?)
+}
+
+/// Signals that have arrived.
+struct Signals {
+    end: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+}
+
+impl Signals {
+    fn register() -> anyhow::Result<Self> {
+        let signals = Self {
+            end: Arc::default(),
+            reload: Arc::default(),
+        };
+        for (signal, flag) in [
+            (SIGTERM, &signals.end),
+            (SIGINT, &signals.end),
+            (SIGHUP, &signals.reload),
+        ] {
+            signal_hook::flag::register(signal, Arc::clone(flag))
+                .with_context(|| format!("register signal {signal}"))?;
+        }
+        Ok(signals)
+    }
+
+    /// Waits for a request to end. A request to reload checks the settings file; its fields take
+    /// effect at the next start.
+    async fn wait_for_end(&self, path: &std::path::Path) {
+        while !self.end.load(Ordering::Relaxed) {
+            if self.reload.swap(false, Ordering::Relaxed) {
+                match settings::Settings::read(path) {
+                    Ok(_) => log::info!("settings are valid; they take effect at the next start"),
+                    Err(error) => log::error!("settings are refused: {error:#}"),
+                }
+            }
+            Timer::after(SIGNAL_POLL).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_scheduler/src/advisors.rs
@@ -0,0 +1,98 @@
+//! Which node asks the advice service.
+//!
+//! The service takes one call at a time from each node. Questions are spread by the time that each
+//! node's open ones still take, and long ones stay off some of the nodes, so that they do not delay
+//! short ones.
+
+use std::time::Duration;
+
+use daisymast_types::ids;
+use daisymast_types::time;
+
+/// Questions of at least this time count as long.
+const LONG: Duration = Duration::from_millis(60);
+/// Open questions of one node, below the 32 that the service lets wait.
+const OPEN_LIMIT: usize = 16;
+/// Share of the nodes, in hundredths, that take long questions.
+const LONG_NODES_PERCENT: usize = 65;
+
+#[derive(Clone, Debug)]
+struct Node {
+    id: ids::InstanceId,
+    busy_until: time::Monotonic,
+    open: usize,
+}
+
+/// The nodes that can ask.
+#[derive(Clone, Debug, Default)]
+pub struct Advisors {
+    nodes: Vec<Node>,
+}
+
+impl Advisors {
+    /// Sets the nodes that are alive. Nodes that stay keep their load.
+    pub fn set(&mut self, alive: &[ids::InstanceId]) {
+        self.nodes.retain(|node| alive.contains(&node.id));
+        for id in alive {
+            if !self.nodes.iter().any(|node| node.id == *id) {
+                self.nodes.push(Node {
+                    id: id.clone(),
+                    busy_until: time::Monotonic::ZERO,
+                    open: 0,
+                });
+            }
+        }
+        self.nodes.sort_by(|a, b| a.id.cmp(&b.id));
+    }
+
+    /// Chooses the node that will have answered first, and charges it with the question. Returns the
+    /// node and the time until its answer.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use daisymast_scheduler::advisors;
+    /// use daisymast_types::time;
+    /// let mut nodes = advisors::Advisors::default();
+    /// nodes.set(&["a".into(), "b".into()]);
+    /// let now = time::Monotonic::ZERO;
+    /// let (first, _) = nodes.pick(now, Duration::from_millis(20)).unwrap();
+    /// let (second, _) = nodes.pick(now, Duration::from_millis(20)).unwrap();
+    /// assert_ne!(first, second);
+    /// ```
+    pub fn pick(
+        &mut self,
+        now: time::Monotonic,
+        cost: Duration,
+    ) -> Option<(ids::InstanceId, Duration)> {
+        let long_nodes = (self.nodes.len() * LONG_NODES_PERCENT).div_ceil(100);
+        let usable = if cost >= LONG {
+            long_nodes.max(1)
+        } else {
+            self.nodes.len()
+        };
+        let node = self
+            .nodes
+            .iter_mut()
+            .take(usable)
+            .filter(|node| node.open < OPEN_LIMIT)
+            .min_by_key(|node| node.busy_until.max(now))?;
+        node.busy_until = node.busy_until.max(now) + cost;
+        node.open += 1;
+        Some((node.id.clone(), node.busy_until - now))
+    }
+
+    /// A question of a node was answered or given up.
+    pub fn finish(&mut self, id: &ids::InstanceId, now: time::Monotonic) {
+        if let Some(node) = self.nodes.iter_mut().find(|node| node.id == *id) {
+            node.open = node.open.saturating_sub(1);
+            if node.open == 0 {
+                node.busy_until = now;
+            }
+        }
+    }
+
+    /// A node did not answer: it gets nothing more until it is reported alive again.
+    pub fn drop_node(&mut self, id: &ids::InstanceId) {
+        self.nodes.retain(|node| node.id != *id);
+    }
+}
--- /dev/null
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -0,0 +1,56 @@
+//! Times, limits and weights of the scheduler.
+
+use std::time::Duration;
+
+/// Lease that each order and each look gives a worker. Long enough for a takeover, short enough that
+/// tasks of a lost worker start again soon.
+pub const LEASE: Duration = Duration::from_millis(5_000);
+/// Time for which a worker may hold a look back while nothing ends.
+pub const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+/// Shortest time between two looks at a worker, as each look has a cost.
+pub const LOOK_PAUSE: Duration = Duration::from_millis(40);
+/// Pause after a look that failed.
+pub const LOOK_RETRY: Duration = Duration::from_millis(300);
+/// Pause before a stop without an answer is sent again.
+pub const STOP_RETRY: Duration = Duration::from_millis(400);
+/// Time for which the former scheduler may act without a confirmed commit.
+pub const AUTHORITY: Duration = Duration::from_millis(7_000);
+/// Rate of a worker's clock against ours, at the slowest: 2% slow, in thousandths of its time.
+pub const SLOW_CLOCK_PERMILLE: u64 = 1_021;
+/// Further time after which a lease has surely expired.
+pub const LEASE_MARGIN: Duration = Duration::from_millis(30);
+/// Sends of a start before it is stopped.
+pub const START_TRIES: u8 = 2;
+/// Validity that a ticket needs when a start is decided: the start is journaled and sent first.
+pub const TICKET_MARGIN: Duration = Duration::from_millis(250);
+/// Most workers in one question to the advice service.
+pub const QUESTION_WORKERS: usize = 30;
+/// Share of allowed workers before a queue's first answer.
+pub const ALLOWED_SHARE: f64 = 0.5;
+/// Weight of a new answer in the learned share of allowed workers.
+pub const ALLOWED_WEIGHT: f64 = 0.2;
+/// Open questions of a queue that is not urgent.
+pub const OPEN_QUESTIONS: usize = 5;
+/// Pause between two questions for a step that is not urgent.
+pub const QUESTION_PAUSE: Duration = Duration::from_millis(150);
+/// Time beyond the expected one after which a question is given up.
+pub const QUESTION_SLACK: Duration = Duration::from_millis(1_200);
+/// Gangs that may keep room free for themselves at the same time.
+pub const RESERVING_GANGS: usize = 4;
+/// Steps that one pass looks at.
+pub const PASS_STEPS: usize = 300;
+/// Weight of a new sample in the learned speed of a worker.
+pub const SPEED_WEIGHT: f64 = 0.15;
+/// Failed runs on end after which a worker gets one task at a time.
+pub const STRIKES: u32 = 3;
+/// Time for which such a worker gets nothing.
+pub const QUARANTINE: Duration = Duration::from_millis(2_500);
+/// Time without progress after which a run counts as hung.
+pub const HUNG: Duration = Duration::from_millis(2_500);
+/// Pause before a lasting task that ended is started again.
+pub const LASTING_PAUSE: Duration = Duration::from_millis(200);
+/// Room on each of the faster workers that is kept for urgent steps, in thousandths of its
+/// processors.
+pub const URGENT_PERMILLE: u32 = 250;
+/// Time within which the entry of a live worker is back after an outage of the store.
+pub const RELIST: Duration = Duration::from_millis(2_300);
--- /dev/null
+++ b/crates/daisymast_scheduler/src/scheduler/callers.rs
@@ -0,0 +1,112 @@
+//! Submissions, cancels and questions of callers.
+
+use daisymast_jobs::job;
+use daisymast_jobs::record;
+use daisymast_jobs::spec;
+use daisymast_types::ids;
+use daisymast_types::time;
+
+use super::Scheduler;
+use crate::action;
+use crate::journal;
+
+impl Scheduler {
+    /// Accepts a job. The same id again is the same job. The answer follows when it is stored.
+    pub fn submit(
+        &mut self,
+        token: u64,
+        id: spec::JobId,
+        queue: ids::QueueName,
+        spec: spec::JobSpec,
+        now: time::Timestamp,
+    ) {
+        self.wall = now.wall;
+        if self.book.job(id).is_none() {
+            if let Some(terms) = self.config.queue(&queue)
+                && self.book.queue(&queue) != Some(terms)
+            {
+                let terms = terms.clone();
+                self.book.set_queue(terms.clone());
+                self.journal.record(record::Record::Queue { terms });
+            }
+            self.journal.record(record::Record::Accepted {
+                job: id,
+                queue: queue.clone(),
+                spec: spec.clone(),
+                at: now.wall,
+            });
+            let job = job::Job::new(queue, spec, now.wall);
+            if job.spec.schedule.is_some() {
+                self.scheduled.push(id);
+            }
+            self.book.insert(id, job);
+            self.activate_occurrence(id, 0, now.mono);
+        }
+        let answer = journal::Effect::Answer(token, action::Answer::Accepted);
+        self.after_commit(answer, now.mono);
+    }
+
+    /// Cancels a job. The answer follows when the cancel is stored.
+    pub fn cancel(&mut self, token: u64, id: spec::JobId, now: time::Monotonic) {
+        let Some(job) = self.book.job_mut(id) else {
+            let answer = action::Answer::NoSuchJob;
+            self.actions.push(action::Action::Answer { token, answer });
+            return;
+        };
+        if !job.state().is_final() {
+            job.cancelled = true;
+            self.journal.record(record::Record::Cancelled { job: id });
+            self.after_commit(journal::Effect::Show(id, job::State::Cancelled), now);
+            self.end_job(id, now);
+        }
+        let answer = journal::Effect::Answer(token, action::Answer::Cancelled);
+        self.after_commit(answer, now);
+    }
+
+    /// State of a job, as far as it is stored.
+    pub fn state(&self, id: spec::JobId) -> Option<job::State> {
+        Some(self.book.job(id)?.shown)
+    }
+
+    /// Number of jobs of a queue of which no task has started.
+    pub fn pending(&self, queue: &ids::QueueName) -> u64 {
+        self.book
+            .iter()
+            .filter(|(_, job)| job.queue == *queue && job.state() == job::State::Queued)
+            .count() as u64
+    }
+
+    /// Nothing of the job may start any more: what runs is stopped.
+    pub(super) fn end_job(&mut self, id: spec::JobId, now: time::Monotonic) {
+        self.steps.retain(|step, _| step.job != id);
+        self.scheduled.retain(|&job| job != id);
+        let placed: Vec<(usize, spec::TaskId)> = self.placed_tasks(id);
+        for (place, task) in placed {
+            self.request_stop(place, task, now);
+        }
+    }
+
+    fn placed_tasks(&self, id: spec::JobId) -> Vec<(usize, spec::TaskId)> {
+        let Some(job) = self.book.job(id) else {
+            return Vec::new();
+        };
+        let mut placed = Vec::new();
+        for (occurrence, steps) in (0_u32..).zip(&job.occurrences) {
+            for (step, tasks) in (0_u16..).zip(steps) {
+                let step = spec::StepId {
+                    job: id,
+                    occurrence,
+                    step,
+                };
+                for (index, task) in (0_u32..).zip(&tasks.tasks) {
+                    if let job::Phase::Placed { worker } = &task.phase
+                        && let Some(place) = self.fleet.find(worker)
+                    {
+                        placed.push((place, step.task(index)));
+                    }
+                }
+            }
+        }
+        placed
+    }
+}
--- /dev/null
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -0,0 +1,225 @@
+//! One pass over the waiting steps, the most urgent first.
+
+use daisymast_jobs::job;
+use daisymast_jobs::record;
+use daisymast_jobs::spec;
+use daisymast_types::collections;
+use daisymast_types::time;
+
+use super::Scheduler;
+use super::placement;
+use crate::constants;
+use crate::journal;
+use crate::steps;
+use crate::worker;
+
+/// What a pass keeps between steps.
+pub(super) struct Pass {
+    pub(super) now: time::Monotonic,
+    pub(super) speeds: placement::Speeds,
+    /// Gangs that keep room free in this pass.
+    pub(super) reserving: usize,
+    /// Open questions by queue.
+    pub(super) open: collections::FastMap<daisymast_types::ids::QueueName, usize>,
+}
+
+impl Scheduler {
+    /// Places what can be placed, asks for advice where it is needed, and keeps room for gangs that
+    /// wait for it.
+    pub(super) fn dispatch(&mut self, now: time::Monotonic) {
+        for worker in self.fleet.iter_mut() {
+            worker.reserved = None;
+        }
+        let mut order: Vec<(steps::Tier, time::Monotonic, spec::StepId)> = self
+            .steps
+            .values()
+            .filter(|step| !step.waiting.is_empty() && !step.aborting && now >= step.not_before)
+            .map(|step| (step.tier(now), step.latest_start, step.id))
+            .collect();
+        order.sort_unstable();
+        let mut pass = Pass {
+            now,
+            speeds: self.speeds(now),
+            reserving: 0,
+            open: collections::FastMap::default(),
+        };
+        for question in self.questions.values() {
+            *pass.open.entry(question.queue.clone()).or_default() += 1;
+        }
+        for (_, _, id) in order.into_iter().take(constants::PASS_STEPS) {
+            self.try_step(id, &mut pass);
+        }
+    }
+
+    fn try_step(&mut self, id: spec::StepId, pass: &mut Pass) {
+        let Some(step) = self.steps.get(&id) else {
+            return;
+        };
+        let candidates = self.candidates(step, pass.speeds, pass.now);
+        let needed = u32::try_from(step.waiting.len()).unwrap_or(u32::MAX);
+        let content = step.content();
+        if content.gang && needed < content.tasks {
+            return;
+        }
+        let mut chosen = self.choose(step, &candidates, needed, pass.now);
+        let placed = u32::try_from(chosen.len()).unwrap_or(u32::MAX);
+        if content.gang && placed < needed {
+            chosen.clear();
+        }
+        let gang = content.gang;
+        let complete = placed >= needed;
+        if !chosen.is_empty() {
+            self.place(id, chosen, pass.now);
+        }
+        if complete {
+            return;
+        }
+        if gang {
+            self.reserve(id, pass);
+        }
+        self.ask_if_useful(id, &candidates, pass);
+    }
+
+    /// Workers for up to `needed` tasks, among those with a valid ticket if one is needed.
+    fn choose(
+        &self,
+        step: &steps::ReadyStep,
+        candidates: &[placement::Candidate],
+        needed: u32,
+        now: time::Monotonic,
+    ) -> Vec<usize> {
+        let usable = |candidate: &&placement::Candidate| {
+            step.advice.is_none() || step.ticket(candidate.place, now).is_some()
+        };
+        let mut chosen = Vec::new();
+        let rack_of = |place: usize| {
+            let entry = self.fleet.at(place).entry.as_ref();
+            entry.and_then(|entry| entry.rack.clone())
+        };
+        if step.content().same_rack {
+            let mut by_rack: collections::FastMap<_, u32> = collections::FastMap::default();
+            for candidate in candidates.iter().filter(usable) {
+                *by_rack.entry(rack_of(candidate.place)).or_default() += candidate.fits;
+            }
+            let rack = by_rack.into_iter().filter(|(_, fits)| *fits >= needed).min();
+            if let Some((rack, _)) = rack {
+                let same = candidates.iter().filter(usable);
+                fill(
+                    same.filter(|candidate| rack_of(candidate.place) == rack),
+                    needed,
+                    &mut chosen,
+                );
+                return chosen;
+            }
+        }
+        fill(candidates.iter().filter(usable), needed, &mut chosen);
+        chosen
+    }
+
+    /// Gives the first waiting tasks of a step to workers. Their starts are sent when this is stored.
+    fn place(&mut self, id: spec::StepId, places: Vec<usize>, now: time::Monotonic) {
+        let Some(step) = self.steps.get_mut(&id) else {
+            return;
+        };
+        let size = step.size();
+        let indexes: Vec<u32> = step.waiting.drain(..places.len()).collect();
+        let Some(job) = self.book.job(id.job) else {
+            return;
+        };
+        let runs = indexes.iter().filter_map(|&index| job.task(id.task(index)));
+        let run = runs.map(|task| task.run).max().unwrap_or(0) + 1;
+        let first = !job.started;
+        let mut rows = Vec::with_capacity(places.len());
+        for (&index, &place) in indexes.iter().zip(&places) {
+            let ticket = step.ticket(place, now);
+            *step.placed.entry(place).or_default() += 1;
+            let worker = self.fleet.at_mut(place);
+            rows.push((index, worker.id.clone()));
+            worker.insert(
+                id.task(index),
+                worker::Run {
+                    run,
+                    size,
+                    state: worker::RunState::Journaling,
+                    placed: now,
+                    tries: 0,
+                    retry_at: now,
+                    ticket,
+                    percent: 0,
+                    progressed: now,
+                },
+            );
+        }
+        self.book.place(id, run, rows.clone());
+        self.journal.record(record::Record::Placed {
+            step: id,
+            run,
+            tasks: rows,
+        });
+        if first {
+            self.after_commit(journal::Effect::Show(id.job, job::State::Running), now);
+        }
+        for (index, place) in indexes.into_iter().zip(places) {
+            let start = journal::Effect::Start(place, id.task(index), run);
+            self.after_commit(start, now);
+        }
+    }
+
+    /// Keeps room free for a gang on workers that may run it, so that smaller tasks do not take each
+    /// piece of room as it comes.
+    fn reserve(&mut self, id: spec::StepId, pass: &mut Pass) {
+        if pass.reserving >= constants::RESERVING_GANGS {
+            return;
+        }
+        let Some(step) = self.steps.get(&id) else {
+            return;
+        };
+        let size = step.size();
+        let mut wanted: Vec<(u32, usize, u32)> = self
+            .fleet
+            .iter()
+            .enumerate()
+            .filter(|(place, worker)| {
+                worker.is_usable(pass.now)
+                    && worker.reserved.is_none()
+                    && placement::may_run(worker, step)
+                    && step.is_allowed(*place)
+                    && !step.is_denied(*place)
+            })
+            .map(|(place, worker)| {
+                let room = placement::usable_room(worker, step, pass.speeds);
+                let most = placement::fits(worker.capacity(), size);
+                (room.millicores, place, most)
+            })
+            .collect();
+        wanted.sort_unstable_by(|a, b| b.cmp(a));
+        let needed = step.content().tasks;
+        let mut sum = 0;
+        for (_, place, most) in wanted {
+            if sum >= needed {
+                break;
+            }
+            sum += most;
+            self.fleet.at_mut(place).reserved = Some(id);
+        }
+        if sum > 0 {
+            pass.reserving += 1;
+        }
+    }
+}
+
+/// Takes from each candidate as many places as fit, until enough are found.
+fn fill<'a>(
+    candidates: impl Iterator<Item = &'a placement::Candidate>,
+    needed: u32,
+    chosen: &mut Vec<usize>,
+) {
+    for candidate in candidates {
+        for _ in 0..candidate.fits {
+            if chosen.len() >= needed as usize {
+                return;
+            }
+            chosen.push(candidate.place);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_scheduler/src/scheduler/gangs.rs
@@ -0,0 +1,41 @@
+//! Gangs: all tasks of a run start together, and a run that lost a member is stopped whole.
+
+use daisymast_jobs::job;
+use daisymast_jobs::spec;
+use daisymast_types::time;
+
+use super::Scheduler;
+
+impl Scheduler {
+    /// Stops what is left of a gang. It is placed again when all its tasks wait.
+    pub(super) fn abort_gang(&mut self, id: spec::StepId, now: time::Monotonic) {
+        let Some(step) = self.steps.get_mut(&id) else {
+            return;
+        };
+        if step.waiting.len() == step.content().tasks as usize {
+            step.aborting = false;
+            return;
+        }
+        if step.aborting {
+            return;
+        }
+        step.aborting = true;
+        for (place, task) in self.members(id) {
+            self.request_stop(place, task, now);
+        }
+    }
+
+    /// Tasks of a step that are on workers.
+    fn members(&self, id: spec::StepId) -> Vec<(usize, spec::TaskId)> {
+        let Some(tasks) = self.book.job(id.job).and_then(|job| job.tasks(id)) else {
+            return Vec::new();
+        };
+        (0_u32..)
+            .zip(&tasks.tasks)
+            .filter_map(|(index, task)| match &task.phase {
+                job::Phase::Placed { worker } => Some((self.fleet.find(worker)?, id.task(index))),
+                job::Phase::Waiting | job::Phase::Done => None,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/daisymast_scheduler/src/scheduler/looks.rs
@@ -0,0 +1,253 @@
+//! Looks at workers: they extend leases and tell what runs and what has ended.
+
+use daisymast_jobs::spec;
+use daisymast_types::time;
+
+use super::Scheduler;
+use crate::action;
+use crate::constants;
+use crate::journal;
+use crate::report;
+use crate::steps;
+use crate::worker;
+
+impl Scheduler {
+    /// Opens the looks that are due.
+    pub(super) fn look(&mut self, now: time::Monotonic) {
+        for place in 0..self.fleet.len() {
+            let worker = self.fleet.at_mut(place);
+            if worker.looking || now < worker.next_look || !needs_look(worker) {
+                continue;
+            }
+            let Some(target) = worker.target(place) else {
+                continue;
+            };
+            let idle = worker.runs.is_empty();
+            let deadline_ms = if idle { None } else { worker.extend(now) };
+            let settled = worker.adopted && worker.misses == 0 && !idle;
+            worker.looking = true;
+            self.actions.push(action::Action::Hold {
+                target,
+                deadline_ms,
+                noted: worker.noted,
+                wait: if settled {
+                    constants::LOOK_WAIT
+                } else {
+                    std::time::Duration::ZERO
+                },
+            });
+            worker.told = worker.noted;
+        }
+    }
+
+    /// Outcome of a look.
+    pub fn on_look(&mut self, place: usize, outcome: report::HoldOutcome, now: time::Monotonic) {
+        let worker = self.fleet.at_mut(place);
+        worker.looking = false;
+        match outcome {
+            report::HoldOutcome::Report(report) => self.on_report(place, &report, now),
+            report::HoldOutcome::Fenced => self.actions.push(action::Action::Deposed),
+            report::HoldOutcome::WrongWorker | report::HoldOutcome::Failed => {
+                worker.misses += 1;
+                worker.told = 0;
+                worker.next_look = now + constants::LOOK_RETRY;
+            }
+        }
+    }
+
+    fn on_report(&mut self, place: usize, report: &report::Report, now: time::Monotonic) {
+        let worker = self.fleet.at_mut(place);
+        let reborn = worker.born != report.born || worker.life == 0;
+        if reborn {
+            worker.born = report.born;
+            worker.life += 1;
+            worker.clock = None;
+            worker.seen = 0;
+            worker.noted = 0;
+            worker.told = 0;
+            worker.strikes = 0;
+        } else if worker.clock.is_some_and(|clock| report.clock_ms < clock.reading) {
+            // A later answer overtook this one.
+            worker.next_look = now;
+            return;
+        }
+        worker.read_clock(report.clock_ms, now);
+        if worker.misses > 0 || !worker.adopted {
+            self.dirty = true;
+        }
+        worker.misses = 0;
+        worker.next_look = now + constants::LOOK_PAUSE;
+        self.on_ends(place, report, now);
+        self.reconcile(place, report, reborn, now);
+        self.fleet.at_mut(place).adopted = true;
+        self.find_strays(place, report, now);
+        self.find_hung(place, now);
+    }
+
+    fn on_ends(&mut self, place: usize, report: &report::Report, now: time::Monotonic) {
+        let seen = self.fleet.at(place).seen;
+        let mut last = seen;
+        for ended in report.ended.iter().filter(|ended| ended.number > seen) {
+            self.on_end(place, ended, now);
+            last = last.max(ended.number);
+        }
+        if last > seen {
+            let worker = self.fleet.at_mut(place);
+            worker.seen = last;
+            let life = worker.life;
+            let note = journal::Effect::Note {
+                worker: place,
+                life,
+                number: last,
+            };
+            self.after_commit(note, now);
+        }
+    }
+
+    /// Compares the runs that are expected with those that the worker reports.
+    fn reconcile(
+        &mut self,
+        place: usize,
+        report: &report::Report,
+        reborn: bool,
+        now: time::Monotonic,
+    ) {
+        for running in &report.running {
+            if let Some(checkpoint) = &running.checkpoint
+                && self.expects(place, running)
+            {
+                self.save_checkpoint(running.task, checkpoint);
+            }
+            let worker = self.fleet.at_mut(place);
+            let Some(run) = worker.runs.get_mut(&running.task) else {
+                continue;
+            };
+            if run.run != running.run {
+                continue;
+            }
+            if run.percent != running.percent {
+                run.percent = running.percent;
+                run.progressed = now;
+            }
+            if matches!(
+                run.state,
+                worker::RunState::Adopting | worker::RunState::Starting
+            ) {
+                run.state = worker::RunState::Running {
+                    since: report.clock_ms,
+                };
+                run.progressed = now;
+            }
+        }
+        if report.ended.len() >= report::ENDS_PER_REPORT {
+            return;
+        }
+        let absent: Vec<spec::TaskId> = self
+            .fleet
+            .at(place)
+            .runs
+            .iter()
+            .filter(|(task, run)| {
+                let is_listed = report
+                    .running
+                    .iter()
+                    .any(|running| running.task == **task && running.run == run.run);
+                !is_listed && is_surely_absent(run, report.clock_ms, reborn)
+            })
+            .map(|(&task, _)| task)
+            .collect();
+        for task in absent {
+            self.release(place, task, now);
+        }
+    }
+
+    fn expects(&self, place: usize, running: &report::Running) -> bool {
+        self.fleet
+            .at(place)
+            .runs
+            .get(&running.task)
+            .is_some_and(|run| run.run == running.run)
+    }
+
+    /// Stops runs that are not expected on the worker. They take room until they have ended.
+    fn find_strays(&mut self, place: usize, report: &report::Report, now: time::Monotonic) {
+        for running in &report.running {
+            let known = self.fleet.at(place).runs.get(&running.task);
+            if known.is_some_and(|run| run.run >= running.run) {
+                continue;
+            }
+            let size = self
+                .book
+                .job(running.task.step.job)
+                .and_then(|job| job.step(running.task.step))
+                .map_or(self.fleet.at(place).capacity(), steps::task_size);
+            let stray = worker::Run {
+                run: running.run,
+                size,
+                state: worker::RunState::Stopping { taken: None },
+                placed: now,
+                tries: 0,
+                retry_at: now,
+                ticket: None,
+                percent: running.percent,
+                progressed: now,
+            };
+            self.fleet.at_mut(place).insert(running.task, stray);
+            self.send_stop(place, running.task, now);
+        }
+    }
+
+    /// Stops runs that make no progress, so that they start elsewhere.
+    fn find_hung(&mut self, place: usize, now: time::Monotonic) {
+        let hung: Vec<spec::TaskId> = self
+            .fleet
+            .at(place)
+            .runs
+            .iter()
+            .filter(|(task, run)| {
+                matches!(run.state, worker::RunState::Running { .. })
+                    && now - run.progressed > constants::HUNG
+                    && self
+                        .steps
+                        .get(&task.step)
+                        .is_some_and(|step| !step.content().lasting && !step.aborting)
+            })
+            .map(|(&task, _)| task)
+            .collect();
+        if hung.is_empty() {
+            return;
+        }
+        self.strike(place, now);
+        self.fleet.at_mut(place).quarantined = now + constants::QUARANTINE;
+        for task in hung {
+            self.request_stop(place, task, now);
+        }
+    }
+}
+
+/// Whether a worker has to be looked at: its runs are not known, something runs there, or it has to
+/// be told which ends are stored. While ends wait to be stored, a look would only list them again.
+fn needs_look(worker: &worker::Worker) -> bool {
+    let gone = !worker.listed && worker.runs.is_empty();
+    if gone || worker.noted < worker.seen {
+        return false;
+    }
+    let active = worker
+        .runs
+        .values()
+        .any(|run| run.state != worker::RunState::Journaling);
+    !worker.adopted || active || worker.told < worker.noted || worker.misses > 0
+}
+
+/// Whether a run that a report does not list is surely over: the worker had settled its order before
+/// the report.
+fn is_surely_absent(run: &worker::Run, clock: u64, reborn: bool) -> bool {
+    match run.state {
+        worker::RunState::Journaling | worker::RunState::Starting => false,
+        worker::RunState::Stopping { taken: None } => false,
+        worker::RunState::Adopting => true,
+        worker::RunState::Running { since } | worker::RunState::Stopping { taken: Some(since) } => {
+            reborn || since < clock
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -0,0 +1,260 @@
+//! Starts and stops, and what their outcomes mean.
+
+use std::sync::Arc;
+
+use daisymast_jobs::spec;
+use daisymast_types::time;
+
+use super::Scheduler;
+use crate::action;
+use crate::constants;
+use crate::report;
+use crate::worker;
+
+impl Scheduler {
+    /// Sends the start of a run whose placement is stored.
+    pub(super) fn send_start(
+        &mut self,
+        place: usize,
+        task: spec::TaskId,
+        run: u32,
+        now: time::Monotonic,
+    ) {
+        let Some(job) = self.book.job(task.step.job) else {
+            return;
+        };
+        let spec = Arc::clone(&job.spec);
+        let is_gang = job.step(task.step).is_some_and(|step| step.gang);
+        let keeper = if is_gang { task.step.task(0) } else { task };
+        let checkpoint = job.task(keeper).and_then(|task| task.checkpoint.clone());
+        let ticket_ends = self.steps.get(&task.step).is_some_and(|step| {
+            step.advice.is_some() && step.ticket(place, now).is_none()
+        });
+        let worker = self.fleet.at_mut(place);
+        let usable = (worker.listed || now < worker.gone_at)
+            && !worker.entry.as_ref().is_some_and(|entry| entry.draining);
+        let Some(entry) = worker.runs.get(&task) else {
+            return;
+        };
+        let unsent = entry.state == worker::RunState::Journaling;
+        if entry.run != run || !matches!(entry.state, worker::RunState::Journaling | worker::RunState::Starting) {
+            return;
+        }
+        let target = worker.target(place);
+        let deadline = worker.extend(now);
+        let (Some(target), Some(deadline_ms)) = (target, deadline) else {
+            self.drop_unsent(place, task, now);
+            return;
+        };
+        if unsent && (!usable || ticket_ends) {
+            self.drop_unsent(place, task, now);
+            return;
+        }
+        let worker = self.fleet.at_mut(place);
+        let Some(entry) = worker.runs.get_mut(&task) else {
+            return;
+        };
+        entry.state = worker::RunState::Starting;
+        entry.tries += 1;
+        entry.progressed = now;
+        let ticket = entry.ticket.clone();
+        self.actions.push(action::Action::Start(action::Start {
+            target,
+            task,
+            run,
+            spec,
+            deadline_ms,
+            checkpoint,
+            ticket,
+        }));
+    }
+
+    /// Takes back a placement of which nothing was sent.
+    fn drop_unsent(&mut self, place: usize, task: spec::TaskId, now: time::Monotonic) {
+        self.release(place, task, now);
+    }
+
+    /// A run is surely not on its worker any more: frees its room and queues its task again.
+    pub(super) fn release(&mut self, place: usize, task: spec::TaskId, now: time::Monotonic) {
+        if self.fleet.at_mut(place).remove(task).is_none() {
+            return;
+        }
+        if let Some(step) = self.steps.get_mut(&task.step) {
+            step.take_off(place);
+        }
+        self.requeue(task, now);
+    }
+
+    /// Outcome of a start.
+    pub fn on_start(
+        &mut self,
+        place: usize,
+        task: spec::TaskId,
+        run: u32,
+        outcome: report::OrderOutcome,
+        now: time::Monotonic,
+    ) {
+        if outcome_is_fenced(outcome) {
+            self.actions.push(action::Action::Deposed);
+            return;
+        }
+        let worker = self.fleet.at_mut(place);
+        if let report::OrderOutcome::Taken(clock)
+        | report::OrderOutcome::Refused(_, Some(clock)) = outcome
+        {
+            worker.read_clock(clock, now);
+        }
+        let Some(entry) = worker.runs.get_mut(&task) else {
+            return;
+        };
+        if entry.run != run || entry.state != worker::RunState::Starting {
+            return;
+        }
+        let sent_once = entry.tries <= 1;
+        match outcome {
+            report::OrderOutcome::Taken(since)
+            | report::OrderOutcome::Refused(report::Refusal::OldRun, Some(since)) => {
+                // A run that had ended before its start was repeated is in the next report.
+                entry.state = worker::RunState::Running { since };
+            }
+            report::OrderOutcome::Refused(refusal, _) => {
+                self.on_refused(place, task, refusal, now);
+                self.settle(place, task, sent_once, now);
+            }
+            report::OrderOutcome::NoEffect => {
+                worker.misses += 1;
+                worker.next_look = now;
+                self.settle(place, task, sent_once, now);
+            }
+            report::OrderOutcome::Unknown => {
+                if entry.tries < constants::START_TRIES {
+                    self.send_start(place, task, run, now);
+                } else {
+                    self.request_stop(place, task, now);
+                }
+            }
+        }
+    }
+
+    /// A start was refused. If it was sent once, it is surely not there; an earlier one may be.
+    fn settle(&mut self, place: usize, task: spec::TaskId, sent_once: bool, now: time::Monotonic) {
+        if sent_once {
+            self.release(place, task, now);
+        } else {
+            self.request_stop(place, task, now);
+        }
+    }
+
+    fn on_refused(
+        &mut self,
+        place: usize,
+        task: spec::TaskId,
+        refusal: report::Refusal,
+        now: time::Monotonic,
+    ) {
+        let worker = self.fleet.at_mut(place);
+        match refusal {
+            report::Refusal::Ticket => {
+                if let Some(step) = self.steps.get_mut(&task.step) {
+                    step.verdicts.remove(&place);
+                }
+            }
+            report::Refusal::WrongWorker => {
+                worker.adopted = false;
+                worker.next_look = now;
+            }
+            report::Refusal::Unhealthy => self.strike(place, now),
+            report::Refusal::NoRoom => worker.quarantined = now + constants::LOOK_WAIT,
+            report::Refusal::Fenced
+            | report::Refusal::OldRun
+            | report::Refusal::Expired
+            | report::Refusal::Malformed => {}
+        }
+    }
+
+    /// Ends a run. One that was not sent yet is dropped.
+    pub(super) fn request_stop(&mut self, place: usize, task: spec::TaskId, now: time::Monotonic) {
+        let Some(entry) = self.fleet.at_mut(place).runs.get_mut(&task) else {
+            return;
+        };
+        match entry.state {
+            worker::RunState::Journaling => self.drop_unsent(place, task, now),
+            worker::RunState::Stopping { .. } => {}
+            worker::RunState::Starting
+            | worker::RunState::Running { .. }
+            | worker::RunState::Adopting => {
+                entry.state = worker::RunState::Stopping { taken: None };
+                entry.retry_at = now;
+                self.send_stop(place, task, now);
+            }
+        }
+    }
+
+    /// Sends a stop that has no answer yet.
+    pub(super) fn send_stop(&mut self, place: usize, task: spec::TaskId, now: time::Monotonic) {
+        let worker = self.fleet.at_mut(place);
+        // The token has to be known to the worker first, which the first look does.
+        if !worker.adopted {
+            return;
+        }
+        let Some(target) = worker.target(place) else {
+            return;
+        };
+        let Some(entry) = worker.runs.get_mut(&task) else {
+            return;
+        };
+        entry.retry_at = now + constants::STOP_RETRY * 2;
+        self.actions.push(action::Action::Stop {
+            target,
+            task,
+            run: entry.run,
+        });
+    }
+
+    /// Outcome of a stop.
+    pub fn on_stop(
+        &mut self,
+        place: usize,
+        task: spec::TaskId,
+        run: u32,
+        outcome: report::OrderOutcome,
+        now: time::Monotonic,
+    ) {
+        if outcome_is_fenced(outcome) {
+            self.actions.push(action::Action::Deposed);
+            return;
+        }
+        let worker = self.fleet.at_mut(place);
+        if let report::OrderOutcome::Taken(clock)
+        | report::OrderOutcome::Refused(_, Some(clock)) = outcome
+        {
+            worker.read_clock(clock, now);
+        }
+        if let report::OrderOutcome::Refused(report::Refusal::WrongWorker, _) = outcome {
+            worker.adopted = false;
+            worker.next_look = now;
+        }
+        let Some(entry) = worker.runs.get_mut(&task) else {
+            return;
+        };
+        if entry.run != run || !matches!(entry.state, worker::RunState::Stopping { .. }) {
+            return;
+        }
+        match outcome {
+            report::OrderOutcome::Taken(clock)
+            | report::OrderOutcome::Refused(report::Refusal::OldRun, Some(clock)) => {
+                entry.state = worker::RunState::Stopping { taken: Some(clock) };
+            }
+            report::OrderOutcome::Refused(..)
+            | report::OrderOutcome::NoEffect
+            | report::OrderOutcome::Unknown => entry.retry_at = now + constants::STOP_RETRY,
+        }
+    }
+}
+
+fn outcome_is_fenced(outcome: report::OrderOutcome) -> bool {
+    matches!(
+        outcome,
+        report::OrderOutcome::Refused(report::Refusal::Fenced, _)
+    )
+}
--- /dev/null
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -0,0 +1,73 @@
+//! Workers that come, change and go.
+
+use daisymast_jobs::spec;
+use daisymast_types::ids;
+use daisymast_types::time;
+
+use super::Scheduler;
+use crate::constants;
+use crate::worker;
+
+impl Scheduler {
+    /// A worker's entry was written.
+    pub fn worker_listed(&mut self, entry: worker::Entry, now: time::Monotonic) {
+        let place = self.fleet.place(&entry.id);
+        let worker = self.fleet.at_mut(place);
+        let reborn = worker.life > 0 && entry.born.is_some() && worker.born != entry.born;
+        let moved = worker.entry.as_ref().is_some_and(|known| known.address != entry.address);
+        if reborn || moved || !worker.listed {
+            worker.adopted = false;
+            worker.next_look = now;
+        }
+        worker.listed = true;
+        worker.entry = Some(entry);
+        self.dirty = true;
+    }
+
+    /// A worker's entry was removed. What runs there goes on until its lease has expired. After an
+    /// outage of the store, entries of live workers come back within two seconds.
+    pub fn worker_unlisted(&mut self, id: &ids::WorkerId, now: time::Monotonic) {
+        if let Some(place) = self.fleet.find(id) {
+            unlist(self.fleet.at_mut(place), now);
+        }
+    }
+
+    /// The list of workers was read anew: those that are not in it have gone.
+    pub fn retain_workers(&mut self, listed: &[ids::WorkerId], now: time::Monotonic) {
+        for worker in self.fleet.iter_mut() {
+            if !listed.contains(&worker.id) {
+                unlist(worker, now);
+            }
+        }
+    }
+
+    /// Queues the tasks of workers again whose lease has surely expired.
+    pub(super) fn expire_leases(&mut self, now: time::Monotonic) {
+        for place in 0..self.fleet.len() {
+            let worker = self.fleet.at_mut(place);
+            if worker.runs.is_empty() || now < worker.lease_end {
+                continue;
+            }
+            let gone: Vec<spec::TaskId> = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| run.state != worker::RunState::Journaling)
+                .map(|(&task, _)| task)
+                .collect();
+            if gone.is_empty() {
+                continue;
+            }
+            worker.adopted = false;
+            for task in gone {
+                self.release(place, task, now);
+            }
+        }
+    }
+}
+
+fn unlist(worker: &mut worker::Worker, now: time::Monotonic) {
+    if worker.listed {
+        worker.listed = false;
+        worker.gone_at = now + constants::RELIST;
+    }
+}
--- a/crates/daisymast_telemetry/src/logging.rs
+++ b/crates/daisymast_telemetry/src/logging.rs
@@ -14,7 +14,24 @@
 /// # Errors
 /// A logger is set already.
 pub fn start(level: LevelFilter) -> anyhow::Result<()> {
-    log4rs::init_config(config(level)?).context("start logging")?;
+    start_on(level, Output::Error)
+}
+
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Standard output, for daemons that print nothing else.
+    Standard,
+    /// Standard error.
+    Error,
+}
+
+/// Logs from `level` on to an output, one JSON object a line.
+///
+/// # Errors
+/// A logger is set already.
+pub fn start_on(level: LevelFilter, output: Output) -> anyhow::Result<()> {
+    log4rs::init_config(config_on(level, output)?).context("start logging")?;
     Ok(())
 }
 
@@ -32,8 +49,16 @@
 /// # Errors
 /// None in practice: names of appenders are fixed.
 pub fn config(level: LevelFilter) -> anyhow::Result<Config> {
+    config_on(level, Output::Error)
+}
+
+fn config_on(level: LevelFilter, output: Output) -> anyhow::Result<Config> {
+    let target = match output {
+        Output::Standard => Target::Stdout,
+        Output::Error => Target::Stderr,
+    };
     let console = ConsoleAppender::builder()
-        .target(Target::Stderr)
+        .target(target)
         .encoder(Box::new(JsonEncoder::new()))
         .build();
     Config::builder()
--- a/crates/daisymast_types/src/ids.rs
+++ b/crates/daisymast_types/src/ids.rs
@@ -83,6 +83,18 @@
     /// A worker: a machine that runs tasks.
     WorkerId
 );
+name_type!(
+    /// A label of a worker: its kind or its rack.
+    WorkerLabel
+);
+name_type!(
+    /// A queue that takes callers' jobs.
+    QueueName
+);
+name_type!(
+    /// A service: a pool of workers.
+    ServiceName
+);
 name_type!(
     /// One process of the system on an entry machine.
     InstanceId
