Order candidates by bands of speed

Cause: a comparison with a tolerance is no total order; the sort panicked and the scheduler's task ended without its process.

--- a/crates/daisymast_scheduler/src/scheduler/placement.rs
+++ b/crates/daisymast_scheduler/src/scheduler/placement.rs
@@ -28,7 +28,7 @@
     pub(super) place: usize,
     /// Number of tasks that fit.
     pub(super) fits: u32,
-    speed: f64,
+    band: i32,
     near: bool,
     free: u32,
 }
@@ -72,7 +72,7 @@
                 (fits > 0).then(|| Candidate {
                     place,
                     fits,
-                    speed: worker.speed,
+                    band: band(worker.speed),
                     near: is_near(worker, step),
                     free: room.millicores,
                 })
@@ -86,15 +86,9 @@
 
 fn compare(a: &Candidate, b: &Candidate, fast_first: bool) -> Ordering {
     let speed = if fast_first {
-        b.speed.total_cmp(&a.speed)
+        b.band.cmp(&a.band)
     } else {
-        a.speed.total_cmp(&b.speed)
-    };
-    // Small differences of the learned speed are noise; room decides between equal workers.
-    let speed = if (a.speed / b.speed).ln().abs() < FAST.ln() {
-        Ordering::Equal
-    } else {
-        speed
+        a.band.cmp(&b.band)
     };
     b.near
         .cmp(&a.near)
@@ -103,6 +97,17 @@
         .then(a.place.cmp(&b.place))
 }
 
+/// Speeds in one band count as equal: small differences of what was learned are noise. Bands keep
+/// the order total, which a comparison with a tolerance would not.
+fn band(speed: f64) -> i32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "a cast from a float saturates"
+    )]
+    let band = (speed.ln() / FAST.ln()).round() as i32;
+    band
+}
+
 /// Whether the worker belongs to the step's service and has the label that it requires.
 pub(super) fn may_run(worker: &worker::Worker, step: &steps::ReadyStep) -> bool {
     let Some(entry) = &worker.entry else {
