Let finished members of a gang wait for slower ones

Cause: a member of a gang that has done its part reports 99 or 100 percent until the slowest one is done. Change: runs from 99 percent on are not taken for hung. Decisions are logged, one JSON object a line.

--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -7,6 +7,7 @@
 use daisymast_election::{candidate, record};
 use daisymast_http::{client, executor};
 use daisymast_scheduler::config;
+use daisymast_telemetry::decisions;
 
 use crate::clock;
 use crate::constants;
@@ -23,6 +24,8 @@
     pub life: u64,
     /// The store.
     pub store: store::Store,
+    /// Log of decisions.
+    pub decisions: decisions::Recorder,
     /// Client for other nodes.
     pub peers: client::Client,
     /// Client for workers.
@@ -49,6 +52,7 @@
         Self {
             life: fastrand::u64(1..),
             store: store::Store::new(client(), settings.store),
+            decisions: decisions::Recorder::start(settings.instance.as_str()),
             peers: client(),
             workers: client(),
             advice: client(),
--- a/crates/daisymast_node/src/lead.rs
+++ b/crates/daisymast_node/src/lead.rs
@@ -306,6 +306,7 @@
     match action {
         action::Action::Answer { .. } => lead.deliver(action),
         action::Action::Deposed => lead.depose(),
+        action::Action::Log(decision) => context.decisions.record(lead.term, &decision),
         action => {
             let call = call(Arc::clone(context), Arc::clone(lead), action);
             context.executor.spawn(call).detach();
@@ -375,7 +376,7 @@
             let now = clock::now();
             lead.update(|scheduler| scheduler.on_advice(call, answer, now));
         }
-        action::Action::Answer { .. } | action::Action::Deposed => {}
+        action::Action::Answer { .. } | action::Action::Deposed | action::Action::Log(_) => {}
     }
 }
 
--- a/crates/daisymast_scheduler/src/action.rs
+++ b/crates/daisymast_scheduler/src/action.rs
@@ -7,6 +7,8 @@
 use daisymast_jobs::spec;
 use daisymast_types::ids;
 
+use crate::decision;
+
 /// A worker and its place in the fleet, which replies name.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -95,4 +97,6 @@
     },
     /// A worker has seen a later term.
     Deposed,
+    /// Log a decision.
+    Log(decision::Decision),
 }
--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -47,6 +47,8 @@
 pub const QUARANTINE: Duration = Duration::from_millis(2_500);
 /// Time without progress after which a run counts as hung.
 pub const HUNG: Duration = Duration::from_millis(2_500);
+/// Progress from which a run may wait for slower members of its gang.
+pub const WAITING_PERCENT: u8 = 99;
 /// Pause before a lasting task that ended is started again.
 pub const LASTING_PAUSE: Duration = Duration::from_millis(200);
 /// Room on each of the faster workers that is kept for urgent steps, in thousandths of its
--- a/crates/daisymast_scheduler/src/lib.rs
+++ b/crates/daisymast_scheduler/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod advisors;
 pub mod config;
 pub mod constants;
+pub mod decision;
 pub mod fleet;
 pub mod journal;
 pub mod lease;
--- a/crates/daisymast_scheduler/src/report.rs
+++ b/crates/daisymast_scheduler/src/report.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use daisymast_jobs::spec;
+use serde::Serialize;
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum End {
     /// Its work is done.
     Done,
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -18,6 +18,7 @@
 use crate::action;
 use crate::advisors;
 use crate::config;
+use crate::decision;
 use crate::fleet;
 use crate::journal;
 use crate::steps;
@@ -122,6 +123,10 @@
             .count()
     }
 
+    fn log(&mut self, decision: decision::Decision) {
+        self.actions.push(action::Action::Log(decision));
+    }
+
     /// Carries out an effect, now or when the records so far are stored.
     fn after_commit(&mut self, effect: journal::Effect, now: time::Monotonic) {
         if let Some(effect) = self.journal.after(effect) {
--- a/crates/daisymast_scheduler/src/scheduler/callers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/callers.rs
@@ -8,7 +8,9 @@
 
 use super::Scheduler;
 use crate::action;
+use crate::decision;
 use crate::journal;
+use crate::steps;
 
 impl Scheduler {
     /// Accepts a job. The same id again is the same job. The answer follows when it is stored.
@@ -35,6 +37,15 @@
                 spec: spec.clone(),
                 at: now.wall,
             });
+            let allowance_ms = self
+                .queue(&queue)
+                .map_or(0, |terms| steps::allowance_ms(terms, &spec));
+            self.log(decision::Decision::Submitted {
+                job: id,
+                queue: queue.clone(),
+                version: self.config.version,
+                allowance_ms,
+            });
             let job = job::Job::new(queue, spec, now.wall);
             if job.spec.schedule.is_some() {
                 self.scheduled.push(id);
@@ -57,6 +68,7 @@
             job.cancelled = true;
             self.journal.record(record::Record::Cancelled { job: id });
             self.after_commit(journal::Effect::Show(id, job::State::Cancelled), now);
+            self.log_finished(id);
             self.end_job(id, now);
         }
         let answer = journal::Effect::Answer(token, action::Answer::Cancelled);
@@ -82,10 +94,28 @@
         self.scheduled.retain(|&job| job != id);
         let placed: Vec<(usize, spec::TaskId)> = self.placed_tasks(id);
         for (place, task) in placed {
-            self.request_stop(place, task, now);
+            self.request_stop(place, task, decision::StopReason::JobEnded, now);
         }
     }
 
+    pub(super) fn log_finished(&mut self, id: spec::JobId) {
+        let Some(job) = self.book.job(id) else {
+            return;
+        };
+        let state = match job.state() {
+            job::State::Queued | job::State::Running => return,
+            job::State::Completed => "completed",
+            job::State::Failed => "failed",
+            job::State::Cancelled => "cancelled",
+        };
+        let after_ms = self.wall.0.saturating_sub(job.accepted.0);
+        self.log(decision::Decision::Finished {
+            job: id,
+            state,
+            after_ms,
+        });
+    }
+
     fn placed_tasks(&self, id: spec::JobId) -> Vec<(usize, spec::TaskId)> {
         let Some(job) = self.book.job(id) else {
             return Vec::new();
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -9,7 +9,9 @@
 use super::Scheduler;
 use super::placement;
 use crate::constants;
+use crate::decision;
 use crate::journal;
+use crate::lease;
 use crate::steps;
 use crate::worker;
 
@@ -129,6 +131,12 @@
         let runs = indexes.iter().filter_map(|&index| job.task(id.task(index)));
         let run = runs.map(|task| task.run).max().unwrap_or(0) + 1;
         let first = !job.started;
+        let slack_ms = if is_late(step, now) {
+            -signed(lease::millis(now - step.latest_start))
+        } else {
+            signed(lease::millis(step.latest_start - now))
+        };
+        let waiting = step.waiting.len();
         let mut rows = Vec::with_capacity(places.len());
         for (&index, &place) in indexes.iter().zip(&places) {
             let ticket = step.ticket(place, now);
@@ -150,6 +158,18 @@
                 },
             );
         }
+        if let Some((_, worker)) = rows.first() {
+            let placed = decision::Decision::Placed {
+                job: id.job,
+                step: id.step,
+                run,
+                tasks: rows.len(),
+                waiting,
+                slack_ms,
+                worker: worker.clone(),
+            };
+            self.log(placed);
+        }
         self.book.place(id, run, rows.clone());
         self.journal.record(record::Record::Placed {
             step: id,
@@ -208,6 +228,14 @@
     }
 }
 
+fn is_late(step: &steps::ReadyStep, now: time::Monotonic) -> bool {
+    now > step.latest_start
+}
+
+fn signed(millis: u64) -> i64 {
+    i64::try_from(millis).unwrap_or(i64::MAX)
+}
+
 /// Takes from each candidate as many places as fit, until enough are found.
 fn fill<'a>(
     candidates: impl Iterator<Item = &'a placement::Candidate>,
--- a/crates/daisymast_scheduler/src/scheduler/ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/ends.rs
@@ -9,7 +9,9 @@
 
 use super::Scheduler;
 use crate::constants;
+use crate::decision;
 use crate::journal;
+use crate::lease;
 use crate::report;
 use crate::worker;
 
@@ -31,6 +33,18 @@
         if let Some(step) = self.steps.get_mut(&ended.task.step) {
             step.take_off(place);
         }
+        if ended.end != report::End::Done {
+            let worker = self.fleet.at(place).id.clone();
+            self.log(decision::Decision::Ended {
+                job: ended.task.step.job,
+                step: ended.task.step.step,
+                task: ended.task.index,
+                run: ended.run,
+                worker,
+                end: ended.end,
+                after_ms: lease::millis(now - run.placed),
+            });
+        }
         match ended.end {
             report::End::Done => self.on_done(place, ended.task, &run, now),
             report::End::Failed => self.on_failed(place, ended.task, ended.run, now),
@@ -107,6 +121,7 @@
         let state = job.state();
         self.steps.remove(&id);
         if state == job::State::Completed {
+            self.log_finished(id.job);
             self.after_commit(journal::Effect::Show(id.job, state), now);
         } else {
             self.activate_occurrence(id.job, id.occurrence, now);
@@ -148,6 +163,7 @@
         if let Some(job) = self.book.job_mut(id) {
             job.failed = true;
         }
+        self.log_finished(id);
         self.journal.record(record::Record::GaveUp { job: id });
         self.after_commit(journal::Effect::Show(id, job::State::Failed), now);
         self.end_job(id, now);
@@ -159,6 +175,11 @@
         worker.strikes += 1;
         if worker.strikes >= constants::STRIKES {
             worker.quarantined = now + constants::QUARANTINE;
+            let quarantined = decision::Decision::Quarantined {
+                worker: worker.id.clone(),
+                strikes: worker.strikes,
+            };
+            self.log(quarantined);
         }
     }
 
--- a/crates/daisymast_scheduler/src/scheduler/gangs.rs
+++ b/crates/daisymast_scheduler/src/scheduler/gangs.rs
@@ -5,6 +5,7 @@
 use daisymast_types::time;
 
 use super::Scheduler;
+use crate::decision;
 
 impl Scheduler {
     /// Stops what is left of a gang. It is placed again when all its tasks wait.
@@ -21,7 +22,7 @@
         }
         step.aborting = true;
         for (place, task) in self.members(id) {
-            self.request_stop(place, task, now);
+            self.request_stop(place, task, decision::StopReason::GangBroken, now);
         }
     }
 
--- a/crates/daisymast_scheduler/src/scheduler/looks.rs
+++ b/crates/daisymast_scheduler/src/scheduler/looks.rs
@@ -6,6 +6,7 @@
 use super::Scheduler;
 use crate::action;
 use crate::constants;
+use crate::decision;
 use crate::journal;
 use crate::report;
 use crate::steps;
@@ -51,6 +52,13 @@
                 worker.misses += 1;
                 worker.told = 0;
                 worker.next_look = now + constants::LOOK_RETRY;
+                if worker.misses == 1 {
+                    let suspected = decision::Decision::WorkerSuspected {
+                        worker: worker.id.clone(),
+                        runs: worker.runs.len(),
+                    };
+                    self.log(suspected);
+                }
             }
         }
     }
@@ -72,11 +80,18 @@
             return;
         }
         worker.read_clock(report.clock_ms, now);
-        if worker.misses > 0 || !worker.adopted {
-            self.dirty = true;
-        }
+        let known = worker.misses > 0 || !worker.adopted;
         worker.misses = 0;
         worker.next_look = now + constants::LOOK_PAUSE;
+        if known {
+            self.dirty = true;
+            let known = decision::Decision::WorkerKnown {
+                worker: worker.id.clone(),
+                runs: report.running.len(),
+                reborn,
+            };
+            self.log(known);
+        }
         self.on_ends(place, report, now);
         self.reconcile(place, report, reborn, now);
         self.fleet.at_mut(place).adopted = true;
@@ -192,7 +207,17 @@
                 percent: running.percent,
                 progressed: now,
             };
-            self.fleet.at_mut(place).insert(running.task, stray);
+            let worker = self.fleet.at_mut(place);
+            worker.insert(running.task, stray);
+            let stopping = decision::Decision::Stopping {
+                job: running.task.step.job,
+                step: running.task.step.step,
+                task: running.task.index,
+                run: running.run,
+                worker: worker.id.clone(),
+                reason: decision::StopReason::Stray,
+            };
+            self.log(stopping);
             self.send_stop(place, running.task, now);
         }
     }
@@ -206,6 +231,7 @@
             .iter()
             .filter(|(task, run)| {
                 matches!(run.state, worker::RunState::Running { .. })
+                    && run.percent < constants::WAITING_PERCENT
                     && now - run.progressed > constants::HUNG
                     && self
                         .steps
@@ -220,7 +246,7 @@
         self.strike(place, now);
         self.fleet.at_mut(place).quarantined = now + constants::QUARANTINE;
         for task in hung {
-            self.request_stop(place, task, now);
+            self.request_stop(place, task, decision::StopReason::Hung, now);
         }
     }
 }
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -8,6 +8,7 @@
 use super::Scheduler;
 use crate::action;
 use crate::constants;
+use crate::decision;
 use crate::report;
 use crate::worker;
 
@@ -130,7 +131,7 @@
                 if entry.tries < constants::START_TRIES {
                     self.send_start(place, task, run, now);
                 } else {
-                    self.request_stop(place, task, now);
+                    self.request_stop(place, task, decision::StopReason::StartUnknown, now);
                 }
             }
         }
@@ -141,7 +142,7 @@
         if sent_once {
             self.release(place, task, now);
         } else {
-            self.request_stop(place, task, now);
+            self.request_stop(place, task, decision::StopReason::StartUnknown, now);
         }
     }
 
@@ -173,8 +174,16 @@
     }
 
     /// Ends a run. One that was not sent yet is dropped.
-    pub(super) fn request_stop(&mut self, place: usize, task: spec::TaskId, now: time::Monotonic) {
-        let Some(entry) = self.fleet.at_mut(place).runs.get_mut(&task) else {
+    pub(super) fn request_stop(
+        &mut self,
+        place: usize,
+        task: spec::TaskId,
+        reason: decision::StopReason,
+        now: time::Monotonic,
+    ) {
+        let worker = self.fleet.at_mut(place);
+        let id = worker.id.clone();
+        let Some(entry) = worker.runs.get_mut(&task) else {
             return;
         };
         match entry.state {
@@ -185,6 +194,15 @@
             | worker::RunState::Adopting => {
                 entry.state = worker::RunState::Stopping { taken: None };
                 entry.retry_at = now;
+                let stopping = decision::Decision::Stopping {
+                    job: task.step.job,
+                    step: task.step.step,
+                    task: task.index,
+                    run: entry.run,
+                    worker: id,
+                    reason,
+                };
+                self.log(stopping);
                 self.send_stop(place, task, now);
             }
         }
--- a/crates/daisymast_scheduler/src/scheduler/workers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -6,6 +6,7 @@
 
 use super::Scheduler;
 use crate::constants;
+use crate::decision;
 use crate::worker;
 
 impl Scheduler {
@@ -58,6 +59,11 @@
                 continue;
             }
             worker.adopted = false;
+            let expired = decision::Decision::LeaseExpired {
+                worker: worker.id.clone(),
+                runs: gone.len(),
+            };
+            self.log(expired);
             for task in gone {
                 self.release(place, task, now);
             }
--- /dev/null
+++ b/crates/daisymast_telemetry/src/decisions.rs
@@ -0,0 +1,117 @@
+//! Log of decisions: one JSON object a line on standard output, bounded in volume.
+//!
+//! Lines go through a bounded queue to a thread that writes them, so a slow reader of the output
+//! delays no decision. What the bounds left out is counted, and told with the next line.
+
+use std::io::Write;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use serde::Serialize;
+
+/// Lines a second on average.
+const LINES_PER_S: f64 = 150.0;
+/// Lines that may come at once.
+const BURST: f64 = 600.0;
+/// Lines that wait for the writer.
+const QUEUE: usize = 2_048;
+
+#[derive(Serialize)]
+struct Line<'a, T> {
+    time_ms: u64,
+    instance: &'a str,
+    term: u64,
+    #[serde(skip_serializing_if = "is_zero")]
+    left_out: u64,
+    #[serde(flatten)]
+    decision: &'a T,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde asks for a reference")]
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
+#[derive(Debug)]
+struct Budget {
+    lines: f64,
+    refilled: Instant,
+    left_out: u64,
+}
+
+impl Budget {
+    fn take(&mut self) -> bool {
+        let now = Instant::now();
+        let since = now.duration_since(self.refilled).as_secs_f64();
+        self.refilled = now;
+        self.lines = (self.lines + since * LINES_PER_S).min(BURST);
+        if self.lines < 1.0 {
+            self.left_out += 1;
+            return false;
+        }
+        self.lines -= 1.0;
+        true
+    }
+}
+
+/// Writes decisions.
+///
+/// ```
+/// let recorder = daisymast_telemetry::decisions::Recorder::start("edge-1");
+/// recorder.record(3, &serde_json::json!({"event": "submitted"}));
+/// ```
+#[derive(Debug)]
+pub struct Recorder {
+    instance: String,
+    budget: Mutex<Budget>,
+    lines: mpsc::SyncSender<Vec<u8>>,
+}
+
+impl Recorder {
+    /// Starts the writer of an instance's decisions.
+    pub fn start(instance: &str) -> Self {
+        let (lines, queued) = mpsc::sync_channel::<Vec<u8>>(QUEUE);
+        thread::spawn(move || {
+            while let Ok(line) = queued.recv() {
+                // A reader that is gone must not end the process.
+                drop(std::io::stdout().lock().write_all(&line));
+            }
+        });
+        Self {
+            instance: instance.to_owned(),
+            budget: Mutex::new(Budget {
+                lines: BURST,
+                refilled: Instant::now(),
+                left_out: 0,
+            }),
+            lines,
+        }
+    }
+
+    /// Writes a decision of a term, if the budget allows.
+    pub fn record<T: Serialize>(&self, term: u64, decision: &T) {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        if !budget.take() {
+            return;
+        }
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let line = Line {
+            time_ms: u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX),
+            instance: &self.instance,
+            term,
+            left_out: budget.left_out,
+            decision,
+        };
+        let Ok(mut line) = serde_json::to_vec(&line) else {
+            return;
+        };
+        line.push(b'\n');
+        budget.left_out = match self.lines.try_send(line) {
+            Ok(()) => 0,
+            Err(_) => budget.left_out + 1,
+        };
+    }
+}
