Do not extend the lease of a worker that does not answer

Change: looks after a miss carry no deadline; an address that answers as another worker ends the lease; counts and states that may change need a recent confirmation; commits without an answer are repeated after four times their usual time.

--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -18,6 +18,13 @@
 pub const COMMIT_PAUSE: Duration = Duration::from_millis(15);
 /// Longest time without a commit: then the term is confirmed by an empty one.
 pub const RENEW: Duration = Duration::from_millis(500);
+/// Age of the last confirmed commit up to which a scheduler answers questions at once.
+pub const FRESH: Duration = Duration::from_millis(1_000);
+/// Shortest time for a commit, and factor from its usual time to its limit. A commit whose answer is
+/// lost is sent again after that.
+pub const COMMIT_TIMEOUT_MIN: Duration = Duration::from_millis(120);
+/// Factor from the usual time of a commit to its limit.
+pub const COMMIT_TIMEOUT_FACTOR: u32 = 4;
 /// Time between two ticks of the scheduler.
 pub const TICK: Duration = Duration::from_millis(50);
 /// Time for an order to a worker.
--- a/crates/daisymast_node/src/lead.rs
+++ b/crates/daisymast_node/src/lead.rs
@@ -37,6 +37,7 @@
     deposed: AtomicBool,
     /// Whether a commit is open.
     committing: AtomicBool,
+    pace: Mutex<journal::Pace>,
 }
 
 impl Lead {
@@ -59,6 +60,7 @@
             woken,
             deposed: AtomicBool::new(false),
             committing: AtomicBool::new(false),
+            pace: Mutex::new(journal::Pace::new()),
         }
     }
 
@@ -124,7 +126,9 @@
     pub async fn state(&self, job: spec::JobId) -> peers::Reply {
         let state = lock(&self.scheduler).state(job);
         match state {
-            Some(state) => peers::Reply::Served(state.into()),
+            // A final state stays true whoever schedules.
+            Some(state) if state.is_final() => peers::Reply::Served(state.into()),
+            Some(state) => self.fresh(state.into()).await,
             None => {
                 self.confirmed(clock::now(), peers::Served::NoSuchJob)
                     .await
@@ -133,8 +137,19 @@
     }
 
     /// Number of jobs of a queue that have not started.
-    pub fn pending(&self, queue: &ids::QueueName) -> peers::Reply {
-        peers::Reply::Served(peers::Served::Pending(lock(&self.scheduler).pending(queue)))
+    pub async fn pending(&self, queue: &ids::QueueName) -> peers::Reply {
+        let count = lock(&self.scheduler).pending(queue);
+        self.fresh(peers::Served::Pending(count)).await
+    }
+
+    /// Gives an answer at once while the term was confirmed lately, and otherwise once it is: a
+    /// scheduler that was replaced and does not know it yet would tell old states.
+    async fn fresh(&self, answer: peers::Served) -> peers::Reply {
+        let now = clock::now();
+        if lock(&self.authority).age(now) <= constants::FRESH {
+            return peers::Reply::Served(answer);
+        }
+        self.confirmed(now, answer).await
     }
 
     /// Gives an answer that only the present scheduler may give: once a commit that was sent after
--- a/crates/daisymast_node/src/lead/journal.rs
+++ b/crates/daisymast_node/src/lead/journal.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use daisymast_adapter::{keys, store};
 use daisymast_election::record as election;
@@ -13,6 +14,37 @@
 use crate::context::{self, lock};
 use crate::lead;
 
+/// How long commits usually take.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Pace {
+    usual: Duration,
+}
+
+/// Weight of a new sample in the usual time of a commit, as a divisor.
+const PACE_DIVISOR: u32 = 8;
+
+impl Pace {
+    pub(super) fn new() -> Self {
+        Self {
+            usual: constants::COMMIT_TIMEOUT_MIN / constants::COMMIT_TIMEOUT_FACTOR,
+        }
+    }
+
+    fn timeout(self) -> Duration {
+        (self.usual * constants::COMMIT_TIMEOUT_FACTOR)
+            .clamp(constants::COMMIT_TIMEOUT_MIN, constants::STORE_TIMEOUT)
+    }
+
+    fn answered(&mut self, took: Duration) {
+        self.usual = self.usual - self.usual / PACE_DIVISOR + took / PACE_DIVISOR;
+    }
+
+    /// The store may be slow, so the next try gets more time.
+    fn unanswered(&mut self) {
+        self.usual = (self.usual * 2).min(constants::STORE_TIMEOUT);
+    }
+}
+
 /// Reads the journal. The term's own write of the leader key precedes this read, so no former
 /// scheduler can add to it any more. Returns the jobs and the number of the next batch.
 pub(super) async fn replay(context: &context::Context, term: u64) -> Option<(book::Book, u64)> {
@@ -135,12 +167,11 @@
 ) -> bool {
     while !lead.deposed.load(Ordering::Relaxed) {
         let sent = clock::now();
-        let committed = context
-            .store
-            .commit(transaction, constants::STORE_TIMEOUT)
-            .await;
+        let timeout = lock(&lead.pace).timeout();
+        let committed = context.store.commit(transaction, timeout).await;
         match committed {
             Ok(store::Committed::Done(_)) => {
+                lock(&lead.pace).answered(clock::now() - sent);
                 lock(&lead.authority).confirm(sent);
                 return true;
             }
@@ -160,7 +191,10 @@
                 return false;
             }
             Ok(store::Committed::Refused) => Timer::after(constants::STORE_RETRY / 2).await,
-            Err(_) => Timer::after(constants::COMMIT_PAUSE).await,
+            Err(_) => {
+                lock(&lead.pace).unanswered();
+                Timer::after(constants::COMMIT_PAUSE).await
+            }
         };
     }
     false
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -190,7 +190,7 @@
         Request::Submit { job, queue, spec } => lead.submit(job, queue, spec).await,
         Request::Cancel { job } => lead.cancel(job).await,
         Request::State { job } => lead.state(job).await,
-        Request::Pending { queue } => lead.pending(&queue),
+        Request::Pending { queue } => lead.pending(&queue).await,
         Request::Ping { .. } | Request::Ask { .. } => Reply::NotLeader,
     }
 }
--- a/crates/daisymast_scheduler/src/scheduler/looks.rs
+++ b/crates/daisymast_scheduler/src/scheduler/looks.rs
@@ -24,7 +24,13 @@
                 continue;
             };
             let idle = worker.runs.is_empty();
-            let deadline_ms = if idle { None } else { worker.extend(now) };
+            // A look that is not answered may arrive all the same. It must not extend the lease of a
+            // worker that is lost, or its tasks would never start elsewhere.
+            let deadline_ms = if idle || worker.misses > 0 {
+                None
+            } else {
+                worker.extend(now)
+            };
             let settled = worker.adopted && worker.misses == 0 && !idle;
             worker.looking = true;
             self.actions.push(action::Action::Hold {
@@ -49,6 +55,10 @@
             report::HoldOutcome::Report(report) => self.on_report(place, &report, now),
             report::HoldOutcome::Fenced => self.actions.push(action::Action::Deposed),
             report::HoldOutcome::WrongWorker | report::HoldOutcome::Failed => {
+                if outcome == report::HoldOutcome::WrongWorker {
+                    // Another worker has the address, so this one has ended, and with it its runs.
+                    worker.lease_end = now;
+                }
                 worker.misses += 1;
                 worker.told = 0;
                 worker.next_look = now + constants::LOOK_RETRY;
