Elect a new scheduler sooner and let submissions wait for it

Change: two refused pings or 0.7 s without a confirmed commit make a node look for another scheduler; a scheduler that says itself that it is stale is replaced without a poll; submissions wait for a successor for up to 1.8 s since the last answer of the former.

--- a/crates/daisymast_election/src/candidate.rs
+++ b/crates/daisymast_election/src/candidate.rs
@@ -7,12 +7,14 @@
 use crate::record;
 
 /// Time without an answer of the scheduler after which a node looks for another.
-pub const SUSPECT: Duration = Duration::from_millis(900);
+pub const SUSPECT: Duration = Duration::from_millis(700);
 /// Time without a confirmed commit after which a scheduler is suspected.
-pub const STALE: Duration = Duration::from_millis(1_500);
+pub const STALE: Duration = Duration::from_millis(700);
 /// Time for which the journal has to stand still before a node takes over that cannot ask most
 /// others.
-pub const STALLED: Duration = Duration::from_millis(2_000);
+pub const STALLED: Duration = Duration::from_millis(1_500);
+/// Pings on end that were refused, which means that no process listens there.
+pub const REFUSALS: u32 = 2;
 /// Delay of a candidate for each node that goes before it.
 pub const RANK_DELAY: Duration = Duration::from_millis(70);
 
@@ -68,6 +70,7 @@
     inspected_since_heard: bool,
     /// The scheduler's process said that it does not schedule.
     disowned: bool,
+    refusals: u32,
 }
 
 impl Candidate {
@@ -86,6 +89,7 @@
             poll: None,
             inspected_since_heard: false,
             disowned: false,
+            refusals: 0,
         }
     }
 
@@ -108,6 +112,7 @@
     ) {
         self.heard = now;
         self.stale = stale;
+        self.refusals = 0;
         if !members.is_empty() {
             self.members = members;
         }
@@ -145,9 +150,20 @@
             self.beat_changed = now;
             self.poll = None;
             self.disowned = false;
+            self.refusals = 0;
         }
     }
 
+    /// A ping surely did not reach the scheduler: no connection could be opened.
+    pub fn on_refused(&mut self) {
+        self.refusals += 1;
+    }
+
+    /// Time since the scheduler last answered.
+    pub fn silence(&self, now: time::Monotonic) -> Duration {
+        now - self.heard
+    }
+
     /// The scheduler's process answered that it does not schedule in this term, nor knows a later
     /// one: it was started anew.
     pub fn on_disowned(&mut self, term: u64) {
@@ -163,6 +179,7 @@
     pub fn is_content(&self, now: time::Monotonic) -> bool {
         self.elected.as_ref().is_some_and(|elected| !elected.leader.resigned)
             && !self.disowned
+            && self.refusals < REFUSALS
             && now - self.heard <= SUSPECT
             && self.stale <= STALE
     }
@@ -193,6 +210,10 @@
         if self.disowned || (self.beat_read && now - self.beat_changed >= STALLED) {
             return self.campaign(elected.term, false);
         }
+        // The scheduler itself tells that it does not reach the store, which answered this node.
+        if self.stale > STALE && now - self.heard <= SUSPECT {
+            return self.campaign(elected.term, false);
+        }
         match self.poll.take() {
             None => {
                 self.inspected_since_heard = true;
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 /// Pause between two pings of the scheduler.
-pub const PING_PAUSE: Duration = Duration::from_millis(300);
+pub const PING_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a read of the leader key.
+pub const INSPECT_PAUSE: Duration = Duration::from_millis(40);
 /// Time for a ping.
-pub const PING_TIMEOUT: Duration = Duration::from_millis(400);
+pub const PING_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time for one read or commit at the store, above its answers while it is slow.
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time that a watch waits for a change.
@@ -17,7 +19,7 @@
 /// Shortest time between two commits, so that they gather records.
 pub const COMMIT_PAUSE: Duration = Duration::from_millis(15);
 /// Longest time without a commit: then the term is confirmed by an empty one.
-pub const RENEW: Duration = Duration::from_millis(500);
+pub const RENEW: Duration = Duration::from_millis(300);
 /// Age of the last confirmed commit up to which a scheduler answers questions at once.
 pub const FRESH: Duration = Duration::from_millis(1_000);
 /// Shortest time for a commit, and factor from its usual time to its limit. A commit whose answer is
@@ -34,9 +36,10 @@
 /// Time within which a node that has pinged counts as alive.
 pub const ALIVE: Duration = Duration::from_millis(1_500);
 /// Time for a caller's request at the scheduler.
-pub const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_300);
-/// Time for which a request waits for a scheduler before it is refused.
-pub const LEADER_WAIT: Duration = Duration::from_millis(250);
+pub const FORWARD_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time without a scheduler for which requests wait for its successor. After that they are refused
+/// at once, since none seems to come soon.
+pub const LEADER_WAIT: Duration = Duration::from_millis(1_800);
 /// Pause before a request is sent to the scheduler again.
 pub const FORWARD_RETRY: Duration = Duration::from_millis(60);
 /// Time after which a request whose outcome is not known is given up.
--- a/crates/daisymast_node/src/follow.rs
+++ b/crates/daisymast_node/src/follow.rs
@@ -40,8 +40,10 @@
             }
             candidate::Step::Inspect => {
                 ping(&context).await;
-                inspect(&context).await;
-                Timer::after(constants::STORE_RETRY).await;
+                if !inspect(&context).await {
+                    Timer::after(constants::STORE_RETRY).await;
+                }
+                Timer::after(constants::INSPECT_PAUSE).await;
             }
             candidate::Step::Probe => probe(&context).await,
             candidate::Step::Campaign {
@@ -81,8 +83,15 @@
         version: context.config_version(),
     };
     let answer = peers::call(context, address, &request, constants::PING_TIMEOUT).await;
-    let outcome::Outcome::Done(peers::Reply::Pong(pong)) = answer else {
-        return;
+    let pong = match answer {
+        outcome::Outcome::Done(peers::Reply::Pong(pong)) => pong,
+        outcome::Outcome::NoEffect(_) => {
+            if term.is_some() {
+                context.candidate().on_refused();
+            }
+            return;
+        }
+        outcome::Outcome::Done(_) | outcome::Outcome::Unknown(_) => return,
     };
     let now = clock::now();
     if let Some(config) = pong.config {
@@ -105,13 +114,13 @@
     }
 }
 
-/// Reads who schedules, and whether the journal grows.
-async fn inspect(context: &context::Context) {
+/// Reads who schedules, and whether the journal grows. Returns whether the store answered.
+async fn inspect(context: &context::Context) -> bool {
     let timeout = constants::STORE_TIMEOUT;
     let leader = context.store.read(keys::LEADER, timeout).await;
     let beat = context.store.read(keys::BEAT, timeout).await;
     let (Ok(leader), Ok(beat)) = (leader, beat) else {
-        return;
+        return false;
     };
     let elected = leader.and_then(|item| {
         let leader = serde_json::from_slice(&item.value).ok()?;
@@ -124,6 +133,7 @@
     context
         .candidate()
         .on_inspect(elected, beat, clock::now());
+    true
 }
 
 /// Asks the other nodes whether they reach the scheduler.
--- a/crates/daisymast_node/src/front.rs
+++ b/crates/daisymast_node/src/front.rs
@@ -9,6 +9,7 @@
 use daisymast_protocol::outcome;
 use smol::Timer;
 
+use crate::clock;
 use crate::constants;
 use crate::context;
 use crate::peers;
@@ -79,13 +80,22 @@
     spec: spec::JobSpec,
 ) -> server::Response {
     let request = peers::Request::Submit { job, queue, spec };
-    match forward(context, &request, constants::LEADER_WAIT).await {
+    match forward(context, &request, patience(context)).await {
         Forwarded::Served(_) => server::Response::new(200, JSON, "{}"),
         Forwarded::NoEffect => refuse("no scheduler is reached; the job was not accepted"),
         Forwarded::Unknown => server::Response::text(504, "the outcome is not known"),
     }
 }
 
+/// Time for which a submission may wait for a scheduler.
+fn patience(context: &context::Context) -> Duration {
+    if context.lead().is_some() {
+        return constants::LEADER_WAIT;
+    }
+    let silence = context.candidate().silence(clock::now());
+    constants::LEADER_WAIT.saturating_sub(silence)
+}
+
 async fn cancel(context: &Arc<context::Context>, job: spec::JobId) -> server::Response {
     let request = peers::Request::Cancel { job };
     match forward(context, &request, constants::FORWARD_LIMIT).await {
--- a/crates/daisymast_node/src/lead/journal.rs
+++ b/crates/daisymast_node/src/lead/journal.rs
@@ -7,6 +7,7 @@
 use daisymast_adapter::{keys, store};
 use daisymast_election::record as election;
 use daisymast_jobs::{book, record};
+use daisymast_types::time;
 use smol::Timer;
 
 use crate::clock;
@@ -165,6 +166,8 @@
     transaction: &store::Transaction,
     written: Option<(&str, &[u8])>,
 ) -> bool {
+    let begun = clock::now();
+    let mut failures = 0_u32;
     while !lead.deposed.load(Ordering::Relaxed) {
         let sent = clock::now();
         let timeout = lock(&lead.pace).timeout();
@@ -173,6 +176,7 @@
             Ok(store::Committed::Done(_)) => {
                 lock(&lead.pace).answered(clock::now() - sent);
                 lock(&lead.authority).confirm(sent);
+                log_regained(failures, begun);
                 return true;
             }
             Ok(store::Committed::Conflict(items)) => {
@@ -184,22 +188,41 @@
                 });
                 if leads && stored {
                     lock(&lead.authority).confirm(sent);
+                    log_regained(failures, begun);
                     return true;
                 }
                 log::info!("term {} was replaced", lead.term);
                 lead.depose();
                 return false;
             }
-            Ok(store::Committed::Refused) => Timer::after(constants::STORE_RETRY / 2).await,
-            Err(_) => {
+            Ok(store::Committed::Refused) => {
+                log_lost(failures, "refused");
+                Timer::after(constants::STORE_RETRY / 2).await;
+            }
+            Err(error) => {
+                log_lost(failures, &error.reason);
                 lock(&lead.pace).unanswered();
-                Timer::after(constants::COMMIT_PAUSE).await
+                Timer::after(constants::COMMIT_PAUSE).await;
             }
-        };
+        }
+        failures += 1;
     }
     false
 }
 
+fn log_lost(failures: u32, reason: &str) {
+    if failures == 0 {
+        log::warn!("commit to the platform store failed: {reason}");
+    }
+}
+
+fn log_regained(failures: u32, begun: time::Monotonic) {
+    if failures > 0 {
+        let took = (clock::now() - begun).as_millis();
+        log::info!("commit took effect after {failures} failures and {took} ms");
+    }
+}
+
 /// Waits for the open commit, before the role is given back.
 pub(super) async fn finish(lead: &lead::Lead) {
     let begun = clock::now();
