Refuse at once what cannot be stored, and find a lost scheduler or zone sooner

Change: a scheduler whose commits are refused or unanswered for 0.5 s refuses new jobs, and takes back those whose record surely was not stored; pings run in a task of their own; two suspected workers of a zone let the others of the zone be asked; after an outage the scheduler gets 0.6 s to confirm its term.

--- a/crates/daisymast_election/src/candidate.rs
+++ b/crates/daisymast_election/src/candidate.rs
@@ -7,19 +7,21 @@
 use crate::record;
 
 /// Time without an answer of the scheduler after which a node looks for another.
-pub const SUSPECT: Duration = Duration::from_millis(700);
+pub const SUSPECT: Duration = Duration::from_millis(600);
 /// Time without a confirmed commit after which a scheduler is suspected.
 pub const STALE: Duration = Duration::from_millis(700);
 /// Time for which the journal has to stand still before a node takes over that cannot ask most
 /// others.
 pub const STALLED: Duration = Duration::from_millis(1_500);
+/// Time after a failed call to the store before a scheduler is replaced for want of a store.
+pub const STORE_BACK: Duration = Duration::from_millis(600);
 /// Pings on end that were refused, which means that no process listens there.
 pub const REFUSALS: u32 = 2;
 /// Delay of a candidate for each node that goes before it.
 pub const RANK_DELAY: Duration = Duration::from_millis(70);
 
 /// Delay of the smallest machine while the other nodes are not known.
-pub const SMALL_DELAY: Duration = Duration::from_millis(300);
+pub const SMALL_DELAY: Duration = Duration::from_millis(120);
 /// Thousandths of a core.
 const WHOLE_CORE: u32 = 1_000;
 
@@ -71,6 +73,8 @@
     /// The scheduler's process said that it does not schedule.
     disowned: bool,
     refusals: u32,
+    /// When a call of this node to the store last failed.
+    store_failed: Option<time::Monotonic>,
 }
 
 impl Candidate {
@@ -90,6 +94,7 @@
             inspected_since_heard: false,
             disowned: false,
             refusals: 0,
+            store_failed: None,
         }
     }
 
@@ -104,12 +109,7 @@
     }
 
     /// The scheduler answered a ping.
-    pub fn on_pong(
-        &mut self,
-        stale: Duration,
-        members: Vec<record::Member>,
-        now: time::Monotonic,
-    ) {
+    pub fn on_pong(&mut self, stale: Duration, members: Vec<record::Member>, now: time::Monotonic) {
         self.heard = now;
         self.stale = stale;
         self.refusals = 0;
@@ -159,6 +159,17 @@
         self.refusals += 1;
     }
 
+    /// A call of this node to the store failed.
+    pub fn on_store_failed(&mut self, now: time::Monotonic) {
+        self.store_failed = Some(now);
+    }
+
+    /// Whether the store has served this node for a while. After an outage the scheduler gets time to
+    /// confirm its term before it is replaced.
+    fn has_store(&self, now: time::Monotonic) -> bool {
+        self.store_failed.is_none_or(|failed| now - failed >= STORE_BACK)
+    }
+
     /// Time since the scheduler last answered.
     pub fn silence(&self, now: time::Monotonic) -> Duration {
         now - self.heard
@@ -167,7 +178,10 @@
     /// The scheduler's process answered that it does not schedule in this term, nor knows a later
     /// one: it was started anew.
     pub fn on_disowned(&mut self, term: u64) {
-        self.disowned = self.elected.as_ref().is_some_and(|elected| elected.term == term);
+        self.disowned = self
+            .elected
+            .as_ref()
+            .is_some_and(|elected| elected.term == term);
     }
 
     /// The other nodes were asked.
@@ -177,7 +191,9 @@
 
     /// Whether the scheduler is reached and has the store.
     pub fn is_content(&self, now: time::Monotonic) -> bool {
-        self.elected.as_ref().is_some_and(|elected| !elected.leader.resigned)
+        self.elected
+            .as_ref()
+            .is_some_and(|elected| !elected.leader.resigned)
             && !self.disowned
             && self.refusals < REFUSALS
             && now - self.heard <= SUSPECT
@@ -211,6 +227,9 @@
             return self.campaign(elected.term, false);
         }
         // The scheduler itself tells that it does not reach the store, which answered this node.
+        if self.stale > STALE && now - self.heard <= SUSPECT && !self.has_store(now) {
+            return Step::Inspect;
+        }
         if self.stale > STALE && now - self.heard <= SUSPECT {
             return self.campaign(elected.term, false);
         }
@@ -230,7 +249,10 @@
         let before = self.members.iter().filter(|other| {
             other.id != self.me.id
                 && (other.millicores, &other.id) > (self.me.millicores, &self.me.id)
-                && self.elected.as_ref().is_none_or(|e| e.leader.node.id != other.id)
+                && self
+                    .elected
+                    .as_ref()
+                    .is_none_or(|e| e.leader.node.id != other.id)
         });
         let rank = u32::try_from(before.count()).unwrap_or(u32::MAX);
         let mut delay = RANK_DELAY * rank.min(8);
--- a/crates/daisymast_jobs/src/record.rs
+++ b/crates/daisymast_jobs/src/record.rs
@@ -65,6 +65,20 @@
     },
 }
 
+impl Record {
+    /// The job that it is about; none for the terms of a queue.
+    pub fn job(&self) -> Option<spec::JobId> {
+        match self {
+            Self::Queue { .. } => None,
+            Self::Accepted { job, .. } | Self::GaveUp { job } | Self::Cancelled { job } => {
+                Some(*job)
+            }
+            Self::Placed { step, .. } | Self::GangDone { step } => Some(step.job),
+            Self::Done { task } | Self::Failed { task, .. } => Some(task.step.job),
+        }
+    }
+}
+
 /// Encodes a batch of records for one key of the store.
 ///
 /// # Errors
--- a/crates/daisymast_jobs/src/spec.rs
+++ b/crates/daisymast_jobs/src/spec.rs
@@ -45,9 +45,7 @@
 }
 
 /// One step of one occurrence of a job.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StepId {
     /// The job.
     pub job: JobId,
@@ -65,9 +63,7 @@
 }
 
 /// One task.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskId {
     /// The step that it belongs to.
     pub step: StepId,
@@ -177,12 +173,22 @@
                 return error("count", format!("step {position} has no task"));
             }
             tasks = tasks.saturating_add(step.tasks);
-            if step.after.iter().any(|&before| usize::from(before) >= position) {
-                return error("after", format!("step {position} may only name earlier steps"));
+            if step
+                .after
+                .iter()
+                .any(|&before| usize::from(before) >= position)
+            {
+                return error(
+                    "after",
+                    format!("step {position} may only name earlier steps"),
+                );
             }
         }
         if tasks > MAX_TASKS {
-            return error("count", format!("{tasks} tasks, at most {MAX_TASKS} are allowed"));
+            return error(
+                "count",
+                format!("{tasks} tasks, at most {MAX_TASKS} are allowed"),
+            );
         }
         Ok(())
     }
@@ -191,7 +197,11 @@
     pub fn critical_path_ms(&self) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
-            let begin = step.after.iter().map(|&before| ends[usize::from(before)]).max();
+            let begin = step
+                .after
+                .iter()
+                .map(|&before| ends[usize::from(before)])
+                .max();
             ends.push(begin.unwrap_or(0) + u64::from(step.estimate_ms));
         }
         ends.into_iter().max().unwrap_or(0)
--- a/crates/daisymast_node/src/configuration.rs
+++ b/crates/daisymast_node/src/configuration.rs
@@ -5,6 +5,7 @@
 use daisymast_adapter::{configuration, keys, store};
 use smol::Timer;
 
+use crate::clock;
 use crate::constants;
 use crate::context;
 
@@ -13,7 +14,10 @@
     loop {
         match read(&context).await {
             Ok(revision) => watch(&context, revision).await,
-            Err(error) => log::debug!("configuration was not read: {error}"),
+            Err(error) => {
+                context.candidate().on_store_failed(clock::now());
+                log::debug!("configuration was not read: {error}");
+            }
         }
         Timer::after(constants::STORE_RETRY).await;
     }
@@ -52,7 +56,11 @@
                 }
                 revision = next;
             }
-            Ok(store::Watched::HistoryLost) | Err(_) => return,
+            Ok(store::Watched::HistoryLost) => return,
+            Err(_) => {
+                context.candidate().on_store_failed(clock::now());
+                return;
+            }
         }
     }
 }
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 /// Pause between two pings of the scheduler.
-pub const PING_PAUSE: Duration = Duration::from_millis(250);
+pub const PING_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two looks at the state of the election.
+pub const FOLLOW_PAUSE: Duration = Duration::from_millis(50);
 /// Pause after a read of the leader key.
 pub const INSPECT_PAUSE: Duration = Duration::from_millis(40);
 /// Time for a ping.
@@ -27,10 +29,14 @@
 pub const COMMIT_TIMEOUT_MIN: Duration = Duration::from_millis(120);
 /// Factor from the usual time of a commit to its limit.
 pub const COMMIT_TIMEOUT_FACTOR: u32 = 4;
+/// Time without a commit that took effect after which new jobs are refused at once.
+pub const STORELESS: Duration = Duration::from_millis(500);
+/// Time for the answer of a node that is asked about the scheduler.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time between two ticks of the scheduler.
 pub const TICK: Duration = Duration::from_millis(50);
 /// Time for an order to a worker.
-pub const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time beyond its wait for a look at a worker.
 pub const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time within which a node that has pinged counts as alive.
@@ -44,8 +50,11 @@
 pub const FORWARD_RETRY: Duration = Duration::from_millis(60);
 /// Time after which a request whose outcome is not known is given up.
 pub const FORWARD_LIMIT: Duration = Duration::from_millis(2_600);
-/// Time after which a refused caller may come back.
+/// Time after which a caller may come back that was refused for want of a scheduler, in seconds.
 pub const RETRY_AFTER_S: u32 = 1;
+/// Time after which a caller may come back that was refused for want of the store, whose outages are
+/// longer, in seconds.
+pub const STORELESS_RETRY_S: u32 = 2;
 /// Time from SIGTERM for which new connections are still served: the platform's balancer needs two
 /// missed readiness checks, a second apart, to leave the node out.
 pub const DRAIN: Duration = Duration::from_millis(2_600);
--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -89,7 +89,10 @@
     /// Takes a configuration into force unless a later one already is. Returns whether it was taken.
     pub fn configure(&self, config: config::Configuration) -> bool {
         let mut known = lock(&self.config);
-        if known.as_ref().is_some_and(|known| known.version >= config.version) {
+        if known
+            .as_ref()
+            .is_some_and(|known| known.version >= config.version)
+        {
             return false;
         }
         log::info!("configuration {} is in force", config.version);
--- a/crates/daisymast_node/src/follow.rs
+++ b/crates/daisymast_node/src/follow.rs
@@ -28,18 +28,15 @@
             continue;
         }
         if context.is_draining() {
-            ping(&context).await;
             Timer::after(constants::PING_PAUSE).await;
             continue;
         }
         let step = context.candidate().next(clock::now());
         match step {
             candidate::Step::Follow => {
-                ping(&context).await;
-                Timer::after(constants::PING_PAUSE).await;
+                Timer::after(constants::FOLLOW_PAUSE).await;
             }
             candidate::Step::Inspect => {
-                ping(&context).await;
                 if !inspect(&context).await {
                     Timer::after(constants::STORE_RETRY).await;
                 }
@@ -61,6 +58,21 @@
     }
 }
 
+/// Pings the scheduler for as long as the process runs.
+pub async fn ping_always(context: Arc<context::Context>) {
+    loop {
+        ping(&context).await;
+        let known = context.candidate().elected().map(|elected| elected.term);
+        let begun = clock::now();
+        // A scheduler that is newly known is pinged at once, which tells whether it is alive.
+        while clock::now() - begun < constants::PING_PAUSE
+            && context.candidate().elected().map(|elected| elected.term) == known
+        {
+            Timer::after(constants::FOLLOW_PAUSE).await;
+        }
+    }
+}
+
 async fn ping(context: &context::Context) {
     let elected = context.candidate().elected().cloned();
     let Some(elected) = elected else {
@@ -120,6 +132,7 @@
     let leader = context.store.read(keys::LEADER, timeout).await;
     let beat = context.store.read(keys::BEAT, timeout).await;
     let (Ok(leader), Ok(beat)) = (leader, beat) else {
+        context.candidate().on_store_failed(clock::now());
         return false;
     };
     let elected = leader.and_then(|item| {
@@ -130,9 +143,7 @@
         })
     });
     let beat = beat.map_or(0, |item| item.revision);
-    context
-        .candidate()
-        .on_inspect(elected, beat, clock::now());
+    context.candidate().on_inspect(elected, beat, clock::now());
     true
 }
 
@@ -140,7 +151,9 @@
 async fn probe(context: &Arc<context::Context>) {
     let others: Vec<record::Member> = {
         let candidate = context.candidate();
-        let leader = candidate.elected().map(|elected| elected.leader.node.id.clone());
+        let leader = candidate
+            .elected()
+            .map(|elected| elected.leader.node.id.clone());
         let me = &context.settings.instance;
         let others = candidate.members().iter();
         others
@@ -163,8 +176,7 @@
                     from: context.member(),
                     version: context.config_version(),
                 };
-                let call =
-                    peers::call(&context, member.address, &request, constants::PING_TIMEOUT);
+                let call = peers::call(&context, member.address, &request, constants::PING_TIMEOUT);
                 match call.await {
                     outcome::Outcome::Done(peers::Reply::Pong(pong)) => !pong.content,
                     _ => false,
@@ -229,12 +241,7 @@
     }
 }
 
-async fn lead(
-    context: &Arc<context::Context>,
-    term: u64,
-    sent: time::Monotonic,
-    resigned: bool,
-) {
+async fn lead(context: &Arc<context::Context>, term: u64, sent: time::Monotonic, resigned: bool) {
     log::info!("elected in term {term}");
     context.set_term(term);
     lead::run(context, term, sent, resigned).await;
--- a/crates/daisymast_node/src/front.rs
+++ b/crates/daisymast_node/src/front.rs
@@ -60,6 +60,11 @@
     server::Response::text(404, "no such queue")
 }
 
+fn refuse_storeless() -> server::Response {
+    server::Response::text(503, "the store is not reached; the job was not accepted")
+        .with_retry_after(constants::STORELESS_RETRY_S)
+}
+
 fn refuse(reason: &'static str) -> server::Response {
     server::Response::text(503, reason).with_retry_after(constants::RETRY_AFTER_S)
 }
@@ -67,6 +72,8 @@
 /// What came of a request to the scheduler.
 enum Forwarded {
     Served(peers::Served),
+    /// The scheduler has refused it: it surely took no effect, and would not soon.
+    Refused,
     /// It surely took no effect.
     NoEffect,
     /// It may have taken effect.
@@ -83,6 +90,7 @@
     match forward(context, &request, patience(context)).await {
         Forwarded::Served(_) => server::Response::new(200, JSON, "{}"),
         Forwarded::NoEffect => refuse("no scheduler is reached; the job was not accepted"),
+        Forwarded::Refused => refuse_storeless(),
         Forwarded::Unknown => server::Response::text(504, "the outcome is not known"),
     }
 }
@@ -101,7 +109,7 @@
     match forward(context, &request, constants::FORWARD_LIMIT).await {
         Forwarded::Served(peers::Served::NoSuchJob) => server::Response::text(410, "no such job"),
         Forwarded::Served(_) => server::Response::new(200, JSON, "{}"),
-        Forwarded::NoEffect => refuse("no scheduler is reached"),
+        Forwarded::NoEffect | Forwarded::Refused => refuse("no scheduler is reached"),
         Forwarded::Unknown => server::Response::text(504, "the outcome is not known"),
     }
 }
@@ -109,7 +117,7 @@
 async fn read(context: &Arc<context::Context>, request: peers::Request) -> server::Response {
     let served = match forward(context, &request, constants::FORWARD_LIMIT).await {
         Forwarded::Served(served) => served,
-        Forwarded::NoEffect | Forwarded::Unknown => return refuse("no scheduler is reached"),
+        Forwarded::NoEffect | Forwarded::Refused | Forwarded::Unknown => return refuse("no scheduler is reached"),
     };
     let state = match served {
         peers::Served::NoSuchJob => return server::Response::text(410, "no such job"),
@@ -137,6 +145,8 @@
     loop {
         match attempt(context, request).await {
             Forwarded::Served(served) => return Forwarded::Served(served),
+            Forwarded::Refused if !unknown => return Forwarded::Refused,
+            Forwarded::Refused => return Forwarded::Unknown,
             Forwarded::NoEffect => {}
             Forwarded::Unknown => unknown = true,
         }
@@ -173,6 +183,7 @@
     };
     match reply {
         peers::Reply::Served(served) => Forwarded::Served(served),
+        peers::Reply::Unavailable => Forwarded::Refused,
         peers::Reply::NotLeader => Forwarded::NoEffect,
         peers::Reply::Unknown | peers::Reply::Pong(_) | peers::Reply::Advice(_) => {
             Forwarded::Unknown
--- a/crates/daisymast_node/src/lead.rs
+++ b/crates/daisymast_node/src/lead.rs
@@ -37,6 +37,8 @@
     deposed: AtomicBool,
     /// Whether a commit is open.
     committing: AtomicBool,
+    /// Whether the store has refused or left unanswered what was sent lately.
+    storeless: AtomicBool,
     pace: Mutex<journal::Pace>,
 }
 
@@ -60,6 +62,7 @@
             woken,
             deposed: AtomicBool::new(false),
             committing: AtomicBool::new(false),
+            storeless: AtomicBool::new(false),
             pace: Mutex::new(journal::Pace::new()),
         }
     }
@@ -105,6 +108,9 @@
         queue: ids::QueueName,
         spec: spec::JobSpec,
     ) -> peers::Reply {
+        if self.storeless.load(Ordering::Relaxed) {
+            return peers::Reply::Unavailable;
+        }
         let now = clock::timestamp();
         self.answer(|scheduler, token| scheduler.submit(token, job, queue, spec, now))
             .await
@@ -129,10 +135,7 @@
             // A final state stays true whoever schedules.
             Some(state) if state.is_final() => peers::Reply::Served(state.into()),
             Some(state) => self.fresh(state.into()).await,
-            None => {
-                self.confirmed(clock::now(), peers::Served::NoSuchJob)
-                    .await
-            }
+            None => self.confirmed(clock::now(), peers::Served::NoSuchJob).await,
         }
     }
 
@@ -178,6 +181,7 @@
         match receive.recv().await {
             Ok(action::Answer::Accepted) => peers::Reply::Served(peers::Served::Accepted),
             Ok(action::Answer::Cancelled) => peers::Reply::Served(peers::Served::Cancelled),
+            Ok(action::Answer::Refused) => peers::Reply::Unavailable,
             Ok(action::Answer::NoSuchJob) => peers::Reply::Served(peers::Served::NoSuchJob),
             Err(_) => peers::Reply::Unknown,
         }
--- a/crates/daisymast_node/src/lead/journal.rs
+++ b/crates/daisymast_node/src/lead/journal.rs
@@ -89,7 +89,9 @@
 
 fn is_replaced(context: &context::Context, term: u64) -> bool {
     let candidate = context.candidate();
-    candidate.elected().is_some_and(|elected| elected.term > term)
+    candidate
+        .elected()
+        .is_some_and(|elected| elected.term > term)
 }
 
 /// Writes batches, and confirms the term while there is nothing to write.
@@ -111,8 +113,15 @@
         };
         lead.committing.store(true, Ordering::Relaxed);
         last = clock::now();
-        let Some(written) = write(&context, &lead, &batch, next).await else {
-            return;
+        let written = match write(&context, &lead, &batch, next).await {
+            Written::Keys(written) => written,
+            Written::Nothing => {
+                lead.update(|scheduler| scheduler.withdraw(true));
+                lead.committing.store(false, Ordering::Relaxed);
+                Timer::after(constants::STORE_RETRY / 2).await;
+                continue;
+            }
+            Written::TermEnded => return,
         };
         next += written;
         let now = clock::now();
@@ -123,33 +132,51 @@
     }
 }
 
-/// Writes a batch, over several keys if it is large. Returns their number, none if the term ended.
+/// What became of a batch.
+enum Written {
+    /// It is stored under this number of keys.
+    Keys(u64),
+    /// It surely had no effect.
+    Nothing,
+    /// The term has ended.
+    TermEnded,
+}
+
+/// Writes a batch, over several keys if it is large.
 async fn write(
     context: &context::Context,
     lead: &lead::Lead,
     batch: &[record::Record],
     next: u64,
-) -> Option<u64> {
+) -> Written {
     let bytes = match record::encode(batch) {
         Ok(bytes) => bytes,
         Err(error) => {
             log::error!("batch {next} does not encode: {error}");
             lead.depose();
-            return None;
+            return Written::TermEnded;
         }
     };
     if bytes.len() > constants::BATCH_BYTES && batch.len() > 1 {
         let (first, second) = batch.split_at(batch.len() / 2);
-        let written = Box::pin(write(context, lead, first, next)).await?;
-        let more = Box::pin(write(context, lead, second, next + written)).await?;
-        return Some(written + more);
+        let mut keys = 0;
+        for half in [first, second] {
+            // A part that is stored binds the rest, so only the first may come to nothing.
+            loop {
+                match Box::pin(write(context, lead, half, next + keys)).await {
+                    Written::Keys(written) => keys += written,
+                    Written::Nothing if keys == 0 => return Written::Nothing,
+                    Written::Nothing => continue,
+                    Written::TermEnded => return Written::TermEnded,
+                }
+                break;
+            }
+        }
+        return Written::Keys(keys);
     }
     let key = keys::batch(next);
-    let transaction = transaction(lead)
-        .expect(&key, 0)
-        .put(&key, bytes.clone());
-    let done = commit(context, lead, &transaction, Some((&key, &bytes))).await;
-    done.then_some(1)
+    let transaction = transaction(lead).expect(&key, 0).put(&key, bytes.clone());
+    commit(context, lead, &transaction, Some((&key, &bytes))).await
 }
 
 fn transaction(lead: &lead::Lead) -> store::Transaction {
@@ -158,15 +185,16 @@
         .put(keys::BEAT, lead.term.to_string().into_bytes())
 }
 
-/// Commits until the outcome is known. The conditions let a repeated commit take effect once.
-/// Returns whether it took effect.
+/// Commits until the outcome is known. The conditions let a repeated commit take effect once. If the
+/// store refuses each try for a while, the commit surely had no effect and is given up.
 async fn commit(
     context: &context::Context,
     lead: &lead::Lead,
     transaction: &store::Transaction,
     written: Option<(&str, &[u8])>,
-) -> bool {
+) -> Written {
     let begun = clock::now();
+    let mut unknown = false;
     let mut failures = 0_u32;
     while !lead.deposed.load(Ordering::Relaxed) {
         let sent = clock::now();
@@ -177,37 +205,51 @@
                 lock(&lead.pace).answered(clock::now() - sent);
                 lock(&lead.authority).confirm(sent);
                 log_regained(failures, begun);
-                return true;
+                lead.storeless.store(false, Ordering::Relaxed);
+                return Written::Keys(1);
             }
             Ok(store::Committed::Conflict(items)) => {
                 let leads = items
                     .iter()
                     .any(|item| item.key == keys::LEADER && item.revision == lead.term);
                 let stored = written.is_some_and(|(key, bytes)| {
-                    items.iter().any(|item| item.key == key && item.value == bytes)
+                    items
+                        .iter()
+                        .any(|item| item.key == key && item.value == bytes)
                 });
                 if leads && stored {
                     lock(&lead.authority).confirm(sent);
                     log_regained(failures, begun);
-                    return true;
+                    lead.storeless.store(false, Ordering::Relaxed);
+                    return Written::Keys(1);
                 }
                 log::info!("term {} was replaced", lead.term);
                 lead.depose();
-                return false;
+                return Written::TermEnded;
             }
             Ok(store::Committed::Refused) => {
                 log_lost(failures, "refused");
+                if clock::now() - begun >= constants::STORELESS && !unknown {
+                    lead.storeless.store(true, Ordering::Relaxed);
+                    return Written::Nothing;
+                }
                 Timer::after(constants::STORE_RETRY / 2).await;
             }
             Err(error) => {
                 log_lost(failures, &error.reason);
+                unknown = true;
                 lock(&lead.pace).unanswered();
+                if clock::now() - begun >= constants::STORELESS
+                    && !lead.storeless.swap(true, Ordering::Relaxed)
+                {
+                    lead.update(|scheduler| scheduler.withdraw(false));
+                }
                 Timer::after(constants::COMMIT_PAUSE).await;
             }
         }
         failures += 1;
     }
-    false
+    Written::TermEnded
 }
 
 fn log_lost(failures: u32, reason: &str) {
@@ -226,8 +268,7 @@
 /// Waits for the open commit, before the role is given back.
 pub(super) async fn finish(lead: &lead::Lead) {
     let begun = clock::now();
-    while lead.committing.load(Ordering::Relaxed)
-        && clock::now() - begun < constants::STORE_TIMEOUT
+    while lead.committing.load(Ordering::Relaxed) && clock::now() - begun < constants::STORE_TIMEOUT
     {
         Timer::after(constants::COMMIT_PAUSE).await;
     }
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -131,6 +131,8 @@
     Served(Served),
     /// The node does not schedule and did nothing.
     NotLeader,
+    /// The scheduler has no store now and did nothing.
+    Unavailable,
     /// The node stopped scheduling before the outcome was known.
     Unknown,
     /// Answer of the advice service, if it came in time.
--- a/crates/daisymast_node/src/process.rs
+++ b/crates/daisymast_node/src/process.rs
@@ -86,8 +86,8 @@
             other => return Err(other.unexpected().into()),
         }
     }
-    let settings = settings
-        .with_context(|| format!("--settings or {} is needed", settings::PATH_VARIABLE))?;
+    let settings =
+        settings.with_context(|| format!("--settings or {} is needed", settings::PATH_VARIABLE))?;
     Ok(Some(Arguments { settings, check }))
 }
 
@@ -109,6 +109,7 @@
     let tasks = [
         executor.spawn(configuration::keep(Arc::clone(&context))),
         executor.spawn(follow::run(Arc::clone(&context))),
+        executor.spawn(follow::ping_always(Arc::clone(&context))),
     ];
     signals.wait_for_end(&path).await;
     log::info!("node {} drains", context.settings.instance);
@@ -139,7 +140,12 @@
     let limits = server::Limits::default().with_header_timeout(constants::CALLER_IDLE);
     let shared = Arc::clone(context);
     let handler = move |request| front::serve(Arc::clone(&shared), request);
-    Ok(server::Server::start(&context.executor, listener, limits, handler)?)
+    Ok(server::Server::start(
+        &context.executor,
+        listener,
+        limits,
+        handler,
+    )?)
 }
 
 async fn serve_peers(context: &Arc<context::Context>) -> anyhow::Result<server::Server> {
@@ -149,7 +155,12 @@
         .with_body_bytes(4 * 1024 * 1024);
     let shared = Arc::clone(context);
     let handler = move |request| peers::serve(Arc::clone(&shared), request);
-    Ok(server::Server::start(&context.executor, listener, limits, handler)?)
+    Ok(server::Server::start(
+        &context.executor,
+        listener,
+        limits,
+        handler,
+    )?)
 }
 
 async fn serve_readiness(context: &Arc<context::Context>) -> anyhow::Result<server::Server> {
@@ -166,7 +177,12 @@
             }
         }
     };
-    Ok(server::Server::start(&context.executor, listener, limits, handler)?)
+    Ok(server::Server::start(
+        &context.executor,
+        listener,
+        limits,
+        handler,
+    )?)
 }
 
 /// Signals that have arrived.
--- a/crates/daisymast_scheduler/src/action.rs
+++ b/crates/daisymast_scheduler/src/action.rs
@@ -29,6 +29,8 @@
     Cancelled,
     /// There is no such job.
     NoSuchJob,
+    /// The job was not accepted and never runs, as it cannot be stored now.
+    Refused,
 }
 
 /// An order to start a task.
--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -19,6 +19,8 @@
 pub const SLOW_CLOCK_PERMILLE: u64 = 1_021;
 /// Further time after which a lease has surely expired.
 pub const LEASE_MARGIN: Duration = Duration::from_millis(30);
+/// Workers of a zone that are suspected at the same time before the others of the zone are asked.
+pub const ZONE_SUSPECTS: usize = 2;
 /// Sends of a start before it is stopped.
 pub const START_TRIES: u8 = 2;
 /// Validity that a ticket needs when a start is decided: the start is journaled and sent first.
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -136,7 +136,7 @@
 
     fn apply(&mut self, effect: journal::Effect, now: time::Monotonic) {
         match effect {
-            journal::Effect::Answer(token, answer) => {
+            journal::Effect::Answer { token, answer, .. } => {
                 self.actions.push(action::Action::Answer { token, answer });
             }
             journal::Effect::Show(id, state) => {
@@ -174,12 +174,9 @@
             .map(|(_, index)| index)
             .collect();
         let allowance = steps::allowance_ms(queue, &job.spec);
-        let begun = job
-            .spec
-            .schedule
-            .map_or(job.accepted.0, |schedule| {
-                schedule.start_ms + schedule.interval_ms * u64::from(id.occurrence)
-            });
+        let begun = job.spec.schedule.map_or(job.accepted.0, |schedule| {
+            schedule.start_ms + schedule.interval_ms * u64::from(id.occurrence)
+        });
         // Clocks of the nodes differ, so a time ahead of ours counts as now.
         let age = self.wall.0.saturating_sub(begun);
         let millis = std::time::Duration::from_millis;
--- a/crates/daisymast_scheduler/src/scheduler/callers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/callers.rs
@@ -53,10 +53,35 @@
             self.book.insert(id, job);
             self.activate_occurrence(id, 0, now.mono);
         }
-        let answer = journal::Effect::Answer(token, action::Answer::Accepted);
+        let answer = journal::Effect::Answer {
+            token,
+            job: id,
+            answer: action::Answer::Accepted,
+        };
         self.after_commit(answer, now.mono);
     }
 
+    /// The store takes no records now. Jobs whose acceptance was surely not stored are taken back,
+    /// and their callers told so at once. `recall` says that the batch in flight had no effect.
+    pub fn withdraw(&mut self, recall: bool) {
+        if recall {
+            self.journal.recall();
+        }
+        let (jobs, callers) = self.journal.withdraw();
+        for id in jobs {
+            for (place, task) in self.placed_tasks(id) {
+                self.fleet.at_mut(place).remove(task);
+            }
+            self.steps.retain(|step, _| step.job != id);
+            self.scheduled.retain(|&job| job != id);
+            self.book.remove(id);
+        }
+        for token in callers {
+            let answer = action::Answer::Refused;
+            self.actions.push(action::Action::Answer { token, answer });
+        }
+    }
+
     /// Cancels a job. The answer follows when the cancel is stored.
     pub fn cancel(&mut self, token: u64, id: spec::JobId, now: time::Monotonic) {
         let Some(job) = self.book.job_mut(id) else {
@@ -71,7 +96,11 @@
             self.log_finished(id);
             self.end_job(id, now);
         }
-        let answer = journal::Effect::Answer(token, action::Answer::Cancelled);
+        let answer = journal::Effect::Answer {
+            token,
+            job: id,
+            answer: action::Answer::Cancelled,
+        };
         self.after_commit(answer, now);
     }
 
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -103,7 +103,10 @@
             for candidate in candidates.iter().filter(usable) {
                 *by_rack.entry(rack_of(candidate.place)).or_default() += candidate.fits;
             }
-            let rack = by_rack.into_iter().filter(|(_, fits)| *fits >= needed).min();
+            let rack = by_rack
+                .into_iter()
+                .filter(|(_, fits)| *fits >= needed)
+                .min();
             if let Some((rack, _)) = rack {
                 let same = candidates.iter().filter(usable);
                 fill(
--- a/crates/daisymast_scheduler/src/scheduler/ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/ends.rs
@@ -20,7 +20,11 @@
     /// their task was given up only after the lease had expired.
     pub(super) fn on_end(&mut self, place: usize, ended: &report::Ended, now: time::Monotonic) {
         let worker = self.fleet.at_mut(place);
-        if worker.runs.get(&ended.task).is_none_or(|run| run.run != ended.run) {
+        if worker
+            .runs
+            .get(&ended.task)
+            .is_none_or(|run| run.run != ended.run)
+        {
             return;
         }
         let Some(run) = worker.remove(ended.task) else {
@@ -99,7 +103,8 @@
             if job.tasks(task.step).is_some_and(job::StepTasks::is_done) {
                 return;
             }
-            self.journal.record(record::Record::GangDone { step: task.step });
+            self.journal
+                .record(record::Record::GangDone { step: task.step });
             self.book.finish_gang(task.step);
         } else {
             if !job.finish(task) {
@@ -141,16 +146,13 @@
         };
         let lasting = step.lasting;
         // Attempts of a gang are counted once, at its first task.
-        let counted = if step.gang {
-            task.step.task(0)
-        } else {
-            task
-        };
+        let counted = if step.gang { task.step.task(0) } else { task };
         let queue = job.queue.clone();
         let failures = job.fail(counted, run);
         let attempts = self.queue(&queue).map_or(u32::MAX, |queue| queue.attempts);
         if let Some(failures) = failures {
-            self.journal.record(record::Record::Failed { task: counted, run });
+            self.journal
+                .record(record::Record::Failed { task: counted, run });
             if failures >= attempts && !lasting {
                 self.give_up(task.step.job, now);
                 return;
--- a/crates/daisymast_scheduler/src/scheduler/looks.rs
+++ b/crates/daisymast_scheduler/src/scheduler/looks.rs
@@ -59,20 +59,56 @@
                     // Another worker has the address, so this one has ended, and with it its runs.
                     worker.lease_end = now;
                 }
-                worker.misses += 1;
                 worker.told = 0;
-                worker.next_look = now + constants::LOOK_RETRY;
-                if worker.misses == 1 {
-                    let suspected = decision::Decision::WorkerSuspected {
-                        worker: worker.id.clone(),
-                        runs: worker.runs.len(),
-                    };
-                    self.log(suspected);
+                let first = worker.misses == 0;
+                worker.misses += 1;
+                if first {
+                    self.on_suspected(place, now);
                 }
+                self.fleet.at_mut(place).next_look = now + constants::LOOK_RETRY;
             }
         }
     }
 
+    /// A worker does not answer an order or a look: nothing is placed there until a look succeeds.
+    pub(super) fn suspect(&mut self, place: usize, now: time::Monotonic) {
+        let worker = self.fleet.at_mut(place);
+        if worker.misses > 0 {
+            return;
+        }
+        worker.misses = 1;
+        // The open look may wait for long; its answer still counts when it comes.
+        worker.looking = false;
+        worker.next_look = now;
+        self.on_suspected(place, now);
+    }
+
+    fn on_suspected(&mut self, place: usize, now: time::Monotonic) {
+        let worker = self.fleet.at(place);
+        let suspected = decision::Decision::WorkerSuspected {
+            worker: worker.id.clone(),
+            runs: worker.runs.len(),
+        };
+        let zone = worker.entry.as_ref().map(|entry| entry.zone.clone());
+        self.log(suspected);
+        let Some(zone) = zone else {
+            return;
+        };
+        let same = |worker: &worker::Worker| {
+            worker.listed && worker.entry.as_ref().is_some_and(|entry| entry.zone == zone)
+        };
+        let suspects = self.fleet.iter().filter(|one| same(one) && one.misses > 0);
+        if suspects.count() != constants::ZONE_SUSPECTS {
+            return;
+        }
+        // The zone may be cut off, which the looks of the others would show only much later.
+        for worker in self.fleet.iter_mut().filter(|one| same(one) && one.misses == 0) {
+            worker.misses = 1;
+            worker.looking = false;
+            worker.next_look = now;
+        }
+    }
+
     fn on_report(&mut self, place: usize, report: &report::Report, now: time::Monotonic) {
         let worker = self.fleet.at_mut(place);
         let reborn = worker.born != report.born || worker.life == 0;
@@ -84,7 +120,10 @@
             worker.noted = 0;
             worker.told = 0;
             worker.strikes = 0;
-        } else if worker.clock.is_some_and(|clock| report.clock_ms < clock.reading) {
+        } else if worker
+            .clock
+            .is_some_and(|clock| report.clock_ms < clock.reading)
+        {
             // A later answer overtook this one.
             worker.next_look = now;
             return;
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -28,9 +28,10 @@
         let is_gang = job.step(task.step).is_some_and(|step| step.gang);
         let keeper = if is_gang { task.step.task(0) } else { task };
         let checkpoint = job.task(keeper).and_then(|task| task.checkpoint.clone());
-        let ticket_ends = self.steps.get(&task.step).is_some_and(|step| {
-            step.advice.is_some() && step.ticket(place, now).is_none()
-        });
+        let ticket_ends = self
+            .steps
+            .get(&task.step)
+            .is_some_and(|step| step.advice.is_some() && step.ticket(place, now).is_none());
         let worker = self.fleet.at_mut(place);
         let usable = (worker.listed || now < worker.gone_at)
             && !worker.entry.as_ref().is_some_and(|entry| entry.draining);
@@ -38,7 +39,12 @@
             return;
         };
         let unsent = entry.state == worker::RunState::Journaling;
-        if entry.run != run || !matches!(entry.state, worker::RunState::Journaling | worker::RunState::Starting) {
+        if entry.run != run
+            || !matches!(
+                entry.state,
+                worker::RunState::Journaling | worker::RunState::Starting
+            )
+        {
             return;
         }
         let target = worker.target(place);
@@ -100,8 +106,8 @@
             return;
         }
         let worker = self.fleet.at_mut(place);
-        if let report::OrderOutcome::Taken(clock)
-        | report::OrderOutcome::Refused(_, Some(clock)) = outcome
+        if let report::OrderOutcome::Taken(clock) | report::OrderOutcome::Refused(_, Some(clock)) =
+            outcome
         {
             worker.read_clock(clock, now);
         }
@@ -123,12 +129,13 @@
                 self.settle(place, task, sent_once, now);
             }
             report::OrderOutcome::NoEffect => {
-                worker.misses += 1;
-                worker.next_look = now;
+                self.suspect(place, now);
                 self.settle(place, task, sent_once, now);
             }
             report::OrderOutcome::Unknown => {
-                if entry.tries < constants::START_TRIES {
+                let again = entry.tries < constants::START_TRIES;
+                self.suspect(place, now);
+                if again {
                     self.send_start(place, task, run, now);
                 } else {
                     self.request_stop(place, task, decision::StopReason::StartUnknown, now);
@@ -243,8 +250,8 @@
             return;
         }
         let worker = self.fleet.at_mut(place);
-        if let report::OrderOutcome::Taken(clock)
-        | report::OrderOutcome::Refused(_, Some(clock)) = outcome
+        if let report::OrderOutcome::Taken(clock) | report::OrderOutcome::Refused(_, Some(clock)) =
+            outcome
         {
             worker.read_clock(clock, now);
         }
@@ -263,9 +270,11 @@
             | report::OrderOutcome::Refused(report::Refusal::OldRun, Some(clock)) => {
                 entry.state = worker::RunState::Stopping { taken: Some(clock) };
             }
-            report::OrderOutcome::Refused(..)
-            | report::OrderOutcome::NoEffect
-            | report::OrderOutcome::Unknown => entry.retry_at = now + constants::STOP_RETRY,
+            report::OrderOutcome::Refused(..) => entry.retry_at = now + constants::STOP_RETRY,
+            report::OrderOutcome::NoEffect | report::OrderOutcome::Unknown => {
+                entry.retry_at = now + constants::STOP_RETRY;
+                self.suspect(place, now);
+            }
         }
     }
 }
--- a/crates/daisymast_scheduler/src/scheduler/placement.rs
+++ b/crates/daisymast_scheduler/src/scheduler/placement.rs
@@ -64,7 +64,9 @@
                 worker.is_usable(now)
                     && may_run(worker, step)
                     && !step.is_denied(*place)
-                    && worker.reserved.is_none_or(|by| by == step.id || step.priority == 0)
+                    && worker
+                        .reserved
+                        .is_none_or(|by| by == step.id || step.priority == 0)
             })
             .filter_map(|(place, worker)| {
                 let room = usable_room(worker, step, speeds);
--- a/crates/daisymast_scheduler/src/scheduler/workers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -15,7 +15,10 @@
         let place = self.fleet.place(&entry.id);
         let worker = self.fleet.at_mut(place);
         let reborn = worker.life > 0 && entry.born.is_some() && worker.born != entry.born;
-        let moved = worker.entry.as_ref().is_some_and(|known| known.address != entry.address);
+        let moved = worker
+            .entry
+            .as_ref()
+            .is_some_and(|known| known.address != entry.address);
         if reborn || moved || !worker.listed {
             worker.adopted = false;
             worker.next_look = now;
--- a/crates/daisymast_telemetry/src/decisions.rs
+++ b/crates/daisymast_telemetry/src/decisions.rs
@@ -30,7 +30,10 @@
     decision: &'a T,
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde asks for a reference")]
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde asks for a reference"
+)]
 fn is_zero(count: &u64) -> bool {
     *count == 0
 }
