Keep learned speeds over a takeover and leave out nodes that did not answer

Change: learned speeds are journaled when they change by 15 percent; a node that did not answer is not asked for 2 s; a node counts as alive for 0.9 s after its ping.

--- a/crates/daisymast_jobs/src/book.rs
+++ b/crates/daisymast_jobs/src/book.rs
@@ -13,6 +13,8 @@
 pub struct Book {
     jobs: collections::FastMap<spec::JobId, job::Job>,
     queues: collections::FastMap<ids::QueueName, queue::Queue>,
+    /// Learned speeds of workers, in thousandths.
+    speeds: collections::FastMap<ids::WorkerId, u32>,
 }
 
 impl Book {
@@ -26,6 +28,16 @@
         self.queues.get(name)
     }
 
+    /// Learned speed of a worker, in thousandths.
+    pub fn speed(&self, worker: &ids::WorkerId) -> Option<u32> {
+        self.speeds.get(worker).copied()
+    }
+
+    /// Sets the learned speed of a worker, in thousandths.
+    pub fn set_speed(&mut self, worker: ids::WorkerId, permille: u32) {
+        self.speeds.insert(worker, permille);
+    }
+
     /// Sets the terms of a queue.
     pub fn set_queue(&mut self, terms: queue::Queue) {
         self.queues.insert(terms.name.clone(), terms);
@@ -62,6 +74,7 @@
     pub fn apply(&mut self, record: record::Record) {
         match record {
             record::Record::Queue { terms } => self.set_queue(terms),
+            record::Record::Speed { worker, permille } => self.set_speed(worker, permille),
             record::Record::Accepted {
                 job,
                 queue,
--- a/crates/daisymast_jobs/src/record.rs
+++ b/crates/daisymast_jobs/src/record.rs
@@ -16,6 +16,13 @@
         /// The terms.
         terms: queue::Queue,
     },
+    /// Speed that was learned of a worker, so that a takeover does not forget it.
+    Speed {
+        /// The worker.
+        worker: ids::WorkerId,
+        /// Its speed against the declared run times, in thousandths.
+        permille: u32,
+    },
     /// A job was accepted.
     Accepted {
         /// Its id.
@@ -66,10 +73,10 @@
 }
 
 impl Record {
-    /// The job that it is about; none for the terms of a queue.
+    /// The job that it is about, if any.
     pub fn job(&self) -> Option<spec::JobId> {
         match self {
-            Self::Queue { .. } => None,
+            Self::Queue { .. } | Self::Speed { .. } => None,
             Self::Accepted { job, .. } | Self::GaveUp { job } | Self::Cancelled { job } => {
                 Some(*job)
             }
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -40,7 +40,7 @@
 /// Time beyond its wait for a look at a worker.
 pub const LOOK_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time within which a node that has pinged counts as alive.
-pub const ALIVE: Duration = Duration::from_millis(1_500);
+pub const ALIVE: Duration = Duration::from_millis(900);
 /// Time for a caller's request at the scheduler.
 pub const FORWARD_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time without a scheduler for which requests wait for its successor. After that they are refused
--- a/crates/daisymast_scheduler/src/advisors.rs
+++ b/crates/daisymast_scheduler/src/advisors.rs
@@ -13,6 +13,8 @@
 const LONG: Duration = Duration::from_millis(60);
 /// Open questions of one node, below the 32 that the service lets wait.
 const OPEN_LIMIT: usize = 16;
+/// Time for which a node that did not answer gets no question.
+const SHUN: Duration = Duration::from_millis(2_000);
 /// Share of the nodes, in hundredths, that take long questions.
 const LONG_NODES_PERCENT: usize = 65;
 
@@ -21,6 +23,8 @@
     id: ids::InstanceId,
     busy_until: time::Monotonic,
     open: usize,
+    /// It is not asked before this time.
+    shunned: time::Monotonic,
 }
 
 /// The nodes that can ask.
@@ -39,6 +43,7 @@
                     id: id.clone(),
                     busy_until: time::Monotonic::ZERO,
                     open: 0,
+                    shunned: time::Monotonic::ZERO,
                 });
             }
         }
@@ -74,7 +79,7 @@
             .nodes
             .iter_mut()
             .take(usable)
-            .filter(|node| node.open < OPEN_LIMIT)
+            .filter(|node| node.open < OPEN_LIMIT && now >= node.shunned)
             .min_by_key(|node| node.busy_until.max(now))?;
         node.busy_until = node.busy_until.max(now) + cost;
         node.open += 1;
@@ -91,8 +96,10 @@
         }
     }
 
-    /// A node did not answer: it gets nothing more until it is reported alive again.
-    pub fn drop_node(&mut self, id: &ids::InstanceId) {
-        self.nodes.retain(|node| node.id != *id);
+    /// A node did not answer: it gets nothing for a while.
+    pub fn shun(&mut self, id: &ids::InstanceId, now: time::Monotonic) {
+        if let Some(node) = self.nodes.iter_mut().find(|node| node.id == *id) {
+            node.shunned = now + SHUN;
+        }
     }
 }
--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -38,7 +38,9 @@
 /// Pause between two questions for a step that is not urgent.
 pub const QUESTION_PAUSE: Duration = Duration::from_millis(150);
 /// Time beyond the expected one after which a question is given up.
-pub const QUESTION_SLACK: Duration = Duration::from_millis(1_200);
+pub const QUESTION_SLACK: Duration = Duration::from_millis(400);
+/// Change of a learned speed, as a logarithm, from which it is stored for the next scheduler.
+pub const SPEED_CHANGE: f64 = 0.15;
 /// Gangs that may keep room free for themselves at the same time.
 pub const RESERVING_GANGS: usize = 4;
 /// Steps that one pass looks at.
--- a/crates/daisymast_scheduler/src/scheduler/ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/ends.rs
@@ -95,9 +95,12 @@
             return;
         }
         let declared = f64::from(step.estimate_ms);
+        let mut learned = None;
         if !is_gang && job.task(task).is_some_and(|task| task.checkpoint.is_none()) {
             let took = (now - run.placed).as_secs_f64() * 1_000.0;
             worker.learn_speed(declared, took);
+            let changed = worker.changed_speed();
+            learned = changed.map(|permille| (worker.id.clone(), permille));
         }
         if is_gang {
             if job.tasks(task.step).is_some_and(job::StepTasks::is_done) {
@@ -112,6 +115,11 @@
             }
             self.journal.record(record::Record::Done { task });
         }
+        if let Some((worker, permille)) = learned {
+            self.book.set_speed(worker.clone(), permille);
+            self.journal
+                .record(record::Record::Speed { worker, permille });
+        }
         self.on_progress(task.step, now);
     }
 
--- a/crates/daisymast_scheduler/src/scheduler/questions.rs
+++ b/crates/daisymast_scheduler/src/scheduler/questions.rs
@@ -199,7 +199,7 @@
         self.advisors.finish(&question.advisor, now);
         let pause = constants::QUESTION_PAUSE;
         let Some(allowed) = answer else {
-            self.advisors.drop_node(&question.advisor);
+            self.advisors.shun(&question.advisor, now);
             if let Some(step) = self.steps.get_mut(&question.step) {
                 step.question = None;
             }
--- a/crates/daisymast_scheduler/src/scheduler/workers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -14,6 +14,12 @@
     pub fn worker_listed(&mut self, entry: worker::Entry, now: time::Monotonic) {
         let place = self.fleet.place(&entry.id);
         let worker = self.fleet.at_mut(place);
+        if worker.entry.is_none()
+            && let Some(permille) = self.book.speed(&entry.id)
+        {
+            worker.speed = f64::from(permille) / 1_000.0;
+            worker.stored_speed = worker.speed;
+        }
         let reborn = worker.life > 0 && entry.born.is_some() && worker.born != entry.born;
         let moved = worker
             .entry
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -125,6 +125,8 @@
     pub quarantined: time::Monotonic,
     /// Speed against the declared run times.
     pub speed: f64,
+    /// The speed that is stored.
+    pub stored_speed: f64,
     /// Gang that keeps room free here.
     pub reserved: Option<spec::StepId>,
 }
@@ -154,6 +156,7 @@
             strikes: 0,
             quarantined: time::Monotonic::ZERO,
             speed: 1.0,
+            stored_speed: 1.0,
             reserved: None,
         }
     }
@@ -224,6 +227,21 @@
         }
     }
 
+    /// The speed in thousandths, if it has changed so much that it should be stored.
+    pub fn changed_speed(&mut self) -> Option<u32> {
+        if (self.speed / self.stored_speed).ln().abs() < constants::SPEED_CHANGE {
+            return None;
+        }
+        self.stored_speed = self.speed;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a cast from a float saturates"
+        )]
+        let permille = (self.speed * 1_000.0).round() as u32;
+        Some(permille.max(1))
+    }
+
     /// Learns from a task that took `actual_ms` where `declared_ms` was declared.
     pub fn learn_speed(&mut self, declared_ms: f64, actual_ms: f64) {
         if declared_ms < 1.0 || actual_ms < 1.0 {
