Ask for all workers of a wide gang at once, and stop a gang with a lost start at once

Cause: on the grown sites gangs of 60 tasks need tickets of twenty or more workers at the same time, and questions of 30 workers brought them one after another until the first had expired. A gang with a lost start waited until its members gave up. Change: questions for gangs name up to 90 workers; a member that is stopped for its own sake takes its gang with it; 8 open questions a queue instead of 5. The test of a wide gang fails with 30 workers a question.

--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -29,12 +29,15 @@
 pub const TICKET_MARGIN: Duration = Duration::from_millis(250);
 /// Most workers in one question to the advice service.
 pub const QUESTION_WORKERS: usize = 30;
+/// Most workers in one question for a gang: its tickets have to be valid at the same time, so a wide
+/// gang cannot gather them over several questions. The service takes 100.
+pub const GANG_QUESTION_WORKERS: usize = 90;
 /// Share of allowed workers before a queue's first answer.
 pub const ALLOWED_SHARE: f64 = 0.5;
 /// Weight of a new answer in the learned share of allowed workers.
 pub const ALLOWED_WEIGHT: f64 = 0.2;
 /// Open questions of a queue that is not urgent.
-pub const OPEN_QUESTIONS: usize = 5;
+pub const OPEN_QUESTIONS: usize = 8;
 /// Pause between two questions for a step that is not urgent.
 pub const QUESTION_PAUSE: Duration = Duration::from_millis(150);
 /// Time beyond the expected one after which a question is given up.
--- a/crates/daisymast_scheduler/src/scheduler/gangs.rs
+++ b/crates/daisymast_scheduler/src/scheduler/gangs.rs
@@ -26,6 +26,15 @@
         }
     }
 
+    /// A task of a step is stopped for its own sake: the other members of a gang would only wait for
+    /// it until they give up.
+    pub(super) fn abort_if_gang(&mut self, id: spec::StepId, now: time::Monotonic) {
+        let is_gang = self.steps.get(&id).is_some_and(|step| step.content().gang);
+        if is_gang {
+            self.abort_gang(id, now);
+        }
+    }
+
     /// Tasks of a step that are on workers.
     fn members(&self, id: spec::StepId) -> Vec<(usize, spec::TaskId)> {
         let Some(tasks) = self.book.job(id.job).and_then(|job| job.tasks(id)) else {
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -211,6 +211,12 @@
                 };
                 self.log(stopping);
                 self.send_stop(place, task, now);
+                if matches!(
+                    reason,
+                    decision::StopReason::StartUnknown | decision::StopReason::Hung
+                ) {
+                    self.abort_if_gang(task.step, now);
+                }
             }
         }
     }
--- a/crates/daisymast_scheduler/src/scheduler/questions.rs
+++ b/crates/daisymast_scheduler/src/scheduler/questions.rs
@@ -136,7 +136,7 @@
             }
         }
         if ready >= needed && !expired.is_empty() {
-            expired.truncate(constants::QUESTION_WORKERS);
+            expired.truncate(constants::GANG_QUESTION_WORKERS);
             return expired;
         }
         self.unknown_for_gang(step, candidates, now)
@@ -174,7 +174,7 @@
         unknown.sort_unstable_by(|a, b| b.cmp(a));
         let share = self.share(step);
         let mut workers = Vec::new();
-        for (_, place, most) in unknown.into_iter().take(constants::QUESTION_WORKERS) {
+        for (_, place, most) in unknown.into_iter().take(constants::GANG_QUESTION_WORKERS) {
             if known >= wanted {
                 break;
             }
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -142,9 +142,9 @@
         stretch: 2.0,
         latency_ms: 500.0,
         advice: advice.then_some(queue::Advice {
-            decide_ms: 20.0,
-            per_worker_ms: 1.0,
-            valid_ms: 2_000.0,
+            decide_ms: 400.0,
+            per_worker_ms: 6.0,
+            valid_ms: 1_200.0,
         }),
     }
 }
@@ -399,12 +399,13 @@
                     }
                 }
                 action::Action::Ask { call, workers, .. } => {
+                    let takes = 400 + 6 * u64::try_from(workers.len()).expect("a count");
                     let allowed = workers
                         .into_iter()
                         .filter(|id| self.allowed.is_empty() || self.allowed.contains(id))
                         .map(|id| (id, "ticket".to_owned()))
                         .collect();
-                    self.send(30, Message::Advice(call, allowed));
+                    self.send(takes, Message::Advice(call, allowed));
                 }
                 action::Action::Answer { token, answer } => {
                     self.answers.insert(token, answer);
--- a/crates/daisymast_scheduler/tests/faults.rs
+++ b/crates/daisymast_scheduler/tests/faults.rs
@@ -112,7 +112,7 @@
 fn a_gang_that_loses_a_member_starts_again_whole() {
     let mut rig = Rig::new(4);
     rig.submit(1, GANGS, job(vec![gang(5, 16, 2_000)]));
-    rig.run_ms(400);
+    rig.run_ms(900);
     let lost = rig.starts_of(1)[0].worker;
     rig.crash(lost);
     assert!(rig.run_until(1, State::Completed, 20_000).is_some());
@@ -330,3 +330,39 @@
     assert!(rig.run_until(2, State::Completed, 6_000).is_some());
     assert_eq!(rig.starts_of(2).len(), 4);
 }
+
+/// Guards against members of a gang that wait until they give up (`alone`) because the start of
+/// another one was lost.
+#[test]
+fn a_gang_with_a_lost_start_is_stopped_at_once() {
+    let mut rig = Rig::new(4);
+    rig.workers[1].late_ms = 9_000;
+    rig.submit(1, GANGS, job(vec![gang(6, 16, 1_000)]));
+    rig.run_ms(1_500);
+    assert!(!stops(&rig, decision::StopReason::GangBroken).is_empty());
+    rig.workers[1].late_ms = 0;
+    assert!(rig.run_until(1, State::Completed, 9_000).is_some());
+    let alone = |decision: &&decision::Decision| {
+        matches!(
+            decision,
+            decision::Decision::Ended {
+                end: daisymast_scheduler::report::End::Alone,
+                ..
+            }
+        )
+    };
+    assert_eq!(rig.log.iter().filter(alone).count(), 0);
+}
+
+/// Guards against a wide gang whose tickets expire before those of its last workers arrive.
+#[test]
+fn a_wide_gang_gathers_its_tickets_in_time() {
+    let mut rig = Rig::new(90);
+    // A third of the workers may run it, each two of its tasks.
+    rig.allowed = (0..90)
+        .step_by(3)
+        .map(|number| format!("w{number:02}"))
+        .collect();
+    rig.submit(1, GANGS, job(vec![gang(50, 15, 500)]));
+    assert!(rig.run_until(1, State::Completed, 4_000).is_some());
+}
