--- a/crates/daisymast_election/src/candidate.rs
+++ b/crates/daisymast_election/src/candidate.rs
@@ -224,7 +224,8 @@
             return Step::Inspect;
         }
         self.inspected_since_heard = false;
-        if self.disowned || (self.beat_read && now - self.beat_changed >= STALLED) {
+        let stalled = self.beat_read && now - self.beat_changed >= STALLED;
+        if self.disowned || (stalled && self.has_store(now)) {
             return self.campaign(elected.term, false);
         }
         // The scheduler itself tells that it does not reach the store, which answered this node.
--- /dev/null
+++ b/crates/daisymast_jobs/tests/replay.rs
@@ -0,0 +1,145 @@
+//! A journal that is replayed gives the jobs as they were.
+
+use daisymast_jobs::book::Book;
+use daisymast_jobs::job::{Job, State};
+use daisymast_jobs::record::{self, Record};
+use daisymast_jobs::spec::{JobId, JobSpec, Schedule, Step, StepId};
+use daisymast_types::time::UnixMillis;
+use proptest::prelude::*;
+
+fn accepted(job: JobId, steps: Vec<Step>, schedule: Option<Schedule>) -> Record {
+    Record::Accepted {
+        job,
+        queue: "q".into(),
+        spec: JobSpec {
+            payload: "p".to_owned(),
+            steps,
+            schedule,
+        },
+        at: UnixMillis(5),
+    }
+}
+
+fn step(tasks: u32) -> Step {
+    Step {
+        tasks,
+        ..Step::default()
+    }
+}
+
+fn id(job: JobId, step: u16) -> StepId {
+    StepId {
+        job,
+        occurrence: 0,
+        step,
+    }
+}
+
+fn replay(records: Vec<Record>) -> Book {
+    let bytes = record::encode(&records).expect("a batch");
+    let mut book = Book::default();
+    for record in record::decode(&bytes).expect("a batch") {
+        book.apply(record);
+    }
+    book
+}
+
+/// Guards against a job that is shown as completed while a task is open, or never is.
+#[test]
+fn a_job_is_complete_when_all_tasks_are_done() {
+    let job = JobId(1);
+    let mut records = vec![accepted(job, vec![step(2), step(1)], None)];
+    let done = [id(job, 0).task(0), id(job, 0).task(1), id(job, 1).task(0)];
+    for (count, task) in done.into_iter().enumerate() {
+        let state = replay(records.clone()).job(job).map(Job::state);
+        assert_ne!(state, Some(State::Completed), "after {count} tasks");
+        records.push(Record::Done { task });
+        // The same end may be recorded again after a takeover.
+        records.push(Record::Done { task });
+    }
+    let state = replay(records).job(job).map(Job::state);
+    assert_eq!(state, Some(State::Completed));
+}
+
+/// Guards against attempts that are counted twice when a takeover reads the same end again.
+#[test]
+fn a_failed_run_counts_once() {
+    let job = JobId(1);
+    let task = id(job, 0).task(0);
+    let failed = |run| Record::Failed { task, run };
+    let book = replay(vec![
+        accepted(job, vec![step(1)], None),
+        failed(1),
+        failed(1),
+        failed(3),
+        failed(2),
+    ]);
+    let failures = book
+        .job(job)
+        .and_then(|job| job.task(task))
+        .map(|task| task.failures);
+    assert_eq!(failures, Some(2));
+}
+
+/// Guards against a run number that is used twice after a takeover.
+#[test]
+fn run_numbers_are_kept() {
+    let job = JobId(1);
+    let book = replay(vec![
+        accepted(job, vec![step(1)], None),
+        Record::Placed {
+            step: id(job, 0),
+            run: 4,
+            tasks: vec![(0, "w".into())],
+        },
+    ]);
+    let task = id(job, 0).task(0);
+    let run = book
+        .job(job)
+        .and_then(|job| job.task(task))
+        .map(|task| task.run);
+    assert_eq!(run, Some(4));
+    assert_eq!(book.job(job).map(Job::state), Some(State::Running));
+}
+
+/// Guards against a recurring job that ends before its last occurrence.
+#[test]
+fn a_recurring_job_is_open_until_its_last_occurrence() {
+    let job = JobId(1);
+    let schedule = Schedule {
+        start_ms: 0,
+        interval_ms: 10,
+        count: 2,
+    };
+    let mut book = replay(vec![accepted(job, vec![step(1)], Some(schedule))]);
+    let entry = book.job_mut(job).expect("the job");
+    for occurrence in 0..2 {
+        assert_ne!(entry.state(), State::Completed);
+        entry.begin(occurrence);
+        let step = StepId {
+            job,
+            occurrence,
+            step: 0,
+        };
+        entry.finish(step.task(0));
+    }
+    assert_eq!(entry.state(), State::Completed);
+}
+
+proptest! {
+    /// Guards against a batch whose bytes do not give the records back, and against a panic on
+    /// bytes that are no batch.
+    #[test]
+    fn batches_survive_their_encoding(jobs in prop::collection::vec((any::<u64>(), 1_u32..50, any::<u32>()), 0..20), noise in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut records = Vec::new();
+        for (number, tasks, run) in jobs {
+            let job = JobId(number);
+            records.push(accepted(job, vec![step(tasks)], None));
+            records.push(Record::Placed { step: id(job, 0), run, tasks: vec![(0, "w".into())] });
+            records.push(Record::GangDone { step: id(job, 0) });
+        }
+        let bytes = record::encode(&records).expect("a batch");
+        prop_assert_eq!(record::decode(&bytes).expect("a batch"), records);
+        let _ = record::decode(&noise);
+    }
+}
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -22,62 +22,66 @@
 /// Step of the virtual clock, in milliseconds.
 const STEP_MS: u64 = 5;
 
-pub const QUICK: &str = "quick";
-pub const GANGS: &str = "gangs";
-pub const BATCH: &str = "batch";
+pub(crate) const QUICK: &str = "quick";
+pub(crate) const GANGS: &str = "gangs";
+pub(crate) const BATCH: &str = "batch";
 
 /// A run at a worker.
 #[derive(Clone, Debug)]
-pub struct Run {
-    pub run: u32,
-    pub ends_at: u64,
-    pub size: quantities::Resources,
-    pub fails: bool,
-    pub begun: u64,
+pub(crate) struct Run {
+    pub(crate) run: u32,
+    pub(crate) ends_at: u64,
+    pub(crate) size: quantities::Resources,
+    pub(crate) fails: bool,
+    pub(crate) begun: u64,
     /// Time that it needs by itself.
-    pub own_work: u64,
+    pub(crate) own_work: u64,
     /// It waits for other members of its gang.
-    pub alone: bool,
+    pub(crate) alone: bool,
 }
 
 /// A worker without a guard.
 #[derive(Debug)]
-pub struct Worker {
-    pub id: String,
-    pub zone: &'static str,
-    pub born: u64,
-    pub token: u64,
-    pub runs: BTreeMap<spec::TaskId, Run>,
+pub(crate) struct Worker {
+    pub(crate) id: String,
+    pub(crate) zone: &'static str,
+    pub(crate) born: u64,
+    pub(crate) token: u64,
+    pub(crate) runs: BTreeMap<spec::TaskId, Run>,
     /// Highest run that was stopped or ended, by task.
-    pub over: BTreeMap<spec::TaskId, u32>,
-    pub ended: Vec<report::Ended>,
-    pub last_end: u64,
-    pub lease_end: u64,
+    pub(crate) over: BTreeMap<spec::TaskId, u32>,
+    pub(crate) ended: Vec<report::Ended>,
+    pub(crate) last_end: u64,
+    pub(crate) lease_end: u64,
     /// Nothing reaches it, and nothing of it arrives, but it runs on.
-    pub cut: bool,
+    pub(crate) cut: bool,
     /// It is off.
-    pub down: bool,
+    pub(crate) down: bool,
     /// Orders are not answered and carried out this much later.
-    pub late_ms: u64,
+    pub(crate) late_ms: u64,
     /// Everything that it starts fails.
-    pub failing: bool,
+    pub(crate) failing: bool,
     /// Its tasks make no progress.
-    pub hanging: bool,
+    pub(crate) hanging: bool,
     /// Factor of its speed, in hundredths.
-    pub speed: u64,
-    pub draining: bool,
+    pub(crate) speed: u64,
+    pub(crate) draining: bool,
+}
+
+/// A look at a worker.
+#[derive(Clone, Copy)]
+struct Look {
+    place: usize,
+    token: u64,
+    deadline: Option<u64>,
+    noted: u64,
+    wait: u64,
+    since: u64,
 }
 
 /// Something on its way.
 enum Message {
-    Hold {
-        place: usize,
-        token: u64,
-        deadline: Option<u64>,
-        noted: u64,
-        wait: u64,
-        since: u64,
-    },
+    Hold(Look),
     Start {
         token: u64,
         start: Box<action::Start>,
@@ -98,40 +102,40 @@
 
 /// A start as a worker saw it.
 #[derive(Clone, Debug)]
-pub struct Begun {
-    pub task: spec::TaskId,
-    pub run: u32,
-    pub worker: usize,
-    pub at: u64,
+pub(crate) struct Begun {
+    pub(crate) task: spec::TaskId,
+    pub(crate) run: u32,
+    pub(crate) worker: usize,
+    pub(crate) at: u64,
     /// End of the run, if it has ended.
-    pub until: Option<u64>,
-    pub done: bool,
+    pub(crate) until: Option<u64>,
+    pub(crate) done: bool,
 }
 
-pub struct Rig {
-    pub now: u64,
-    pub scheduler: scheduler::Scheduler,
-    pub token: u64,
-    pub workers: Vec<Worker>,
-    pub places: BTreeMap<String, usize>,
-    pub begun: Vec<Begun>,
-    pub answers: BTreeMap<u64, action::Answer>,
-    pub deposed: bool,
-    pub journal: Vec<record::Record>,
+pub(crate) struct Rig {
+    pub(crate) now: u64,
+    pub(crate) scheduler: scheduler::Scheduler,
+    pub(crate) token: u64,
+    pub(crate) workers: Vec<Worker>,
+    pub(crate) places: BTreeMap<String, usize>,
+    pub(crate) begun: Vec<Begun>,
+    pub(crate) answers: BTreeMap<u64, action::Answer>,
+    pub(crate) deposed: bool,
+    pub(crate) journal: Vec<record::Record>,
     /// Workers that the advice service allows; all if empty.
-    pub allowed: BTreeSet<String>,
-    pub store_down: bool,
-    pub looks: u64,
-    pub log: Vec<daisymast_scheduler::decision::Decision>,
+    pub(crate) allowed: BTreeSet<String>,
+    pub(crate) store_down: bool,
+    pub(crate) looks: u64,
+    pub(crate) log: Vec<daisymast_scheduler::decision::Decision>,
     messages: Vec<(u64, u64, Message)>,
     sequence: u64,
-    pub work: BTreeMap<(spec::JobId, u16), u64>,
+    pub(crate) work: BTreeMap<(spec::JobId, u16), u64>,
     next_tick: u64,
     /// Runs of these tasks fail.
-    pub poisoned: BTreeSet<spec::JobId>,
+    pub(crate) poisoned: BTreeSet<spec::JobId>,
 }
 
-pub fn queue(name: &str, priority: u32, advice: bool) -> queue::Queue {
+pub(crate) fn queue(name: &str, priority: u32, advice: bool) -> queue::Queue {
     queue::Queue {
         name: name.into(),
         host: "h".to_owned(),
@@ -149,7 +153,7 @@
     }
 }
 
-pub fn config() -> Arc<config::Configuration> {
+pub(crate) fn config() -> Arc<config::Configuration> {
     Arc::new(config::Configuration {
         version: 1,
         queues: vec![
@@ -162,7 +166,7 @@
 }
 
 /// A step of equal tasks.
-pub fn step(tasks: u32, cores: u32, work_ms: u32) -> spec::Step {
+pub(crate) fn step(tasks: u32, cores: u32, work_ms: u32) -> spec::Step {
     spec::Step {
         tasks,
         size: quantities::Resources::new(cores * 1_000, 1_024, 0),
@@ -171,14 +175,14 @@
     }
 }
 
-pub fn gang(tasks: u32, cores: u32, work_ms: u32) -> spec::Step {
+pub(crate) fn gang(tasks: u32, cores: u32, work_ms: u32) -> spec::Step {
     spec::Step {
         gang: true,
         ..step(tasks, cores, work_ms)
     }
 }
 
-pub fn job(steps: Vec<spec::Step>) -> spec::JobSpec {
+pub(crate) fn job(steps: Vec<spec::Step>) -> spec::JobSpec {
     spec::JobSpec {
         payload: "p".to_owned(),
         steps,
@@ -188,7 +192,7 @@
 
 impl Rig {
     /// A scheduler with workers of 32 cores in three zones.
-    pub fn new(count: usize) -> Self {
+    pub(crate) fn new(count: usize) -> Self {
         let zones = ["a", "b", "c"];
         let workers: Vec<Worker> = (0..count)
             .map(|number| Worker {
@@ -246,7 +250,7 @@
         rig
     }
 
-    pub fn list_all(&mut self) {
+    pub(crate) fn list_all(&mut self) {
         self.scheduler
             .set_advisors(&["n1".into(), "n2".into(), "n3".into()]);
         for place in 0..self.workers.len() {
@@ -254,7 +258,7 @@
         }
     }
 
-    pub fn list(&mut self, place: usize) {
+    pub(crate) fn list(&mut self, place: usize) {
         let worker = &self.workers[place];
         let entry = worker::Entry {
             id: worker.id.as_str().into(),
@@ -270,13 +274,13 @@
         self.scheduler.worker_listed(entry, mono(self.now));
     }
 
-    pub fn unlist(&mut self, place: usize) {
+    pub(crate) fn unlist(&mut self, place: usize) {
         let id = self.workers[place].id.as_str().into();
         self.scheduler.worker_unlisted(&id, mono(self.now));
     }
 
     /// Submits a job and remembers how long its tasks work.
-    pub fn submit(&mut self, id: u64, queue: &str, spec: spec::JobSpec) {
+    pub(crate) fn submit(&mut self, id: u64, queue: &str, spec: spec::JobSpec) {
         let job = spec::JobId(id);
         for (number, step) in (0_u16..).zip(&spec.steps) {
             self.work.insert((job, number), u64::from(step.estimate_ms));
@@ -285,12 +289,12 @@
             .submit(id, job, queue.into(), spec, stamp(self.now));
     }
 
-    pub fn state(&self, id: u64) -> Option<job::State> {
+    pub(crate) fn state(&self, id: u64) -> Option<job::State> {
         self.scheduler.state(spec::JobId(id))
     }
 
     /// Another scheduler takes over from what is stored. Orders of the former one still arrive.
-    pub fn take_over(&mut self) {
+    pub(crate) fn take_over(&mut self) {
         let mut book = book::Book::default();
         for record in self.journal.clone() {
             book.apply(record);
@@ -301,7 +305,7 @@
         self.messages.retain(|(_, _, message)| {
             matches!(
                 message,
-                Message::Start { .. } | Message::Stop { .. } | Message::Hold { .. }
+                Message::Start { .. } | Message::Stop { .. } | Message::Hold(_)
             )
         });
         self.scheduler =
@@ -309,7 +313,7 @@
         self.list_all();
     }
 
-    pub fn run_ms(&mut self, span: u64) {
+    pub(crate) fn run_ms(&mut self, span: u64) {
         let end = self.now + span;
         while self.now < end {
             self.now += STEP_MS;
@@ -331,7 +335,7 @@
     }
 
     /// Runs until a job has a state, for at most a time. Returns when.
-    pub fn run_until(&mut self, id: u64, state: job::State, limit: u64) -> Option<u64> {
+    pub(crate) fn run_until(&mut self, id: u64, state: job::State, limit: u64) -> Option<u64> {
         let end = self.now + limit;
         while self.now < end {
             if self.state(id) == Some(state) {
@@ -358,7 +362,7 @@
                     wait,
                 } => {
                     self.looks += 1;
-                    let hold = Message::Hold {
+                    let look = Look {
                         place: target.index,
                         token: self.token,
                         deadline: deadline_ms,
@@ -366,7 +370,7 @@
                         wait: millis(wait),
                         since: self.now,
                     };
-                    self.send(WIRE_MS, hold);
+                    self.send(WIRE_MS, Message::Hold(look));
                 }
                 action::Action::Start(start) => {
                     let number = self.number(start.target.id.as_str());
@@ -450,14 +454,7 @@
     fn handle(&mut self, message: Message) {
         let now = mono(self.now);
         match message {
-            Message::Hold {
-                place,
-                token,
-                deadline,
-                noted,
-                wait,
-                since,
-            } => self.handle_hold(place, token, deadline, noted, wait, since),
+            Message::Hold(look) => self.handle_hold(look),
             Message::Start {
                 token,
                 start,
@@ -504,28 +501,25 @@
         }
     }
 
-    fn handle_hold(
-        &mut self,
-        place: usize,
-        token: u64,
-        deadline: Option<u64>,
-        noted: u64,
-        wait: u64,
-        since: u64,
-    ) {
+    fn handle_hold(&mut self, look: Look) {
+        let Look {
+            place,
+            token,
+            deadline,
+            noted,
+            wait,
+            since,
+        } = look;
         let number = self.at(place);
         if self.is_silent(number) {
             if self.now >= since + wait + 500 {
                 self.send(0, Message::HoldReply(place, report::HoldOutcome::Failed));
             } else {
-                let again = Message::Hold {
-                    place,
-                    token,
+                let again = Message::Hold(Look {
                     deadline: None,
                     noted: 0,
-                    wait,
-                    since,
-                };
+                    ..look
+                });
                 self.send(STEP_MS, again);
             }
             return;
@@ -545,14 +539,10 @@
             worker.lease_end = worker.lease_end.max(deadline.min(clock + 6_000));
         }
         if worker.ended.is_empty() && self.now < since + wait {
-            let again = Message::Hold {
-                place,
-                token,
+            let again = Message::Hold(Look {
                 deadline: None,
-                noted,
-                wait,
-                since,
-            };
+                ..look
+            });
             self.send(STEP_MS, again);
             return;
         }
@@ -840,7 +830,7 @@
     }
 
     /// The worker loses all that it has and stays off.
-    pub fn crash(&mut self, number: usize) {
+    pub(crate) fn crash(&mut self, number: usize) {
         let worker = &mut self.workers[number];
         worker.down = true;
         worker.runs.clear();
@@ -852,18 +842,18 @@
     }
 
     /// The worker begins another life.
-    pub fn restart(&mut self, number: usize) {
+    pub(crate) fn restart(&mut self, number: usize) {
         self.crash(number);
         self.workers[number].down = false;
         self.workers[number].born = self.now;
         self.list(number);
     }
 
-    pub fn running(&self) -> usize {
+    pub(crate) fn running(&self) -> usize {
         self.workers.iter().map(|worker| worker.runs.len()).sum()
     }
 
-    pub fn starts_of(&self, id: u64) -> Vec<&Begun> {
+    pub(crate) fn starts_of(&self, id: u64) -> Vec<&Begun> {
         let job = spec::JobId(id);
         self.begun
             .iter()
@@ -872,15 +862,15 @@
     }
 }
 
-pub fn capacity() -> quantities::Resources {
+pub(crate) fn capacity() -> quantities::Resources {
     quantities::Resources::new(32_000, 64 * 1_024, 0)
 }
 
-pub fn mono(now: u64) -> time::Monotonic {
+pub(crate) fn mono(now: u64) -> time::Monotonic {
     time::Monotonic::from_millis(now)
 }
 
-pub fn stamp(now: u64) -> time::Timestamp {
+pub(crate) fn stamp(now: u64) -> time::Timestamp {
     time::Timestamp::new(now, 1_700_000_000_000 + now)
 }
 
--- /dev/null
+++ b/crates/daisymast_scheduler/tests/journal.rs
@@ -0,0 +1,87 @@
+//! What waits for the journal.
+
+use daisymast_jobs::record::Record;
+use daisymast_jobs::spec::{JobId, JobSpec};
+use daisymast_scheduler::action::Answer;
+use daisymast_scheduler::journal::{Effect, Journal};
+use daisymast_types::time::UnixMillis;
+
+fn accepted(job: u64) -> Record {
+    Record::Accepted {
+        job: JobId(job),
+        queue: "q".into(),
+        spec: JobSpec::default(),
+        at: UnixMillis(0),
+    }
+}
+
+fn answer(token: u64, job: u64) -> Effect {
+    Effect::Answer {
+        token,
+        job: JobId(job),
+        answer: Answer::Accepted,
+    }
+}
+
+fn tokens(effects: &[Effect]) -> Vec<u64> {
+    let answers = effects.iter().filter_map(|effect| match effect {
+        Effect::Answer { token, .. } => Some(*token),
+        _ => None,
+    });
+    answers.collect()
+}
+
+/// Guards against an answer that leaves before its record, or before an earlier commit.
+#[test]
+fn effects_wait_for_all_records_before_them() {
+    let mut journal = Journal::default();
+    assert!(journal.after(answer(1, 1)).is_some(), "nothing is unsaved");
+    journal.record(accepted(2));
+    assert!(journal.after(answer(2, 2)).is_none());
+    assert!(journal.take_batch().is_some());
+    assert!(
+        journal.after(answer(3, 2)).is_none(),
+        "a commit is in flight"
+    );
+    journal.record(accepted(4));
+    assert!(journal.after(answer(4, 4)).is_none());
+    assert!(journal.take_batch().is_none(), "one commit at a time");
+    assert_eq!(tokens(&journal.committed()), [2]);
+    assert!(journal.take_batch().is_some());
+    assert_eq!(tokens(&journal.committed()), [3, 4]);
+}
+
+/// Guards against a job that is refused though its record may be stored.
+#[test]
+fn only_what_is_not_in_flight_is_withdrawn() {
+    let mut journal = Journal::default();
+    journal.record(accepted(1));
+    assert!(journal.after(answer(1, 1)).is_none());
+    assert!(journal.take_batch().is_some());
+    journal.record(accepted(2));
+    assert!(journal.after(answer(2, 2)).is_none());
+    let (jobs, callers) = journal.withdraw();
+    assert_eq!(jobs, [JobId(2)]);
+    assert_eq!(callers, [2]);
+    assert_eq!(tokens(&journal.committed()), [1]);
+    assert!(journal.take_batch().is_none());
+}
+
+/// Guards against records that are lost when a batch surely had no effect.
+#[test]
+fn a_recalled_batch_is_written_again() {
+    let mut journal = Journal::default();
+    journal.record(Record::Cancelled { job: JobId(9) });
+    assert!(journal.after(answer(9, 9)).is_none());
+    journal.record(accepted(1));
+    assert!(journal.after(answer(1, 1)).is_none());
+    assert!(journal.take_batch().is_some());
+    journal.recall();
+    let (_, callers) = journal.withdraw();
+    assert_eq!(callers, [1]);
+    let batch = journal
+        .take_batch()
+        .expect("the cancel is still to be stored");
+    assert_eq!(batch, [Record::Cancelled { job: JobId(9) }]);
+    assert_eq!(tokens(&journal.committed()), [9]);
+}
