--- a/crates/daisymast_election/src/candidate.rs
+++ b/crates/daisymast_election/src/candidate.rs
@@ -22,6 +22,11 @@
 
 /// Delay of the smallest machine while the other nodes are not known.
 pub const SMALL_DELAY: Duration = Duration::from_millis(120);
+/// Part of a core, in thousandths, below which a machine leaves the others time to start first: it
+/// would take long to read the journal.
+pub const WEAK_MILLICORES: u32 = 200;
+/// Further delay of such a machine.
+pub const WEAK_DELAY: Duration = Duration::from_millis(1_000);
 /// Thousandths of a core.
 const WHOLE_CORE: u32 = 1_000;
 
@@ -45,6 +50,25 @@
     },
 }
 
+/// Whether a scheduler should give its role to a much larger machine. After all machines were off,
+/// the first to start is elected, whatever its size.
+///
+/// ```
+/// use daisymast_election::{candidate, record};
+/// let member = |millicores| record::Member {
+///     id: "n".into(),
+///     address: "127.0.0.1:1".parse().unwrap(),
+///     millicores,
+/// };
+/// assert!(candidate::should_yield(&member(90), &[member(500)]));
+/// assert!(!candidate::should_yield(&member(250), &[member(250), member(90)]));
+/// ```
+pub fn should_yield(me: &record::Member, others: &[record::Member]) -> bool {
+    others
+        .iter()
+        .any(|other| other.millicores * 2 >= me.millicores * 3)
+}
+
 /// What other nodes said when asked about the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Poll {
@@ -190,6 +214,11 @@
         self.poll = Some(poll);
     }
 
+    /// The nodes that are alive, as this node saw them while it scheduled.
+    pub fn set_members(&mut self, members: Vec<record::Member>) {
+        self.members = members;
+    }
+
     /// Whether the scheduler is reached and has the store.
     pub fn is_content(&self, now: time::Monotonic) -> bool {
         self.elected
@@ -261,6 +290,9 @@
         if self.members.is_empty() {
             // The others are not known yet, so the size alone decides who goes first.
             delay += SMALL_DELAY * (WHOLE_CORE - self.me.millicores.min(WHOLE_CORE)) / WHOLE_CORE;
+            if self.me.millicores < WEAK_MILLICORES {
+                delay += WEAK_DELAY;
+            }
         }
         Step::Campaign {
             term,
--- a/crates/daisymast_election/tests/candidacy.rs
+++ b/crates/daisymast_election/tests/candidacy.rs
@@ -152,6 +152,25 @@
     assert!(is_campaign(&first) || is_campaign(&second));
 }
 
+/// Guards against a weak machine that is elected after all were off, only since it started first:
+/// on a grown day it never finished reading the journal.
+#[test]
+fn a_weak_machine_waits_for_others_to_start() {
+    let delay = |millicores: u32| {
+        let mut candidate = Candidate::new(member("m", millicores), at(0));
+        candidate.on_inspect(Some(elected(5, false)), 100, at(0));
+        candidate.on_disowned(5);
+        candidate.on_inspect(Some(elected(5, false)), 100, at(10));
+        match candidate.next(at(10)) {
+            Step::Campaign { delay, .. } => delay,
+            step => panic!("{step:?}"),
+        }
+    };
+    // Machines start within 0.3 s of each other.
+    assert!(delay(90) > delay(250) + Duration::from_millis(300));
+    assert!(delay(250) < Duration::from_millis(300));
+}
+
 /// Guards against the smallest machine that schedules while larger ones are there.
 #[test]
 fn larger_machines_go_first() {
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -12,6 +12,8 @@
 pub const PING_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time for one read or commit at the store, above its answers while it is slow.
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for one page of keys: a megabyte takes over a second on a link of 10 Mbit/s.
+pub const PAGE_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Time that a watch waits for a change.
 pub const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// Time after which a watch counts as silent.
@@ -39,6 +41,8 @@
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time beyond its wait for a look at a worker.
 pub const LOOK_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time after which a scheduler gives its role to a much larger machine.
+pub const YIELD_AFTER: Duration = Duration::from_millis(1_200);
 /// Time within which a node that has pinged counts as alive.
 pub const ALIVE: Duration = Duration::from_millis(900);
 /// Time for a caller's request at the scheduler.
--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::constants;
 use crate::lead;
+use crate::metrics;
 
 /// What all parts of a node share.
 #[derive(Debug)]
@@ -24,6 +25,8 @@
     pub life: u64,
     /// The store.
     pub store: store::Store,
+    /// Counters and histograms.
+    pub metrics: metrics::Metrics,
     /// Log of decisions.
     pub decisions: decisions::Recorder,
     /// Client for other nodes.
@@ -52,6 +55,7 @@
         Self {
             life: fastrand::u64(1..),
             store: store::Store::new(client(), settings.store),
+            metrics: metrics::Metrics::default(),
             decisions: decisions::Recorder::start(settings.instance.as_str()),
             peers: client(),
             workers: client(),
@@ -123,6 +127,7 @@
     /// Sets the term in which this process schedules, 0 for none.
     pub fn set_term(&self, term: u64) {
         self.term.store(term, Ordering::Relaxed);
+        self.metrics.set_term(term);
     }
 
     /// Whether the process is about to end.
--- a/crates/daisymast_node/src/front.rs
+++ b/crates/daisymast_node/src/front.rs
@@ -7,6 +7,9 @@
 use daisymast_http::server;
 use daisymast_jobs::{job, spec};
 use daisymast_protocol::outcome;
+use daisymast_scheduler::lease;
+use daisymast_types::ids;
+use serde::Serialize;
 use smol::Timer;
 
 use crate::clock;
@@ -80,14 +83,74 @@
     Unknown,
 }
 
+impl Forwarded {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Served(_) => "served",
+            Self::Refused => "no_store",
+            Self::NoEffect => "no_scheduler",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// A request that this node could not have served, as the log tells it.
+#[derive(Serialize)]
+struct Unserved {
+    event: &'static str,
+    kind: &'static str,
+    job: String,
+    outcome: &'static str,
+    /// Time for which the request was held, in milliseconds.
+    held_ms: u64,
+    /// The scheduler that this node knows, and the time since it last answered, in milliseconds.
+    scheduler: Option<ids::InstanceId>,
+    silence_ms: u64,
+}
+
+fn log_unserved(
+    context: &context::Context,
+    kind: &'static str,
+    job: spec::JobId,
+    forwarded: &Forwarded,
+    held: Duration,
+) {
+    let (term, scheduler, silence) = {
+        let candidate = context.candidate();
+        let elected = candidate.elected();
+        (
+            elected.map_or(0, |elected| elected.term),
+            elected.map(|elected| elected.leader.node.id.clone()),
+            candidate.silence(clock::now()),
+        )
+    };
+    let unserved = Unserved {
+        event: "unserved",
+        kind,
+        job: job.to_string(),
+        outcome: forwarded.name(),
+        held_ms: lease::millis(held),
+        scheduler,
+        silence_ms: lease::millis(silence),
+    };
+    context.decisions.record(term, &unserved);
+}
+
 async fn submit(
     context: &Arc<context::Context>,
     job: spec::JobId,
-    queue: daisymast_types::ids::QueueName,
+    queue: ids::QueueName,
     spec: spec::JobSpec,
 ) -> server::Response {
     let request = peers::Request::Submit { job, queue, spec };
-    match forward(context, &request, patience(context)).await {
+    let begun = Instant::now();
+    let forwarded = forward(context, &request, patience(context)).await;
+    context.metrics.submitted(begun.elapsed());
+    context.metrics.request("submit", forwarded.name());
+    if !matches!(forwarded, Forwarded::Served(_)) {
+        log_unserved(context, "submit", job, &forwarded, begun.elapsed());
+    }
+    match forwarded {
         Forwarded::Served(_) => server::Response::new(200, JSON, "{}"),
         Forwarded::NoEffect => refuse("no scheduler is reached; the job was not accepted"),
         Forwarded::Refused => refuse_storeless(),
@@ -106,7 +169,13 @@
 
 async fn cancel(context: &Arc<context::Context>, job: spec::JobId) -> server::Response {
     let request = peers::Request::Cancel { job };
-    match forward(context, &request, constants::FORWARD_LIMIT).await {
+    let begun = Instant::now();
+    let forwarded = forward(context, &request, constants::FORWARD_LIMIT).await;
+    context.metrics.request("cancel", forwarded.name());
+    if !matches!(forwarded, Forwarded::Served(_)) {
+        log_unserved(context, "cancel", job, &forwarded, begun.elapsed());
+    }
+    match forwarded {
         Forwarded::Served(peers::Served::NoSuchJob) => server::Response::text(410, "no such job"),
         Forwarded::Served(_) => server::Response::new(200, JSON, "{}"),
         Forwarded::NoEffect | Forwarded::Refused => refuse("no scheduler is reached"),
@@ -115,7 +184,9 @@
 }
 
 async fn read(context: &Arc<context::Context>, request: peers::Request) -> server::Response {
-    let served = match forward(context, &request, constants::FORWARD_LIMIT).await {
+    let forwarded = forward(context, &request, constants::FORWARD_LIMIT).await;
+    context.metrics.request("read", forwarded.name());
+    let served = match forwarded {
         Forwarded::Served(served) => served,
         Forwarded::NoEffect | Forwarded::Refused | Forwarded::Unknown => {
             return refuse("no scheduler is reached");
--- a/crates/daisymast_node/src/lead.rs
+++ b/crates/daisymast_node/src/lead.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use daisymast_adapter::workers;
-use daisymast_election::{authority, record};
+use daisymast_election::{authority, candidate, record};
 use daisymast_jobs::spec;
 use daisymast_protocol::outcome;
-use daisymast_scheduler::{action, config, constants as limits, lease, scheduler};
+use daisymast_scheduler::{action, config, constants as limits, lease, report, scheduler};
 use daisymast_types::{collections, ids, time};
 use futures_lite::future;
 use smol::Timer;
@@ -228,7 +228,13 @@
     sent: time::Monotonic,
     resigned: bool,
 ) {
-    let Some((book, next_batch)) = journal::replay(context, term).await else {
+    // The others take a term for lost whose journal stands still, and reading it can take seconds.
+    let renewal = context
+        .executor
+        .spawn(journal::renew(Arc::clone(context), term));
+    let replayed = journal::replay(context, term).await;
+    renewal.cancel().await;
+    let Some((book, next_batch)) = replayed else {
         return;
     };
     let config = loop {
@@ -262,10 +268,11 @@
         Arc::clone(&lead),
         next_batch,
     ));
-    drive(context, &lead).await;
+    let yields = drive(context, &lead).await;
     context.set_lead(None);
     drop(directory);
-    if context.is_draining() && !lead.deposed.load(Ordering::Relaxed) {
+    if (yields || context.is_draining()) && !lead.deposed.load(Ordering::Relaxed) {
+        context.candidate().set_members(lead.members(clock::now()));
         journal::finish(&lead).await;
         committer.cancel().await;
         journal::resign(context, term).await;
@@ -275,9 +282,10 @@
     lead.close();
 }
 
-/// Carries actions out until the term ends.
-async fn drive(context: &Arc<context::Context>, lead: &Arc<Lead>) {
+/// Carries actions out until the term ends. Returns whether a larger machine should go on.
+async fn drive(context: &Arc<context::Context>, lead: &Arc<Lead>) -> bool {
     let mut next_tick = time::Monotonic::ZERO;
+    let begun = clock::now();
     loop {
         let now = clock::timestamp();
         let authorized = lock(&lead.authority).holds(now.mono);
@@ -287,7 +295,14 @@
                 lead.term,
                 context.is_draining()
             );
-            return;
+            return false;
+        }
+        if now.mono - begun >= constants::YIELD_AFTER
+            && now.mono >= next_tick
+            && candidate::should_yield(&lead.me, &lead.members(now.mono))
+        {
+            log::info!("term {} is given to a larger machine", lead.term);
+            return true;
         }
         let actions = {
             let mut scheduler = lock(&lead.scheduler);
@@ -350,6 +365,10 @@
             let timeout = wait + constants::LOOK_TIMEOUT;
             let outcome = workers::hold(&context.workers, worker(&target), hold, timeout).await;
             let now = clock::now();
+            let answered = matches!(outcome, report::HoldOutcome::Report(_));
+            context
+                .metrics
+                .call("worker_look", done_or_failed(answered));
             lead.update(|scheduler| scheduler.on_look(target.index, outcome, now));
         }
         action::Action::Start(start) => {
@@ -366,6 +385,8 @@
             let outcome =
                 workers::start(&context.workers, target, &order, constants::ORDER_TIMEOUT).await;
             let now = clock::now();
+            let taken = matches!(outcome, report::OrderOutcome::Taken(_));
+            context.metrics.call("worker_start", done_or_failed(taken));
             let place = start.target.index;
             lead.update(|scheduler| {
                 scheduler.on_start(place, start.task, start.run, outcome, now);
@@ -393,12 +414,19 @@
         } => {
             let answer = ask(&context, &lead, &advisor, step, workers, timeout).await;
             let now = clock::now();
+            context
+                .metrics
+                .call("advice", done_or_failed(answer.is_some()));
             lead.update(|scheduler| scheduler.on_advice(call, answer, now));
         }
         action::Action::Answer { .. } | action::Action::Deposed | action::Action::Log(_) => {}
     }
 }
 
+fn done_or_failed(done: bool) -> &'static str {
+    if done { "done" } else { "failed" }
+}
+
 fn worker(target: &action::Target) -> workers::Target<'_> {
     workers::Target {
         id: &target.id,
--- a/crates/daisymast_node/src/lead/directory.rs
+++ b/crates/daisymast_node/src/lead/directory.rs
@@ -28,7 +28,7 @@
     loop {
         let page = context
             .store
-            .page(keys::WORKERS, &after, constants::STORE_TIMEOUT)
+            .page(keys::WORKERS, &after, constants::PAGE_TIMEOUT)
             .await?;
         // Pages are no snapshot, so the watch begins before the first of them.
         revision.get_or_insert(page.revision);
--- a/crates/daisymast_node/src/lead/journal.rs
+++ b/crates/daisymast_node/src/lead/journal.rs
@@ -58,7 +58,7 @@
         }
         let page = context
             .store
-            .page(keys::JOURNAL, &after, constants::STORE_TIMEOUT)
+            .page(keys::JOURNAL, &after, constants::PAGE_TIMEOUT)
             .await;
         let page = match page {
             Ok(page) => page,
@@ -87,6 +87,23 @@
     }
 }
 
+/// Shows that the term goes on while the journal is read.
+pub(super) async fn renew(context: Arc<context::Context>, term: u64) {
+    let transaction = store::Transaction::default()
+        .expect(keys::LEADER, term)
+        .put(keys::BEAT, term.to_string().into_bytes());
+    loop {
+        Timer::after(constants::RENEW).await;
+        let committed = context
+            .store
+            .commit(&transaction, constants::STORE_TIMEOUT)
+            .await;
+        if let Ok(store::Committed::Conflict(_)) = committed {
+            return;
+        }
+    }
+}
+
 fn is_replaced(context: &context::Context, term: u64) -> bool {
     let candidate = context.candidate();
     candidate
@@ -202,7 +219,10 @@
         let committed = context.store.commit(transaction, timeout).await;
         match committed {
             Ok(store::Committed::Done(_)) => {
-                lock(&lead.pace).answered(clock::now() - sent);
+                let took = clock::now() - sent;
+                context.metrics.call("store", "done");
+                context.metrics.committed(took);
+                lock(&lead.pace).answered(took);
                 lock(&lead.authority).confirm(sent);
                 log_regained(failures, begun);
                 lead.storeless.store(false, Ordering::Relaxed);
@@ -228,6 +248,7 @@
                 return Written::TermEnded;
             }
             Ok(store::Committed::Refused) => {
+                context.metrics.call("store", "refused");
                 log_lost(failures, "refused");
                 if clock::now() - begun >= constants::STORELESS && !unknown {
                     lead.storeless.store(true, Ordering::Relaxed);
@@ -236,6 +257,7 @@
                 Timer::after(constants::STORE_RETRY / 2).await;
             }
             Err(error) => {
+                context.metrics.call("store", "unknown");
                 log_lost(failures, &error.reason);
                 unknown = true;
                 lock(&lead.pace).unanswered();
--- a/crates/daisymast_node/src/lib.rs
+++ b/crates/daisymast_node/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod follow;
 pub mod front;
 pub mod lead;
+pub mod metrics;
 pub mod peers;
 pub mod process;
--- /dev/null
+++ b/crates/daisymast_node/src/metrics.rs
@@ -0,0 +1,100 @@
+//! Counters and histograms of a node, in Prometheus text.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+type Labels = [(&'static str, &'static str); 2];
+
+/// Lower bound of the first bucket of a latency histogram, in seconds.
+const FIRST_BUCKET_S: f64 = 0.001;
+/// Buckets of a latency histogram; each is twice as wide as the one before.
+const BUCKETS: u16 = 14;
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
+}
+
+/// Metrics of one node. Clones share their values.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    requests: Family<Labels, Counter>,
+    calls: Family<Labels, Counter>,
+    submission: Histogram,
+    commit: Histogram,
+    term: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self {
+            requests: Family::default(),
+            calls: Family::default(),
+            submission: histogram(),
+            commit: histogram(),
+            term: Gauge::default(),
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a caller's request by its kind and outcome.
+    pub fn request(&self, kind: &'static str, outcome: &'static str) {
+        let labels = [("kind", kind), ("outcome", outcome)];
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts a call to a dependency by its outcome.
+    pub fn call(&self, dependency: &'static str, outcome: &'static str) {
+        let labels = [("dependency", dependency), ("outcome", outcome)];
+        self.calls.get_or_create(&labels).inc();
+    }
+
+    /// Notes the time of a submission.
+    pub fn submitted(&self, took: Duration) {
+        self.submission.observe(took.as_secs_f64());
+    }
+
+    /// Notes the time of a commit that took effect.
+    pub fn committed(&self, took: Duration) {
+        self.commit.observe(took.as_secs_f64());
+    }
+
+    /// Sets the term in which this node schedules, 0 for none.
+    pub fn set_term(&self, term: u64) {
+        self.term.set(i64::try_from(term).unwrap_or(i64::MAX));
+    }
+
+    /// All values in Prometheus text.
+    ///
+    /// ```
+    /// let metrics = daisymast_node::metrics::Metrics::default();
+    /// metrics.request("submit", "accepted");
+    /// assert!(metrics.encode().contains("daisymast_requests_total"));
+    /// ```
+    pub fn encode(&self) -> String {
+        let mut registry = Registry::with_prefix("daisymast");
+        let requests = "Requests of callers";
+        registry.register("requests", requests, self.requests.clone());
+        registry.register("calls", "Calls to dependencies", self.calls.clone());
+        let submission = "Time of a submission in seconds";
+        registry.register("submission_seconds", submission, self.submission.clone());
+        let commit = "Time of a commit to the journal in seconds";
+        registry.register("commit_seconds", commit, self.commit.clone());
+        registry.register(
+            "term",
+            "Term in which this node schedules",
+            self.term.clone(),
+        );
+        let mut encoded = String::new();
+        if let Err(error) = text::encode(&mut encoded, &registry) {
+            log::error!("metrics were not encoded: {error}");
+        }
+        encoded
+    }
+}
--- a/crates/daisymast_node/src/process.rs
+++ b/crates/daisymast_node/src/process.rs
@@ -34,6 +34,10 @@
   --version        print the version
 ";
 
+/// Path of the metrics, on the address for readiness checks.
+const METRICS_PATH: &str = "/metrics";
+/// Media type of Prometheus text.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
 /// Pause between two looks at the signals that have arrived.
 const SIGNAL_POLL: Duration = Duration::from_millis(100);
 
@@ -167,10 +171,13 @@
     let listener = bind("the listener for readiness", context.settings.readiness).await?;
     let limits = server::Limits::default().with_header_timeout(constants::CALLER_IDLE);
     let shared = Arc::clone(context);
-    let handler = move |_| {
+    let handler = move |request: server::Request| {
         let ready = shared.is_ready();
+        let metrics = (request.path == METRICS_PATH).then(|| shared.metrics.encode());
         async move {
-            if ready {
+            if let Some(metrics) = metrics {
+                server::Response::new(200, METRICS_TYPE, metrics)
+            } else if ready {
                 server::Response::text(200, "ready")
             } else {
                 server::Response::text(503, "not ready")
