Let a backlog of gangs start side by side on a fleet with room

Change: while the fleet has room, kept workers are open to all, only free places count, gangs ask in an order of their own, and 20 questions may be open.

--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -38,6 +38,8 @@
 pub const ALLOWED_WEIGHT: f64 = 0.2;
 /// Open questions of a queue that is not urgent.
 pub const OPEN_QUESTIONS: usize = 8;
+/// Open questions of such a queue while the fleet has room, when each answer leads to a start.
+pub const OPEN_QUESTIONS_IDLE: usize = 20;
 /// Pause between two questions for a step that is not urgent.
 pub const QUESTION_PAUSE: Duration = Duration::from_millis(150);
 /// Time beyond the expected one after which a question is given up.
--- a/crates/daisymast_scheduler/src/scheduler/placement.rs
+++ b/crates/daisymast_scheduler/src/scheduler/placement.rs
@@ -21,7 +21,7 @@
     median: f64,
     any_fast: bool,
     /// Whether the fleet is so full that room has to be kept for urgent steps.
-    scarce: bool,
+    pub(super) scarce: bool,
 }
 
 /// A worker that could take tasks of a step.
@@ -73,7 +73,7 @@
                     && !step.is_denied(*place)
                     && worker
                         .reserved
-                        .is_none_or(|by| by == step.id || step.priority == 0)
+                        .is_none_or(|by| by == step.id || step.priority == 0 || !speeds.scarce)
             })
             .filter_map(|(place, worker)| {
                 let room = usable_room(worker, step, speeds);
--- a/crates/daisymast_scheduler/src/scheduler/questions.rs
+++ b/crates/daisymast_scheduler/src/scheduler/questions.rs
@@ -6,6 +6,7 @@
 use daisymast_jobs::queue;
 use daisymast_jobs::spec;
 use daisymast_types::collections;
+use daisymast_types::hashing;
 use daisymast_types::time;
 
 use super::dispatch;
@@ -41,11 +42,16 @@
         }
         let urgent = step.priority == 0;
         let open = pass.open.get(&step.queue).copied().unwrap_or(0);
-        if !urgent && open >= constants::OPEN_QUESTIONS {
+        let limit = if pass.speeds.scarce {
+            constants::OPEN_QUESTIONS
+        } else {
+            constants::OPEN_QUESTIONS_IDLE
+        };
+        if !urgent && open >= limit {
             return;
         }
         let workers = if step.content().gang {
-            self.gang_question(step, candidates, now)
+            self.gang_question(step, candidates, pass)
         } else {
             self.plain_question(step, candidates, now)
         };
@@ -121,8 +127,9 @@
         &self,
         step: &steps::ReadyStep,
         candidates: &[placement::Candidate],
-        now: time::Monotonic,
+        pass: &dispatch::Pass,
     ) -> Vec<usize> {
+        let now = pass.now;
         let needed = step.content().tasks;
         let mut ready = 0;
         let mut expired = Vec::new();
@@ -139,46 +146,57 @@
             expired.truncate(constants::GANG_QUESTION_WORKERS);
             return expired;
         }
-        self.unknown_for_gang(step, candidates, now)
+        self.unknown_for_gang(step, candidates, pass)
     }
 
     fn unknown_for_gang(
         &self,
         step: &steps::ReadyStep,
         candidates: &[placement::Candidate],
-        now: time::Monotonic,
+        pass: &dispatch::Pass,
     ) -> Vec<usize> {
         let size = step.size();
-        let mut known = 0.0;
-        let mut unknown: Vec<(u32, usize, u32)> = Vec::new();
         let room: collections::FastMap<usize, u32> =
             candidates.iter().map(|one| (one.place, one.fits)).collect();
+        let mut known = 0.0;
+        let mut unknown: Vec<(u32, u64, usize, u32)> = Vec::new();
         for (place, worker) in self.fleet.iter().enumerate() {
-            if !worker.is_usable(now) || !placement::may_run(worker, step) {
+            if !worker.is_usable(pass.now) || !placement::may_run(worker, step) {
                 continue;
             }
-            let most = placement::fits(worker.capacity(), size);
+            let fits = room.get(&place).copied().unwrap_or(0);
+            // On a full fleet room is gathered on workers that have none now; otherwise only those
+            // that have room are of use.
+            let slots = if pass.speeds.scarce {
+                placement::fits(worker.capacity(), size)
+            } else {
+                fits
+            };
             if step.verdicts.contains_key(&place) {
                 if step.is_allowed(place) {
-                    known += f64::from(most);
+                    known += f64::from(slots);
                 }
-            } else if most > 0 {
-                let fits = room.get(&place).copied().unwrap_or(0);
-                unknown.push((fits, place, most));
+            } else if slots > 0 {
+                unknown.push((fits, spread(step.id, place), place, slots));
             }
         }
-        let wanted = f64::from(step.content().tasks) * GANG_CHOICE;
+        let choice = if pass.speeds.scarce {
+            GANG_CHOICE
+        } else {
+            GANG_CHOICE_IDLE
+        };
+        let wanted = f64::from(step.content().tasks) * choice;
         if known >= wanted {
             return Vec::new();
         }
         unknown.sort_unstable_by(|a, b| b.cmp(a));
         let share = self.share(step);
         let mut workers = Vec::new();
-        for (_, place, most) in unknown.into_iter().take(constants::GANG_QUESTION_WORKERS) {
+        for (_, _, place, slots) in unknown.into_iter().take(constants::GANG_QUESTION_WORKERS) {
             if known >= wanted {
                 break;
             }
-            known += f64::from(most) * share;
+            known += f64::from(slots) * share;
             workers.push(place);
         }
         workers
@@ -248,6 +266,15 @@
 /// are empty. More choice shortens the wait for room, and costs time of the advice service.
 const GANG_CHOICE: f64 = 4.0;
 
+/// The same while the fleet has room, counting the places that are free now.
+const GANG_CHOICE_IDLE: f64 = 1.6;
+
+/// Order of equal workers for a step. Gangs that ask at the same time would otherwise get permission
+/// for the same workers, of which the first to start leaves nothing to the others.
+fn spread(step: spec::StepId, place: usize) -> u64 {
+    hashing::stable_pair(&step.job.0.to_le_bytes(), &place.to_le_bytes())
+}
+
 /// Time that a question takes.
 fn question_time(advice: queue::Advice, workers: usize) -> Duration {
     let millis = advice.decide_ms + advice.per_worker_ms * workers as f64;
--- a/crates/daisymast_scheduler/tests/faults.rs
+++ b/crates/daisymast_scheduler/tests/faults.rs
@@ -366,3 +366,20 @@
     rig.submit(1, GANGS, job(vec![gang(50, 15, 500)]));
     assert!(rig.run_until(1, State::Completed, 4_000).is_some());
 }
+
+/// Guards against a backlog of gangs that starts one after another on a fleet that has become idle:
+/// a job whose turn has come must not stand still for 3 s while there is room.
+#[test]
+fn an_idle_fleet_starts_a_backlog_of_gangs_in_time() {
+    let mut rig = Rig::new(90);
+    rig.allowed = (0..90)
+        .step_by(3)
+        .map(|number| format!("w{number:02}"))
+        .collect();
+    for id in 1..=14 {
+        rig.submit(id, GANGS, job(vec![gang(4, 15, 9_000)]));
+    }
+    rig.run_ms(3_000);
+    let started = (1..=14).filter(|&id| !rig.starts_of(id).is_empty()).count();
+    assert_eq!(started, 14);
+}
