--- a/crates/daisymast_jobs/src/job.rs
+++ b/crates/daisymast_jobs/src/job.rs
@@ -99,6 +99,8 @@
     pub failed: bool,
     /// Whether a task was ever placed.
     pub started: bool,
+    /// Whether a worker surely took the start of a task.
+    pub begun: bool,
     /// State that is stored and so may be shown.
     pub shown: State,
 }
@@ -114,6 +116,7 @@
             cancelled: false,
             failed: false,
             started: false,
+            begun: false,
             shown: State::Queued,
         };
         if job.spec.schedule.is_none() {
@@ -188,6 +191,7 @@
         }
         task.phase = Phase::Done;
         tasks.done += 1;
+        self.begun = true;
         true
     }
 
@@ -199,7 +203,9 @@
         }
         task.failed_run = run;
         task.failures += 1;
-        Some(task.failures)
+        let failures = task.failures;
+        self.begun = true;
+        Some(failures)
     }
 
     /// State as the records say it.
--- a/crates/daisymast_scheduler/src/scheduler/callers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/callers.rs
@@ -109,11 +109,12 @@
         Some(self.book.job(id)?.shown)
     }
 
-    /// Number of jobs of a queue of which no task has started.
+    /// Number of jobs of a queue of which no worker has taken a task yet. A placed task does not count:
+    /// its worker may never answer.
     pub fn pending(&self, queue: &ids::QueueName) -> u64 {
         self.book
             .iter()
-            .filter(|(_, job)| job.queue == *queue && job.state() == job::State::Queued)
+            .filter(|(_, job)| job.queue == *queue && !job.begun && !job.state().is_final())
             .count() as u64
     }
 
--- a/crates/daisymast_scheduler/src/scheduler/looks.rs
+++ b/crates/daisymast_scheduler/src/scheduler/looks.rs
@@ -217,6 +217,7 @@
                     since: report.clock_ms,
                 };
                 run.progressed = now;
+                self.note_begun(running.task.step.job);
             }
         }
         if report.ended.len() >= report::ENDS_PER_REPORT {
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -123,6 +123,7 @@
             | report::OrderOutcome::Refused(report::Refusal::OldRun, Some(since)) => {
                 // A run that had ended before its start was repeated is in the next report.
                 entry.state = worker::RunState::Running { since };
+                self.note_begun(task.step.job);
             }
             report::OrderOutcome::Refused(refusal, _) => {
                 self.on_refused(place, task, refusal, now);
@@ -144,6 +145,12 @@
         }
     }
 
+    pub(super) fn note_begun(&mut self, id: spec::JobId) {
+        if let Some(job) = self.book.job_mut(id) {
+            job.begun = true;
+        }
+    }
+
     /// A start was refused. If it was sent once, it is surely not there; an earlier one may be.
     fn settle(&mut self, place: usize, task: spec::TaskId, sent_once: bool, now: time::Monotonic) {
         if sent_once {
--- a/crates/daisymast_scheduler/tests/faults.rs
+++ b/crates/daisymast_scheduler/tests/faults.rs
@@ -383,3 +383,24 @@
     let started = (1..=14).filter(|&id| !rig.starts_of(id).is_empty()).count();
     assert_eq!(started, 14);
 }
+
+/// Guards against jobs that are not counted as waiting though no worker has taken any of their tasks:
+/// on a day with silent workers the count was 0 while five jobs had waited for 5 s.
+#[test]
+fn a_job_waits_until_a_worker_has_taken_a_task() {
+    let mut rig = Rig::new(2);
+    for worker in &mut rig.workers {
+        worker.cut = true;
+    }
+    rig.submit(1, QUICK, job(vec![step(2, 4, 500)]));
+    rig.run_ms(2_000);
+    assert_eq!(rig.scheduler.pending(&QUICK.into()), 1);
+    for worker in &mut rig.workers {
+        worker.cut = false;
+    }
+    rig.run_ms(6_000);
+    rig.submit(2, QUICK, job(vec![step(2, 4, 9_000)]));
+    rig.run_ms(500);
+    assert!(!rig.starts_of(2).is_empty());
+    assert_eq!(rig.scheduler.pending(&QUICK.into()), 0);
+}
