Keep looking at workers whose ends cannot be stored

Cause: a worker that had listed an end was not looked at again before the end was stored. Change: such a worker is looked at every 1.5 s, which extends its lease.

--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -9,6 +9,9 @@
 pub const LOOK_WAIT: Duration = Duration::from_millis(1_000);
 /// Shortest time between two looks at a worker, as each look has a cost.
 pub const LOOK_PAUSE: Duration = Duration::from_millis(40);
+/// Time between two looks at a worker whose ends wait to be stored. They extend its lease while the
+/// store is down.
+pub const LOOK_UNSTORED: Duration = Duration::from_millis(1_500);
 /// Pause after a look that failed.
 pub const LOOK_RETRY: Duration = Duration::from_millis(300);
 /// Pause before a stop without an answer is sent again.
--- a/crates/daisymast_scheduler/src/scheduler/looks.rs
+++ b/crates/daisymast_scheduler/src/scheduler/looks.rs
@@ -17,7 +17,7 @@
     pub(super) fn look(&mut self, now: time::Monotonic) {
         for place in 0..self.fleet.len() {
             let worker = self.fleet.at_mut(place);
-            if worker.looking || now < worker.next_look || !needs_look(worker) {
+            if worker.looking || now < worker.next_look || !needs_look(worker, now) {
                 continue;
             }
             let Some(target) = worker.target(place) else {
@@ -31,8 +31,11 @@
             } else {
                 worker.extend(now)
             };
-            let settled = worker.adopted && worker.misses == 0 && !idle && !worker.probe;
+            let unstored = worker.noted < worker.seen;
+            let settled =
+                worker.adopted && worker.misses == 0 && !idle && !worker.probe && !unstored;
             worker.looking = true;
+            worker.looked = now;
             worker.probe = false;
             self.actions.push(action::Action::Hold {
                 target,
@@ -318,16 +321,19 @@
 }
 
 /// Whether a worker has to be looked at: its runs are not known, something runs there, or it has to
-/// be told which ends are stored. While ends wait to be stored, a look would only list them again.
-fn needs_look(worker: &worker::Worker) -> bool {
-    let gone = !worker.listed && worker.runs.is_empty();
-    if gone || worker.noted < worker.seen {
+/// be told which ends are stored. While ends wait to be stored, a look lists them again at once, so
+/// there are only as many as the lease needs.
+fn needs_look(worker: &worker::Worker, now: time::Monotonic) -> bool {
+    if !worker.listed && worker.runs.is_empty() {
         return false;
     }
     let active = worker
         .runs
         .values()
         .any(|run| run.state != worker::RunState::Journaling);
+    if worker.noted < worker.seen {
+        return active && now >= worker.looked + constants::LOOK_UNSTORED;
+    }
     worker.probe || !worker.adopted || active || worker.told < worker.noted || worker.misses > 0
 }
 
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -117,6 +117,8 @@
     pub probe: bool,
     /// Time of the next look.
     pub next_look: time::Monotonic,
+    /// When the last look was opened.
+    pub looked: time::Monotonic,
     /// Looks that failed on end.
     pub misses: u32,
     /// Failed runs on end.
@@ -152,6 +154,7 @@
             looking: false,
             probe: false,
             next_look: time::Monotonic::ZERO,
+            looked: time::Monotonic::ZERO,
             misses: 0,
             strikes: 0,
             quarantined: time::Monotonic::ZERO,
--- a/crates/daisymast_scheduler/tests/faults.rs
+++ b/crates/daisymast_scheduler/tests/faults.rs
@@ -404,3 +404,19 @@
     assert!(!rig.starts_of(2).is_empty());
     assert_eq!(rig.scheduler.pending(&QUICK.into()), 0);
 }
+
+/// Guards against leases that lapse while the store is down: a worker with an end that could not be
+/// stored was not looked at any more, and lost all its tasks after 5 s.
+#[test]
+fn tasks_go_on_while_the_store_is_down() {
+    let mut rig = Rig::new(1);
+    rig.submit(1, BATCH, job(vec![step(1, 4, 1_000)]));
+    rig.submit(2, BATCH, job(vec![step(3, 4, 10_000)]));
+    rig.run_ms(500);
+    rig.store_down = true;
+    rig.run_ms(6_800);
+    assert_eq!(rig.running(), 3);
+    rig.store_down = false;
+    assert!(rig.run_until(2, State::Completed, 6_000).is_some());
+    assert_eq!(rig.starts_of(2).len(), 3);
+}
