Let requests wait while the only worker of their service moves to another instance

Cause: a rolling restart failed single quotes with not_run no_endpoint. The lease of a worker whose holder drains is between two holders for a moment; the list of endpoints is then empty, or the former holder answers that nobody holds the worker, and the request path gave up at once. Change: a list that was emptied while all instances of the zone answered, and an answer that names no holder, mark the service as moving for a second. Requests look at the list again every 50 ms meanwhile, then go to another zone as before. An instance that does not answer does not count, so a lost holder is passed over at once as before. Tests: a_request_waits_while_its_worker_moves, a_list_that_was_emptied_by_a_move_is_read_again, a_worker_that_does_not_come_back_is_not_waited_for.

--- a/crates/daisymast_engine/src/requests.rs
+++ b/crates/daisymast_engine/src/requests.rs
@@ -99,6 +99,7 @@
         }
         self.expire(cx);
         self.claim_again(cx);
+        self.choose_again(cx);
         self.ask_again(cx);
         self.settle_again(cx);
         self.start_next(cx);
@@ -287,7 +288,7 @@
             return;
         };
         match exchange.state {
-            State::Queued | State::Unclaimed { .. } | State::Choosing => {
+            State::Queued | State::Unclaimed { .. } | State::Choosing | State::Moving { .. } => {
                 self.finish(cx, key, End::NotRun(NotRunReason::DeadlineUnreachable));
             }
             State::Claiming
--- a/crates/daisymast_engine/src/requests/endpoints.rs
+++ b/crates/daisymast_engine/src/requests/endpoints.rs
@@ -17,6 +17,9 @@
 pub(crate) const USABLE: Duration = Duration::from_secs(1);
 /// Time for the reply of one instance.
 pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for which a service may be without an endpoint because the lease of its worker moves to
+/// another instance.
+const MOVE_TIME: Duration = Duration::from_secs(1);
 /// Factor on the expected wait at a worker without a free slot.
 const FULL_PENALTY: u64 = 8;
 
@@ -35,7 +38,11 @@
     /// Replies that are still missing.
     missing: usize,
     arriving: Vec<Known>,
+    /// Whether some instance did not answer, so that workers may be missing from the list.
+    partial: bool,
     waiting: Vec<Key>,
+    /// When a worker was last found to be between two holders.
+    moving: Option<Monotonic>,
 }
 
 /// Endpoints of all services that were asked for.
@@ -79,6 +86,7 @@
         let list = self.lists.entry(service.clone()).or_default();
         list.missing = count;
         list.arriving.clear();
+        list.partial = false;
     }
 
     /// Lets an exchange wait for the list.
@@ -87,20 +95,21 @@
         list.waiting.push(key);
     }
 
-    /// Takes the reply of one instance. With the last one the list is complete, and the exchanges
+    /// Takes the reply of one instance, none if it did not answer. With the last one the list is complete, and the exchanges
     /// that waited for it are returned.
     pub(crate) fn arrived(
         &mut self,
         now: Monotonic,
         service: &JobName,
         holder: &InstanceId,
-        found: Vec<Endpoint>,
+        found: Option<Vec<Endpoint>>,
     ) -> Vec<Key> {
         let Some(list) = self.lists.get_mut(service) else {
             return Vec::new();
         };
+        list.partial |= found.is_none();
         list.arriving
-            .extend(found.into_iter().map(|endpoint| Known {
+            .extend(found.into_iter().flatten().map(|endpoint| Known {
                 holder: holder.clone(),
                 endpoint,
             }));
@@ -108,7 +117,11 @@
         if list.missing > 0 {
             return Vec::new();
         }
-        list.known = std::mem::take(&mut list.arriving);
+        let known = std::mem::take(&mut list.arriving);
+        if known.is_empty() && !list.known.is_empty() && !list.partial {
+            list.moving = Some(now);
+        }
+        list.known = known;
         list.known
             .sort_by(|a, b| a.endpoint.worker.cmp(&b.endpoint.worker));
         list.fetched = Some(now);
@@ -173,6 +186,22 @@
         }
     }
 
+    /// A worker has no holder at the moment: drops it until the next list arrives.
+    pub(crate) fn released(&mut self, now: Monotonic, service: &JobName, worker: &WorkerId) {
+        if let Some(list) = self.lists.get_mut(service) {
+            list.known.retain(|known| known.endpoint.worker != *worker);
+            list.moving = Some(now);
+        }
+    }
+
+    /// Whether the service has no endpoint only because the lease of a worker moves.
+    pub(crate) fn is_moving(&self, now: Monotonic, service: &JobName) -> bool {
+        self.lists.get(service).is_some_and(|list| {
+            let recent = list.moving.is_some_and(|since| now - since < MOVE_TIME);
+            recent && list.known.is_empty()
+        })
+    }
+
     /// Drops the endpoints of a holder that cannot be reached until the next list arrives.
     pub(crate) fn lost(&mut self, service: &JobName, holder: &InstanceId) {
         if let Some(list) = self.lists.get_mut(service) {
--- a/crates/daisymast_engine/src/requests/exchange.rs
+++ b/crates/daisymast_engine/src/requests/exchange.rs
@@ -34,6 +34,8 @@
     Unclaimed { retry: Monotonic },
     /// Waits for the list of endpoints.
     Choosing,
+    /// The only worker is between two holders. The list is looked at again at `retry`.
+    Moving { retry: Monotonic },
     /// Sent to the holder of a worker.
     Serving { place: Place },
     /// The outcome at the worker is unknown and was asked for `asked` times. `retry` is the time of
--- a/crates/daisymast_engine/src/requests/serve.rs
+++ b/crates/daisymast_engine/src/requests/serve.rs
@@ -13,6 +13,8 @@
 use super::{MAX_ATTEMPTS, Requests, Step, millis, remaining, step};
 use crate::shared::Context;
 
+/// Pause before a request whose worker is between two holders looks for endpoints again.
+const MOVE_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time that is kept back from an attempt for asking what became of it.
 const RESOLVE_TIME: Duration = Duration::from_millis(500);
 /// Time for one question after a request's fate.
@@ -82,8 +84,8 @@
         outcome: Outcome<PeerReply>,
     ) {
         let found = match outcome {
-            Outcome::Done(PeerReply::Endpoints(found)) => found,
-            Outcome::Done(_) | Outcome::NoEffect(_) | Outcome::Unknown(_) => Vec::new(),
+            Outcome::Done(PeerReply::Endpoints(found)) => Some(found),
+            Outcome::Done(_) | Outcome::NoEffect(_) | Outcome::Unknown(_) => None,
         };
         let waiting = self.endpoints.arrived(cx.now.mono, service, holder, found);
         for key in waiting {
@@ -102,10 +104,35 @@
             .choose(&request.service, &request.id, attempt, tried);
         match found {
             Some(known) => self.serve(cx, key, known),
+            None if self.endpoints.is_moving(cx.now.mono, &request.service) => {
+                self.wait_for_holder(cx, key);
+            }
             None => self.forward(cx, key),
         }
     }
 
+    fn wait_for_holder(&mut self, cx: &Context<'_>, key: Key) {
+        if let Some(exchange) = self.exchanges.get_mut(&key) {
+            let retry = cx.now.mono + MOVE_PAUSE;
+            exchange.state = State::Moving { retry };
+        }
+    }
+
+    /// Chooses again for the requests whose worker was between two holders.
+    pub(super) fn choose_again(&mut self, cx: &mut Context<'_>) {
+        let now = cx.now.mono;
+        let due = |state: &State| matches!(state, State::Moving { retry } if *retry <= now);
+        let due: Vec<Key> = self
+            .exchanges
+            .iter()
+            .filter(|(_, exchange)| due(&exchange.state))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in due {
+            self.choose(cx, key);
+        }
+    }
+
     fn serve(&mut self, cx: &mut Context<'_>, key: Key, known: Known) {
         let Some(exchange) = self.exchanges.get_mut(&key) else {
             return;
@@ -169,7 +196,12 @@
                 self.endpoints.moved(&service, worker, &holder);
                 self.redirect(cx, key);
             }
-            Outcome::Done(PeerReply::NotHolder { holder: None }) => self.again(cx, key),
+            Outcome::Done(PeerReply::NotHolder { holder: None }) => {
+                exchange.tried.retain(|tried| tried != worker);
+                let service = exchange.request.service.clone();
+                self.endpoints.released(cx.now.mono, &service, worker);
+                self.redirect(cx, key);
+            }
             Outcome::NoEffect(_) => {
                 let service = exchange.request.service.clone();
                 self.endpoints.lost(&service, &place.holder);
--- a/crates/daisymast_engine/src/requests/tests/endpoints.rs
+++ b/crates/daisymast_engine/src/requests/tests/endpoints.rs
@@ -27,7 +27,7 @@
         Monotonic::ZERO,
         &service,
         &InstanceId::from("entry-2"),
-        found,
+        Some(found),
     );
     list
 }
@@ -126,3 +126,66 @@
         rig.endpoints(&["w-2"]);
     }
 }
+
+/// Guards against `NotRun` for a request that comes while the only worker of its service is between
+/// two holders, as when an instance drains.
+#[test]
+fn a_request_waits_while_its_worker_moves() {
+    let mut rig = Rig::new();
+    rig.isolate();
+    let call = rig.serving(&rig::once(), &["w-1"]);
+    rig.reply(&call, PeerReply::NotHolder { holder: None });
+    assert!(rig.answers.is_empty(), "{:?}", rig.answers);
+    rig.pass(300);
+    rig.endpoints(&["w-1"]);
+    let second = rig.take(rig::is_serve);
+    assert_eq!(rig::worker_of(&second), "w-1");
+    let answer = rig::answer_to(&rig::once().id, "42 USD");
+    rig.reply(&second, PeerReply::Served(answer));
+    rig.assert_done("42 USD");
+}
+
+/// Guards against `NotRun` for a request that finds the list empty because the lease has just moved.
+#[test]
+fn a_list_that_was_emptied_by_a_move_is_read_again() {
+    let mut rig = Rig::new();
+    rig.isolate();
+    let first = {
+        rig.submit(1, rig::repeatable("quote-1"));
+        rig.endpoints(&["w-1"]);
+        rig.take(rig::is_serve)
+    };
+    let answer = rig::answer_to(&rig::repeatable("quote-1").id, "41 USD");
+    rig.reply(&first, PeerReply::Served(answer));
+    rig.answers.clear();
+    rig.pass(1_000);
+    rig.submit(2, rig::repeatable("quote-2"));
+    rig.endpoints(&[]);
+    assert!(rig.answers.is_empty(), "{:?}", rig.answers);
+    rig.pass(300);
+    rig.endpoints(&["w-1"]);
+    let second = rig.take(rig::is_serve);
+    let answer = rig::answer_to(&rig::repeatable("quote-2").id, "42 USD");
+    rig.reply(&second, PeerReply::Served(answer));
+    rig.assert_done("42 USD");
+}
+
+/// Guards against a request that waits for a worker that has gone until its deadline passes.
+#[test]
+fn a_worker_that_does_not_come_back_is_not_waited_for() {
+    let mut rig = Rig::new();
+    let call = rig.serving(&rig::once(), &["w-1"]);
+    rig.reply(&call, PeerReply::NotHolder { holder: None });
+    assert_eq!(rig.open_starts(), 0);
+    for _ in 0..6 {
+        rig.pass(250);
+        if rig
+            .calls
+            .iter()
+            .any(|call| rig::is_endpoints(&call.request))
+        {
+            rig.endpoints(&[]);
+        }
+    }
+    rig.take(rig::is_forward);
+}
