Do not replace the scheduler on the word of a node that knows no others

Cause: a node that was just started knows no other nodes, so its poll asked only itself, and one of one counted as a majority. Test: a_node_that_knows_no_others_does_not_take_over_while_the_journal_grows, which failed before.

--- a/crates/daisymast_election/src/candidate.rs
+++ b/crates/daisymast_election/src/candidate.rs
@@ -269,7 +269,8 @@
                 self.inspected_since_heard = true;
                 Step::Probe
             }
-            Some(poll) if poll.asked > 0 && poll.agreed * 2 > poll.asked => {
+            // A node that was just started knows no others: its own word is no majority.
+            Some(poll) if poll.asked > 1 && poll.agreed * 2 > poll.asked => {
                 self.campaign(elected.term, false)
             }
             Some(_) => Step::Inspect,
--- a/crates/daisymast_election/tests/candidacy.rs
+++ b/crates/daisymast_election/tests/candidacy.rs
@@ -89,6 +89,28 @@
     assert!(is_campaign(&candidate.next(now)));
 }
 
+/// Guards against a node that was just started and replaces a scheduler which is only slow to answer:
+/// it knows no others to ask. In a rolling restart of 39 nodes the role changed 17 times in 17 s.
+#[test]
+fn a_node_that_knows_no_others_does_not_take_over_while_the_journal_grows() {
+    let mut candidate = Candidate::new(member("m", 250), at(0));
+    candidate.on_inspect(Some(elected(5, false)), 100, at(0));
+    for round in 1..30 {
+        let now = at(700 + round * 100);
+        candidate.on_inspect(Some(elected(5, false)), 100 + round, now);
+        let step = candidate.next(now);
+        assert!(!is_campaign(&step), "round {round}: {step:?}");
+        if step == Step::Probe {
+            candidate.on_poll(Poll {
+                asked: 1,
+                agreed: 1,
+            });
+            let step = candidate.next(now);
+            assert!(!is_campaign(&step), "round {round}: {step:?}");
+        }
+    }
+}
+
 /// Guards against the last node alive that waits for a majority for ever.
 #[test]
 fn the_last_node_takes_over_when_the_journal_stands_still() {
