--- a/crates/daisymast_jobs/src/book.rs
+++ b/crates/daisymast_jobs/src/book.rs
@@ -1,17 +1,26 @@
 //! All jobs, rebuilt from the journal.
 
+use std::time::Duration;
+
 use daisymast_types::collections;
 use daisymast_types::ids;
+use daisymast_types::time;
 
 use crate::job;
 use crate::queue;
 use crate::record;
 use crate::spec;
 
+/// Time for which the state of an ended job stays known, well above the two minutes that callers are
+/// promised.
+pub const ENDED_KEPT: Duration = Duration::from_secs(600);
+
 /// All jobs that are known.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
     jobs: collections::FastMap<spec::JobId, job::Job>,
+    /// Jobs of which only the final state is kept.
+    ended: collections::FastMap<spec::JobId, record::Ended>,
     queues: collections::FastMap<ids::QueueName, queue::Queue>,
     /// Learned speeds of workers, in thousandths.
     speeds: collections::FastMap<ids::WorkerId, u32>,
@@ -23,6 +32,12 @@
         self.jobs.get(&id)
     }
 
+    /// State of a job as callers may be told it.
+    pub fn shown(&self, id: spec::JobId) -> Option<job::State> {
+        let ended = || self.ended.get(&id).map(|ended| ended.state);
+        self.jobs.get(&id).map(|job| job.shown).or_else(ended)
+    }
+
     /// Terms of a queue that has accepted a job.
     pub fn queue(&self, name: &ids::QueueName) -> Option<&queue::Queue> {
         self.queues.get(name)
@@ -69,6 +84,46 @@
         self.jobs.remove(&id);
     }
 
+    /// Reduces jobs that have ended to their state, and forgets those that ended long ago.
+    pub fn reduce(&mut self, now: time::UnixMillis) {
+        let kept = u64::try_from(ENDED_KEPT.as_millis()).unwrap_or(u64::MAX);
+        let ended = &mut self.ended;
+        ended.retain(|_, ended| now.0.saturating_sub(ended.at.0) <= kept);
+        self.jobs.retain(|&id, job| {
+            if !job.is_settled() {
+                return true;
+            }
+            let state = job.shown;
+            ended.insert(id, record::Ended { state, at: now });
+            false
+        });
+    }
+
+    /// Records from which the book can be rebuilt without any earlier one.
+    pub fn checkpoint(&self) -> Vec<record::Record> {
+        let mut records = vec![record::Record::Checkpoint];
+        let queues = self.queues.values().cloned();
+        records.extend(queues.map(|terms| record::Record::Queue { terms }));
+        let speeds = self.speeds.iter();
+        records.extend(speeds.map(|(worker, &permille)| record::Record::Speed {
+            worker: worker.clone(),
+            permille,
+        }));
+        let mut groups: collections::FastMap<record::Ended, Vec<spec::JobId>> =
+            collections::FastMap::default();
+        for (&job, &ended) in &self.ended {
+            groups.entry(ended).or_default().push(job);
+        }
+        let groups = groups.into_iter();
+        records.extend(groups.map(|(ended, jobs)| record::Record::Ended { ended, jobs }));
+        let jobs = self.jobs.iter();
+        records.extend(jobs.map(|(&job, content)| record::Record::Restored {
+            job,
+            content: Box::new(content.clone()),
+        }));
+        records
+    }
+
     /// Applies one record of the journal. A record about an unknown job is ignored: its job was
     /// dropped from the journal.
     pub fn apply(&mut self, record: record::Record) {
@@ -81,7 +136,9 @@
                 spec,
                 at,
             } => {
-                self.insert(job, job::Job::new(queue, spec, at));
+                if !self.ended.contains_key(&job) {
+                    self.insert(job, job::Job::new(queue, spec, at));
+                }
             }
             record::Record::Placed { step, run, tasks } => self.place(step, run, tasks),
             record::Record::Done { task } => {
@@ -105,6 +162,13 @@
                     job.cancelled = true;
                 }
             }
+            record::Record::Checkpoint => *self = Self::default(),
+            record::Record::Ended { ended, jobs } => {
+                self.ended.extend(jobs.into_iter().map(|job| (job, ended)));
+            }
+            record::Record::Restored { job, content } => {
+                self.jobs.insert(job, *content);
+            }
         }
     }
 
--- a/crates/daisymast_jobs/src/job.rs
+++ b/crates/daisymast_jobs/src/job.rs
@@ -4,11 +4,12 @@
 
 use daisymast_types::ids;
 use daisymast_types::time;
+use serde::{Deserialize, Serialize};
 
 use crate::spec;
 
 /// What callers are told of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum State {
     /// No task has started.
     Queued,
@@ -30,7 +31,7 @@
 }
 
 /// Where a task stands.
-#[derive(Clone, Debug, PartialEq, Eq, Default)]
+#[derive(Clone, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Phase {
     /// It waits for a worker.
     #[default]
@@ -45,7 +46,7 @@
 }
 
 /// One task.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Task {
     /// Where it stands.
     pub phase: Phase,
@@ -60,7 +61,7 @@
 }
 
 /// The tasks of a step in one occurrence.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepTasks {
     /// All tasks, by position.
     pub tasks: Vec<Task>,
@@ -83,7 +84,7 @@
 }
 
 /// A job that was accepted.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Job {
     /// Queue that took it.
     pub queue: ids::QueueName,
@@ -223,6 +224,16 @@
         }
     }
 
+    /// Whether its end is stored and no worker holds a task of it: only its state matters any more.
+    pub fn is_settled(&self) -> bool {
+        let holds = |task: &Task| matches!(task.phase, Phase::Placed { .. });
+        self.shown.is_final()
+            && !self.occurrences.iter().any(|steps| {
+                let mut tasks = steps.iter().flat_map(|step| &step.tasks);
+                tasks.any(holds)
+            })
+    }
+
     fn is_complete(&self) -> bool {
         self.occurrences.len() == self.occurrence_count() as usize
             && self
--- a/crates/daisymast_jobs/src/lib.rs
+++ b/crates/daisymast_jobs/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod job;
 pub mod queue;
 pub mod record;
+pub mod segments;
 pub mod spec;
--- a/crates/daisymast_jobs/src/record.rs
+++ b/crates/daisymast_jobs/src/record.rs
@@ -4,9 +4,19 @@
 use daisymast_types::time;
 use serde::{Deserialize, Serialize};
 
+use crate::job;
 use crate::queue;
 use crate::spec;
 
+/// What is kept of a job that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Ended {
+    /// Its final state.
+    pub state: job::State,
+    /// When it was reduced to its state.
+    pub at: time::UnixMillis,
+}
+
 /// One change of a job, as the journal keeps it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
@@ -70,16 +80,33 @@
         /// The job.
         job: spec::JobId,
     },
+    /// The records that follow in the same commit replace all earlier ones.
+    Checkpoint,
+    /// Jobs that had ended by a checkpoint in the same way.
+    Ended {
+        /// How they ended.
+        ended: Ended,
+        /// The jobs.
+        jobs: Vec<spec::JobId>,
+    },
+    /// A job as it was at a checkpoint.
+    Restored {
+        /// Its id.
+        job: spec::JobId,
+        /// All that is known of it.
+        content: Box<job::Job>,
+    },
 }
 
 impl Record {
     /// The job that it is about, if any.
     pub fn job(&self) -> Option<spec::JobId> {
         match self {
-            Self::Queue { .. } | Self::Speed { .. } => None,
-            Self::Accepted { job, .. } | Self::GaveUp { job } | Self::Cancelled { job } => {
-                Some(*job)
-            }
+            Self::Queue { .. } | Self::Speed { .. } | Self::Checkpoint | Self::Ended { .. } => None,
+            Self::Accepted { job, .. }
+            | Self::GaveUp { job }
+            | Self::Cancelled { job }
+            | Self::Restored { job, .. } => Some(*job),
             Self::Placed { step, .. } | Self::GangDone { step } => Some(step.job),
             Self::Done { task } | Self::Failed { task, .. } => Some(task.step.job),
         }
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -70,3 +70,7 @@
 pub const IDLE_AGE: Duration = Duration::from_secs(12);
 /// Bytes of one batch of the journal; larger ones are split over several keys.
 pub const BATCH_BYTES: usize = 400_000;
+/// Parts of a checkpoint, which are written in one commit of at most 32 entries.
+pub const CHECKPOINT_PARTS: usize = 24;
+/// Rate of the slowest link, 10 Mbit/s, for values in base64 and with some reserve.
+pub const SLOW_LINK_BYTES_PER_MS: u64 = 500;
--- a/crates/daisymast_node/src/lead.rs
+++ b/crates/daisymast_node/src/lead.rs
@@ -233,7 +233,7 @@
         .spawn(journal::renew(Arc::clone(context), term));
     let replayed = journal::replay(context, term).await;
     renewal.cancel().await;
-    let Some((book, next_batch)) = replayed else {
+    let Some(journal::Replayed { book, segments }) = replayed else {
         return;
     };
     let config = loop {
@@ -265,7 +265,7 @@
     let committer = context.executor.spawn(journal::keep(
         Arc::clone(context),
         Arc::clone(&lead),
-        next_batch,
+        segments,
     ));
     let yields = drive(context, &lead).await;
     context.set_lead(None);
--- a/crates/daisymast_node/src/lead/journal.rs
+++ b/crates/daisymast_node/src/lead/journal.rs
@@ -6,7 +6,7 @@
 
 use daisymast_adapter::{keys, store};
 use daisymast_election::record as election;
-use daisymast_jobs::{book, record};
+use daisymast_jobs::{book, record, segments};
 use daisymast_types::time;
 use smol::Timer;
 
@@ -46,12 +46,22 @@
     }
 }
 
+/// What the journal holds.
+pub(super) struct Replayed {
+    pub(super) book: book::Book,
+    pub(super) segments: segments::Segments,
+}
+
 /// Reads the journal. The term's own write of the leader key precedes this read, so no former
-/// scheduler can add to it any more. Returns the jobs and the number of the next batch.
-pub(super) async fn replay(context: &context::Context, term: u64) -> Option<(book::Book, u64)> {
-    let mut book = book::Book::default();
-    let mut next = 1;
+/// scheduler can add to it any more.
+pub(super) async fn replay(context: &context::Context, term: u64) -> Option<Replayed> {
+    let begun = clock::now();
+    let mut replayed = Replayed {
+        book: book::Book::default(),
+        segments: segments::Segments::default(),
+    };
     let mut after = String::new();
+    let mut bytes = 0;
     loop {
         if context.is_draining() || is_replaced(context, term) {
             return None;
@@ -69,20 +79,38 @@
             }
         };
         for item in &page.items {
-            match record::decode(&item.value) {
-                Ok(batch) => batch.into_iter().for_each(|record| book.apply(record)),
-                Err(error) => log::error!("batch {} does not decode: {error}", item.key),
-            }
+            bytes += item.value.len();
+            replayed.apply(item);
         }
         if let Some(last) = page.items.last() {
             after.clone_from(&last.key);
-            let number = last.key.strip_prefix(keys::JOURNAL).map(str::parse::<u64>);
-            if let Some(Ok(number)) = number {
-                next = number + 1;
-            }
         }
         if !page.more {
-            return Some((book, next));
+            let took = (clock::now() - begun).as_millis();
+            log::info!("journal of {bytes} bytes was read in {took} ms");
+            return Some(replayed);
+        }
+    }
+}
+
+impl Replayed {
+    fn apply(&mut self, item: &store::Item) {
+        let number = item.key.strip_prefix(keys::JOURNAL).map(str::parse::<u64>);
+        let Some(Ok(number)) = number else {
+            log::error!("key {} has no number of a batch", item.key);
+            return;
+        };
+        let batch = match record::decode(&item.value) {
+            Ok(batch) => batch,
+            Err(error) => {
+                log::error!("batch {} does not decode: {error}", item.key);
+                Vec::new()
+            }
+        };
+        let is_checkpoint = batch.first() == Some(&record::Record::Checkpoint);
+        self.segments.found(number, item.value.len(), is_checkpoint);
+        for record in batch {
+            self.book.apply(record);
         }
     }
 }
@@ -112,11 +140,14 @@
 }
 
 /// Writes batches, and confirms the term while there is nothing to write.
-pub(super) async fn keep(context: Arc<context::Context>, lead: Arc<lead::Lead>, mut next: u64) {
+pub(super) async fn keep(
+    context: Arc<context::Context>,
+    lead: Arc<lead::Lead>,
+    mut segments: segments::Segments,
+) {
     let mut last = clock::now();
     loop {
-        let batch = lock(&lead.scheduler).take_batch();
-        let Some(batch) = batch else {
+        let Some(batch) = next_batch(&lead, &segments) else {
             if clock::now() - last >= constants::RENEW {
                 last = clock::now();
                 let transaction = transaction(&lead);
@@ -130,8 +161,14 @@
         };
         lead.committing.store(true, Ordering::Relaxed);
         last = clock::now();
-        let written = match write(&context, &lead, &batch, next).await {
-            Written::Keys(written) => written,
+        let written = match batch {
+            Batch::Records(records) => write(&context, &lead, &records, &mut segments).await,
+            Batch::Checkpoint(parts) => {
+                write_checkpoint(&context, &lead, &parts, &mut segments).await
+            }
+        };
+        match written {
+            Written::Stored => {}
             Written::Nothing => {
                 lead.update(|scheduler| scheduler.withdraw(true));
                 lead.committing.store(false, Ordering::Relaxed);
@@ -139,8 +176,7 @@
                 continue;
             }
             Written::TermEnded => return,
-        };
-        next += written;
+        }
         let now = clock::now();
         lead.update(|scheduler| scheduler.committed(now));
         lead.committing.store(false, Ordering::Relaxed);
@@ -149,51 +185,128 @@
     }
 }
 
+/// What the next commit holds.
+enum Batch {
+    Records(Vec<record::Record>),
+    /// All that the records so far say, encoded in parts that each fit into a key.
+    Checkpoint(Vec<Vec<u8>>),
+}
+
+fn next_batch(lead: &lead::Lead, segments: &segments::Segments) -> Option<Batch> {
+    let mut scheduler = lock(&lead.scheduler);
+    let records = scheduler.take_batch()?;
+    if !segments.is_checkpoint_due() {
+        return Some(Batch::Records(records));
+    }
+    let mut parts = Vec::new();
+    match encode_parts(&scheduler.checkpoint(), &mut parts) {
+        Ok(()) if parts.len() <= constants::CHECKPOINT_PARTS => Some(Batch::Checkpoint(parts)),
+        Ok(()) => {
+            log::error!("a checkpoint of {} parts exceeds one commit", parts.len());
+            Some(Batch::Records(records))
+        }
+        Err(error) => {
+            log::error!("the checkpoint does not encode: {error}");
+            Some(Batch::Records(records))
+        }
+    }
+}
+
+/// Encodes records in parts of limited size.
+fn encode_parts(
+    records: &[record::Record],
+    parts: &mut Vec<Vec<u8>>,
+) -> Result<(), rmp_serde::encode::Error> {
+    let bytes = record::encode(records)?;
+    if bytes.len() <= constants::BATCH_BYTES || records.len() <= 1 {
+        parts.push(bytes);
+        return Ok(());
+    }
+    let (first, second) = records.split_at(records.len() / 2);
+    encode_parts(first, parts)?;
+    encode_parts(second, parts)
+}
+
 /// What became of a batch.
 enum Written {
-    /// It is stored under this number of keys.
-    Keys(u64),
+    /// It is stored.
+    Stored,
     /// It surely had no effect.
     Nothing,
     /// The term has ended.
     TermEnded,
 }
 
-/// Writes a batch, over several keys if it is large.
+/// Writes a checkpoint in one commit: a part of it alone would lose jobs.
+async fn write_checkpoint(
+    context: &context::Context,
+    lead: &lead::Lead,
+    parts: &[Vec<u8>],
+    segments: &mut segments::Segments,
+) -> Written {
+    let first = segments.next();
+    let mut transaction = transaction(lead).expect(&keys::batch(first), 0);
+    for (number, part) in (first..).zip(parts) {
+        transaction = transaction.put(&keys::batch(number), part.clone());
+    }
+    let bytes = transaction.bytes();
+    let Some(part) = parts.first() else {
+        return Written::Stored;
+    };
+    let key = keys::batch(first);
+    let written = commit(context, lead, &transaction, Some((&key, part))).await;
+    if matches!(written, Written::Stored) {
+        segments.checkpointed(parts.len() as u64, bytes);
+        log::info!("checkpoint of {bytes} bytes at batch {first}");
+    }
+    written
+}
+
+/// Writes a batch, over several keys if it is large, and removes batches that are of no use.
 async fn write(
     context: &context::Context,
     lead: &lead::Lead,
     batch: &[record::Record],
-    next: u64,
+    segments: &mut segments::Segments,
 ) -> Written {
-    let bytes = match record::encode(batch) {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            log::error!("batch {next} does not encode: {error}");
-            lead.depose();
-            return Written::TermEnded;
-        }
-    };
-    if bytes.len() > constants::BATCH_BYTES && batch.len() > 1 {
-        let (first, second) = batch.split_at(batch.len() / 2);
-        let mut keys = 0;
-        for half in [first, second] {
-            // A part that is stored binds the rest, so only the first may come to nothing.
-            loop {
-                match Box::pin(write(context, lead, half, next + keys)).await {
-                    Written::Keys(written) => keys += written,
-                    Written::Nothing if keys == 0 => return Written::Nothing,
-                    Written::Nothing => continue,
-                    Written::TermEnded => return Written::TermEnded,
-                }
-                break;
+    let mut parts = Vec::new();
+    if let Err(error) = encode_parts(batch, &mut parts) {
+        log::error!("batch {} does not encode: {error}", segments.next());
+        lead.depose();
+        return Written::TermEnded;
+    }
+    for (position, part) in parts.into_iter().enumerate() {
+        // A part that is stored binds the rest, so only the first may come to nothing.
+        loop {
+            match append(context, lead, &part, segments).await {
+                Written::Stored => break,
+                Written::Nothing if position == 0 => return Written::Nothing,
+                Written::Nothing => {}
+                Written::TermEnded => return Written::TermEnded,
             }
         }
-        return Written::Keys(keys);
     }
-    let key = keys::batch(next);
-    let transaction = transaction(lead).expect(&key, 0).put(&key, bytes.clone());
-    commit(context, lead, &transaction, Some((&key, &bytes))).await
+    Written::Stored
+}
+
+async fn append(
+    context: &context::Context,
+    lead: &lead::Lead,
+    part: &[u8],
+    segments: &mut segments::Segments,
+) -> Written {
+    let key = keys::batch(segments.next());
+    let garbage = segments.garbage();
+    let mut transaction = transaction(lead).expect(&key, 0).put(&key, part.to_vec());
+    for number in garbage.clone() {
+        transaction = transaction.remove(keys::batch(number));
+    }
+    let written = commit(context, lead, &transaction, Some((&key, part))).await;
+    if matches!(written, Written::Stored) {
+        segments.appended(1, part.len());
+        segments.removed(garbage.end);
+    }
+    written
 }
 
 fn transaction(lead: &lead::Lead) -> store::Transaction {
@@ -215,7 +328,7 @@
     let mut failures = 0_u32;
     while !lead.deposed.load(Ordering::Relaxed) {
         let sent = clock::now();
-        let timeout = lock(&lead.pace).timeout();
+        let timeout = lock(&lead.pace).timeout() + sending_time(transaction.bytes());
         let committed = context.store.commit(transaction, timeout).await;
         match committed {
             Ok(store::Committed::Done(_)) => {
@@ -226,7 +339,7 @@
                 lock(&lead.authority).confirm(sent);
                 log_regained(failures, begun);
                 lead.storeless.store(false, Ordering::Relaxed);
-                return Written::Keys(1);
+                return Written::Stored;
             }
             Ok(store::Committed::Conflict(items)) => {
                 let leads = items
@@ -241,7 +354,7 @@
                     lock(&lead.authority).confirm(sent);
                     log_regained(failures, begun);
                     lead.storeless.store(false, Ordering::Relaxed);
-                    return Written::Keys(1);
+                    return Written::Stored;
                 }
                 log::info!("term {} was replaced", lead.term);
                 lead.depose();
@@ -274,6 +387,11 @@
     Written::TermEnded
 }
 
+/// Time that a commit of a size takes on the slowest link.
+fn sending_time(bytes: usize) -> Duration {
+    Duration::from_millis(bytes as u64 / constants::SLOW_LINK_BYTES_PER_MS)
+}
+
 fn log_lost(failures: u32, reason: &str) {
     if failures == 0 {
         log::warn!("commit to the platform store failed: {reason}");
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -77,6 +77,13 @@
         self.journal.take_batch()
     }
 
+    /// Records from which a scheduler can begin, in place of all batches up to the one that was just
+    /// taken. Call it right after [`take_batch`](Self::take_batch): later changes are in no batch yet.
+    pub fn checkpoint(&mut self) -> Vec<record::Record> {
+        self.book.reduce(self.wall);
+        self.book.checkpoint()
+    }
+
     /// The batch in flight is stored.
     pub fn committed(&mut self, now: time::Monotonic) {
         for effect in self.journal.committed() {
--- a/crates/daisymast_scheduler/src/scheduler/callers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/callers.rs
@@ -23,7 +23,7 @@
         now: time::Timestamp,
     ) {
         self.wall = now.wall;
-        if self.book.job(id).is_none() {
+        if self.book.shown(id).is_none() {
             if let Some(terms) = self.config.queue(&queue)
                 && self.book.queue(&queue) != Some(terms)
             {
@@ -84,12 +84,14 @@
 
     /// Cancels a job. The answer follows when the cancel is stored.
     pub fn cancel(&mut self, token: u64, id: spec::JobId, now: time::Monotonic) {
-        let Some(job) = self.book.job_mut(id) else {
+        if self.book.shown(id).is_none() {
             let answer = action::Answer::NoSuchJob;
             self.actions.push(action::Action::Answer { token, answer });
             return;
-        };
-        if !job.state().is_final() {
+        }
+        if let Some(job) = self.book.job_mut(id)
+            && !job.state().is_final()
+        {
             job.cancelled = true;
             self.journal.record(record::Record::Cancelled { job: id });
             self.after_commit(journal::Effect::Show(id, job::State::Cancelled), now);
@@ -106,7 +108,7 @@
 
     /// State of a job, as far as it is stored.
     pub fn state(&self, id: spec::JobId) -> Option<job::State> {
-        Some(self.book.job(id)?.shown)
+        self.book.shown(id)
     }
 
     /// Number of jobs of a queue of which no worker has taken a task yet. A placed task does not count:
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -17,6 +17,8 @@
 const WIRE_MS: u64 = 1;
 /// A commit, in milliseconds.
 const COMMIT_MS: u64 = 8;
+/// Each batch of this number is replaced by a checkpoint, so that takeovers begin from one.
+const CHECKPOINT_BATCHES: u64 = 7;
 /// Time for which a member of a gang waits for the others, in milliseconds.
 const GANG_WAIT_MS: u64 = 3_000;
 /// Step of the virtual clock, in milliseconds.
@@ -122,6 +124,7 @@
     pub(crate) answers: BTreeMap<u64, action::Answer>,
     pub(crate) deposed: bool,
     pub(crate) journal: Vec<record::Record>,
+    batches: u64,
     /// Workers that the advice service allows; all if empty.
     pub(crate) allowed: BTreeSet<String>,
     pub(crate) store_down: bool,
@@ -235,6 +238,7 @@
             answers: BTreeMap::new(),
             deposed: false,
             journal: Vec::new(),
+            batches: 0,
             allowed: BTreeSet::new(),
             store_down: false,
             looks: 0,
@@ -329,6 +333,12 @@
             if !self.store_down
                 && let Some(batch) = self.scheduler.take_batch()
             {
+                self.batches += 1;
+                let batch = if self.batches.is_multiple_of(CHECKPOINT_BATCHES) {
+                    self.scheduler.checkpoint()
+                } else {
+                    batch
+                };
                 self.send(COMMIT_MS, Message::Committed(batch));
             }
         }
