Send configurations and the list of nodes between nodes only where they are missing

Cause: the answer to each ping held all nodes (39 entries, 190 times a second on the grown cells), and after a change of the configuration all 38 followers took it from the scheduler within one ping, beside the watch that brings it anyway. Change: a ping carries a digest of the nodes that it knows, and asks for a configuration only when one of which it has heard has not come from the store for 300 ms, or when it has none.

--- a/crates/daisymast_election/src/record.rs
+++ b/crates/daisymast_election/src/record.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use daisymast_types::hashing;
 use daisymast_types::ids;
 use serde::{Deserialize, Serialize};
 
@@ -35,3 +36,24 @@
     /// Who it is.
     pub leader: Leader,
 }
+
+/// Digest of the ids of nodes, whatever their order. A scheduler need not send the nodes again to one
+/// that knows them.
+///
+/// ```
+/// use daisymast_election::record;
+/// let member = |name: &str| record::Member {
+///     id: name.into(),
+///     address: "127.0.0.1:1".parse().unwrap(),
+///     millicores: 250,
+/// };
+/// let (a, b) = (member("a"), member("b"));
+/// assert_eq!(record::roster(&[a.clone(), b.clone()]), record::roster(&[b.clone(), a]));
+/// assert_ne!(record::roster(&[b]), 0);
+/// ```
+pub fn roster(members: &[Member]) -> u64 {
+    members
+        .iter()
+        .map(|member| hashing::stable(member.id.as_str().as_bytes()))
+        .fold(0, u64::wrapping_add)
+}
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -8,6 +8,9 @@
 pub const FOLLOW_PAUSE: Duration = Duration::from_millis(50);
 /// Pause after a read of the leader key.
 pub const INSPECT_PAUSE: Duration = Duration::from_millis(40);
+/// Time for which the store may bring a configuration of which another node has told, before it is
+/// asked for.
+pub const CONFIG_GRACE: Duration = Duration::from_millis(300);
 /// Time for a ping.
 pub const PING_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time for one read or commit at the store, above its answers while it is slow.
--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -8,11 +8,13 @@
 use daisymast_http::{client, executor};
 use daisymast_scheduler::config;
 use daisymast_telemetry::decisions;
+use daisymast_types::time;
 
 use crate::clock;
 use crate::constants;
 use crate::lead;
 use crate::metrics;
+use crate::peers;
 
 /// What all parts of a node share.
 #[derive(Debug)]
@@ -37,6 +39,8 @@
     pub advice: client::Client,
     candidate: Mutex<candidate::Candidate>,
     config: Mutex<Option<Arc<config::Configuration>>>,
+    /// When another node first told of a later configuration than this one has.
+    behind: Mutex<Option<time::Monotonic>>,
     lead: Mutex<Option<Arc<lead::Lead>>>,
     draining: AtomicBool,
     term: AtomicU64,
@@ -62,6 +66,7 @@
             advice: client(),
             candidate: Mutex::new(candidate::Candidate::new(me, clock::now())),
             config: Mutex::new(None),
+            behind: Mutex::new(None),
             lead: Mutex::new(None),
             draining: AtomicBool::new(false),
             term: AtomicU64::new(0),
@@ -118,6 +123,30 @@
         true
     }
 
+    /// Another node told the version of its configuration.
+    pub fn heard_version(&self, version: u64, now: time::Monotonic) {
+        let mut behind = lock(&self.behind);
+        if version <= self.config_version() {
+            *behind = None;
+        } else {
+            behind.get_or_insert(now);
+        }
+    }
+
+    /// A ping of this node. It asks for a configuration only if the store does not bring it: a large
+    /// one that all nodes took from the scheduler at once would keep it from answering pings.
+    pub fn ping(&self) -> peers::Request {
+        let since = *lock(&self.behind);
+        let late = since.is_some_and(|since| clock::now() - since >= constants::CONFIG_GRACE);
+        let version = self.config_version();
+        peers::Request::Ping {
+            from: self.member(),
+            version,
+            wanted: late || version == 0,
+            roster: record::roster(self.candidate().members()),
+        }
+    }
+
     /// The scheduler of this process, while it is elected.
     pub fn lead(&self) -> Option<Arc<lead::Lead>> {
         lock(&self.lead).clone()
--- a/crates/daisymast_node/src/follow.rs
+++ b/crates/daisymast_node/src/follow.rs
@@ -90,10 +90,7 @@
 }
 
 async fn ping_at(context: &context::Context, address: std::net::SocketAddr, term: Option<u64>) {
-    let request = peers::Request::Ping {
-        from: context.member(),
-        version: context.config_version(),
-    };
+    let request = context.ping();
     let answer = peers::call(context, address, &request, constants::PING_TIMEOUT).await;
     let pong = match answer {
         outcome::Outcome::Done(peers::Reply::Pong(pong)) => pong,
@@ -109,6 +106,7 @@
     if let Some(config) = pong.config {
         context.configure(config);
     }
+    context.heard_version(pong.version, now);
     let mut candidate = context.candidate();
     if let Some(known) = pong.known {
         let elected = record::Elected {
@@ -172,10 +170,7 @@
             let context = Arc::clone(context);
             let executor = Arc::clone(&context.executor);
             executor.spawn(async move {
-                let request = peers::Request::Ping {
-                    from: context.member(),
-                    version: context.config_version(),
-                };
+                let request = context.ping();
                 let call = peers::call(&context, member.address, &request, constants::PING_TIMEOUT);
                 match call.await {
                     outcome::Outcome::Done(peers::Reply::Pong(pong)) => !pong.content,
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -27,6 +27,10 @@
         from: record::Member,
         /// Version of its configuration.
         version: u64,
+        /// Whether it wants a later configuration, as it has not come from the store.
+        wanted: bool,
+        /// Digest of the nodes that it knows.
+        roster: u64,
     },
     /// Hands a job to the scheduler.
     Submit {
@@ -79,13 +83,15 @@
     pub leads: Option<u64>,
     /// Time since its last confirmed commit, in milliseconds.
     pub stale_ms: u64,
-    /// Nodes that are alive, as the scheduler knows them.
+    /// Nodes that are alive, as the scheduler knows them; none if the node that asked knows the same.
     pub members: Vec<record::Member>,
+    /// Version of the answering node's configuration.
+    pub version: u64,
     /// Who schedules.
     pub known: Option<Known>,
     /// Whether the answering node reaches a scheduler that has the store.
     pub content: bool,
-    /// A later configuration than that of the node that asked.
+    /// A later configuration than that of the node that asked, if it wants one.
     pub config: Option<config::Configuration>,
 }
 
@@ -173,7 +179,20 @@
 
 async fn answer(context: &Arc<context::Context>, request: Request) -> Reply {
     match request {
-        Request::Ping { from, version } => Reply::Pong(Box::new(pong(context, from, version))),
+        Request::Ping {
+            from,
+            version,
+            wanted,
+            roster,
+        } => {
+            let config = context.config();
+            let mut pong = pong(context, from, roster);
+            pong.version = config.as_ref().map_or(0, |config| config.version);
+            if wanted && pong.version > version {
+                pong.config = config.map(|config| (*config).clone());
+            }
+            Reply::Pong(Box::new(pong))
+        }
         Request::Ask {
             step,
             workers,
@@ -197,15 +216,18 @@
     }
 }
 
-fn pong(context: &context::Context, from: record::Member, version: u64) -> Pong {
+fn pong(context: &context::Context, from: record::Member, roster: u64) -> Pong {
     let now = clock::now();
     let lead = context.lead();
-    let config = context.config().filter(|config| config.version > version);
     let leads = context.term();
     let (stale_ms, members) = match &lead {
         Some(lead) => {
             lead.on_ping(from, now);
-            (lead.stale_ms(now), lead.members(now))
+            let mut members = lead.members(now);
+            if record::roster(&members) == roster {
+                members.clear();
+            }
+            (lead.stale_ms(now), members)
         }
         None => (0, Vec::new()),
     };
@@ -219,7 +241,8 @@
             leader: elected.leader.clone(),
         }),
         content: leads.is_some() || candidate.is_content(now),
-        config: config.map(|config| (*config).clone()),
+        version: 0,
+        config: None,
     }
 }
 
