--- a/crates/daisymast_election/src/candidate.rs
+++ b/crates/daisymast_election/src/candidate.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use daisymast_types::time;
+use serde::Serialize;
 
 use crate::record;
 
@@ -30,6 +31,24 @@
 /// Thousandths of a core.
 const WHOLE_CORE: u32 = 1_000;
 
+/// Why a node tries to take over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// No scheduler was ever elected.
+    None,
+    /// The scheduler has given the role back.
+    Resigned,
+    /// The scheduler's process was started anew.
+    Disowned,
+    /// The journal stands still.
+    Stalled,
+    /// The scheduler says that it does not reach the store.
+    Stale,
+    /// Most nodes do not reach the scheduler.
+    Unreached,
+}
+
 /// What a node should do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -43,8 +62,8 @@
     Campaign {
         /// Revision of the leader key that is to be replaced.
         term: u64,
-        /// Whether the former scheduler gave the role back.
-        resigned: bool,
+        /// Why.
+        reason: Reason,
         /// Time to wait first, so that larger nodes go before.
         delay: Duration,
     },
@@ -64,9 +83,12 @@
 /// assert!(!candidate::should_yield(&member(250), &[member(250), member(90)]));
 /// ```
 pub fn should_yield(me: &record::Member, others: &[record::Member]) -> bool {
-    others
-        .iter()
-        .any(|other| other.millicores * 2 >= me.millicores * 3)
+    others.iter().any(|other| is_much_larger(other, me))
+}
+
+/// Whether a machine has one and a half times the processors of another.
+fn is_much_larger(one: &record::Member, other: &record::Member) -> bool {
+    one.millicores * 2 >= other.millicores * 3
 }
 
 /// What other nodes said when asked about the scheduler.
@@ -200,6 +222,11 @@
         now - self.heard
     }
 
+    /// Time without a confirmed commit, as the scheduler last told it.
+    pub fn stale(&self) -> Duration {
+        self.stale
+    }
+
     /// The scheduler's process answered that it does not schedule in this term, nor knows a later
     /// one: it was started anew.
     pub fn on_disowned(&mut self, term: u64) {
@@ -237,14 +264,14 @@
                 return Step::Inspect;
             }
             self.inspected = false;
-            return self.campaign(0, true);
+            return self.campaign(0, Reason::None);
         };
         if elected.leader.resigned {
             if !self.inspected {
                 return Step::Inspect;
             }
             self.inspected = false;
-            return self.campaign(elected.term, true);
+            return self.campaign(elected.term, Reason::Resigned);
         }
         if self.is_content(now) {
             return Step::Follow;
@@ -254,15 +281,18 @@
         }
         self.inspected_since_heard = false;
         let stalled = self.beat_read && now - self.beat_changed >= STALLED;
-        if self.disowned || (stalled && self.has_store(now)) {
-            return self.campaign(elected.term, false);
+        if self.disowned {
+            return self.campaign(elected.term, Reason::Disowned);
+        }
+        if stalled && self.has_store(now) {
+            return self.campaign(elected.term, Reason::Stalled);
         }
         // The scheduler itself tells that it does not reach the store, which answered this node.
         if self.stale > STALE && now - self.heard <= SUSPECT && !self.has_store(now) {
             return Step::Inspect;
         }
         if self.stale > STALE && now - self.heard <= SUSPECT {
-            return self.campaign(elected.term, false);
+            return self.campaign(elected.term, Reason::Stale);
         }
         match self.poll.take() {
             None => {
@@ -271,13 +301,13 @@
             }
             // A node that was just started knows no others: its own word is no majority.
             Some(poll) if poll.asked > 1 && poll.agreed * 2 > poll.asked => {
-                self.campaign(elected.term, false)
+                self.campaign(elected.term, Reason::Unreached)
             }
             Some(_) => Step::Inspect,
         }
     }
 
-    fn campaign(&self, term: u64, resigned: bool) -> Step {
+    fn campaign(&self, term: u64, reason: Reason) -> Step {
         let before = self.members.iter().filter(|other| {
             other.id != self.me.id
                 && (other.millicores, &other.id) > (self.me.millicores, &self.me.id)
@@ -291,13 +321,16 @@
         if self.members.is_empty() {
             // The others are not known yet, so the size alone decides who goes first.
             delay += SMALL_DELAY * (WHOLE_CORE - self.me.millicores.min(WHOLE_CORE)) / WHOLE_CORE;
-            if self.me.millicores < WEAK_MILLICORES {
+            // Where the former scheduler ran on a larger machine, others of its size are likely.
+            let former = self.elected.as_ref().map(|elected| &elected.leader.node);
+            let larger = former.is_some_and(|former| is_much_larger(former, &self.me));
+            if larger || self.me.millicores < WEAK_MILLICORES {
                 delay += WEAK_DELAY;
             }
         }
         Step::Campaign {
             term,
-            resigned,
+            reason,
             delay,
         }
     }
--- a/crates/daisymast_election/tests/candidacy.rs
+++ b/crates/daisymast_election/tests/candidacy.rs
@@ -211,3 +211,24 @@
     assert!(delay(1_000) < delay(300));
     assert!(delay(300) < delay(100));
 }
+
+/// Guards against a machine of middle size that is elected after all were off and gives the role to a
+/// larger one as soon as it has read the journal, which its slow link made it do for two seconds.
+#[test]
+fn machines_of_the_former_schedulers_size_go_first_after_a_restart_of_all() {
+    let delay = |millicores: u32| {
+        let mut candidate = Candidate::new(member("m", millicores), at(0));
+        let mut former = elected(5, false);
+        former.leader.node.millicores = 500;
+        candidate.on_inspect(Some(former.clone()), 100, at(0));
+        candidate.on_disowned(5);
+        candidate.on_inspect(Some(former), 100, at(10));
+        match candidate.next(at(10)) {
+            Step::Campaign { delay, .. } => delay,
+            step => panic!("{step:?}"),
+        }
+    };
+    // Machines start within 0.3 s of each other.
+    assert!(delay(300) > delay(500) + Duration::from_millis(300));
+    assert!(delay(500) < Duration::from_millis(300));
+}
--- a/crates/daisymast_jobs/src/book.rs
+++ b/crates/daisymast_jobs/src/book.rs
@@ -163,6 +163,7 @@
                 }
             }
             record::Record::Checkpoint => *self = Self::default(),
+            record::Record::CheckpointPart => {}
             record::Record::Ended { ended, jobs } => {
                 self.ended.extend(jobs.into_iter().map(|job| (job, ended)));
             }
--- a/crates/daisymast_jobs/src/job.rs
+++ b/crates/daisymast_jobs/src/job.rs
@@ -30,18 +30,21 @@
     }
 }
 
-/// Where a task stands.
+/// Where a task stands. A checkpoint holds tens of thousands of these, so their names there are short.
 #[derive(Clone, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Phase {
     /// It waits for a worker.
     #[default]
+    #[serde(rename = "w")]
     Waiting,
     /// It was given to a worker, where it may be running.
+    #[serde(rename = "p")]
     Placed {
         /// The worker.
         worker: ids::WorkerId,
     },
     /// It is done for good.
+    #[serde(rename = "d")]
     Done,
 }
 
--- a/crates/daisymast_jobs/src/record.rs
+++ b/crates/daisymast_jobs/src/record.rs
@@ -82,6 +82,8 @@
     },
     /// The records that follow in the same commit replace all earlier ones.
     Checkpoint,
+    /// Begins each further part of a checkpoint that takes several keys.
+    CheckpointPart,
     /// Jobs that had ended by a checkpoint in the same way.
     Ended {
         /// How they ended.
@@ -102,7 +104,11 @@
     /// The job that it is about, if any.
     pub fn job(&self) -> Option<spec::JobId> {
         match self {
-            Self::Queue { .. } | Self::Speed { .. } | Self::Checkpoint | Self::Ended { .. } => None,
+            Self::Queue { .. }
+            | Self::Speed { .. }
+            | Self::Checkpoint
+            | Self::CheckpointPart
+            | Self::Ended { .. } => None,
             Self::Accepted { job, .. }
             | Self::GaveUp { job }
             | Self::Cancelled { job }
@@ -117,8 +123,41 @@
 ///
 /// # Errors
 /// None in practice: all records have a MessagePack form.
-pub fn encode(batch: &[Record]) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-    rmp_serde::to_vec(batch)
+pub fn encode<'a>(
+    batch: impl IntoIterator<Item = &'a Record>,
+) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let batch: Vec<&Record> = batch.into_iter().collect();
+    rmp_serde::to_vec(&batch)
+}
+
+/// Encodes a checkpoint in parts of about a size, each for one key of the store.
+///
+/// ```
+/// use daisymast_jobs::{book, record};
+/// let checkpoint = book::Book::default().checkpoint();
+/// let parts = record::encode_checkpoint(&checkpoint, 400_000).unwrap();
+/// assert_eq!(record::decode(&parts[0]).unwrap(), checkpoint);
+/// ```
+///
+/// # Errors
+/// As [`encode`].
+pub fn encode_checkpoint(
+    records: &[Record],
+    part_bytes: usize,
+) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
+    let whole = encode(records)?;
+    let count = whole.len().div_ceil(part_bytes.max(1)).max(1);
+    if count == 1 {
+        return Ok(vec![whole]);
+    }
+    records
+        .chunks(records.len().div_ceil(count))
+        .enumerate()
+        .map(|(position, chunk)| {
+            let mark = (position > 0).then_some(&Record::CheckpointPart);
+            encode(mark.into_iter().chain(chunk))
+        })
+        .collect()
 }
 
 /// Decodes a batch.
--- a/crates/daisymast_jobs/tests/checkpoint.rs
+++ b/crates/daisymast_jobs/tests/checkpoint.rs
@@ -5,7 +5,7 @@
 use daisymast_jobs::book::{Book, ENDED_KEPT};
 use daisymast_jobs::job::State;
 use daisymast_jobs::record::{self, Record};
-use daisymast_jobs::segments::Segments;
+use daisymast_jobs::segments::{Kind, Segments};
 use daisymast_jobs::spec::{JobId, JobSpec, Step, StepId};
 use daisymast_types::time::UnixMillis;
 use proptest::prelude::*;
@@ -153,7 +153,7 @@
                 stored.remove(&number);
             }
             stored.insert(next, 3_000);
-            segments.appended(1, 3_000);
+            segments.appended(3_000);
             segments.removed(garbage.end);
         }
         let total: usize = stored.values().sum();
@@ -162,8 +162,41 @@
     // A replay of what is stored goes on with the same numbers.
     let mut replayed = Segments::default();
     for (&number, &bytes) in &stored {
-        replayed.found(number, bytes, bytes == 90_000);
+        let kind = if bytes == 90_000 {
+            Kind::Checkpoint
+        } else {
+            Kind::Records
+        };
+        replayed.found(number, bytes, kind);
     }
     assert_eq!(replayed.next(), segments.next());
     assert_eq!(replayed.garbage(), segments.garbage());
 }
+
+/// Guards against a new scheduler that writes a checkpoint before it has confirmed its term: the others
+/// took it for one without a store. The parts of a large checkpoint counted as records.
+#[test]
+fn a_new_scheduler_begins_with_small_commits() {
+    let mut replayed = Segments::default();
+    replayed.found(7, 400_000, Kind::Checkpoint);
+    replayed.found(8, 400_000, Kind::CheckpointPart);
+    replayed.found(9, 900_000, Kind::Records);
+    for _ in 0..20 {
+        assert!(!replayed.is_checkpoint_due());
+        replayed.appended(3_000);
+    }
+    for _ in 0..20 {
+        replayed.appended(3_000);
+    }
+    assert!(replayed.is_checkpoint_due());
+    let mut large = Segments::default();
+    large.found(7, 400_000, Kind::Checkpoint);
+    large.found(8, 400_000, Kind::CheckpointPart);
+    for _ in 0..200 {
+        large.appended(3_000);
+    }
+    assert!(
+        !large.is_checkpoint_due(),
+        "less was written than the checkpoint holds"
+    );
+}
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -34,6 +34,9 @@
 pub const COMMIT_TIMEOUT_MIN: Duration = Duration::from_millis(120);
 /// Factor from the usual time of a commit to its limit.
 pub const COMMIT_TIMEOUT_FACTOR: u32 = 4;
+/// Time without a confirmed commit for which a scheduler whose calls to the store have not failed counts
+/// as one that has it: after a takeover the first commits wait for the processor.
+pub const SLOW_COMMIT: Duration = Duration::from_millis(1_800);
 /// Time without a commit that took effect after which new jobs are refused at once.
 pub const STORELESS: Duration = Duration::from_millis(500);
 /// Time for the answer of a node that is asked about the scheduler.
--- a/crates/daisymast_node/src/follow.rs
+++ b/crates/daisymast_node/src/follow.rs
@@ -6,7 +6,9 @@
 use daisymast_adapter::{keys, store};
 use daisymast_election::{candidate, record};
 use daisymast_protocol::outcome;
+use daisymast_scheduler::lease;
 use daisymast_types::time;
+use serde::Serialize;
 use smol::Timer;
 
 use crate::clock;
@@ -45,12 +47,17 @@
             candidate::Step::Probe => probe(&context).await,
             candidate::Step::Campaign {
                 term,
-                resigned,
+                reason,
                 delay,
             } => {
+                log_campaign(&context, term, reason, delay);
                 Timer::after(delay).await;
                 if let Some(won) = campaign(&context, term).await {
                     last_led = won.term;
+                    let resigned = matches!(
+                        reason,
+                        candidate::Reason::None | candidate::Reason::Resigned
+                    );
                     lead(&context, won.term, won.sent, resigned).await;
                 }
             }
@@ -58,6 +65,35 @@
     }
 }
 
+/// An attempt to take over, as the log tells it.
+#[derive(Serialize)]
+struct Campaign {
+    event: &'static str,
+    reason: candidate::Reason,
+    delay_ms: u64,
+    /// Time since the scheduler last answered, in milliseconds.
+    silence_ms: u64,
+    /// Time without a confirmed commit, as it last told, in milliseconds.
+    stale_ms: u64,
+    /// Nodes that are known.
+    members: usize,
+}
+
+fn log_campaign(context: &context::Context, term: u64, reason: candidate::Reason, delay: Duration) {
+    let campaign = {
+        let candidate = context.candidate();
+        Campaign {
+            event: "campaign",
+            reason,
+            delay_ms: lease::millis(delay),
+            silence_ms: lease::millis(candidate.silence(clock::now())),
+            stale_ms: lease::millis(candidate.stale()),
+            members: candidate.members().len(),
+        }
+    };
+    context.decisions.record(term, &campaign);
+}
+
 /// Pings the scheduler for as long as the process runs.
 pub async fn ping_always(context: Arc<context::Context>) {
     loop {
--- a/crates/daisymast_node/src/lead.rs
+++ b/crates/daisymast_node/src/lead.rs
@@ -25,7 +25,7 @@
 pub struct Lead {
     term: u64,
     scheduler: Mutex<scheduler::Scheduler>,
-    authority: Mutex<authority::Authority>,
+    authority: Arc<Mutex<authority::Authority>>,
     alive: Mutex<collections::FastMap<ids::InstanceId, (record::Member, time::Monotonic)>>,
     me: record::Member,
     waiting: Mutex<collections::FastMap<u64, async_channel::Sender<action::Answer>>>,
@@ -38,6 +38,8 @@
     committing: AtomicBool,
     /// Whether the store has refused or left unanswered what was sent lately.
     storeless: AtomicBool,
+    /// Whether the last call of a commit brought no success.
+    failing: AtomicBool,
     pace: Mutex<journal::Pace>,
 }
 
@@ -45,14 +47,14 @@
     fn new(
         term: u64,
         scheduler: scheduler::Scheduler,
-        sent: time::Monotonic,
+        authority: Arc<Mutex<authority::Authority>>,
         me: record::Member,
     ) -> Self {
         let (wake, woken) = async_channel::bounded(1);
         Self {
             term,
             scheduler: Mutex::new(scheduler),
-            authority: Mutex::new(authority::Authority::new(sent, limits::AUTHORITY)),
+            authority,
             alive: Mutex::default(),
             me,
             waiting: Mutex::default(),
@@ -62,6 +64,7 @@
             deposed: AtomicBool::new(false),
             committing: AtomicBool::new(false),
             storeless: AtomicBool::new(false),
+            failing: AtomicBool::new(false),
             pace: Mutex::new(journal::Pace::new()),
         }
     }
@@ -71,9 +74,20 @@
         self.term
     }
 
-    /// Time since the last confirmed commit, in milliseconds.
+    /// Time for which the store seems to be lost, in milliseconds: that since the last confirmed commit,
+    /// unless the open one is only slow.
     pub fn stale_ms(&self, now: time::Monotonic) -> u64 {
-        lease::millis(lock(&self.authority).age(now))
+        let age = lock(&self.authority).age(now);
+        if age < constants::SLOW_COMMIT && !self.failing.load(Ordering::Relaxed) {
+            return 0;
+        }
+        lease::millis(age)
+    }
+
+    /// A commit took effect.
+    fn stored(&self) {
+        self.storeless.store(false, Ordering::Relaxed);
+        self.failing.store(false, Ordering::Relaxed);
     }
 
     /// Nodes that have pinged lately, and this one.
@@ -228,9 +242,10 @@
     resigned: bool,
 ) {
     // The others take a term for lost whose journal stands still, and reading it can take seconds.
-    let renewal = context
-        .executor
-        .spawn(journal::renew(Arc::clone(context), term));
+    let authority = authority::Authority::new(sent, limits::AUTHORITY);
+    let authority = Arc::new(Mutex::new(authority));
+    let renewal = journal::renew(Arc::clone(context), term, Arc::clone(&authority));
+    let renewal = context.executor.spawn(renewal);
     let replayed = journal::replay(context, term).await;
     renewal.cancel().await;
     let Some(journal::Replayed { book, segments }) = replayed else {
@@ -254,7 +269,7 @@
     let lease = limits::LEASE.mul_f64(limits::SLOW_CLOCK_PERMILLE as f64 / 1_000.0);
     let former_end = sent + former + lease + limits::LEASE_MARGIN * 2;
     let scheduler = scheduler::Scheduler::resume(config, book, former_end, now);
-    let lead = Arc::new(Lead::new(term, scheduler, sent, context.member()));
+    let lead = Arc::new(Lead::new(term, scheduler, authority, context.member()));
     context.set_lead(Some(Arc::clone(&lead)));
     if let Some(config) = context.config() {
         lead.configure(config);
--- a/crates/daisymast_node/src/lead/journal.rs
+++ b/crates/daisymast_node/src/lead/journal.rs
@@ -1,11 +1,11 @@
 //! The journal: read at the begin of a term, then written one batch at a time.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use daisymast_adapter::{keys, store};
-use daisymast_election::record as election;
+use daisymast_election::{authority, record as election};
 use daisymast_jobs::{book, record, segments};
 use daisymast_types::time;
 use smol::Timer;
@@ -107,27 +107,36 @@
                 Vec::new()
             }
         };
-        let is_checkpoint = batch.first() == Some(&record::Record::Checkpoint);
-        self.segments.found(number, item.value.len(), is_checkpoint);
+        let kind = segments::Kind::of(&batch);
+        self.segments.found(number, item.value.len(), kind);
         for record in batch {
             self.book.apply(record);
         }
     }
 }
 
-/// Shows that the term goes on while the journal is read.
-pub(super) async fn renew(context: Arc<context::Context>, term: u64) {
+/// Shows that the term goes on while the journal is read, and notes each confirmation. Without these a
+/// scheduler that took long to read would seem to be without the store when it begins.
+pub(super) async fn renew(
+    context: Arc<context::Context>,
+    term: u64,
+    authority: Arc<Mutex<authority::Authority>>,
+) {
     let transaction = store::Transaction::default()
         .expect(keys::LEADER, term)
         .put(keys::BEAT, term.to_string().into_bytes());
     loop {
         Timer::after(constants::RENEW).await;
+        let sent = clock::now();
         let committed = context
             .store
             .commit(&transaction, constants::STORE_TIMEOUT)
             .await;
-        if let Ok(store::Committed::Conflict(_)) = committed {
-            return;
+        match committed {
+            Ok(store::Committed::Done(_)) => lock(&authority).confirm(sent),
+            Ok(store::Committed::Conflict(_)) => return,
+            Ok(store::Committed::Refused) => log::debug!("term {term} was not renewed: refused"),
+            Err(error) => log::debug!("term {term} was not renewed: {error}"),
         }
     }
 }
@@ -198,10 +207,10 @@
     if !segments.is_checkpoint_due() {
         return Some(Batch::Records(records));
     }
-    let mut parts = Vec::new();
-    match encode_parts(&scheduler.checkpoint(), &mut parts) {
-        Ok(()) if parts.len() <= constants::CHECKPOINT_PARTS => Some(Batch::Checkpoint(parts)),
-        Ok(()) => {
+    let parts = record::encode_checkpoint(&scheduler.checkpoint(), constants::BATCH_BYTES);
+    match parts {
+        Ok(parts) if parts.len() <= constants::CHECKPOINT_PARTS => Some(Batch::Checkpoint(parts)),
+        Ok(parts) => {
             log::error!("a checkpoint of {} parts exceeds one commit", parts.len());
             Some(Batch::Records(records))
         }
@@ -303,7 +312,7 @@
     }
     let written = commit(context, lead, &transaction, Some((&key, part))).await;
     if matches!(written, Written::Stored) {
-        segments.appended(1, part.len());
+        segments.appended(part.len());
         segments.removed(garbage.end);
     }
     written
@@ -338,7 +347,7 @@
                 lock(&lead.pace).answered(took);
                 lock(&lead.authority).confirm(sent);
                 log_regained(failures, begun);
-                lead.storeless.store(false, Ordering::Relaxed);
+                lead.stored();
                 return Written::Stored;
             }
             Ok(store::Committed::Conflict(items)) => {
@@ -353,7 +362,7 @@
                 if leads && stored {
                     lock(&lead.authority).confirm(sent);
                     log_regained(failures, begun);
-                    lead.storeless.store(false, Ordering::Relaxed);
+                    lead.stored();
                     return Written::Stored;
                 }
                 log::info!("term {} was replaced", lead.term);
@@ -383,6 +392,7 @@
             }
         }
         failures += 1;
+        lead.failing.store(true, Ordering::Relaxed);
     }
     Written::TermEnded
 }
--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -7,6 +7,9 @@
 pub const LEASE: Duration = Duration::from_millis(5_000);
 /// Time for which a worker may hold a look back while nothing ends.
 pub const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+/// Open looks at workers of which it is not known what runs there. A new scheduler has to look at all
+/// of them, and would answer no one else while it sends hundreds of calls at once.
+pub const FIRST_LOOKS: usize = 96;
 /// Shortest time between two looks at a worker, as each look has a cost.
 pub const LOOK_PAUSE: Duration = Duration::from_millis(40);
 /// Time between two looks at a worker whose ends wait to be stored. They extend its lease while the
--- a/crates/daisymast_scheduler/src/scheduler/looks.rs
+++ b/crates/daisymast_scheduler/src/scheduler/looks.rs
@@ -15,11 +15,19 @@
 impl Scheduler {
     /// Opens the looks that are due.
     pub(super) fn look(&mut self, now: time::Monotonic) {
+        let first = |worker: &&worker::Worker| worker.looking && is_first_look(worker);
+        let mut first_looks = self.fleet.iter().filter(first).count();
         for place in 0..self.fleet.len() {
             let worker = self.fleet.at_mut(place);
             if worker.looking || now < worker.next_look || !needs_look(worker, now) {
                 continue;
             }
+            if is_first_look(worker) {
+                if first_looks >= constants::FIRST_LOOKS {
+                    continue;
+                }
+                first_looks += 1;
+            }
             let Some(target) = worker.target(place) else {
                 continue;
             };
@@ -338,6 +346,12 @@
     worker.probe || !worker.adopted || active || worker.told < worker.noted || worker.misses > 0
 }
 
+/// Whether a worker is looked at for the first time in this term. One that did not answer is left to the
+/// pauses between its looks.
+fn is_first_look(worker: &worker::Worker) -> bool {
+    worker.life == 0 && worker.misses == 0
+}
+
 /// Whether a run that a report does not list is surely over: the worker had settled its order before
 /// the report.
 fn is_surely_absent(run: &worker::Run, clock: u64, reborn: bool) -> bool {
--- a/crates/daisymast_scheduler/tests/pacing.rs
+++ b/crates/daisymast_scheduler/tests/pacing.rs
@@ -6,6 +6,7 @@
 
 use common::{BATCH, QUICK, Rig, job, step};
 use daisymast_jobs::job::State;
+use daisymast_scheduler::action::Action;
 use daisymast_scheduler::constants;
 
 /// Guards against a scheduler that spends its processor on passes over a backlog: at twice the load of
@@ -55,3 +56,25 @@
         assert!(rig.run_until(id, State::Completed, 1_000).is_some());
     }
 }
+
+/// Guards against a new scheduler that sends hundreds of calls at once: it answered no ping meanwhile
+/// and was replaced before it had confirmed its term.
+#[test]
+fn a_new_scheduler_looks_at_some_workers_at_a_time() {
+    let holds = |rig: &mut Rig| {
+        let actions = rig.scheduler.take_actions();
+        let is_hold = |action: &&Action| matches!(action, Action::Hold { .. });
+        actions.iter().filter(is_hold).count()
+    };
+    let mut rig = Rig::new(350);
+    rig.take_over();
+    rig.scheduler.tick(common::stamp(rig.now));
+    assert_eq!(holds(&mut rig), constants::FIRST_LOOKS);
+    rig.scheduler.tick(common::stamp(rig.now + 50));
+    assert_eq!(holds(&mut rig), 0, "none was answered yet");
+    let mut rig = Rig::new(350);
+    rig.take_over();
+    rig.run_ms(200);
+    rig.submit(1, QUICK, job(vec![step(350, 32, 200)]));
+    assert!(rig.run_until(1, State::Completed, 1_000).is_some());
+}
