Add a soak of real node processes, and keep commits quick while answers of the store are lost

Each lost answer doubled the wait of all later commits, up to 1.7 s, so the scheduler counted as one without the store and was replaced three times. Change: only the tries of one commit wait longer and longer; after a lost answer the batch is read back, since reads are answered; the first try waits 80 ms. A call that times out on a kept connection drops the other connections to that address that have answered nothing since, as silent connections come in numbers.

--- a/crates/daisymast_http/src/client.rs
+++ b/crates/daisymast_http/src/client.rs
@@ -33,7 +33,7 @@
     pub peer: &'a str,
     /// Key that authenticates the message, if the peer asks for one.
     pub key: Option<&'a auth::Key>,
-    /// One more header, as name and value.
+    /// One more header, as name and value. A host replaces the address.
     pub header: Option<(&'a str, &'a str)>,
 }
 
@@ -160,7 +160,8 @@
         content_type: &str,
         body: Bytes,
     ) -> Outcome<Response> {
-        let deadline = Instant::now() + call.timeout;
+        let begun = Instant::now();
+        let deadline = begun + call.timeout;
         let mut request = match build(call, method, content_type, body) {
             Ok(request) => request,
             Err(reason) => return Outcome::NoEffect(call.error(&reason)),
@@ -186,7 +187,12 @@
                     return Outcome::NoEffect(call.error("connection closed before sending"));
                 }
                 Ok(Sent::Lost(reason)) => return Outcome::Unknown(call.error(&reason)),
-                Err(late) => return Outcome::Unknown(call.error(&late.reason(call, "answered"))),
+                Err(late) => {
+                    if connection.used {
+                        self.pool.drop_older(call.address, begun);
+                    }
+                    return Outcome::Unknown(call.error(&late.reason(call, "answered")));
+                }
             }
         }
     }
@@ -250,9 +256,11 @@
     content_type: &str,
     body: Bytes,
 ) -> Result<http::Request<Full<Bytes>>, String> {
-    let mut builder = http::Request::builder()
-        .uri(call.path)
-        .header(header::HOST, call.address.to_string());
+    let mut builder = http::Request::builder().uri(call.path);
+    let names_host = |(name, _): (&str, &str)| name.eq_ignore_ascii_case(header::HOST.as_str());
+    if !call.header.is_some_and(names_host) {
+        builder = builder.header(header::HOST, call.address.to_string());
+    }
     if let Some((name, value)) = call.header {
         builder = builder.header(name, value);
     }
--- a/crates/daisymast_http/src/client/pool.rs
+++ b/crates/daisymast_http/src/client/pool.rs
@@ -91,6 +91,14 @@
         }
     }
 
+    /// Drops connections to an address that have answered nothing since a time. One connection that
+    /// went silent is often not the only one, and each would cost a call its whole time.
+    pub(super) fn drop_older(&self, address: SocketAddr, time: Instant) {
+        if let Some(kept) = self.lock().idle.get_mut(&address) {
+            kept.retain(|one| one.since >= time);
+        }
+    }
+
     pub(super) fn idle(&self, address: SocketAddr) -> usize {
         self.lock().idle.get(&address).map_or(0, Vec::len)
     }
--- a/crates/daisymast_http/tests/client.rs
+++ b/crates/daisymast_http/tests/client.rs
@@ -160,6 +160,57 @@
     });
 }
 
+/// Guards against calls that time out one after another, each on another kept connection that went
+/// silent together with the first.
+#[test]
+fn one_silent_connection_gives_up_the_others() {
+    run(async |executor| {
+        let silent = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+        let listener = listener().await;
+        let call = call(listener.local_addr().unwrap());
+        let (flag, own) = (silent.clone(), executor.clone());
+        let peer = executor.spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let flag = flag.clone();
+                let born_silent = flag.load(std::sync::atomic::Ordering::Relaxed);
+                own.spawn(async move {
+                    let mut part = [0; 1024];
+                    while stream.read(&mut part).await.is_ok_and(|bytes| bytes > 0) {
+                        if !born_silent && flag.load(std::sync::atomic::Ordering::Relaxed) {
+                            continue;
+                        }
+                        // Answers at one time leave several kept connections.
+                        smol::Timer::after(Duration::from_millis(20)).await;
+                        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                        if stream.write_all(answer).await.is_err() {
+                            return;
+                        }
+                    }
+                })
+                .detach();
+            }
+        });
+        let client = std::sync::Arc::new(client(&executor));
+        let mut exchanges = Vec::new();
+        for _ in 0..4 {
+            let client = client.clone();
+            exchanges.push(executor.spawn(async move { client.get(&call).await.done().is_some() }));
+        }
+        for exchange in exchanges {
+            assert!(bounded(exchange).await);
+        }
+        assert_eq!(client.idle_connections(call.address), 4);
+        silent.store(true, std::sync::atomic::Ordering::Relaxed);
+        let mut short = call;
+        short.timeout = SHORT;
+        let late = client.get(&short).await;
+        assert!(matches!(late, Outcome::Unknown(_)), "{late:?}");
+        let next = client.get(&short).await;
+        assert!(matches!(next, Outcome::Done(_)), "{next:?}");
+        drop(peer);
+    });
+}
+
 /// Guards against a pool that grows with the number of calls at one time.
 #[test]
 fn idle_connections_are_bounded() {
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -31,7 +31,7 @@
 pub const FRESH: Duration = Duration::from_millis(1_000);
 /// Shortest time for a commit, and factor from its usual time to its limit. A commit whose answer is
 /// lost is sent again after that.
-pub const COMMIT_TIMEOUT_MIN: Duration = Duration::from_millis(120);
+pub const COMMIT_TIMEOUT_MIN: Duration = Duration::from_millis(80);
 /// Factor from the usual time of a commit to its limit.
 pub const COMMIT_TIMEOUT_FACTOR: u32 = 4;
 /// Time without a confirmed commit for which a scheduler whose calls to the store have not failed counts
--- a/crates/daisymast_node/src/lead.rs
+++ b/crates/daisymast_node/src/lead.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::constants;
 use crate::context::{self, lock};
+use crate::pace;
 use crate::peers;
 
 mod calls;
@@ -40,7 +41,7 @@
     storeless: AtomicBool,
     /// Whether the last call of a commit brought no success.
     failing: AtomicBool,
-    pace: Mutex<journal::Pace>,
+    pace: Mutex<pace::Pace>,
 }
 
 impl Lead {
@@ -65,7 +66,7 @@
             committing: AtomicBool::new(false),
             storeless: AtomicBool::new(false),
             failing: AtomicBool::new(false),
-            pace: Mutex::new(journal::Pace::new()),
+            pace: Mutex::default(),
         }
     }
 
--- a/crates/daisymast_node/src/lead/journal.rs
+++ b/crates/daisymast_node/src/lead/journal.rs
@@ -15,37 +15,6 @@
 use crate::context::{self, lock};
 use crate::lead;
 
-/// How long commits usually take.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Pace {
-    usual: Duration,
-}
-
-/// Weight of a new sample in the usual time of a commit, as a divisor.
-const PACE_DIVISOR: u32 = 8;
-
-impl Pace {
-    pub(super) fn new() -> Self {
-        Self {
-            usual: constants::COMMIT_TIMEOUT_MIN / constants::COMMIT_TIMEOUT_FACTOR,
-        }
-    }
-
-    fn timeout(self) -> Duration {
-        (self.usual * constants::COMMIT_TIMEOUT_FACTOR)
-            .clamp(constants::COMMIT_TIMEOUT_MIN, constants::STORE_TIMEOUT)
-    }
-
-    fn answered(&mut self, took: Duration) {
-        self.usual = self.usual - self.usual / PACE_DIVISOR + took / PACE_DIVISOR;
-    }
-
-    /// The store may be slow, so the next try gets more time.
-    fn unanswered(&mut self) {
-        self.usual = (self.usual * 2).min(constants::STORE_TIMEOUT);
-    }
-}
-
 /// What the journal holds.
 pub(super) struct Replayed {
     pub(super) book: book::Book,
@@ -337,7 +306,7 @@
     let mut failures = 0_u32;
     while !lead.deposed.load(Ordering::Relaxed) {
         let sent = clock::now();
-        let timeout = lock(&lead.pace).timeout() + sending_time(transaction.bytes());
+        let timeout = lock(&lead.pace).timeout(failures) + sending_time(transaction.bytes());
         let committed = context.store.commit(transaction, timeout).await;
         match committed {
             Ok(store::Committed::Done(_)) => {
@@ -382,7 +351,13 @@
                 context.metrics.call("store", "unknown");
                 log_lost(failures, &error.reason);
                 unknown = true;
-                lock(&lead.pace).unanswered();
+                if let Some((key, bytes)) = written
+                    && is_stored(context, key, bytes, timeout).await
+                {
+                    log_regained(failures + 1, begun);
+                    lead.stored();
+                    return Written::Stored;
+                }
                 if clock::now() - begun >= constants::STORELESS
                     && !lead.storeless.swap(true, Ordering::Relaxed)
                 {
@@ -397,6 +372,18 @@
     Written::TermEnded
 }
 
+/// Whether a batch whose commit was not answered is stored. Answers to writes may be lost while reads are
+/// answered, so this is quicker than to send the commit again.
+async fn is_stored(context: &context::Context, key: &str, bytes: &[u8], timeout: Duration) -> bool {
+    match context.store.read(key, timeout).await {
+        Ok(item) => item.is_some_and(|item| item.value == bytes),
+        Err(error) => {
+            log::debug!("batch {key} was not read back: {error}");
+            false
+        }
+    }
+}
+
 /// Time that a commit of a size takes on the slowest link.
 fn sending_time(bytes: usize) -> Duration {
     Duration::from_millis(bytes as u64 / constants::SLOW_LINK_BYTES_PER_MS)
--- a/crates/daisymast_node/src/lib.rs
+++ b/crates/daisymast_node/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod front;
 pub mod lead;
 pub mod metrics;
+pub mod pace;
 pub mod peers;
 pub mod process;
--- a/crates/daisymast_node/src/process.rs
+++ b/crates/daisymast_node/src/process.rs
@@ -12,6 +12,7 @@
 use daisymast_http::{executor, server};
 use daisymast_telemetry::logging;
 use futures_lite::future;
+use lexopt::ValueExt as _;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use smol::Timer;
 use smol::net::TcpListener;
@@ -24,11 +25,13 @@
 use crate::peers;
 
 const HELP: &str = "\
-Usage: daisymast-node [--settings FILE] [--check]
+Usage: daisymast-node [--settings FILE] [--listen-peers ADDRESS] [--check]
 
 Serves callers on this machine and, if elected, schedules.
 
   --settings FILE  settings file; without it, the environment variable names it
+  --listen-peers ADDRESS
+                   listen for other nodes here, if they reach the address in the settings through a proxy
   --check          check the settings and exit
   --help           print this text
   --version        print the version
@@ -43,6 +46,8 @@
 
 struct Arguments {
     settings: PathBuf,
+    /// Address to bind for other nodes, if it is not the one that they are told.
+    listen_peers: Option<SocketAddr>,
     check: bool,
 }
 
@@ -70,18 +75,22 @@
     }
     logging::start_on(log::LevelFilter::Info, logging::Output::Standard)?;
     log::info!("node {} starts", settings.instance);
-    executor::run(1, async |executor| {
-        run(executor, settings, arguments.settings).await
-    })
+    executor::run(1, async |executor| run(executor, settings, arguments).await)
 }
 
 fn arguments() -> anyhow::Result<Option<Arguments>> {
     let mut settings = std::env::var_os(settings::PATH_VARIABLE).map(PathBuf::from);
     let mut check = false;
+    let mut listen_peers = None;
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
             lexopt::Arg::Long("settings") => settings = Some(parser.value()?.into()),
+            lexopt::Arg::Long("listen-peers") => {
+                let value = parser.value()?;
+                let address = value.parse().context("--listen-peers takes IP:PORT")?;
+                listen_peers = Some(address);
+            }
             lexopt::Arg::Long("check") => check = true,
             lexopt::Arg::Long("help") => return print(HELP),
             lexopt::Arg::Long("version") => {
@@ -92,7 +101,11 @@
     }
     let settings =
         settings.with_context(|| format!("--settings or {} is needed", settings::PATH_VARIABLE))?;
-    Ok(Some(Arguments { settings, check }))
+    Ok(Some(Arguments {
+        settings,
+        listen_peers,
+        check,
+    }))
 }
 
 fn print(text: &str) -> anyhow::Result<Option<Arguments>> {
@@ -103,19 +116,19 @@
 async fn run(
     executor: executor::Executor,
     settings: settings::Settings,
-    path: PathBuf,
+    arguments: Arguments,
 ) -> anyhow::Result<()> {
     let signals = Signals::register()?;
     let context = Arc::new(context::Context::new(Arc::clone(&executor), settings));
     let callers = serve_callers(&context).await?;
-    let peers = serve_peers(&context).await?;
+    let peers = serve_peers(&context, arguments.listen_peers).await?;
     let readiness = serve_readiness(&context).await?;
     let tasks = [
         executor.spawn(configuration::keep(Arc::clone(&context))),
         executor.spawn(follow::run(Arc::clone(&context))),
         executor.spawn(follow::ping_always(Arc::clone(&context))),
     ];
-    signals.wait_for_end(&path).await;
+    signals.wait_for_end(&arguments.settings).await;
     log::info!("node {} drains", context.settings.instance);
     let begun = Instant::now();
     context.drain();
@@ -152,8 +165,12 @@
     )?)
 }
 
-async fn serve_peers(context: &Arc<context::Context>) -> anyhow::Result<server::Server> {
-    let listener = bind("the listener for nodes", context.settings.peers).await?;
+async fn serve_peers(
+    context: &Arc<context::Context>,
+    address: Option<SocketAddr>,
+) -> anyhow::Result<server::Server> {
+    let address = address.unwrap_or(context.settings.peers);
+    let listener = bind("the listener for nodes", address).await?;
     let limits = server::Limits::default()
         .with_header_timeout(constants::CALLER_IDLE)
         .with_body_bytes(4 * 1024 * 1024);
--- /dev/null
+++ b/crates/daisymast_soak/src/node.rs
@@ -0,0 +1,143 @@
+//! Node processes.
+
+use std::fs::OpenOptions;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use daisymast_cluster::{process, programs};
+use daisymast_http::executor;
+use daisymast_stand_in::cell;
+
+use crate::relay;
+
+/// A node and its links.
+#[derive(Debug)]
+pub struct Node {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: &'static str,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Link from the node to the store.
+    pub store: relay::Relay,
+    /// Link from other nodes to this one.
+    pub peers: relay::Relay,
+    listen_peers: SocketAddr,
+    readiness: SocketAddr,
+    folder: PathBuf,
+    child: Mutex<Option<Child>>,
+}
+
+/// An address that is free now. Outgoing connections use another address of the loopback range, so
+/// they do not take its port.
+fn free_address(host: [u8; 4]) -> std::io::Result<SocketAddr> {
+    std::net::TcpListener::bind(SocketAddr::from((host, 0)))?.local_addr()
+}
+
+impl Node {
+    /// Chooses addresses and opens the links of a node; it is not started yet.
+    ///
+    /// # Errors
+    /// No port can be bound.
+    pub async fn new(
+        executor: &executor::Executor,
+        number: u8,
+        zone: &'static str,
+        store: SocketAddr,
+        folder: &Path,
+    ) -> std::io::Result<Self> {
+        let host = [127, 81, fastrand::u8(1..255), number + 1];
+        let listen_peers = free_address(host)?;
+        Ok(Self {
+            name: format!("node-{number}"),
+            zone,
+            callers: free_address(host)?,
+            store: relay::Relay::open(executor, store).await?,
+            peers: relay::Relay::open(executor, listen_peers).await?,
+            listen_peers,
+            readiness: free_address(host)?,
+            folder: folder.to_owned(),
+            child: Mutex::new(None),
+        })
+    }
+
+    /// The child is replaced as a whole, so it is valid after a panic elsewhere.
+    fn child(&self) -> MutexGuard<'_, Option<Child>> {
+        self.child.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts the process unless it runs. Its log is appended to that of former lives.
+    ///
+    /// # Errors
+    /// The program or a file cannot be used.
+    pub fn start(&self, seeds: &[SocketAddr]) -> std::io::Result<()> {
+        let mut child = self.child();
+        if child.is_some() {
+            return Ok(());
+        }
+        let addresses = cell::Addresses {
+            callers: self.callers,
+            readiness: self.readiness,
+            peers: self.peers.address(),
+            store: self.store.address(),
+        };
+        let settings = self.folder.join(format!("{}.toml", self.name));
+        let text = cell::settings(&self.name, self.zone, addresses, seeds);
+        std::fs::write(&settings, text)?;
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{}.log", self.name)))?;
+        let started = Command::new(programs::folder().join("daisymast-node"))
+            .arg("--settings")
+            .arg(&settings)
+            .arg("--listen-peers")
+            .arg(self.listen_peers.to_string())
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        *child = Some(started);
+        Ok(())
+    }
+
+    /// Sends a signal, unless the process has ended.
+    pub fn signal(&self, signal: process::Signal) {
+        if let Some(child) = self.child().as_mut()
+            && matches!(child.try_wait(), Ok(None))
+        {
+            process::send(child, signal);
+        }
+    }
+
+    /// Kills the process.
+    pub fn kill(&self) {
+        if let Some(mut child) = self.child().take() {
+            // Fails only if it has ended. Also a stopped process ends.
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+
+    /// Whether the process has ended by itself or after a signal. It can be started again then.
+    pub fn has_ended(&self) -> bool {
+        let mut child = self.child();
+        let ended = match child.as_mut() {
+            Some(running) => !matches!(running.try_wait(), Ok(None)),
+            None => true,
+        };
+        if ended {
+            *child = None;
+        }
+        ended
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
