Let callers go to other zones when a node does not reach the scheduler

Change: a node is ready only while it schedules or the scheduler answered within 0.8 s; a cut-off node closes connections after its refusal. Tests: a_node_that_does_not_reach_the_scheduler_wants_no_callers (the function did not exist before).

--- a/crates/daisymast_election/src/candidate.rs
+++ b/crates/daisymast_election/src/candidate.rs
@@ -16,6 +16,9 @@
 pub const STALLED: Duration = Duration::from_millis(1_500);
 /// Time after a failed call to the store before a scheduler is replaced for want of a store.
 pub const STORE_BACK: Duration = Duration::from_millis(600);
+/// Time without an answer of the scheduler after which a node counts as cut off and wants no callers. It
+/// exceeds [`SUSPECT`], after which the node looks for another scheduler.
+pub const CUT_OFF: Duration = Duration::from_millis(800);
 /// Pings on end that were refused, which means that no process listens there.
 pub const REFUSALS: u32 = 2;
 /// Delay of a candidate for each node that goes before it.
@@ -217,6 +220,11 @@
             .is_none_or(|failed| now - failed >= STORE_BACK)
     }
 
+    /// Whether requests of callers can reach a scheduler from this node.
+    pub fn is_connected(&self, now: time::Monotonic) -> bool {
+        self.elected.is_some() && self.silence(now) <= CUT_OFF
+    }
+
     /// Time since the scheduler last answered.
     pub fn silence(&self, now: time::Monotonic) -> Duration {
         now - self.heard
--- a/crates/daisymast_election/tests/candidacy.rs
+++ b/crates/daisymast_election/tests/candidacy.rs
@@ -232,3 +232,23 @@
     assert!(delay(300) > delay(500) + Duration::from_millis(300));
     assert!(delay(500) < Duration::from_millis(300));
 }
+
+/// Guards against a zone that is cut off and goes on taking callers whom it can only refuse: the
+/// platform sends them to other zones once its nodes are not ready.
+#[test]
+fn a_node_that_does_not_reach_the_scheduler_wants_no_callers() {
+    let mut candidate = Candidate::new(member("m", 250), at(0));
+    assert!(!candidate.is_connected(at(0)), "no scheduler is known");
+    candidate.on_inspect(Some(elected(5, false)), 100, at(0));
+    assert!(candidate.is_connected(at(200)));
+    for millis in (200..3_000).step_by(200) {
+        candidate.on_pong(FRESH, Vec::new(), at(millis));
+        assert!(candidate.is_connected(at(millis + 500)));
+    }
+    assert!(!candidate.is_connected(at(3_700)));
+    candidate.on_elected(elected(6, false), at(3_800));
+    assert!(
+        candidate.is_connected(at(3_900)),
+        "the next scheduler is tried"
+    );
+}
--- a/crates/daisymast_http/src/server.rs
+++ b/crates/daisymast_http/src/server.rs
@@ -67,6 +67,8 @@
     pub body: Bytes,
     /// Time after which the caller may come back, in whole seconds.
     pub retry_after: Option<u32>,
+    /// Whether the connection is closed after it.
+    closing: bool,
     aborted: bool,
 }
 
@@ -84,6 +86,7 @@
             content_type,
             body: body.into(),
             retry_after: None,
+            closing: false,
             aborted: false,
         }
     }
@@ -95,6 +98,14 @@
         self
     }
 
+    /// Closes the connection after this answer, so that the caller's next request may reach another
+    /// server.
+    #[must_use]
+    pub fn closing(mut self) -> Self {
+        self.closing = true;
+        self
+    }
+
     /// Closes the connection without an answer, for stand-ins that simulate a lost answer.
     pub fn abort() -> Self {
         Self {
--- a/crates/daisymast_http/src/server/connection.rs
+++ b/crates/daisymast_http/src/server/connection.rs
@@ -165,7 +165,7 @@
     if let Some(seconds) = response.retry_after {
         headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     }
-    if close {
+    if close || response.closing {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     encoded
--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -180,7 +180,8 @@
 
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.config().is_some() && self.candidate().elected().is_some()
+        let connected = self.term().is_some() || self.candidate().is_connected(clock::now());
+        connected && !self.is_draining() && self.config().is_some()
     }
 }
 
--- a/crates/daisymast_node/src/front.rs
+++ b/crates/daisymast_node/src/front.rs
@@ -72,6 +72,15 @@
     server::Response::text(503, reason).with_retry_after(constants::RETRY_AFTER_S)
 }
 
+/// Refuses a request, and sends the caller away from a node that is cut off.
+fn refuse_cut_off(context: &context::Context, reason: &'static str) -> server::Response {
+    if context.is_ready() {
+        refuse(reason)
+    } else {
+        refuse(reason).closing()
+    }
+}
+
 /// What came of a request to the scheduler.
 enum Forwarded {
     Served(peers::Served),
@@ -152,7 +161,9 @@
     }
     match forwarded {
         Forwarded::Served(_) => server::Response::new(200, JSON, "{}"),
-        Forwarded::NoEffect => refuse("no scheduler is reached; the job was not accepted"),
+        Forwarded::NoEffect => {
+            refuse_cut_off(context, "no scheduler is reached; the job was not accepted")
+        }
         Forwarded::Refused => refuse_storeless(),
         Forwarded::Unknown => server::Response::text(504, "the outcome is not known"),
     }
@@ -178,7 +189,9 @@
     match forwarded {
         Forwarded::Served(peers::Served::NoSuchJob) => server::Response::text(410, "no such job"),
         Forwarded::Served(_) => server::Response::new(200, JSON, "{}"),
-        Forwarded::NoEffect | Forwarded::Refused => refuse("no scheduler is reached"),
+        Forwarded::NoEffect | Forwarded::Refused => {
+            refuse_cut_off(context, "no scheduler is reached")
+        }
         Forwarded::Unknown => server::Response::text(504, "the outcome is not known"),
     }
 }
@@ -189,7 +202,7 @@
     let served = match forwarded {
         Forwarded::Served(served) => served,
         Forwarded::NoEffect | Forwarded::Refused | Forwarded::Unknown => {
-            return refuse("no scheduler is reached");
+            return refuse_cut_off(context, "no scheduler is reached");
         }
     };
     let state = match served {
