--- a/crates/daisymast_election/tests/candidacy.rs
+++ b/crates/daisymast_election/tests/candidacy.rs
@@ -174,63 +174,48 @@
     assert!(is_campaign(&first) || is_campaign(&second));
 }
 
+/// Delay of a machine that hears that the former scheduler was started anew.
+fn delay(millicores: u32, former: u32, members: &[Member]) -> Duration {
+    let mut candidate = Candidate::new(member("m", millicores), at(0));
+    let mut elected = elected(5, false);
+    elected.leader.node.millicores = former;
+    candidate.on_inspect(Some(elected.clone()), 100, at(0));
+    if !members.is_empty() {
+        candidate.on_pong(FRESH, members.to_vec(), at(0));
+    }
+    candidate.on_disowned(5);
+    candidate.on_inspect(Some(elected), 100, at(10));
+    match candidate.next(at(10)) {
+        Step::Campaign { delay, .. } => delay,
+        step => panic!("{step:?}"),
+    }
+}
+
+/// Machines start within this time of each other.
+const START: Duration = Duration::from_millis(300);
+
 /// Guards against a weak machine that is elected after all were off, only since it started first:
 /// on a grown day it never finished reading the journal.
 #[test]
 fn a_weak_machine_waits_for_others_to_start() {
-    let delay = |millicores: u32| {
-        let mut candidate = Candidate::new(member("m", millicores), at(0));
-        candidate.on_inspect(Some(elected(5, false)), 100, at(0));
-        candidate.on_disowned(5);
-        candidate.on_inspect(Some(elected(5, false)), 100, at(10));
-        match candidate.next(at(10)) {
-            Step::Campaign { delay, .. } => delay,
-            step => panic!("{step:?}"),
-        }
-    };
-    // Machines start within 0.3 s of each other.
-    assert!(delay(90) > delay(250) + Duration::from_millis(300));
-    assert!(delay(250) < Duration::from_millis(300));
+    assert!(delay(90, 250, &[]) > delay(250, 250, &[]) + START);
+    assert!(delay(250, 250, &[]) < START);
 }
 
 /// Guards against the smallest machine that schedules while larger ones are there.
 #[test]
 fn larger_machines_go_first() {
-    let delay = |millicores: u32| {
-        let mut candidate = Candidate::new(member("m", millicores), at(0));
-        candidate.on_inspect(Some(elected(5, false)), 100, at(0));
-        let others = vec![member("a", 90), member("b", 250), member("c", 500)];
-        candidate.on_pong(FRESH, others, at(0));
-        candidate.on_disowned(5);
-        candidate.on_inspect(Some(elected(5, false)), 100, at(10));
-        match candidate.next(at(10)) {
-            Step::Campaign { delay, .. } => delay,
-            step => panic!("{step:?}"),
-        }
-    };
-    assert!(delay(1_000) < delay(300));
-    assert!(delay(300) < delay(100));
+    let others = [member("a", 90), member("b", 250), member("c", 500)];
+    assert!(delay(1_000, 250, &others) < delay(300, 250, &others));
+    assert!(delay(300, 250, &others) < delay(100, 250, &others));
 }
 
 /// Guards against a machine of middle size that is elected after all were off and gives the role to a
 /// larger one as soon as it has read the journal, which its slow link made it do for two seconds.
 #[test]
 fn machines_of_the_former_schedulers_size_go_first_after_a_restart_of_all() {
-    let delay = |millicores: u32| {
-        let mut candidate = Candidate::new(member("m", millicores), at(0));
-        let mut former = elected(5, false);
-        former.leader.node.millicores = 500;
-        candidate.on_inspect(Some(former.clone()), 100, at(0));
-        candidate.on_disowned(5);
-        candidate.on_inspect(Some(former), 100, at(10));
-        match candidate.next(at(10)) {
-            Step::Campaign { delay, .. } => delay,
-            step => panic!("{step:?}"),
-        }
-    };
-    // Machines start within 0.3 s of each other.
-    assert!(delay(300) > delay(500) + Duration::from_millis(300));
-    assert!(delay(500) < Duration::from_millis(300));
+    assert!(delay(300, 500, &[]) > delay(500, 500, &[]) + START);
+    assert!(delay(500, 500, &[]) < START);
 }
 
 /// Guards against a zone that is cut off and goes on taking callers whom it can only refuse: the
--- a/crates/daisymast_node/src/lead.rs
+++ b/crates/daisymast_node/src/lead.rs
@@ -18,8 +18,10 @@
 use crate::peers;
 
 mod calls;
+mod commit;
 mod directory;
 mod journal;
+mod replay;
 
 /// The scheduler of one term.
 #[derive(Debug)]
@@ -247,9 +249,9 @@
     let authority = Arc::new(Mutex::new(authority));
     let renewal = journal::renew(Arc::clone(context), term, Arc::clone(&authority));
     let renewal = context.executor.spawn(renewal);
-    let replayed = journal::replay(context, term).await;
+    let replayed = replay::replay(context, term).await;
     renewal.cancel().await;
-    let Some(journal::Replayed { book, segments }) = replayed else {
+    let Some(replay::Replayed { book, segments }) = replayed else {
         return;
     };
     let config = loop {
--- a/crates/daisymast_node/src/lead/journal.rs
+++ b/crates/daisymast_node/src/lead/journal.rs
@@ -1,88 +1,18 @@
-//! The journal: read at the begin of a term, then written one batch at a time.
+//! Writes the journal one batch at a time, and keeps the term confirmed.
 
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use daisymast_adapter::{keys, store};
 use daisymast_election::{authority, record as election};
-use daisymast_jobs::{book, record, segments};
-use daisymast_types::time;
+use daisymast_jobs::{record, segments};
 use smol::Timer;
 
 use crate::clock;
 use crate::constants;
 use crate::context::{self, lock};
 use crate::lead;
-
-/// What the journal holds.
-pub(super) struct Replayed {
-    pub(super) book: book::Book,
-    pub(super) segments: segments::Segments,
-}
-
-/// Reads the journal. The term's own write of the leader key precedes this read, so no former
-/// scheduler can add to it any more.
-pub(super) async fn replay(context: &context::Context, term: u64) -> Option<Replayed> {
-    let begun = clock::now();
-    let mut replayed = Replayed {
-        book: book::Book::default(),
-        segments: segments::Segments::default(),
-    };
-    let mut after = String::new();
-    let mut bytes = 0;
-    loop {
-        if context.is_draining() || is_replaced(context, term) {
-            return None;
-        }
-        let page = context
-            .store
-            .page(keys::JOURNAL, &after, constants::PAGE_TIMEOUT)
-            .await;
-        let page = match page {
-            Ok(page) => page,
-            Err(error) => {
-                log::warn!("journal was not read: {error}");
-                Timer::after(constants::STORE_RETRY).await;
-                continue;
-            }
-        };
-        for item in &page.items {
-            bytes += item.value.len();
-            replayed.apply(item);
-        }
-        if let Some(last) = page.items.last() {
-            after.clone_from(&last.key);
-        }
-        if !page.more {
-            let took = (clock::now() - begun).as_millis();
-            log::info!("journal of {bytes} bytes was read in {took} ms");
-            return Some(replayed);
-        }
-    }
-}
-
-impl Replayed {
-    fn apply(&mut self, item: &store::Item) {
-        let number = item.key.strip_prefix(keys::JOURNAL).map(str::parse::<u64>);
-        let Some(Ok(number)) = number else {
-            log::error!("key {} has no number of a batch", item.key);
-            return;
-        };
-        let batch = match record::decode(&item.value) {
-            Ok(batch) => batch,
-            Err(error) => {
-                log::error!("batch {} does not decode: {error}", item.key);
-                Vec::new()
-            }
-        };
-        let kind = segments::Kind::of(&batch);
-        self.segments.found(number, item.value.len(), kind);
-        for record in batch {
-            self.book.apply(record);
-        }
-    }
-}
+use crate::lead::commit::{self, Written};
 
 /// Shows that the term goes on while the journal is read, and notes each confirmation. Without these a
 /// scheduler that took long to read would seem to be without the store when it begins.
@@ -110,13 +40,6 @@
     }
 }
 
-fn is_replaced(context: &context::Context, term: u64) -> bool {
-    let candidate = context.candidate();
-    candidate
-        .elected()
-        .is_some_and(|elected| elected.term > term)
-}
-
 /// Writes batches, and confirms the term while there is nothing to write.
 pub(super) async fn keep(
     context: Arc<context::Context>,
@@ -128,8 +51,8 @@
         let Some(batch) = next_batch(&lead, &segments) else {
             if clock::now() - last >= constants::RENEW {
                 last = clock::now();
-                let transaction = transaction(&lead);
-                commit(&context, &lead, &transaction, None).await;
+                let transaction = commit::transaction(&lead);
+                commit::commit(&context, &lead, &transaction, None).await;
             }
             Timer::after(constants::COMMIT_PAUSE).await;
             if lead.deposed.load(Ordering::Relaxed) {
@@ -205,16 +128,6 @@
     encode_parts(second, parts)
 }
 
-/// What became of a batch.
-enum Written {
-    /// It is stored.
-    Stored,
-    /// It surely had no effect.
-    Nothing,
-    /// The term has ended.
-    TermEnded,
-}
-
 /// Writes a checkpoint in one commit: a part of it alone would lose jobs.
 async fn write_checkpoint(
     context: &context::Context,
@@ -223,7 +136,7 @@
     segments: &mut segments::Segments,
 ) -> Written {
     let first = segments.next();
-    let mut transaction = transaction(lead).expect(&keys::batch(first), 0);
+    let mut transaction = commit::transaction(lead).expect(&keys::batch(first), 0);
     for (number, part) in (first..).zip(parts) {
         transaction = transaction.put(&keys::batch(number), part.clone());
     }
@@ -232,7 +145,7 @@
         return Written::Stored;
     };
     let key = keys::batch(first);
-    let written = commit(context, lead, &transaction, Some((&key, part))).await;
+    let written = commit::commit(context, lead, &transaction, Some((&key, part))).await;
     if matches!(written, Written::Stored) {
         segments.checkpointed(parts.len() as u64, bytes);
         log::info!("checkpoint of {bytes} bytes at batch {first}");
@@ -275,11 +188,13 @@
 ) -> Written {
     let key = keys::batch(segments.next());
     let garbage = segments.garbage();
-    let mut transaction = transaction(lead).expect(&key, 0).put(&key, part.to_vec());
+    let mut transaction = commit::transaction(lead)
+        .expect(&key, 0)
+        .put(&key, part.to_vec());
     for number in garbage.clone() {
         transaction = transaction.remove(keys::batch(number));
     }
-    let written = commit(context, lead, &transaction, Some((&key, part))).await;
+    let written = commit::commit(context, lead, &transaction, Some((&key, part))).await;
     if matches!(written, Written::Stored) {
         segments.appended(part.len());
         segments.removed(garbage.end);
@@ -287,121 +202,6 @@
     written
 }
 
-fn transaction(lead: &lead::Lead) -> store::Transaction {
-    store::Transaction::default()
-        .expect(keys::LEADER, lead.term)
-        .put(keys::BEAT, lead.term.to_string().into_bytes())
-}
-
-/// Commits until the outcome is known. The conditions let a repeated commit take effect once. If the
-/// store refuses each try for a while, the commit surely had no effect and is given up.
-async fn commit(
-    context: &context::Context,
-    lead: &lead::Lead,
-    transaction: &store::Transaction,
-    written: Option<(&str, &[u8])>,
-) -> Written {
-    let begun = clock::now();
-    let mut unknown = false;
-    let mut failures = 0_u32;
-    while !lead.deposed.load(Ordering::Relaxed) {
-        let sent = clock::now();
-        let timeout = lock(&lead.pace).timeout(failures) + sending_time(transaction.bytes());
-        let committed = context.store.commit(transaction, timeout).await;
-        match committed {
-            Ok(store::Committed::Done(_)) => {
-                let took = clock::now() - sent;
-                context.metrics.call("store", "done");
-                context.metrics.committed(took);
-                lock(&lead.pace).answered(took);
-                lock(&lead.authority).confirm(sent);
-                log_regained(failures, begun);
-                lead.stored();
-                return Written::Stored;
-            }
-            Ok(store::Committed::Conflict(items)) => {
-                let leads = items
-                    .iter()
-                    .any(|item| item.key == keys::LEADER && item.revision == lead.term);
-                let stored = written.is_some_and(|(key, bytes)| {
-                    items
-                        .iter()
-                        .any(|item| item.key == key && item.value == bytes)
-                });
-                if leads && stored {
-                    lock(&lead.authority).confirm(sent);
-                    log_regained(failures, begun);
-                    lead.stored();
-                    return Written::Stored;
-                }
-                log::info!("term {} was replaced", lead.term);
-                lead.depose();
-                return Written::TermEnded;
-            }
-            Ok(store::Committed::Refused) => {
-                context.metrics.call("store", "refused");
-                log_lost(failures, "refused");
-                if clock::now() - begun >= constants::STORELESS && !unknown {
-                    lead.storeless.store(true, Ordering::Relaxed);
-                    return Written::Nothing;
-                }
-                Timer::after(constants::STORE_RETRY / 2).await;
-            }
-            Err(error) => {
-                context.metrics.call("store", "unknown");
-                log_lost(failures, &error.reason);
-                unknown = true;
-                if let Some((key, bytes)) = written
-                    && is_stored(context, key, bytes, timeout).await
-                {
-                    log_regained(failures + 1, begun);
-                    lead.stored();
-                    return Written::Stored;
-                }
-                if clock::now() - begun >= constants::STORELESS
-                    && !lead.storeless.swap(true, Ordering::Relaxed)
-                {
-                    lead.update(|scheduler| scheduler.withdraw(false));
-                }
-                Timer::after(constants::COMMIT_PAUSE).await;
-            }
-        }
-        failures += 1;
-        lead.failing.store(true, Ordering::Relaxed);
-    }
-    Written::TermEnded
-}
-
-/// Whether a batch whose commit was not answered is stored. Answers to writes may be lost while reads are
-/// answered, so this is quicker than to send the commit again.
-async fn is_stored(context: &context::Context, key: &str, bytes: &[u8], timeout: Duration) -> bool {
-    match context.store.read(key, timeout).await {
-        Ok(item) => item.is_some_and(|item| item.value == bytes),
-        Err(error) => {
-            log::debug!("batch {key} was not read back: {error}");
-            false
-        }
-    }
-}
-
-/// Time that a commit of a size takes on the slowest link.
-fn sending_time(bytes: usize) -> Duration {
-    Duration::from_millis(bytes as u64 / constants::SLOW_LINK_BYTES_PER_MS)
-}
-
-fn log_lost(failures: u32, reason: &str) {
-    if failures == 0 {
-        log::warn!("commit to the platform store failed: {reason}");
-    }
-}
-
-fn log_regained(failures: u32, begun: time::Monotonic) {
-    if failures > 0 {
-        let took = (clock::now() - begun).as_millis();
-        log::info!("commit took effect after {failures} failures and {took} ms");
-    }
-}
-
 /// Waits for the open commit, before the role is given back.
 pub(super) async fn finish(lead: &lead::Lead) {
     let begun = clock::now();
--- /dev/null
+++ b/crates/daisymast_node/src/lead/replay.rs
@@ -0,0 +1,85 @@
+//! Reads the journal at the begin of a term.
+
+use daisymast_adapter::{keys, store};
+use daisymast_jobs::{book, record, segments};
+use smol::Timer;
+
+use crate::clock;
+use crate::constants;
+use crate::context;
+
+/// What the journal holds.
+pub(super) struct Replayed {
+    pub(super) book: book::Book,
+    pub(super) segments: segments::Segments,
+}
+
+/// Reads the journal. The term's own write of the leader key precedes this read, so no former
+/// scheduler can add to it any more.
+pub(super) async fn replay(context: &context::Context, term: u64) -> Option<Replayed> {
+    let begun = clock::now();
+    let mut replayed = Replayed {
+        book: book::Book::default(),
+        segments: segments::Segments::default(),
+    };
+    let mut after = String::new();
+    let mut bytes = 0;
+    loop {
+        if context.is_draining() || is_replaced(context, term) {
+            return None;
+        }
+        let page = context
+            .store
+            .page(keys::JOURNAL, &after, constants::PAGE_TIMEOUT)
+            .await;
+        let page = match page {
+            Ok(page) => page,
+            Err(error) => {
+                log::warn!("journal was not read: {error}");
+                Timer::after(constants::STORE_RETRY).await;
+                continue;
+            }
+        };
+        for item in &page.items {
+            bytes += item.value.len();
+            replayed.apply(item);
+        }
+        if let Some(last) = page.items.last() {
+            after.clone_from(&last.key);
+        }
+        if !page.more {
+            let took = (clock::now() - begun).as_millis();
+            log::info!("journal of {bytes} bytes was read in {took} ms");
+            return Some(replayed);
+        }
+    }
+}
+
+impl Replayed {
+    fn apply(&mut self, item: &store::Item) {
+        let number = item.key.strip_prefix(keys::JOURNAL).map(str::parse::<u64>);
+        let Some(Ok(number)) = number else {
+            log::error!("key {} has no number of a batch", item.key);
+            return;
+        };
+        let batch = match record::decode(&item.value) {
+            Ok(batch) => batch,
+            Err(error) => {
+                log::error!("batch {} does not decode: {error}", item.key);
+                Vec::new()
+            }
+        };
+        let kind = segments::Kind::of(&batch);
+        self.segments.found(number, item.value.len(), kind);
+        for record in batch {
+            self.book.apply(record);
+        }
+    }
+}
+
+fn is_replaced(context: &context::Context, term: u64) -> bool {
+    let candidate = context.candidate();
+    candidate
+        .elected()
+        .is_some_and(|elected| elected.term > term)
+}
--- a/crates/daisymast_node/src/process.rs
+++ b/crates/daisymast_node/src/process.rs
@@ -41,6 +41,8 @@
 const METRICS_PATH: &str = "/metrics";
 /// Media type of Prometheus text.
 const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
+/// Largest message of another node, in bytes.
+const PEER_BODY_BYTES: usize = 4 * 1024 * 1024;
 /// Pause between two looks at the signals that have arrived.
 const SIGNAL_POLL: Duration = Duration::from_millis(100);
 
@@ -146,67 +148,70 @@
     Ok(())
 }
 
-async fn bind(name: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("bind {name} to {address}"))
-}
-
 async fn serve_callers(context: &Arc<context::Context>) -> anyhow::Result<server::Server> {
-    let listener = bind("the listener for callers", context.settings.callers).await?;
-    let limits = server::Limits::default().with_header_timeout(constants::CALLER_IDLE);
     let shared = Arc::clone(context);
     let handler = move |request| front::serve(Arc::clone(&shared), request);
-    Ok(server::Server::start(
-        &context.executor,
-        listener,
-        limits,
+    let address = context.settings.callers;
+    serve(
+        context,
+        "the listener for callers",
+        address,
+        limits(),
         handler,
-    )?)
+    )
+    .await
 }
 
 async fn serve_peers(
     context: &Arc<context::Context>,
     address: Option<SocketAddr>,
 ) -> anyhow::Result<server::Server> {
-    let address = address.unwrap_or(context.settings.peers);
-    let listener = bind("the listener for nodes", address).await?;
-    let limits = server::Limits::default()
-        .with_header_timeout(constants::CALLER_IDLE)
-        .with_body_bytes(4 * 1024 * 1024);
     let shared = Arc::clone(context);
     let handler = move |request| peers::serve(Arc::clone(&shared), request);
-    Ok(server::Server::start(
-        &context.executor,
-        listener,
-        limits,
-        handler,
-    )?)
+    let address = address.unwrap_or(context.settings.peers);
+    let limits = limits().with_body_bytes(PEER_BODY_BYTES);
+    serve(context, "the listener for nodes", address, limits, handler).await
 }
 
 async fn serve_readiness(context: &Arc<context::Context>) -> anyhow::Result<server::Server> {
-    let listener = bind("the listener for readiness", context.settings.readiness).await?;
-    let limits = server::Limits::default().with_header_timeout(constants::CALLER_IDLE);
     let shared = Arc::clone(context);
     let handler = move |request: server::Request| {
-        let ready = shared.is_ready();
-        let metrics = (request.path == METRICS_PATH).then(|| shared.metrics.encode());
-        async move {
-            if let Some(metrics) = metrics {
-                server::Response::new(200, METRICS_TYPE, metrics)
-            } else if ready {
-                server::Response::text(200, "ready")
-            } else {
-                server::Response::text(503, "not ready")
-            }
-        }
+        let response = if request.path == METRICS_PATH {
+            server::Response::new(200, METRICS_TYPE, shared.metrics.encode())
+        } else if shared.is_ready() {
+            server::Response::text(200, "ready")
+        } else {
+            server::Response::text(503, "not ready")
+        };
+        async move { response }
     };
-    Ok(server::Server::start(
-        &context.executor,
-        listener,
-        limits,
+    let address = context.settings.readiness;
+    serve(
+        context,
+        "the listener for readiness",
+        address,
+        limits(),
         handler,
-    )?)
+    )
+    .await
+}
+
+fn limits() -> server::Limits {
+    server::Limits::default().with_header_timeout(constants::CALLER_IDLE)
+}
+
+async fn serve<F: Future<Output = server::Response> + Send + 'static>(
+    context: &context::Context,
+    name: &str,
+    address: SocketAddr,
+    limits: server::Limits,
+    handler: impl Fn(server::Request) -> F + Send + Sync + 'static,
+) -> anyhow::Result<server::Server> {
+    let listener = TcpListener::bind(address)
+        .await
+        .with_context(|| format!("bind {name} to {address}"))?;
+    let server = server::Server::start(&context.executor, listener, limits, handler)?;
+    Ok(server)
 }
 
 /// Signals that have arrived.
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -96,12 +96,9 @@
         outcome: report::OrderOutcome,
         now: time::Monotonic,
     ) {
-        if outcome_is_fenced(outcome) {
-            self.actions.push(action::Action::Deposed);
+        let Some(worker) = self.answered(place, outcome, now) else {
             return;
-        }
-        let worker = self.fleet.at_mut(place);
-        take_clock(worker, outcome, now);
+        };
         let Some(entry) = worker.runs.get_mut(&task) else {
             return;
         };
@@ -136,6 +133,26 @@
         }
     }
 
+    /// The worker that gave an outcome, with its clock read; none if it has seen a later term.
+    fn answered(
+        &mut self,
+        place: usize,
+        outcome: report::OrderOutcome,
+        now: time::Monotonic,
+    ) -> Option<&mut worker::Worker> {
+        if let report::OrderOutcome::Refused(report::Refusal::Fenced, _) = outcome {
+            self.actions.push(action::Action::Deposed);
+            return None;
+        }
+        let worker = self.fleet.at_mut(place);
+        if let report::OrderOutcome::Taken(clock) | report::OrderOutcome::Refused(_, Some(clock)) =
+            outcome
+        {
+            worker.read_clock(clock, now);
+        }
+        Some(worker)
+    }
+
     /// A worker surely has or had a task of the job.
     pub(super) fn note_begun(&mut self, id: spec::JobId) {
         if let Some(job) = self.book.job_mut(id) {
@@ -254,12 +271,9 @@
         outcome: report::OrderOutcome,
         now: time::Monotonic,
     ) {
-        if outcome_is_fenced(outcome) {
-            self.actions.push(action::Action::Deposed);
+        let Some(worker) = self.answered(place, outcome, now) else {
             return;
-        }
-        let worker = self.fleet.at_mut(place);
-        take_clock(worker, outcome, now);
+        };
         if let report::OrderOutcome::Refused(report::Refusal::WrongWorker, _) = outcome {
             worker.adopted = false;
             worker.next_look = now;
@@ -283,18 +297,3 @@
         }
     }
 }
-
-fn take_clock(worker: &mut worker::Worker, outcome: report::OrderOutcome, now: time::Monotonic) {
-    if let report::OrderOutcome::Taken(clock) | report::OrderOutcome::Refused(_, Some(clock)) =
-        outcome
-    {
-        worker.read_clock(clock, now);
-    }
-}
-
-fn outcome_is_fenced(outcome: report::OrderOutcome) -> bool {
-    matches!(
-        outcome,
-        report::OrderOutcome::Refused(report::Refusal::Fenced, _)
-    )
-}
