--- a/crates/daisymast_http/src/server.rs
+++ b/crates/daisymast_http/src/server.rs
@@ -50,6 +50,14 @@
         }
     }
 
+    /// Value of a name in the query string, empty if it is not there. Escapes are not resolved.
+    pub fn query_value(&self, name: &str) -> &str {
+        let query = self.query.as_deref().unwrap_or_default();
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let found = pairs.find(|(key, _)| *key == name);
+        found.map_or("", |(_, value)| value)
+    }
+
     /// Value of a header, if it is there and is text.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
--- a/crates/daisymast_platform/src/daemon.rs
+++ b/crates/daisymast_platform/src/daemon.rs
@@ -149,7 +149,7 @@
     async fn handle(&self, request: Request) -> Response {
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", client::STORE_PATH) => match json::request(&request.body) {
-                Ok(store) => self.store(caller(&request), store).await,
+                Ok(store) => self.store(request.query_value("caller"), store).await,
                 Err(refusal) => refusal,
             },
             ("POST", FAULTS_PATH) => match json::request(&request.body) {
@@ -258,11 +258,3 @@
         state.model.cancel(self.id);
     }
 }
-
-/// Name that the caller gives itself in the query string.
-fn caller(request: &Request) -> &str {
-    let query = request.query.as_deref().unwrap_or_default();
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let found = pairs.find(|(name, _)| *name == "caller");
-    found.map_or("", |(_, value)| value)
-}
--- a/crates/daisymast_worker/src/daemon.rs
+++ b/crates/daisymast_worker/src/daemon.rs
@@ -178,7 +178,7 @@
     async fn handle(&self, request: Request) -> Response {
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", WORKER_PATH) => match json::request(&request.body) {
-                Ok(message) => self.message(caller(&request), message).await,
+                Ok(message) => self.message(request.query_value("caller"), message).await,
                 Err(refusal) => refusal,
             },
             ("POST", FAULTS_PATH) => match json::request::<Faults>(&request.body) {
@@ -263,11 +263,3 @@
         state.model.cancel(self.id);
     }
 }
-
-/// Name that the caller gives itself in the query string.
-fn caller(request: &Request) -> &str {
-    let query = request.query.as_deref().unwrap_or_default();
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let found = pairs.find(|(name, _)| *name == "caller");
-    found.map_or("", |(_, value)| value)
-}
