--- a/crates/daisymast_node/src/lead.rs
+++ b/crates/daisymast_node/src/lead.rs
@@ -51,6 +51,7 @@
         term: u64,
         scheduler: scheduler::Scheduler,
         authority: Arc<Mutex<authority::Authority>>,
+        pace: pace::Pace,
         me: record::Member,
     ) -> Self {
         let (wake, woken) = async_channel::bounded(1);
@@ -68,7 +69,7 @@
             committing: AtomicBool::new(false),
             storeless: AtomicBool::new(false),
             failing: AtomicBool::new(false),
-            pace: Mutex::default(),
+            pace: Mutex::new(pace),
         }
     }
 
@@ -245,6 +246,9 @@
     resigned: bool,
 ) {
     // The others take a term for lost whose journal stands still, and reading it can take seconds.
+    // The write that won the election tells how quick the store is.
+    let mut pace = pace::Pace::default();
+    pace.answered(clock::now() - sent);
     let authority = authority::Authority::new(sent, limits::AUTHORITY);
     let authority = Arc::new(Mutex::new(authority));
     let renewal = journal::renew(Arc::clone(context), term, Arc::clone(&authority));
@@ -272,7 +276,13 @@
     let lease = limits::LEASE.mul_f64(limits::SLOW_CLOCK_PERMILLE as f64 / 1_000.0);
     let former_end = sent + former + lease + limits::LEASE_MARGIN * 2;
     let scheduler = scheduler::Scheduler::resume(config, book, former_end, now);
-    let lead = Arc::new(Lead::new(term, scheduler, authority, context.member()));
+    let lead = Arc::new(Lead::new(
+        term,
+        scheduler,
+        authority,
+        pace,
+        context.member(),
+    ));
     context.set_lead(Some(Arc::clone(&lead)));
     if let Some(config) = context.config() {
         lead.configure(config);
--- /dev/null
+++ b/crates/daisymast_soak/examples/jobs.rs
@@ -0,0 +1,57 @@
+//! A job of two steps and a gang on a cell without faults, through the callers' interface:
+//! `cargo run -p daisymast_soak --example jobs`.
+
+use std::time::Duration;
+
+use daisymast_cluster::programs;
+use daisymast_jobs::spec;
+use daisymast_soak::{plan, run};
+use daisymast_stand_in::cell;
+
+fn job(id: u64, queue: &'static str, steps: Vec<cell::Step>) -> plan::Job {
+    plan::Job {
+        at: Duration::ZERO,
+        id: spec::JobId(id),
+        queue,
+        steps,
+        again: true,
+        cancel: None,
+    }
+}
+
+#[expect(clippy::print_stdout, reason = "the output of the example")]
+fn main() -> std::io::Result<()> {
+    let task = cell::Step {
+        tasks: 4,
+        millicores: 1_000,
+        work_ms: 400,
+        gang: false,
+    };
+    let sum = cell::Step { tasks: 1, ..task };
+    let gang = cell::Step { gang: true, ..task };
+    let jobs = vec![
+        job(2, plan::QUEUES[2], vec![task, sum]),
+        job(3, plan::QUEUES[1], vec![gang]),
+    ];
+    let plan = plan::Plan {
+        jobs,
+        faults: Vec::new(),
+    };
+    let folder = programs::folder().join("daisymast_soak").join("jobs");
+    let report = run::run_plan(plan, &folder)?;
+    for (id, what) in [(2, "a job of two steps"), (3, "a gang of four tasks")] {
+        let completed = report.completions.iter().find(|(job, _)| job.0 == id);
+        match completed {
+            Some((job, Some(took))) => println!("{what}, {job}: completed after {took:?}"),
+            _ => println!("{what}: not completed, {:?}", report.broken),
+        }
+    }
+    println!(
+        "{} starts at workers for both and a first small job",
+        report.starts
+    );
+    if !report.broken.is_empty() || report.completed < 3 {
+        std::process::exit(1);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daisymast_soak/src/cell.rs
@@ -0,0 +1,258 @@
+//! A cell of node processes with stand-ins of the platform around it.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use daisymast_cluster::process;
+use daisymast_http::{client, executor};
+use daisymast_stand_in::{cell as platform, store, worker};
+use smol::Timer;
+
+use crate::{clients, node, plan, relay};
+
+/// Zones of the nodes and workers, in turn.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Time after which the entry of a crashed worker is removed: three of its heartbeats.
+const UNLIST: Duration = Duration::from_millis(1_500);
+/// Time for the first node to take requests. No requirement bounds it.
+const SETTLE: Duration = Duration::from_secs(20);
+/// Time for a node to end after SIGTERM.
+const GRACE: Duration = Duration::from_secs(6);
+/// Pause between two looks at a process.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A cell of node processes with stand-ins of the platform around it.
+#[derive(Debug)]
+pub struct Cell {
+    pub(crate) executor: executor::Executor,
+    /// The store.
+    pub store: store::Store,
+    /// The nodes.
+    pub nodes: Vec<node::Node>,
+    pub(crate) workers: Vec<worker::Worker>,
+    links: Vec<relay::Relay>,
+    /// Callers of the nodes.
+    pub clients: clients::Clients,
+    pub(crate) shared: worker::Shared,
+    version: AtomicU64,
+}
+
+impl Cell {
+    /// Opens a cell; no node is started yet.
+    ///
+    /// # Errors
+    /// A port cannot be bound.
+    pub async fn open(executor: &executor::Executor, folder: &Path) -> std::io::Result<Self> {
+        let store = store::Store::start(executor).await?;
+        let shared = worker::Shared::default();
+        let mut workers = Vec::new();
+        let mut links = Vec::new();
+        for position in 0..plan::WORKERS {
+            let worker = worker::Worker::start(executor, position, shared.clone()).await?;
+            let link = relay::Relay::open(executor, worker.address()).await?;
+            let zone = ZONES[position % ZONES.len()];
+            platform::list_worker(&store, &worker, link.address(), zone, false);
+            workers.push(worker);
+            links.push(link);
+        }
+        platform::configure(&store, 1, &plan::QUEUES);
+        let mut nodes = Vec::new();
+        for number in 0..plan::NODES {
+            let zone = ZONES[number % ZONES.len()];
+            let number = u8::try_from(number).unwrap_or(u8::MAX);
+            let node = node::Node::new(executor, number, zone, store.address(), folder);
+            nodes.push(node.await?);
+        }
+        let client = client::Client::new(Arc::clone(executor), client::Settings::default());
+        let addresses = nodes.iter().map(|node| node.callers).collect();
+        Ok(Self {
+            executor: Arc::clone(executor),
+            store,
+            nodes,
+            workers,
+            links,
+            clients: clients::Clients::new(client, addresses),
+            shared,
+            version: AtomicU64::new(1),
+        })
+    }
+
+    fn seeds(&self) -> Vec<std::net::SocketAddr> {
+        let nodes = self.nodes.iter().take(ZONES.len());
+        nodes.map(|node| node.peers.address()).collect()
+    }
+
+    /// Starts the nodes that do not run.
+    ///
+    /// # Errors
+    /// A program or file cannot be used.
+    pub fn start_all(&self) -> std::io::Result<()> {
+        let seeds = self.seeds();
+        self.nodes.iter().try_for_each(|node| node.start(&seeds))
+    }
+
+    /// Waits until a job is accepted, so that the faults meet a cell at work.
+    pub async fn settle(&self) {
+        let begun = Instant::now();
+        let first = plan::Job::first();
+        while begun.elapsed() < SETTLE {
+            self.clients.run(first.clone()).await;
+            if !self.clients.open().is_empty() {
+                return;
+            }
+            Timer::after(LOOK).await;
+        }
+    }
+
+    /// The node that the store names as the scheduler.
+    pub fn leader(&self) -> Option<usize> {
+        let value = self.store.value(store::LEADER)?;
+        let value: serde_json::Value = serde_json::from_slice(&value).ok()?;
+        let name = value.get("node")?.get("id")?.as_str()?;
+        self.nodes.iter().position(|node| node.name == name)
+    }
+
+    fn hit(&self, node: usize, leader: bool) -> &node::Node {
+        let position = if leader { self.leader() } else { None };
+        &self.nodes[position.unwrap_or(node)]
+    }
+
+    /// Brings about a fault and ends it.
+    pub async fn inject(&self, timed: plan::Timed) {
+        let lasts = timed.lasts;
+        match timed.fault {
+            plan::Fault::Kill { node, leader } => {
+                let node = self.hit(node, leader);
+                node.kill();
+                Timer::after(lasts).await;
+                self.restart(node);
+            }
+            plan::Fault::Pause { node, leader } => {
+                let node = self.hit(node, leader);
+                node.signal(process::Signal::Stop);
+                Timer::after(lasts).await;
+                node.signal(process::Signal::Continue);
+            }
+            plan::Fault::Terminate { node, leader } => {
+                let node = self.hit(node, leader);
+                node.signal(process::Signal::Terminate);
+                let begun = Instant::now();
+                while !node.has_ended() && begun.elapsed() < GRACE {
+                    Timer::after(LOOK).await;
+                }
+                node.kill();
+                self.restart(node);
+            }
+            plan::Fault::KillAll => {
+                self.nodes.iter().for_each(node::Node::kill);
+                Timer::after(lasts).await;
+                self.nodes.iter().for_each(|node| self.restart(node));
+            }
+            plan::Fault::Outage(outage) => {
+                let faults = store::Faults {
+                    outage,
+                    ..store::Faults::default()
+                };
+                self.trouble_store(faults, lasts).await;
+            }
+            plan::Fault::Slow(delay) => {
+                let faults = store::Faults {
+                    delay,
+                    ..store::Faults::default()
+                };
+                self.trouble_store(faults, lasts).await;
+            }
+            plan::Fault::Lost => {
+                let faults = store::Faults {
+                    lost_percent: 35,
+                    ..store::Faults::default()
+                };
+                self.trouble_store(faults, lasts).await;
+            }
+            plan::Fault::Forget => self.store.forget_history(),
+            plan::Fault::StoreLink(node, mode) => {
+                trouble_link(&self.nodes[node].store, mode, lasts).await;
+            }
+            plan::Fault::PeerLink(node, mode) => {
+                trouble_link(&self.nodes[node].peers, mode, lasts).await;
+            }
+            plan::Fault::WorkerLink(worker, mode) => {
+                trouble_link(&self.links[worker], mode, lasts).await;
+            }
+            plan::Fault::Crash(worker) => self.crash(worker, lasts).await,
+            plan::Fault::Late(worker) => {
+                let late = Some(lasts);
+                let faults = worker::Faults {
+                    late,
+                    ..worker::Faults::default()
+                };
+                self.trouble_worker(worker, faults, lasts).await;
+            }
+            plan::Fault::Failing(worker) => {
+                let faults = worker::Faults {
+                    failing: true,
+                    ..worker::Faults::default()
+                };
+                self.trouble_worker(worker, faults, lasts).await;
+            }
+            plan::Fault::Configure => {
+                let version = self.version.fetch_add(1, Ordering::Relaxed);
+                platform::configure(&self.store, version + 1, &plan::QUEUES);
+            }
+        }
+    }
+
+    /// A node that cannot be started leaves its jobs to the others, and the next restart tries again.
+    fn restart(&self, node: &node::Node) {
+        drop(node.start(&self.seeds()));
+    }
+
+    async fn trouble_store(&self, faults: store::Faults, lasts: Duration) {
+        self.store.set_faults(faults);
+        Timer::after(lasts).await;
+        self.store.set_faults(store::Faults::default());
+    }
+
+    async fn trouble_worker(&self, worker: usize, faults: worker::Faults, lasts: Duration) {
+        self.workers[worker].set_faults(faults);
+        Timer::after(lasts).await;
+        self.workers[worker].set_faults(worker::Faults::default());
+    }
+
+    async fn crash(&self, position: usize, lasts: Duration) {
+        let worker = &self.workers[position];
+        worker.crash();
+        Timer::after(lasts.min(UNLIST)).await;
+        if lasts > UNLIST {
+            platform::unlist_worker(&self.store, worker);
+            Timer::after(lasts - UNLIST).await;
+        }
+        worker.reboot();
+        let zone = ZONES[position % ZONES.len()];
+        let address = self.links[position].address();
+        platform::list_worker(&self.store, worker, address, zone, false);
+    }
+
+    /// Ends all faults.
+    pub(crate) fn heal(&self) -> std::io::Result<()> {
+        self.store.set_faults(store::Faults::default());
+        for link in &self.links {
+            link.set(relay::Mode::Open);
+        }
+        for node in &self.nodes {
+            node.store.set(relay::Mode::Open);
+            node.peers.set(relay::Mode::Open);
+            node.signal(process::Signal::Continue);
+            node.has_ended();
+        }
+        self.start_all()
+    }
+}
+
+async fn trouble_link(link: &relay::Relay, mode: relay::Mode, lasts: Duration) {
+    link.set(mode);
+    Timer::after(lasts).await;
+    link.set(relay::Mode::Open);
+}
--- a/crates/daisymast_soak/src/lib.rs
+++ b/crates/daisymast_soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! stand-ins in this process, and relays on loopback carry the links. What callers and workers saw is
 //! checked afterwards against the promises of the design page.
 
+pub mod cell;
 pub mod check;
 pub mod clients;
 pub mod node;
