Do not queue a task again when the end of a stray run of it is told

The same held for any stray, such as a run that a former scheduler had given up. Change: a run's end, or its certain absence, queues the task only if the task was last placed there in that run; only then it also leaves the count for the spread of its step. Measured: the new test fails before with 'starts on worker 1 and runs on worker 1'; all tests of the scheduler pass. Tests: the_end_of_a_stray_does_not_queue_its_task_again, a_spread_step_uses_its_workers_again.

--- a/crates/daisymast_scheduler/src/scheduler/ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/ends.rs
@@ -34,9 +34,7 @@
         if let Some(checkpoint) = &ended.checkpoint {
             self.save_checkpoint(ended.task, checkpoint);
         }
-        if let Some(step) = self.steps.get_mut(&ended.task.step) {
-            step.take_off(place);
-        }
+        self.take_off(place, ended.task, ended.run);
         if ended.end != report::End::Done {
             let worker = self.fleet.at(place).id.clone();
             self.log(decision::Decision::Ended {
@@ -55,7 +53,7 @@
             report::End::Stopped
             | report::End::Lapsed
             | report::End::Broken
-            | report::End::Alone => self.requeue(ended.task, now),
+            | report::End::Alone => self.requeue(place, ended.task, ended.run, now),
         }
     }
 
@@ -91,7 +89,7 @@
         };
         let is_gang = step.gang;
         if step.lasting {
-            self.requeue(task, now);
+            self.requeue(place, task, run.run, now);
             return;
         }
         let declared = f64::from(step.estimate_ms);
@@ -166,7 +164,7 @@
                 return;
             }
         }
-        self.requeue(task, now);
+        self.requeue(place, task, run, now);
     }
 
     fn give_up(&mut self, id: spec::JobId, now: time::Monotonic) {
@@ -193,9 +191,38 @@
         }
     }
 
-    /// A run is surely over and its task is not done: the task waits again.
-    pub(super) fn requeue(&mut self, task: spec::TaskId, now: time::Monotonic) {
+    /// Whether a run on a worker is the one that its task was last placed for, and no stray.
+    fn is_placed(&self, place: usize, task: spec::TaskId, run: u32) -> bool {
+        let worker = &self.fleet.at(place).id;
+        let job = self.book.job(task.step.job);
+        job.and_then(|job| job.task(task)).is_some_and(|entry| {
+            let is_here = matches!(&entry.phase, job::Phase::Placed { worker: at } if at == worker);
+            is_here && entry.run == run
+        })
+    }
+
+    /// A run has left a worker, so its step may use the place again.
+    pub(super) fn take_off(&mut self, place: usize, task: spec::TaskId, run: u32) {
+        if self.is_placed(place, task, run)
+            && let Some(step) = self.steps.get_mut(&task.step)
+        {
+            step.take_off(place);
+        }
+    }
+
+    /// A run is surely over and its task is not done: the task waits again, unless the run was a stray
+    /// while the task waits or runs elsewhere.
+    pub(super) fn requeue(
+        &mut self,
+        place: usize,
+        task: spec::TaskId,
+        run: u32,
+        now: time::Monotonic,
+    ) {
         self.dirty = true;
+        if !self.is_placed(place, task, run) {
+            return;
+        }
         let Some(job) = self.book.job_mut(task.step.job) else {
             return;
         };
@@ -203,9 +230,6 @@
         let Some(entry) = job.task_mut(task) else {
             return;
         };
-        if entry.phase == job::Phase::Done {
-            return;
-        }
         entry.phase = job::Phase::Waiting;
         if is_final {
             return;
@@ -213,9 +237,7 @@
         let Some(step) = self.steps.get_mut(&task.step) else {
             return;
         };
-        if !step.waiting.contains(&task.index) {
-            step.waiting.push(task.index);
-        }
+        step.waiting.push(task.index);
         if step.content().lasting {
             step.not_before = now + constants::LASTING_PAUSE;
         }
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -78,13 +78,10 @@
 
     /// A run is surely not on its worker any more: frees its room and queues its task again.
     pub(super) fn release(&mut self, place: usize, task: spec::TaskId, now: time::Monotonic) {
-        if self.fleet.at_mut(place).remove(task).is_none() {
-            return;
-        }
-        if let Some(step) = self.steps.get_mut(&task.step) {
-            step.take_off(place);
+        if let Some(run) = self.fleet.at_mut(place).remove(task) {
+            self.take_off(place, task, run.run);
+            self.requeue(place, task, run.run, now);
         }
-        self.requeue(task, now);
     }
 
     /// Outcome of a start.
--- a/crates/daisymast_scheduler/tests/faults.rs
+++ b/crates/daisymast_scheduler/tests/faults.rs
@@ -8,6 +8,7 @@
 use daisymast_jobs::spec;
 use daisymast_scheduler::action::Answer;
 use daisymast_scheduler::decision;
+use daisymast_scheduler::report;
 
 /// Guards against a fault of the normal path: steps in order, all tasks once.
 #[test]
@@ -420,3 +421,54 @@
     assert!(rig.run_until(2, State::Completed, 6_000).is_some());
     assert_eq!(rig.starts_of(2).len(), 3);
 }
+
+/// Guards against a task that starts twice because the end of an earlier run is told again: a report that
+/// was overtaken lists the run as if it went on, so it is stopped as a stray, and its end queued the task
+/// again while its next run was at work (TWICE and LIMIT on an incident of otjisana-desk).
+#[test]
+fn the_end_of_a_stray_does_not_queue_its_task_again() {
+    let mut rig = Rig::new(3);
+    rig.submit(1, QUICK, job(vec![step(1, 2, 4_000)]));
+    rig.run_ms(100);
+    let first = rig.starts_of(1)[0].clone();
+    rig.workers[first.worker].hanging = true;
+    while rig.starts_of(1).len() < 2 {
+        rig.run_ms(10);
+    }
+    let id = rig.workers[first.worker].id.as_str().into();
+    let place = rig.scheduler.fleet().find(&id).expect("the worker");
+    let worker = rig.scheduler.fleet().at(place);
+    let reading = worker.clock.expect("a clock").reading;
+    let stale = report::Report {
+        clock_ms: reading,
+        born: worker.born,
+        running: vec![report::Running {
+            task: first.task,
+            run: first.run,
+            checkpoint: None,
+            percent: 0,
+        }],
+        ended: Vec::new(),
+    };
+    let now = common::mono(rig.now);
+    let outcome = report::HoldOutcome::Report(stale);
+    rig.scheduler.on_look(place, outcome, now);
+    rig.workers[first.worker].hanging = false;
+    rig.run_ms(2_000);
+    assert_eq!(rig.starts_of(1).len(), 2, "{:?}", rig.starts_of(1));
+    assert!(rig.run_until(1, State::Completed, 6_000).is_some());
+}
+
+/// Guards against tasks that are done and still count against the spread of their step.
+#[test]
+fn a_spread_step_uses_its_workers_again() {
+    let mut rig = Rig::new(3);
+    let spread = spec::Step {
+        spread: 1,
+        ..step(6, 2, 300)
+    };
+    rig.submit(1, QUICK, job(vec![spread]));
+    rig.run_ms(200);
+    assert_eq!(rig.starts_of(1).len(), 3, "one on each worker");
+    assert!(rig.run_until(1, State::Completed, 1_500).is_some());
+}
