Order worker logs and answers by exact times, and route callers to ready instances only

(1) checks.rs rounded the start of a worker's process and the time of a log entry to milliseconds each before it added them, so a request that a draining instance refused and the balancer retried within the millisecond seemed to start before the refusal. (2) start_instance routed callers to the new process at once; a request that reached it 67 us later, before it had a manifest, got NoEndpoint.

The events are now ordered by their exact times, and a started instance gets callers when the test routes them to it.

--- a/crates/daisymast_cluster/src/cell.rs
+++ b/crates/daisymast_cluster/src/cell.rs
@@ -157,12 +157,13 @@
             cell.start_instance(&format!("entry-{}", number + 1), zone)
                 .await;
         }
+        cell.route_to(|_| true);
         cell
     }
 
-    /// Starts an instance, registers it with the platform and adds all instances to the balancer.
-    /// The new instance gets the addresses of the others from its settings; they discover it by its
-    /// heartbeats.
+    /// Starts an instance and registers it with the platform. The new instance gets the addresses of
+    /// the others from its settings; they discover it by its heartbeats. Callers are not routed to
+    /// it until a test does so: it has no manifest yet and would refuse their requests.
     pub async fn start_instance(&mut self, name: &str, zone: &'static str) {
         let relay = if self.config.relays {
             Some(Relay::open(&self.executor, name, self.blocked_links.clone()).await)
@@ -202,7 +203,6 @@
         self.register(MemberId::Instance(name.into()), zone, instance.peers)
             .await;
         self.instances.insert(name.to_owned(), instance);
-        self.route_to(|_| true);
     }
 
     async fn register(&self, who: MemberId, zone: &str, address: SocketAddr) {
--- a/crates/daisymast_cluster/src/checks.rs
+++ b/crates/daisymast_cluster/src/checks.rs
@@ -1,6 +1,6 @@
 //! Checks worker logs and callers' records against the rules of the fault matrix.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use daisymast_matrix::checkers::{self, Bounds, Violation};
 use daisymast_matrix::trace::{Seen, Trace};
@@ -8,6 +8,7 @@
 use daisymast_protocol::worker::Refusal;
 use daisymast_types::ids::{Epoch, InstanceId, WorkerId};
 use daisymast_types::quantities::Urgency;
+use daisymast_types::time::Monotonic;
 use daisymast_worker::daemon::LogReply;
 use daisymast_worker::model::{LogEntry, LogEvent};
 use daisymast_worker::settings::ModelSettings;
@@ -72,30 +73,41 @@
     logs: &[WorkerLog],
     records: &[RequestRecord],
 ) -> Vec<Violation> {
-    let mut trace = Trace::default();
-    // Worker logs are added first, so that a start precedes an answer in the same millisecond.
+    let mut events = Vec::new();
+    // Worker logs are added first, so that a start precedes an answer at the same time.
     for log in logs {
         assert_eq!(log.log.dropped, 0, "{} dropped log entries", log.worker);
-        add_worker_log(&mut trace, trace_start, log);
+        add_worker_log(&mut events, trace_start, log);
     }
     for record in records {
-        add_request(&mut trace, trace_start, record);
+        add_request(&mut events, trace_start, record);
+    }
+    // The trace has a resolution of a millisecond, in which a balancer can retry a refused request
+    // at another instance. The checkers keep the order of events within a millisecond, so the
+    // events are ordered by their exact times first.
+    events.sort_by_key(|(at, _)| *at);
+    let mut trace = Trace::default();
+    for (at, seen) in events {
+        trace.push(millis(at), seen);
     }
     checkers::check(&trace, &Bounds::default())
 }
 
-fn millis(trace_start: Instant, at: Instant) -> u64 {
-    u64::try_from((at - trace_start).as_millis()).unwrap_or(u64::MAX)
+/// Events with their exact times since the start of the trace.
+type Events = Vec<(Duration, Seen)>;
+
+fn millis(at: Duration) -> u64 {
+    u64::try_from(at.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn add_worker_log(trace: &mut Trace, trace_start: Instant, log: &WorkerLog) {
+fn add_worker_log(events: &mut Events, trace_start: Instant, log: &WorkerLog) {
     let worker = &log.worker;
     let joined = Seen::WorkerJoined {
         worker: worker.clone(),
         capacity: ModelSettings::default().capacity,
     };
-    trace.push(0, joined);
-    let started = millis(trace_start, log.started);
+    events.push((Duration::ZERO, joined));
+    let started = log.started - trace_start;
     for entry in &log.log.entries {
         let worker = worker.clone();
         let seen = match &entry.event {
@@ -131,11 +143,11 @@
             | LogEvent::RequestEnded { .. }
             | LogEvent::WorkRefused { .. } => continue,
         };
-        trace.push(started + entry.at.as_millis(), seen);
+        events.push((started + (entry.at - Monotonic::ZERO), seen));
     }
 }
 
-fn add_request(trace: &mut Trace, trace_start: Instant, record: &RequestRecord) {
+fn add_request(events: &mut Events, trace_start: Instant, record: &RequestRecord) {
     let request = &record.request;
     for exchange in &record.exchanges {
         let instance = InstanceId::from(exchange.instance.as_str());
@@ -146,7 +158,7 @@
             idempotent: request.idempotent,
             body: request.body.clone(),
         };
-        trace.push(millis(trace_start, exchange.sent_at), sent);
+        events.push((exchange.sent_at - trace_start, sent));
         let id = request.id.clone();
         let seen = match &exchange.end {
             ExchangeEnd::Answered(reply) => Seen::CallerAnswered {
@@ -161,6 +173,6 @@
             // Left open, so that the rule of one answer for each request reports a violation.
             ExchangeEnd::TimedOut => continue,
         };
-        trace.push(millis(trace_start, exchange.ended_at), seen);
+        events.push((exchange.ended_at - trace_start, seen));
     }
 }
--- a/crates/daisymast_cluster/tests/rolling_restart.rs
+++ b/crates/daisymast_cluster/tests/rolling_restart.rs
@@ -41,6 +41,10 @@
             };
             assert_eq!(future::or(exit, update_balancer).await, Some(0), "{name}");
             cell.start_instance(&name, zone).await;
+            assert!(
+                !cell.balancer.contains(&name),
+                "{name} gets requests before it is ready"
+            );
             let condition = format!("{name} is ready");
             wait::until(cell::STARTUP_TIMEOUT, &condition, async || {
                 cell.route_to_ready().await;
