Make passes over a backlog cheap, and let every waiting step be tried

Cause: on the site with 540 workers the backlog grows to hundreds of steps, and each pass read all workers for each of them, most of which only wait for the advice service: 400 ms of processor time a second at twice the load (example load, 540 workers), of a machine that has 500. Passes also tried the same 300 steps each time, so steps behind 300 that cannot start were never considered.

Change: a step that may not ask for advice now looks only at the workers for which it holds a ticket; workers are indexed by free processors; a gang that finds no worker to ask about waits before it searches again; the interval between passes grows with the number of waiting steps; a pass also tries 100 steps beyond the 300 most urgent ones, from where the one before stopped.

--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -68,8 +68,16 @@
 /// Minimum time between two rate-limited passes. Otherwise each ended task would cause a pass over
 /// more than a hundred steps at twice the load that fills 350 workers.
 pub const MIN_PASS_INTERVAL: Duration = Duration::from_millis(8);
-/// Maximum number of steps that one pass tries to place.
-pub const MAX_STEPS_PER_PASS: usize = 300;
+/// Number of waiting steps for each of which a rate-limited pass adds its cost to the minimum time
+/// to the next one, in microseconds.
+pub const PASS_INTERVAL_PER_STEP_US: u64 = 20;
+/// Maximum time between two rate-limited passes.
+pub const MAX_PASS_INTERVAL: Duration = Duration::from_millis(40);
+/// Number of the most urgent steps that each pass tries to place.
+pub const MAX_URGENT_STEPS_PER_PASS: usize = 300;
+/// Number of further steps that a pass tries to place. Successive passes continue where the one
+/// before stopped, so that no step waits forever behind others that cannot start.
+pub const FURTHER_STEPS_PER_PASS: usize = 100;
 /// Weight of a new sample in the learned speed of a worker.
 pub const SPEED_SAMPLE_WEIGHT: f64 = 0.15;
 /// Ratio between neighbouring speed bands.
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -24,6 +24,7 @@
 use crate::steps;
 
 mod advice;
+mod availability;
 mod caller_requests;
 mod dispatch;
 mod gangs;
@@ -64,6 +65,8 @@
     dirty: bool,
     /// Earliest time of the next pass over the waiting steps.
     next_pass: time::Monotonic,
+    /// Number of steps beyond the most urgent ones at which the next pass continues.
+    further_steps: usize,
     /// Wall-clock time of the last event.
     wall: time::UnixMillis,
 }
--- a/crates/daisymast_scheduler/src/scheduler/advice.rs
+++ b/crates/daisymast_scheduler/src/scheduler/advice.rs
@@ -23,8 +23,27 @@
 const MIN_UNKNOWN_WORKERS: usize = 2;
 
 impl Scheduler {
+    /// Whether a request to the advice service may be sent for a step now.
+    pub(super) fn may_request_advice(
+        &self,
+        step: &steps::ReadyStep,
+        pass: &dispatch::Pass,
+    ) -> bool {
+        if step.advice.is_none() || step.open_request.is_some() || pass.now < step.next_request {
+            return false;
+        }
+        let open = pass.open_requests.get(&step.queue).copied().unwrap_or(0);
+        let limit = if pass.snapshot.high_utilisation {
+            constants::MAX_OPEN_REQUESTS
+        } else {
+            constants::MAX_OPEN_REQUESTS_IDLE
+        };
+        step.priority == 0 || open < limit
+    }
+
     /// Asks the advice service for permission to use workers with free capacity. For a gang, also
-    /// asks about workers whose capacity becomes free later.
+    /// asks about workers whose capacity becomes free later. To be called only if
+    /// [`may_request_advice`](Self::may_request_advice).
     pub(super) fn request_advice_if_needed(
         &mut self,
         id: spec::StepId,
@@ -38,25 +57,20 @@
         let Some(advice) = step.advice else {
             return;
         };
-        if step.open_request.is_some() || now < step.next_request {
-            return;
-        }
-        let urgent = step.priority == 0;
-        let open = pass.open_requests.get(&step.queue).copied().unwrap_or(0);
-        let limit = if pass.snapshot.high_utilisation {
-            constants::MAX_OPEN_REQUESTS
-        } else {
-            constants::MAX_OPEN_REQUESTS_IDLE
-        };
-        if !urgent && open >= limit {
-            return;
-        }
         let workers = if step.step_spec().gang {
             self.gang_workers_to_ask_about(step, candidates, pass)
         } else {
             self.workers_to_ask_about(step, candidates, now)
         };
         if workers.is_empty() {
+            // The search for a gang's workers reads the whole fleet, so it is not repeated in each
+            // pass.
+            if let Some(step) = self.steps.get_mut(&id)
+                && step.step_spec().gang
+                && step.priority > 0
+            {
+                step.next_request = now + constants::ADVICE_REQUEST_INTERVAL;
+            }
             return;
         }
         let cost = request_duration(advice, workers.len());
@@ -116,7 +130,7 @@
             }
             let is_known = step.is_allowed(candidate.worker_index);
             let enough = expected >= needed && (is_known || workers.len() >= MIN_UNKNOWN_WORKERS);
-            if enough || step.ticket(candidate.worker_index, now).is_some() {
+            if enough || step.has_ticket(candidate.worker_index, now) {
                 continue;
             }
             expected += f64::from(candidate.fits) * if is_known { 1.0 } else { share };
@@ -146,7 +160,7 @@
                 break;
             }
             ready_tasks += candidate.fits;
-            if step.ticket(candidate.worker_index, now).is_none() {
+            if !step.has_ticket(candidate.worker_index, now) {
                 expired_workers.push(candidate.worker_index);
             }
         }
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -46,17 +46,36 @@
         for request in self.advice_requests.values() {
             *pass.open_requests.entry(request.queue.clone()).or_default() += 1;
         }
-        for (_, _, id) in order.into_iter().take(constants::MAX_STEPS_PER_PASS) {
-            self.place_step(id, &mut pass);
+        let further = self.take_further(order.len());
+        let urgent = order.len().min(constants::MAX_URGENT_STEPS_PER_PASS);
+        for position in (0..urgent).chain(further) {
+            self.place_step(order[position].2, &mut pass);
         }
         steps
     }
 
+    /// Returns the positions of the steps beyond the most urgent ones that this pass tries to place.
+    fn take_further(&mut self, steps: usize) -> std::ops::Range<usize> {
+        let first = constants::MAX_URGENT_STEPS_PER_PASS;
+        if steps <= first {
+            return 0..0;
+        }
+        let start = first + self.further_steps % (steps - first);
+        let end = steps.min(start + constants::FURTHER_STEPS_PER_PASS);
+        self.further_steps = end - first;
+        start..end
+    }
+
     fn place_step(&mut self, id: spec::StepId, pass: &mut Pass) {
         let Some(step) = self.steps.get(&id) else {
             return;
         };
-        let candidates = self.candidates(step, &pass.snapshot);
+        let may_request = self.may_request_advice(step, pass);
+        let candidates = if step.advice.is_some() && !may_request {
+            self.candidates_with_ticket(step, &pass.snapshot, pass.now)
+        } else {
+            self.candidates(step, &pass.snapshot)
+        };
         let needed = u32::try_from(step.waiting.len()).unwrap_or(u32::MAX);
         let step_spec = step.step_spec();
         if step_spec.gang && needed < step_spec.tasks {
@@ -78,7 +97,9 @@
         if is_gang {
             self.reserve_for_gang(id, pass);
         }
-        self.request_advice_if_needed(id, &candidates, pass);
+        if may_request {
+            self.request_advice_if_needed(id, &candidates, pass);
+        }
     }
 
     /// Chooses workers for up to `needed` tasks. If the queue needs advice, only workers with a
@@ -91,7 +112,7 @@
         now: time::Monotonic,
     ) -> Vec<usize> {
         let usable = |candidate: &&placement::Candidate| {
-            step.advice.is_none() || step.ticket(candidate.worker_index, now).is_some()
+            step.advice.is_none() || step.has_ticket(candidate.worker_index, now)
         };
         let mut chosen = Vec::new();
         let rack_of = |worker_index: usize| {
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -34,7 +34,7 @@
         let ticket_expired = self
             .steps
             .get(&task.step)
-            .is_some_and(|step| step.advice.is_some() && step.ticket(worker_index, now).is_none());
+            .is_some_and(|step| step.advice.is_some() && !step.has_ticket(worker_index, now));
         let worker = self.fleet.at_mut(worker_index);
         let is_usable = (worker.registered || now < worker.usable_until)
             && !worker
--- a/crates/daisymast_scheduler/src/scheduler/placement.rs
+++ b/crates/daisymast_scheduler/src/scheduler/placement.rs
@@ -7,6 +7,7 @@
 use daisymast_types::time;
 
 use super::Scheduler;
+use super::availability;
 use crate::constants;
 use crate::steps;
 use crate::worker;
@@ -40,13 +41,17 @@
             return self.available;
         }
         quantities::Resources {
-            millicores: self
-                .available
-                .millicores
-                .saturating_sub(self.urgent_reserve),
+            millicores: self.unreserved_millicores(),
             ..self.available
         }
     }
+
+    /// Free processors that are not kept for urgent steps, in thousandths of a core.
+    fn unreserved_millicores(&self) -> u32 {
+        self.available
+            .millicores
+            .saturating_sub(self.urgent_reserve)
+    }
 }
 
 /// The usable workers at the start of a pass.
@@ -55,8 +60,10 @@
     pub(super) rows: Vec<WorkerSnapshot>,
     /// Position in `rows`, by worker index; `None` if the worker is not usable.
     positions: Vec<Option<u32>>,
-    /// Upper bound of the free processors of any worker, in thousandths of a core.
-    max_available_millicores: u32,
+    /// Rows by what urgent steps may use.
+    urgent_index: availability::AvailabilityIndex,
+    /// Rows by what other steps may use.
+    index: availability::AvailabilityIndex,
     /// Whether the fleet is so full that capacity is kept free for urgent steps.
     pub(super) high_utilisation: bool,
 }
@@ -71,8 +78,32 @@
             } else {
                 row.available.saturating_sub(size)
             };
+            let position = position.unwrap_or_default();
+            let (all, unreserved) = (row.available.millicores, row.unreserved_millicores());
+            self.urgent_index.lower(position, all);
+            self.index.lower(position, unreserved);
         }
     }
+
+    fn row(&self, worker_index: usize) -> Option<&WorkerSnapshot> {
+        let position = self.positions.get(worker_index).copied().flatten()?;
+        self.rows.get(position as usize)
+    }
+
+    /// Returns the rows that may have processors for a task of the step.
+    fn rows_with_room(
+        &self,
+        step: &steps::ReadyStep,
+        millicores: u32,
+    ) -> impl Iterator<Item = &WorkerSnapshot> {
+        let index = if step.priority == 0 {
+            &self.urgent_index
+        } else {
+            &self.index
+        };
+        let positions = index.at_least(millicores);
+        positions.filter_map(|position| self.rows.get(position as usize))
+    }
 }
 
 /// A worker that can take tasks of a step.
@@ -119,25 +150,28 @@
         };
         let mut positions = vec![None; self.fleet.len()];
         let mut rows = Vec::with_capacity(speeds.len());
-        let mut max_available_millicores = 0;
+        let mut urgent_index = availability::AvailabilityIndex::default();
+        let mut index = availability::AvailabilityIndex::default();
         for (worker_index, worker) in usable() {
             positions[worker_index] = u32::try_from(rows.len()).ok();
-            let available = worker.available();
-            max_available_millicores = max_available_millicores.max(available.millicores);
-            rows.push(WorkerSnapshot {
+            let row = WorkerSnapshot {
                 worker_index,
-                available,
+                available: worker.available(),
                 capacity: worker.capacity(),
                 urgent_reserve: urgent_reserve(worker),
                 band: worker.band,
                 on_probation: worker.consecutive_failures >= constants::QUARANTINE_THRESHOLD,
                 reserved_for: None,
-            });
+            };
+            urgent_index.push(row.available.millicores);
+            index.push(row.unreserved_millicores());
+            rows.push(row);
         }
         FleetSnapshot {
             rows,
             positions,
-            max_available_millicores,
+            urgent_index,
+            index,
             high_utilisation,
         }
     }
@@ -147,23 +181,42 @@
         &self,
         step: &steps::ReadyStep,
         snapshot: &FleetSnapshot,
+    ) -> Vec<Candidate> {
+        let rows = snapshot.rows_with_room(step, step.size().millicores);
+        self.candidates_among(rows, step, snapshot)
+    }
+
+    /// Returns the same as [`candidates`](Self::candidates), but only workers for which the step
+    /// holds a valid ticket.
+    pub(super) fn candidates_with_ticket(
+        &self,
+        step: &steps::ReadyStep,
+        snapshot: &FleetSnapshot,
+        now: time::Monotonic,
+    ) -> Vec<Candidate> {
+        let ticketed = step.permissions.keys();
+        let rows = ticketed
+            .filter(|&&worker_index| step.has_ticket(worker_index, now))
+            .filter_map(|&worker_index| snapshot.row(worker_index));
+        self.candidates_among(rows, step, snapshot)
+    }
+
+    fn candidates_among<'a>(
+        &self,
+        rows: impl Iterator<Item = &'a WorkerSnapshot>,
+        step: &steps::ReadyStep,
+        snapshot: &FleetSnapshot,
     ) -> Vec<Candidate> {
         let size = step.size();
-        if size.millicores > snapshot.max_available_millicores {
-            return Vec::new();
-        }
         let is_unreserved = |row: &WorkerSnapshot| {
             let free = |by: spec::StepId| {
                 by == step.id || step.priority == 0 || !snapshot.high_utilisation
             };
             row.reserved_for.is_none_or(free)
         };
-        let mut candidates: Vec<Candidate> = snapshot
-            .rows
-            .iter()
+        let mut candidates: Vec<Candidate> = rows
             .filter_map(|row| {
                 let available = row.available_for(step);
-                // On a full fleet most rows are dropped here, before any division.
                 if available.millicores < size.millicores || available.memory_mib < size.memory_mib
                 {
                     return None;
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -51,6 +51,7 @@
             actions: Vec::new(),
             dirty: true,
             next_pass: now.mono,
+            further_steps: 0,
             wall: now.wall,
         };
         for placed in scheduler.placed_runs() {
--- a/crates/daisymast_scheduler/src/scheduler/timers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/timers.rs
@@ -1,5 +1,7 @@
 //! Time-driven work: expired leases, repeated stops and due occurrences.
 
+use std::time::Duration;
+
 use daisymast_jobs::spec;
 use daisymast_types::time;
 
@@ -26,7 +28,7 @@
             self.dirty = false;
             let steps = self.dispatch(now);
             self.next_pass = if steps >= constants::PACING_THRESHOLD_STEPS {
-                now + constants::MIN_PASS_INTERVAL
+                now + pass_interval(steps)
             } else {
                 now
             };
@@ -83,3 +85,11 @@
         }
     }
 }
+
+/// Returns the minimum time from a pass over a number of waiting steps to the next one. A pass over
+/// more steps costs more.
+fn pass_interval(steps: usize) -> Duration {
+    let steps = u64::try_from(steps).unwrap_or(u64::MAX);
+    let micros = steps.saturating_mul(constants::PASS_INTERVAL_PER_STEP_US);
+    Duration::from_micros(micros).clamp(constants::MIN_PASS_INTERVAL, constants::MAX_PASS_INTERVAL)
+}
--- a/crates/daisymast_scheduler/src/steps.rs
+++ b/crates/daisymast_scheduler/src/steps.rs
@@ -109,13 +109,20 @@
     /// arrives there.
     pub fn ticket(&self, worker_index: usize, now: time::Monotonic) -> Option<Arc<str>> {
         match self.permissions.get(&worker_index)? {
-            Permission::Allowed(ticket, until) if *until > now + constants::MIN_TICKET_VALIDITY => {
-                Some(Arc::clone(ticket))
-            }
+            Permission::Allowed(ticket, until) if is_valid(*until, now) => Some(Arc::clone(ticket)),
             Permission::Allowed(..) | Permission::Denied => None,
         }
     }
 
+    /// Whether there is a ticket for a worker that will still be valid when a start that is decided
+    /// now arrives there.
+    pub fn has_ticket(&self, worker_index: usize, now: time::Monotonic) -> bool {
+        matches!(
+            self.permissions.get(&worker_index),
+            Some(Permission::Allowed(_, until)) if is_valid(*until, now)
+        )
+    }
+
     /// Whether the advice service has denied the worker.
     pub fn is_denied(&self, worker_index: usize) -> bool {
         matches!(
@@ -141,6 +148,11 @@
     }
 }
 
+/// Whether a ticket is valid for long enough to start a task with it.
+fn is_valid(until: time::Monotonic, now: time::Monotonic) -> bool {
+    until > now + constants::MIN_TICKET_VALIDITY
+}
+
 /// Returns the resources that a task of a step occupies on a worker. Tasks that only use processors
 /// left idle by others count with no processors.
 pub fn task_size(step: &spec::Step) -> quantities::Resources {
--- a/crates/daisymast_scheduler/tests/pacing.rs
+++ b/crates/daisymast_scheduler/tests/pacing.rs
@@ -81,3 +81,17 @@
     rig.submit(1, QUICK, job(vec![step(350, 32, 200)]));
     assert!(rig.run_until(1, State::Completed, 1_000).is_some());
 }
+
+/// Guards against steps that no worker can run and that keep all later ones from being considered:
+/// each pass looked at the same 300 steps.
+#[test]
+fn steps_that_cannot_start_do_not_block_the_ones_behind_them() {
+    let mut rig = Rig::new(2);
+    for id in 0..400 {
+        let mut impossible = step(1, 2, 200);
+        impossible.requires = Some("label-of-no-worker".into());
+        rig.submit(id, BATCH, job(vec![impossible]));
+    }
+    rig.submit(1_000, BATCH, job(vec![step(1, 2, 200)]));
+    assert!(rig.run_until(1_000, State::Completed, 1_500).is_some());
+}
