--- a/crates/daisymast_scheduler/src/lease.rs
+++ b/crates/daisymast_scheduler/src/lease.rs
@@ -41,6 +41,18 @@
     }
 }
 
+/// Returns the longest local time that a lease on a worker's clock can last.
+///
+/// ```
+/// use std::time::Duration;
+/// use daisymast_scheduler::lease;
+/// assert!(lease::longest(Duration::from_secs(5)) > Duration::from_secs(5));
+/// ```
+pub fn longest(lease: Duration) -> Duration {
+    let local_ms = millis(lease) * constants::SLOW_CLOCK_PERMILLE / 1_000;
+    Duration::from_millis(local_ms) + constants::WORKER_LEASE_MARGIN * 2
+}
+
 /// Converts a duration to whole milliseconds, saturating at `u64::MAX`.
 pub fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -210,6 +210,7 @@
             advice: queue.advice,
             waiting,
             placed: collections::FastMap::default(),
+            was_placed: tasks.tasks.iter().all(|task| task.run > 0),
             aborting: false,
             permissions: collections::FastMap::default(),
             open_request: None,
--- a/crates/daisymast_scheduler/src/scheduler/advice.rs
+++ b/crates/daisymast_scheduler/src/scheduler/advice.rs
@@ -21,6 +21,9 @@
 const REQUEST_HEADROOM_FACTOR: f64 = 1.4;
 /// Minimum number of workers of unknown permission in a request.
 const MIN_UNKNOWN_WORKERS: usize = 2;
+/// Ratio of the fixed part of a repeated request's duration to the part that its workers add, up to
+/// which further workers are named. They make it more likely that the answer leads to a start.
+const REPEATED_REQUEST_COST_RATIO: f64 = 4.0;
 
 impl Scheduler {
     /// Whether a request to the advice service may be sent for a step now.
@@ -113,7 +116,9 @@
     }
 
     /// Returns workers with free capacity and without a valid ticket, as many as the step is
-    /// expected to need.
+    /// expected to need. The first request follows the order of placement. If its answer led to no
+    /// start, the workers with the most free capacity come first: the others may be full again when
+    /// the answer arrives, and a step could ask about them forever.
     fn workers_to_ask_about(
         &self,
         step: &steps::ReadyStep,
@@ -122,14 +127,20 @@
     ) -> Vec<usize> {
         let needed = step.waiting.len() as f64 * REQUEST_HEADROOM_FACTOR;
         let share = self.expected_share(step);
+        let mut candidates = candidates.to_vec();
+        let mut min_workers = MIN_UNKNOWN_WORKERS;
+        if !step.permissions.is_empty() {
+            candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.free_millicores));
+            min_workers = min_workers.max(repeated_request_workers(step));
+        }
         let mut expected = 0.0;
         let mut workers = Vec::new();
-        for candidate in candidates {
+        for candidate in &candidates {
             if workers.len() >= constants::MAX_WORKERS_PER_REQUEST {
                 break;
             }
             let is_known = step.is_allowed(candidate.worker_index);
-            let enough = expected >= needed && (is_known || workers.len() >= MIN_UNKNOWN_WORKERS);
+            let enough = expected >= needed && (is_known || workers.len() >= min_workers);
             if enough || step.has_ticket(candidate.worker_index, now) {
                 continue;
             }
@@ -306,6 +317,22 @@
     hashing::stable_hash_pair(&step.job.0.to_le_bytes(), &worker_index.to_le_bytes())
 }
 
+/// Returns how many workers a repeated request names at least.
+fn repeated_request_workers(step: &steps::ReadyStep) -> usize {
+    let Some(advice) = step.advice else {
+        return 0;
+    };
+    let workers =
+        advice.decide_ms / (REPEATED_REQUEST_COST_RATIO * advice.per_worker_ms.max(0.001));
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the value is clamped first"
+    )]
+    let workers = workers.clamp(0.0, constants::MAX_WORKERS_PER_REQUEST as f64) as usize;
+    workers
+}
+
 /// Returns the expected duration of a request about a number of workers.
 fn request_duration(advice: queue::Advice, workers: usize) -> Duration {
     let millis = advice.decide_ms + advice.per_worker_ms * workers as f64;
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -165,6 +165,7 @@
             signed(lease::millis(step.latest_start - now))
         };
         let waiting = step.waiting.len();
+        step.was_placed |= waiting == 0;
         let mut placements = Vec::with_capacity(worker_indexes.len());
         for (&task_index, &worker_index) in task_indexes.iter().zip(&worker_indexes) {
             let ticket = step.ticket(worker_index, now);
--- a/crates/daisymast_scheduler/src/scheduler/placement.rs
+++ b/crates/daisymast_scheduler/src/scheduler/placement.rs
@@ -114,7 +114,7 @@
     pub(super) fits: u32,
     band: i32,
     on_preferred_rack: bool,
-    free_millicores: u32,
+    pub(super) free_millicores: u32,
 }
 
 impl Scheduler {
--- a/crates/daisymast_scheduler/src/scheduler/workers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -7,6 +7,7 @@
 use super::Scheduler;
 use crate::constants;
 use crate::decision;
+use crate::lease;
 use crate::worker;
 
 impl Scheduler {
@@ -58,6 +59,18 @@
         }
     }
 
+    /// Handles the news that the former scheduler certainly sends no orders any more. The leases that
+    /// it gave end no later than one worker lease from now.
+    pub fn on_former_scheduler_stopped(&mut self, now: time::Monotonic) {
+        let end = now + lease::longest(constants::WORKER_LEASE);
+        for worker in self.fleet.iter_mut() {
+            // Polls of this term may have given longer leases since.
+            if worker.incarnation == 0 && worker.clock.is_none() {
+                worker.lease_end = worker.lease_end.min(end);
+            }
+        }
+    }
+
     /// Queues the tasks of workers again whose lease has certainly expired.
     pub(super) fn expire_leases(&mut self, now: time::Monotonic) {
         for worker_index in 0..self.fleet.len() {
--- a/crates/daisymast_scheduler/src/steps.rs
+++ b/crates/daisymast_scheduler/src/steps.rs
@@ -57,6 +57,8 @@
     pub waiting: Vec<u32>,
     /// Number of tasks of the step on each worker, by worker index.
     pub placed: collections::FastMap<usize, u32>,
+    /// Whether all tasks of the step were placed at some time.
+    pub was_placed: bool,
     /// Whether the remaining runs of the step's gang are being stopped.
     pub aborting: bool,
     /// Answers of the advice service, by worker index.
@@ -90,9 +92,12 @@
         task_size(self.step_spec())
     }
 
-    /// Returns the scheduling tier of the step at a given time.
+    /// Returns the scheduling tier of the step at a given time. A long-running step whose tasks were
+    /// all placed once stays on time: a task that ended is a loss of service, however old the step
+    /// is.
     pub fn tier(&self, now: time::Monotonic) -> Tier {
-        if now <= self.latest_start {
+        let is_restart = self.was_placed && self.step_spec().lasting;
+        if now <= self.latest_start || is_restart {
             if self.priority == 0 {
                 Tier::Urgent
             } else {
