Make calls to workers through other nodes on large fleets

Change: the crate daisymast_relay decides which node makes the calls of which worker and batches them; the node has both sides.

--- a/crates/daisymast_election/src/candidate.rs
+++ b/crates/daisymast_election/src/candidate.rs
@@ -83,6 +83,7 @@
 ///     id: "n".into(),
 ///     address: "127.0.0.1:1".parse().unwrap(),
 ///     millicores,
+///     zone: "z".into(),
 /// };
 /// assert!(candidate::should_step_down(&member(90), &[member(500)]));
 /// assert!(!candidate::should_step_down(&member(250), &[member(250), member(90)]));
--- a/crates/daisymast_election/src/record.rs
+++ b/crates/daisymast_election/src/record.rs
@@ -15,6 +15,13 @@
     pub address: SocketAddr,
     /// Processor share that the node may use, in thousandths of a core.
     pub millicores: u32,
+    /// Availability zone of the node; empty for a node of a release that does not name it.
+    #[serde(default = "unnamed_zone")]
+    pub zone: ids::Zone,
+}
+
+fn unnamed_zone() -> ids::Zone {
+    "".into()
 }
 
 /// Value of the leader key.
@@ -46,6 +53,7 @@
 ///     id: name.into(),
 ///     address: "127.0.0.1:1".parse().unwrap(),
 ///     millicores: 250,
+///     zone: "z".into(),
 /// };
 /// let (a, b) = (member("a"), member("b"));
 /// assert_eq!(
--- a/crates/daisymast_election/tests/candidacy.rs
+++ b/crates/daisymast_election/tests/candidacy.rs
@@ -17,6 +17,7 @@
         id: name.into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         millicores,
+        zone: "z".into(),
     }
 }
 
--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -277,8 +277,9 @@
         peers::Reply::Served(served) => ForwardOutcome::Served(served),
         peers::Reply::Unavailable => ForwardOutcome::Refused,
         peers::Reply::NotLeader => ForwardOutcome::NoEffect,
-        peers::Reply::Unknown | peers::Reply::Pong(_) | peers::Reply::Advice(_) => {
-            ForwardOutcome::Unknown
-        }
+        peers::Reply::Unknown
+        | peers::Reply::Pong(_)
+        | peers::Reply::Advice(_)
+        | peers::Reply::Relayed(_) => ForwardOutcome::Unknown,
     }
 }
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -43,10 +43,6 @@
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Interval between two ticks of the scheduler.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// Timeout of an order to a worker.
-pub const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
-/// Timeout of a `hold` call to a worker, in addition to the time for which the worker may wait.
-pub const POLL_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time after which a newly elected leader may step down in favour of a much larger machine.
 pub const STEP_DOWN_DELAY: Duration = Duration::from_millis(1_200);
 /// Time after its last ping for which a node counts as alive.
--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -15,6 +15,7 @@
 use crate::leadership;
 use crate::metrics;
 use crate::peers;
+use crate::relay;
 
 /// State shared by all tasks of a node.
 #[derive(Debug)]
@@ -37,6 +38,8 @@
     pub workers: client::Client,
     /// HTTP client for the advice service.
     pub advice: client::Client,
+    /// Calls to workers that this node makes for the leader.
+    pub relay: relay::Relay,
     candidate: Mutex<candidate::Candidate>,
     config: Mutex<Option<Arc<config::Configuration>>>,
     /// Time at which another node first reported a later configuration version than this node has.
@@ -64,6 +67,7 @@
             peers: client(),
             workers: client(),
             advice: client(),
+            relay: relay::Relay::default(),
             candidate: Mutex::new(candidate::Candidate::new(me, clock::now())),
             config: Mutex::new(None),
             config_behind_since: Mutex::new(None),
@@ -193,6 +197,7 @@
         id: settings.instance.clone(),
         address: settings.peers,
         millicores: settings.millicores,
+        zone: settings.zone.clone(),
     }
 }
 
--- a/crates/daisymast_node/src/follower.rs
+++ b/crates/daisymast_node/src/follower.rs
@@ -26,7 +26,7 @@
         {
             // A campaign whose response was lost may still have won the election.
             last_led_term = term;
-            run_term(&context, term, clock::now(), false).await;
+            run_term(&context, term, clock::now(), leadership::Former::Unknown).await;
             continue;
         }
         if context.is_draining() {
@@ -52,13 +52,10 @@
             } => {
                 log_campaign(&context, term, reason, delay);
                 Timer::after(delay).await;
+                let former = former_leader(&context, term, reason);
                 if let Some(won) = campaign(&context, term).await {
                     last_led_term = won.term;
-                    let resigned = matches!(
-                        reason,
-                        candidate::Reason::None | candidate::Reason::Resigned
-                    );
-                    run_term(&context, won.term, won.sent, resigned).await;
+                    run_term(&context, won.term, won.sent, former).await;
                 }
             }
         }
@@ -236,6 +233,24 @@
     (mine && !leader.resigned).then_some(elected.term)
 }
 
+/// Returns the leader of the term that a campaign replaces.
+fn former_leader(
+    context: &context::Context,
+    term: u64,
+    reason: candidate::Reason,
+) -> leadership::Former {
+    if matches!(
+        reason,
+        candidate::Reason::None | candidate::Reason::Resigned
+    ) {
+        return leadership::Former::None;
+    }
+    let elected = context.candidate().elected().cloned();
+    elected
+        .filter(|elected| elected.term == term)
+        .map_or(leadership::Former::Unknown, leadership::Former::MayAct)
+}
+
 /// An election that this node won.
 struct WonElection {
     term: u64,
@@ -278,11 +293,11 @@
     context: &Arc<context::Context>,
     term: u64,
     sent: time::Monotonic,
-    resigned: bool,
+    former: leadership::Former,
 ) {
     log::info!("elected in term {term}");
     context.set_term(term);
-    leadership::run(context, term, sent, resigned).await;
+    leadership::run(context, term, sent, former).await;
     context.set_term(0);
     log::info!("term {term} ended");
 }
--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -6,6 +6,7 @@
 
 use daisymast_election::{candidate, leader_lease, record};
 use daisymast_jobs::spec;
+use daisymast_relay::relays;
 use daisymast_scheduler::{action, config, constants as limits, lease, scheduler};
 use daisymast_types::{collections, ids, time};
 use futures_lite::future;
@@ -19,8 +20,10 @@
 
 mod calls;
 mod commit;
+mod former;
 mod journal;
 mod registrations;
+mod relaying;
 mod replay;
 
 /// State of the leader during one term.
@@ -33,6 +36,10 @@
     me: record::Member,
     pending_answers: Mutex<collections::FastMap<u64, async_channel::Sender<action::Answer>>>,
     last_token: AtomicU64,
+    /// Nodes that make calls to workers for this one.
+    relays: Mutex<relays::Relays>,
+    /// Wakes the tasks that serve the links to relays.
+    link_wakers: Mutex<collections::FastMap<ids::InstanceId, async_channel::Sender<()>>>,
     /// Wakes the task in [`drive`].
     wake_sender: async_channel::Sender<()>,
     wake_receiver: async_channel::Receiver<()>,
@@ -55,6 +62,7 @@
         me: record::Member,
     ) -> Self {
         let (wake_sender, wake_receiver) = async_channel::bounded(1);
+        let relays = relays::Relays::new(me.id.clone(), term);
         Self {
             term,
             scheduler: Mutex::new(scheduler),
@@ -63,6 +71,8 @@
             me,
             pending_answers: Mutex::default(),
             last_token: AtomicU64::new(0),
+            relays: Mutex::new(relays),
+            link_wakers: Mutex::default(),
             wake_sender,
             wake_receiver,
             deposed: AtomicBool::new(false),
@@ -88,6 +98,12 @@
         lease::millis(age)
     }
 
+    /// Whether the scheduler may still send orders: its term has not ended, and its leader lease is
+    /// valid.
+    fn may_act(&self, now: time::Monotonic) -> bool {
+        !self.deposed.load(Ordering::Relaxed) && lock(&self.leader_lease).is_valid(now)
+    }
+
     /// Clears the failure flags after a commit took effect.
     fn on_commit_succeeded(&self) {
         self.store_unavailable.store(false, Ordering::Relaxed);
@@ -246,15 +262,27 @@
     fn close(&self) {
         self.deposed.store(true, Ordering::Relaxed);
         lock(&self.pending_answers).clear();
+        lock(&self.link_wakers).clear();
     }
 }
 
+/// The leader of the term before.
+#[derive(Clone, Debug)]
+pub enum Former {
+    /// There was none, or it has resigned.
+    None,
+    /// It may still act, as its leader lease may not have ended.
+    MayAct(record::Elected),
+    /// It may still act, and is not known.
+    Unknown,
+}
+
 /// Runs the scheduler of a term until the term ends.
 pub async fn run(
     context: &Arc<context::Context>,
     term: u64,
     sent: time::Monotonic,
-    resigned: bool,
+    former: Former,
 ) {
     // Other nodes replace a leader whose journal does not advance, and replaying can take seconds,
     // so the term is renewed meanwhile. The write that won the election gives a first sample of the
@@ -280,14 +308,11 @@
         Timer::after(constants::TICK_INTERVAL).await;
     };
     let now = clock::timestamp();
-    let previous_leader_lease = if resigned {
-        Duration::ZERO
-    } else {
-        limits::LEADER_LEASE
+    let previous_leader_lease = match former {
+        Former::None => Duration::ZERO,
+        Former::MayAct(_) | Former::Unknown => limits::LEADER_LEASE,
     };
-    let worker_lease = limits::WORKER_LEASE.mul_f64(limits::SLOW_CLOCK_PERMILLE as f64 / 1_000.0);
-    let previous_leases_end =
-        sent + previous_leader_lease + worker_lease + limits::WORKER_LEASE_MARGIN * 2;
+    let previous_leases_end = sent + previous_leader_lease + lease::longest(limits::WORKER_LEASE);
     let scheduler = scheduler::Scheduler::resume(config, job_table, previous_leases_end, now);
     let leadership = Arc::new(Leadership::new(
         term,
@@ -304,6 +329,14 @@
         Arc::clone(context),
         Arc::clone(&leadership),
     ));
+    let former_watch = match former {
+        Former::None | Former::Unknown => None,
+        Former::MayAct(former) => {
+            let watch =
+                former::confirm_stopped(Arc::clone(context), Arc::clone(&leadership), former);
+            Some(context.executor.spawn(watch))
+        }
+    };
     let committer = context.executor.spawn(journal::run_writer(
         Arc::clone(context),
         Arc::clone(&leadership),
@@ -311,7 +344,7 @@
     ));
     let steps_down = drive(context, &leadership).await;
     context.set_leadership(None);
-    drop(registrations);
+    drop((registrations, former_watch));
     if (steps_down || context.is_draining()) && !leadership.deposed.load(Ordering::Relaxed) {
         context
             .candidate()
@@ -351,6 +384,9 @@
             );
             return true;
         }
+        if now.mono >= next_tick {
+            relaying::update(context, leadership, now.mono);
+        }
         let (actions, next_pass_at) = {
             let mut scheduler = lock(&leadership.scheduler);
             if now.mono >= next_tick {
--- a/crates/daisymast_node/src/leadership/calls.rs
+++ b/crates/daisymast_node/src/leadership/calls.rs
@@ -7,13 +7,13 @@
 use daisymast_adapter::workers;
 use daisymast_jobs::spec;
 use daisymast_protocol::outcome;
+use daisymast_relay::constants as relay_limits;
 use daisymast_scheduler::{action, lease, report};
 use daisymast_types::ids;
 
 use crate::clock;
-use crate::constants;
 use crate::context::{self, lock};
-use crate::leadership::Leadership;
+use crate::leadership::{Leadership, relaying};
 use crate::peers;
 
 /// Executes one action. Calls run in detached tasks.
@@ -26,14 +26,18 @@
         action::Action::Answer { .. } => leadership.deliver(action),
         action::Action::Deposed => leadership.depose(),
         action::Action::Log(decision) => context.decisions.record(leadership.term, &decision),
-        action => {
-            let call = call(Arc::clone(context), Arc::clone(leadership), action);
-            context.executor.spawn(call).detach();
-        }
+        action => relaying::dispatch(context, leadership, action),
     }
 }
 
-async fn call(context: Arc<context::Context>, leadership: Arc<Leadership>, action: action::Action) {
+/// Makes a call and passes its outcome to the scheduler. `may_have_been_sent` says that a relay may
+/// have made the same call before, or may still make it.
+pub(super) async fn call(
+    context: Arc<context::Context>,
+    leadership: Arc<Leadership>,
+    action: action::Action,
+    may_have_been_sent: bool,
+) {
     match action {
         action::Action::PollWorker {
             target,
@@ -47,7 +51,7 @@
                 acked_end,
                 wait_ms: lease::millis(wait),
             };
-            let timeout = wait + constants::POLL_TIMEOUT;
+            let timeout = wait + relay_limits::POLL_TIMEOUT_MARGIN;
             let outcome = workers::hold(&context.workers, worker(&target), hold, timeout).await;
             let now = clock::now();
             let answered = matches!(outcome, report::PollOutcome::Report(_));
@@ -67,8 +71,13 @@
                 ticket: start.ticket.as_deref(),
             };
             let target = worker(&start.target);
-            let outcome =
-                workers::start(&context.workers, target, &order, constants::ORDER_TIMEOUT).await;
+            let started = workers::start(
+                &context.workers,
+                target,
+                &order,
+                relay_limits::ORDER_TIMEOUT,
+            );
+            let outcome = repeated_start_outcome(started.await, may_have_been_sent);
             let now = clock::now();
             let accepted = matches!(outcome, report::OrderOutcome::Accepted(_));
             context
@@ -86,7 +95,7 @@
                 task,
                 run,
                 leadership.term,
-                constants::ORDER_TIMEOUT,
+                relay_limits::ORDER_TIMEOUT,
             );
             let outcome = order.await;
             let now = clock::now();
@@ -110,6 +119,25 @@
     }
 }
 
+/// Returns the outcome of a start that a relay may have sent before. Unless the worker says that it
+/// knows the run or another leader, the earlier copy may still take effect.
+fn repeated_start_outcome(
+    outcome: report::OrderOutcome,
+    may_have_been_sent: bool,
+) -> report::OrderOutcome {
+    match outcome {
+        report::OrderOutcome::Refused(report::Refusal::Fenced | report::Refusal::OldRun, _)
+        | report::OrderOutcome::Accepted(_)
+        | report::OrderOutcome::Unknown => outcome,
+        report::OrderOutcome::Refused(..) | report::OrderOutcome::NoEffect
+            if may_have_been_sent =>
+        {
+            report::OrderOutcome::Unknown
+        }
+        report::OrderOutcome::Refused(..) | report::OrderOutcome::NoEffect => outcome,
+    }
+}
+
 fn outcome_label(done: bool) -> &'static str {
     if done { "done" } else { "failed" }
 }
--- a/crates/daisymast_node/src/lib.rs
+++ b/crates/daisymast_node/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod metrics;
 pub mod peers;
 pub mod process;
+pub mod relay;
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -9,12 +9,14 @@
 use daisymast_http::{client, msgpack, server};
 use daisymast_jobs::{job, spec};
 use daisymast_protocol::outcome;
+use daisymast_relay::wire;
 use daisymast_scheduler::config;
 use daisymast_types::ids;
 use serde::{Deserialize, Serialize};
 
 use crate::clock;
 use crate::context;
+use crate::relay;
 
 const PATH: &str = "/peer";
 
@@ -65,6 +67,8 @@
         /// Timeout of the advice request, in milliseconds.
         timeout_ms: u64,
     },
+    /// Brings calls to workers that the node makes for the leader, and asks for their outcomes.
+    Relay(wire::Exchange),
 }
 
 /// The leader that a node knows of.
@@ -143,6 +147,8 @@
     Unknown,
     /// Allowed workers with their tickets, or `None` if the advice service did not answer in time.
     Advice(Option<Vec<(String, String)>>),
+    /// Outcomes of calls that the node made for the leader.
+    Relayed(wire::ExchangeReply),
 }
 
 /// Sends a request to another node.
@@ -166,6 +172,7 @@
         Request::Cancel { .. } => "cancel",
         Request::Pending { .. } => "count pending",
         Request::Ask { .. } => "ask for advice",
+        Request::Relay(_) => "relay calls",
     }
 }
 
@@ -201,6 +208,7 @@
         } => Reply::Advice(
             request_advice(context, step, &workers, Duration::from_millis(timeout_ms)).await,
         ),
+        Request::Relay(exchange) => relay::serve(context, exchange).await,
         request => handle_as_leader(context, request).await,
     }
 }
@@ -215,7 +223,7 @@
         Request::Cancel { job } => leadership.cancel(job).await,
         Request::State { job } => leadership.state(job).await,
         Request::Pending { queue } => leadership.pending(&queue).await,
-        Request::Ping { .. } | Request::Ask { .. } => Reply::NotLeader,
+        Request::Ping { .. } | Request::Ask { .. } | Request::Relay(_) => Reply::NotLeader,
     }
 }
 
--- /dev/null
+++ b/crates/daisymast_relay/src/lib.rs
@@ -0,0 +1,18 @@
+//! Relaying of the scheduler's calls to workers through other nodes.
+//!
+//! On a large fleet, the scheduler's node could not make all calls to workers itself. The leader
+//! collects them and sends them in batches to other nodes, the relays, which make the calls and
+//! return the outcomes in batches. [`table`] decides which relay serves which worker, [`link`] is
+//! the leader's side of the exchange with one relay, [`session`] is the relay's side, and [`wire`]
+//! defines the messages.
+//!
+//! A relay decides nothing about runs. Each order carries the fencing token of its term and a lease
+//! deadline on the worker's clock, both set by the scheduler, so an order that a relay delays or
+//! repeats has no more effect than one that the network delays or repeats.
+
+pub mod constants;
+pub mod link;
+pub mod relays;
+pub mod session;
+pub mod table;
+pub mod wire;
--- a/crates/daisymast_scheduler/examples/load.rs
+++ b/crates/daisymast_scheduler/examples/load.rs
@@ -261,6 +261,7 @@
         let report = report::Report {
             clock_ms: clock,
             started_at: Some(1),
+            is_partial: false,
             running: running.collect(),
             ended: worker.ended.clone(),
         };
--- a/crates/daisymast_scheduler/src/report.rs
+++ b/crates/daisymast_scheduler/src/report.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use daisymast_jobs::spec;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum End {
     /// The task was completed.
@@ -58,6 +58,8 @@
     pub clock_ms: u64,
     /// Start time of the worker process, if it reports one; tells restarts apart.
     pub started_at: Option<u64>,
+    /// Whether `running` was left out, so that nothing follows from a run that it does not list.
+    pub is_partial: bool,
     /// Runs in progress.
     pub running: Vec<Running>,
     /// Ended runs that were not acknowledged yet, oldest first.
@@ -81,7 +83,7 @@
 }
 
 /// Why a worker refused an order. A refused order has no effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
     /// The worker has seen a higher fencing token.
     Fenced,
@@ -102,7 +104,7 @@
 }
 
 /// Outcome of an order to a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderOutcome {
     /// The worker carried it out. Holds the reading of the worker's clock, in milliseconds.
     Accepted(u64),
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -186,9 +186,11 @@
             self.log(worker_known);
         }
         self.handle_run_ends(worker_index, report, now);
-        self.reconcile(worker_index, report, restarted, now);
-        self.fleet.at_mut(worker_index).reconciled = true;
-        self.stop_strays(worker_index, report, now);
+        if !report.is_partial {
+            self.reconcile(worker_index, report, restarted, now);
+            self.fleet.at_mut(worker_index).reconciled = true;
+            self.stop_strays(worker_index, report, now);
+        }
         self.stop_hung(worker_index, now);
     }
 
--- a/crates/daisymast_scheduler/tests/faults.rs
+++ b/crates/daisymast_scheduler/tests/faults.rs
@@ -449,6 +449,7 @@
     let stale = report::Report {
         clock_ms: reading,
         started_at: worker.started_at,
+        is_partial: false,
         running: vec![report::Running {
             task: first.task,
             run: first.run,
