Serve overload by size, and let gangs hold fresh tickets on workers of like speed

(1) At most 8 requests to the advice service were open, 7 gangs a second at 1.1 s a call, for 11 that arrive, while 97 nodes can ask. (2) A gang whose tickets had expired asked again only when there was room, and the room was gone 0.6 s later. (3) Fast members waited for slow ones. (4) Each step ranked by latest start alone, so the backlog made most jobs late.

Change: open requests grow with the nodes; gangs renew tickets before they expire, for twice as many workers; gangs take workers of like speed where these suffice; steps rank later by their size; a few of the largest gangs go first, by the size of the fleet.

--- /dev/null
+++ b/crates/daisymast_scheduler/examples/fleet_model/mod.rs
@@ -0,0 +1,680 @@
+//! Model of a fleet of unlike workers and of the jobs that arrive there.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::fmt;
+use std::sync::Arc;
+
+use daisymast_jobs::{job, job_table, queue, spec};
+use daisymast_scheduler::{action, config, report, scheduler, worker};
+use daisymast_types::{collections, quantities, time};
+
+/// Start of the virtual clock, in milliseconds.
+const START_MS: u64 = 100_000;
+/// Time in which jobs arrive, in milliseconds.
+const ARRIVALS_MS: u64 = 36_000;
+/// Time after the last arrival, in milliseconds.
+const SETTLING_MS: u64 = 14_000;
+/// Begin and end of a burst, in milliseconds after the start.
+const BURST_MS: std::ops::Range<u64> = 3_400..9_600;
+/// Duration of a call to a worker, in milliseconds.
+const ROUND_TRIP_MS: u64 = 4;
+/// Duration of a commit, in milliseconds.
+const COMMIT_MS: u64 = 15;
+/// Time between two ticks, in milliseconds.
+const TICK_MS: u64 = 50;
+/// Number of nodes that send advice requests.
+const NODES: usize = 97;
+/// Speeds of the workers, in percent, in rotation.
+const SPEEDS: [u64; 3] = [70, 70, 170];
+/// Standard deviation of the logarithm of a declared run time around the real one.
+const ESTIMATE_SPREAD: f64 = 0.5;
+/// Credit of a job that is late, up to three times its objective.
+const LATE_CREDIT: f64 = 0.2;
+
+/// Size and load of a cell.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Scenario {
+    pub(crate) workers: usize,
+    /// Arrivals, in percent of the usual ones.
+    pub(crate) load_percent: u64,
+    /// Arrivals of the least urgent kind during the burst, in percent of the usual ones.
+    pub(crate) burst_percent: u64,
+}
+
+impl Default for Scenario {
+    fn default() -> Self {
+        Self {
+            workers: 540,
+            load_percent: 100,
+            burst_percent: 250,
+        }
+    }
+}
+
+/// A kind of jobs.
+struct Kind {
+    name: &'static str,
+    /// Jobs per second on 540 workers.
+    rate: f64,
+    worth: f64,
+    tasks: f64,
+    max_tasks: f64,
+    millicores: f64,
+    max_millicores: f64,
+    work_ms: f64,
+    max_work_ms: f64,
+    /// Share of jobs whose tasks form a gang.
+    gangs: f64,
+    /// Share of runs of a gang, or of tasks, that fail.
+    errors: f64,
+    /// Share of workers that the advice service allows, in percent.
+    allowed: u64,
+    terms: queue::Queue,
+}
+
+fn terms(
+    name: &str,
+    priority: u32,
+    (stretch, latency_ms): (f64, f64),
+    (decide_ms, per_worker_ms): (f64, f64),
+) -> queue::Queue {
+    queue::Queue {
+        name: name.into(),
+        host: "h".to_owned(),
+        prefix: format!("/{name}/"),
+        service: "s".into(),
+        priority,
+        attempts: 3,
+        stretch,
+        latency_ms,
+        advice: Some(queue::Advice {
+            decide_ms,
+            per_worker_ms,
+            valid_ms: 2_500.0,
+        }),
+    }
+}
+
+fn kinds() -> Vec<Kind> {
+    vec![
+        Kind {
+            name: "quotes",
+            rate: 135.0,
+            worth: 0.41,
+            tasks: 3.1,
+            max_tasks: 19.0,
+            millicores: 7_900.0,
+            max_millicores: 24_000.0,
+            work_ms: 640.0,
+            max_work_ms: 1_600.0,
+            gangs: 0.3,
+            errors: 0.005,
+            allowed: 70,
+            terms: terms("quotes", 0, (1.5, 250.0), (16.9, 0.234)),
+        },
+        Kind {
+            name: "surveys",
+            rate: 11.0,
+            worth: 5.8,
+            tasks: 20.0,
+            max_tasks: 120.0,
+            millicores: 9_000.0,
+            max_millicores: 15_000.0,
+            work_ms: 4_000.0,
+            max_work_ms: 10_000.0,
+            gangs: 1.0,
+            errors: 0.05,
+            allowed: 35,
+            terms: terms("surveys", 1, (2.2, 1_000.0), (507.0, 7.28)),
+        },
+        Kind {
+            name: "invoices",
+            rate: 18.0,
+            worth: 2.2,
+            tasks: 24.0,
+            max_tasks: 150.0,
+            millicores: 5_500.0,
+            max_millicores: 17_000.0,
+            work_ms: 2_200.0,
+            max_work_ms: 5_400.0,
+            gangs: 0.0,
+            errors: 0.005,
+            allowed: 45,
+            terms: terms("invoices", 2, (4.0, 3_000.0), (182.0, 2.6)),
+        },
+    ]
+}
+
+/// Pseudo-random numbers (xorshift64*), so that a seed repeats a run.
+struct Random(u64);
+
+impl Random {
+    fn unit(&mut self) -> f64 {
+        self.0 ^= self.0 >> 12;
+        self.0 ^= self.0 << 25;
+        self.0 ^= self.0 >> 27;
+        let bits = self.0.wrapping_mul(0x2545_F491_4F6C_DD1D) >> 11;
+        (bits as f64 + 0.5) / (1_u64 << 53) as f64
+    }
+
+    /// Log-normal number with a mean and a standard deviation of the logarithm.
+    fn around(&mut self, mean: f64, spread: f64) -> f64 {
+        let normal = (-2.0 * self.unit().ln()).sqrt() * (std::f64::consts::TAU * self.unit()).cos();
+        mean * (normal * spread - spread * spread / 2.0).exp()
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a cast from a float saturates"
+)]
+fn whole(value: f64) -> u32 {
+    value.round().max(1.0) as u32
+}
+
+/// A job that has arrived.
+struct Job {
+    kind: usize,
+    arrived: u64,
+    work_ms: u64,
+    gang: bool,
+    tasks: u32,
+    worth: f64,
+    /// Processor time of all tasks, in core-seconds.
+    core_seconds: f64,
+    objective_ms: u64,
+    completed: Option<u64>,
+}
+
+/// An event for the scheduler or a worker at a point in time.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Committed,
+    Started(usize, spec::TaskId, u32),
+    PollReply(usize),
+    Advice(u64, Vec<(String, String)>),
+}
+
+#[derive(Clone, Copy)]
+struct Run {
+    run: u32,
+    /// When the run ends, `None` while it waits for its gang.
+    ends_at: Option<u64>,
+    end: report::End,
+}
+
+#[derive(Default)]
+struct Worker {
+    running: collections::FastMap<spec::TaskId, Run>,
+    ended: Vec<report::Ended>,
+    last_end: u64,
+    has_open_poll: bool,
+}
+
+/// The scheduler with a modelled fleet.
+pub(crate) struct Simulation {
+    scenario: Scenario,
+    now: u64,
+    kinds: Vec<Kind>,
+    random: Random,
+    next_arrival: Vec<f64>,
+    scheduler: scheduler::Scheduler,
+    workers: Vec<Worker>,
+    names: collections::FastMap<String, usize>,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    jobs: Vec<Job>,
+    gangs: collections::FastMap<(spec::StepId, u32), Vec<(usize, spec::TaskId)>>,
+    /// Processor time that running tasks occupied while jobs arrived, in core-milliseconds.
+    occupied: f64,
+}
+
+fn mono(now: u64) -> time::Monotonic {
+    time::Monotonic::from_millis(now)
+}
+
+fn timestamp(now: u64) -> time::Timestamp {
+    time::Timestamp::new(now, now)
+}
+
+fn worker_id(index: usize) -> String {
+    format!("i-{index:010x}")
+}
+
+impl Simulation {
+    pub(crate) fn new(scenario: Scenario, seed: u64) -> Self {
+        let kinds = kinds();
+        let config = Arc::new(config::Configuration {
+            version: 1,
+            queues: kinds.iter().map(|kind| kind.terms.clone()).collect(),
+            services: Vec::new(),
+        });
+        let mut scheduler = scheduler::Scheduler::resume(
+            config,
+            job_table::JobTable::default(),
+            mono(START_MS),
+            timestamp(START_MS),
+        );
+        let nodes: Vec<_> = (0..NODES)
+            .map(|node| format!("n{node:02}").into())
+            .collect();
+        scheduler.set_advice_nodes(&nodes);
+        for index in 0..scenario.workers {
+            let registration = worker::Registration {
+                id: worker_id(index).as_str().into(),
+                service: "s".into(),
+                address: ([127, 0, 0, 1], 1).into(),
+                zone: ["a", "b", "c", "d", "e"][index % 5].into(),
+                capacity: quantities::Resources::new(32_000, 131_072, 0),
+                rack: None,
+                labels: Vec::new(),
+                draining: false,
+                started_at: Some(1),
+            };
+            scheduler.on_worker_registered(registration, mono(START_MS));
+        }
+        Self {
+            scenario,
+            now: START_MS,
+            next_arrival: vec![0.0; kinds.len()],
+            kinds,
+            random: Random(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1),
+            scheduler,
+            workers: (0..scenario.workers).map(|_| Worker::default()).collect(),
+            names: (0..scenario.workers)
+                .map(|index| (worker_id(index), index))
+                .collect(),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            jobs: Vec::new(),
+            gangs: collections::FastMap::default(),
+            occupied: 0.0,
+        }
+    }
+
+    /// Plays all arrivals and the time after them.
+    pub(crate) fn run(&mut self) {
+        while self.now < START_MS + ARRIVALS_MS + SETTLING_MS {
+            self.now += 1;
+            self.arrive();
+            self.end_runs();
+            self.step();
+            if self.now < START_MS + ARRIVALS_MS {
+                let workers = self.scheduler.fleet().iter();
+                let used = workers.map(|worker| f64::from(worker.used.millicores));
+                self.occupied += used.sum::<f64>() / 1_000.0;
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let elapsed = self.now - START_MS;
+        if elapsed >= ARRIVALS_MS {
+            return;
+        }
+        for kind in 0..self.kinds.len() {
+            let mut rate = self.kinds[kind].rate * self.scenario.workers as f64 / 540.0;
+            rate *= self.scenario.load_percent as f64 / 100.0;
+            if kind == self.kinds.len() - 1 && BURST_MS.contains(&elapsed) {
+                rate *= self.scenario.burst_percent as f64 / 100.0;
+            }
+            while self.next_arrival[kind] <= elapsed as f64 {
+                self.next_arrival[kind] += -self.random.unit().ln() * 1_000.0 / rate;
+                self.submit(kind);
+            }
+        }
+    }
+
+    fn submit(&mut self, index: usize) {
+        let kind = &self.kinds[index];
+        let random = &mut self.random;
+        let tasks = whole(random.around(kind.tasks, 0.8).min(kind.max_tasks));
+        let millicores = whole(
+            random
+                .around(kind.millicores, 0.45)
+                .clamp(1_000.0, kind.max_millicores),
+        );
+        let work_ms = random
+            .around(kind.work_ms, 0.5)
+            .clamp(50.0, kind.max_work_ms);
+        let estimate_ms = random.around(work_ms, ESTIMATE_SPREAD);
+        let gang = tasks > 1 && random.unit() < kind.gangs;
+        let core_seconds = f64::from(tasks) * f64::from(millicores) * work_ms / 1e6;
+        let mean = kind.tasks * kind.millicores * kind.work_ms / 1e6;
+        let advice = kind
+            .terms
+            .advice
+            .map_or(0.0, |advice| advice.decide_ms + advice.per_worker_ms * 30.0);
+        let objective = kind.terms.stretch * (work_ms + advice) + kind.terms.latency_ms;
+        let step = spec::Step {
+            tasks,
+            size: quantities::Resources::new(millicores, 4_096, 0),
+            estimate_ms: whole(estimate_ms),
+            gang,
+            ..spec::Step::default()
+        };
+        let job_spec = spec::JobSpec {
+            payload: String::new(),
+            steps: vec![step],
+            schedule: None,
+        };
+        self.jobs.push(Job {
+            kind: index,
+            arrived: self.now,
+            work_ms: u64::from(whole(work_ms)),
+            gang,
+            tasks,
+            worth: kind.worth * (0.3 + 0.7 * core_seconds / mean).min(4.0),
+            core_seconds,
+            objective_ms: u64::from(whole(objective)),
+            completed: None,
+        });
+        let id = self.jobs.len() as u64;
+        let queue = kind.name.into();
+        let now = timestamp(self.now);
+        self.scheduler
+            .submit(id, spec::JobId(id), queue, job_spec, now);
+    }
+
+    fn job(&self, task: spec::TaskId) -> &Job {
+        let index = usize::try_from(task.step.job.0).unwrap_or(usize::MAX);
+        &self.jobs[index - 1]
+    }
+
+    fn send(&mut self, after: u64, event: Event) {
+        self.sequence += 1;
+        self.events
+            .push(Reverse((self.now + after, self.sequence, event)));
+    }
+
+    fn step(&mut self) {
+        while let Some(Reverse((at, _, _))) = self.events.peek() {
+            if *at > self.now {
+                break;
+            }
+            if let Some(Reverse((_, _, event))) = self.events.pop() {
+                self.handle(event);
+            }
+        }
+        let now = timestamp(self.now);
+        if self.now.is_multiple_of(TICK_MS) {
+            self.scheduler.tick(now);
+        } else {
+            self.scheduler.run_pass(now.mono);
+        }
+        for action in self.scheduler.take_actions() {
+            self.carry_out(action);
+        }
+        if self.scheduler.take_batch().is_some() {
+            self.send(COMMIT_MS, Event::Committed);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = mono(self.now);
+        match event {
+            Event::Committed => self.scheduler.committed(now),
+            Event::Started(index, task, run) => {
+                self.begin(index, task, run);
+                let outcome = report::OrderOutcome::Accepted(self.now);
+                self.scheduler.on_start(index, task, run, outcome, now);
+            }
+            Event::PollReply(index) => self.answer_poll(index),
+            Event::Advice(call, allowed) => self.scheduler.on_advice(call, Some(allowed), now),
+        }
+    }
+
+    fn begin(&mut self, index: usize, task: spec::TaskId, run: u32) {
+        let (gang, tasks, kind) = {
+            let job = self.job(task);
+            (job.gang, job.tasks, job.kind)
+        };
+        let failed = self.random.unit() < self.kinds[kind].errors;
+        let end = if failed {
+            report::End::Failed
+        } else {
+            report::End::Done
+        };
+        let ends_at = (!gang).then(|| self.now + self.duration(index, task));
+        let started = Run { run, ends_at, end };
+        self.workers[index].running.insert(task, started);
+        if !gang {
+            return;
+        }
+        let members = self.gangs.entry((task.step, run)).or_default();
+        members.push((index, task));
+        if members.len() < tasks as usize {
+            return;
+        }
+        let members = members.clone();
+        let slowest = members.iter().map(|&(index, _)| self.duration(index, task));
+        let ends_at = self.now + slowest.max().unwrap_or(0);
+        for (index, member) in members {
+            if let Some(at) = self.workers[index].running.get_mut(&member) {
+                at.ends_at = Some(ends_at);
+                at.end = end;
+            }
+        }
+    }
+
+    fn duration(&self, index: usize, task: spec::TaskId) -> u64 {
+        self.job(task).work_ms * 100 / SPEEDS[index % SPEEDS.len()]
+    }
+
+    fn end_runs(&mut self) {
+        for index in 0..self.workers.len() {
+            let now = self.now;
+            let worker = &mut self.workers[index];
+            let due: Vec<(spec::TaskId, Run)> = worker
+                .running
+                .iter()
+                .filter(|(_, run)| run.ends_at.is_some_and(|at| at <= now))
+                .map(|(&task, &run)| (task, run))
+                .collect();
+            for (task, run) in due {
+                worker.end(task, run.run, run.end);
+            }
+            if !worker.ended.is_empty() && worker.has_open_poll {
+                worker.has_open_poll = false;
+                self.send(ROUND_TRIP_MS, Event::PollReply(index));
+            }
+        }
+    }
+
+    fn answer_poll(&mut self, index: usize) {
+        let clock = self.now;
+        let worker = &mut self.workers[index];
+        worker.has_open_poll = false;
+        // Progress is modelled as steady, so that no run counts as hung.
+        let percent = u8::try_from(clock / 500 % 90).unwrap_or(0);
+        let running = worker.running.iter().map(|(&task, run)| report::Running {
+            task,
+            run: run.run,
+            checkpoint: None,
+            percent,
+        });
+        let report = report::Report {
+            clock_ms: clock,
+            started_at: Some(1),
+            is_partial: false,
+            running: running.collect(),
+            ended: worker.ended.clone(),
+        };
+        let outcome = report::PollOutcome::Report(report);
+        self.scheduler.on_poll_outcome(index, outcome, mono(clock));
+        self.note_completions();
+    }
+
+    fn note_completions(&mut self) {
+        let now = self.now;
+        let scheduler = &self.scheduler;
+        for (number, job) in (1_u64..).zip(&mut self.jobs) {
+            if job.completed.is_none()
+                && scheduler.state(spec::JobId(number)) == Some(job::State::Completed)
+            {
+                job.completed = Some(now);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: action::Action) {
+        match action {
+            action::Action::Start(start) => {
+                let event = Event::Started(start.target.index, start.task, start.run);
+                self.send(ROUND_TRIP_MS, event);
+            }
+            action::Action::PollWorker {
+                target,
+                acked_end,
+                wait,
+                ..
+            } => {
+                let worker = &mut self.workers[target.index];
+                worker.ended.retain(|ended| ended.number > acked_end);
+                let wait = u64::try_from(wait.as_millis()).unwrap_or(0);
+                if worker.ended.is_empty() && wait > 0 {
+                    worker.has_open_poll = true;
+                    self.send(wait, Event::PollReply(target.index));
+                } else {
+                    self.send(ROUND_TRIP_MS, Event::PollReply(target.index));
+                }
+            }
+            action::Action::Stop { target, task, run } => {
+                self.workers[target.index].end(task, run, report::End::Stopped);
+                let (now, outcome) = (mono(self.now), report::OrderOutcome::Accepted(self.now));
+                self.scheduler
+                    .on_stop(target.index, task, run, outcome, now);
+            }
+            action::Action::RequestAdvice {
+                call,
+                step,
+                workers,
+                ..
+            } => self.advise(call, step, &workers),
+            action::Action::Answer { .. } | action::Action::Deposed | action::Action::Log(_) => {}
+        }
+    }
+
+    fn advise(&mut self, call: u64, step: spec::StepId, workers: &[String]) {
+        let kind = &self.kinds[self.job(step.task(0)).kind];
+        let Some(advice) = kind.terms.advice else {
+            return;
+        };
+        let allowed: Vec<(String, String)> = workers
+            .iter()
+            .filter(|name| {
+                let index = self.names.get(*name).copied().unwrap_or(0) as u64;
+                let hash = (index + 1)
+                    .wrapping_mul(0x9E37_79B9_7F4A_7C15)
+                    .wrapping_add(step.job.0.wrapping_mul(0xD134_2543_DE82_EF95));
+                (hash >> 40) % 100 < kind.allowed
+            })
+            .map(|name| (name.clone(), "t".to_owned()))
+            .collect();
+        let took = advice.decide_ms + advice.per_worker_ms * workers.len() as f64;
+        self.send(u64::from(whole(took)), Event::Advice(call, allowed));
+    }
+
+    /// Returns what was served of what was owed.
+    pub(crate) fn summary(&self) -> Summary {
+        let mut rows: Vec<Row> = self
+            .kinds
+            .iter()
+            .map(|kind| Row {
+                name: kind.name,
+                ..Row::default()
+            })
+            .collect();
+        let (mut earned, mut owed) = (0.0, 0.0);
+        for (index, row) in rows.iter_mut().enumerate() {
+            let mut jobs: Vec<&Job> = self.jobs.iter().filter(|job| job.kind == index).collect();
+            jobs.sort_by(|a, b| b.core_seconds.total_cmp(&a.core_seconds));
+            let largest = jobs.len().div_ceil(10);
+            for (rank, job) in jobs.iter().enumerate() {
+                let credit = job.credit();
+                row.earned += job.worth * credit;
+                row.owed += job.worth;
+                row.jobs += 1.0;
+                row.served += f64::from(u8::from(credit > 0.0));
+                if rank < largest {
+                    row.largest += 1.0;
+                    row.largest_served += f64::from(u8::from(credit > 0.0));
+                }
+            }
+            earned += row.earned;
+            owed += row.owed;
+        }
+        Summary {
+            rows,
+            share: earned / owed,
+            occupied: self.occupied / (ARRIVALS_MS as f64 * 32.0 * self.scenario.workers as f64),
+        }
+    }
+}
+
+impl Worker {
+    fn end(&mut self, task: spec::TaskId, run: u32, end: report::End) {
+        if self.running.remove(&task).is_none() {
+            return;
+        }
+        self.last_end += 1;
+        self.ended.push(report::Ended {
+            number: self.last_end,
+            task,
+            run,
+            end,
+            checkpoint: None,
+        });
+    }
+}
+
+impl Job {
+    fn credit(&self) -> f64 {
+        match self.completed.map(|at| at - self.arrived) {
+            Some(took) if took <= self.objective_ms => 1.0,
+            Some(took) if took <= 3 * self.objective_ms => LATE_CREDIT,
+            _ => 0.0,
+        }
+    }
+}
+
+/// Result for one kind.
+#[derive(Clone, Debug, Default)]
+struct Row {
+    name: &'static str,
+    earned: f64,
+    owed: f64,
+    jobs: f64,
+    served: f64,
+    largest: f64,
+    largest_served: f64,
+}
+
+/// Result of a run.
+#[derive(Clone, Debug)]
+pub(crate) struct Summary {
+    rows: Vec<Row>,
+    /// Share of the worth that was earned.
+    pub(crate) share: f64,
+    /// Share of the processors that were occupied while jobs arrived.
+    occupied: f64,
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "share {:.3}, {:.2} occupied", self.share, self.occupied)?;
+        for row in &self.rows {
+            write!(
+                f,
+                "; {} {:.3} (served {:.2}, of the largest tenth {:.2})",
+                row.name,
+                row.earned / row.owed,
+                row.served / row.jobs,
+                row.largest_served / row.largest.max(1.0),
+            )?;
+        }
+        Ok(())
+    }
+}
--- a/crates/daisymast_scheduler/src/advice_nodes.rs
+++ b/crates/daisymast_scheduler/src/advice_nodes.rs
@@ -50,6 +50,16 @@
         self.nodes.sort_by(|a, b| a.id.cmp(&b.id));
     }
 
+    /// Number of live nodes.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Whether no node is live.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
     /// Picks the node that will answer first, and adds the request to its load. Returns the node
     /// and the expected time until its answer, or `None` if no node can take a request.
     ///
--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -48,11 +48,14 @@
 pub const INITIAL_ALLOWED_SHARE: f64 = 0.5;
 /// Weight of a new answer in the moving average of the allowed share.
 pub const ALLOWED_SHARE_WEIGHT: f64 = 0.2;
-/// Maximum number of open advice requests of a queue that is not urgent.
-pub const MAX_OPEN_REQUESTS: usize = 8;
-/// Maximum number of such requests while the fleet has free capacity, when each answer leads to a
-/// start.
-pub const MAX_OPEN_REQUESTS_IDLE: usize = 20;
+/// Number of advice requests of a queue that is not urgent that may always be open.
+pub const MIN_OPEN_REQUESTS: usize = 8;
+/// Number of nodes for each of which such a queue may have an open request. The service answers one
+/// call at a time for each node, and urgent steps need nodes, too.
+pub const NODES_PER_OPEN_REQUEST: usize = 2;
+/// Number of requests that may be open while the fleet has free capacity, when each answer leads to a
+/// start; more with more nodes.
+pub const MIN_OPEN_REQUESTS_IDLE: usize = 20;
 /// Time between two advice requests for a step that is not urgent.
 pub const ADVICE_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 /// Time beyond the expected duration after which an advice request times out.
@@ -60,8 +63,16 @@
 /// Change of a learned speed, as a difference of natural logarithms, from which on it is stored for
 /// the next scheduler.
 pub const SPEED_STORE_THRESHOLD: f64 = 0.15;
-/// Maximum number of gangs that reserve workers in one pass.
-pub const MAX_RESERVING_GANGS: usize = 4;
+/// Number of usable workers for each of which one of the largest gangs goes before other steps.
+pub const WORKERS_PER_LARGE_GANG: usize = 120;
+/// Number of such gangs that are on time for each of which one that is late goes first, too.
+pub const LARGE_GANGS_PER_LATE_ONE: usize = 4;
+/// How much later a step is ranked for each core-millisecond that it takes, in microseconds.
+pub const SIZE_DELAY_PER_CORE_MS_US: u64 = 3;
+/// Minimum number of gangs that may reserve workers in one pass.
+pub const MIN_RESERVING_GANGS: usize = 4;
+/// Number of usable workers for each of which one gang may reserve workers in a pass.
+pub const WORKERS_PER_RESERVING_GANG: usize = 40;
 /// Number of waiting steps from which on passes are rate-limited. With fewer, a pass costs less
 /// than the call that triggered it.
 pub const PACING_THRESHOLD_STEPS: usize = 12;
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -28,6 +28,7 @@
 mod caller_requests;
 mod dispatch;
 mod gangs;
+mod order;
 mod orders;
 mod placement;
 mod polls;
--- a/crates/daisymast_scheduler/src/scheduler/advice.rs
+++ b/crates/daisymast_scheduler/src/scheduler/advice.rs
@@ -36,10 +36,11 @@
             return false;
         }
         let open = pass.open_requests.get(&step.queue).copied().unwrap_or(0);
+        let nodes = self.advice_nodes.len();
         let limit = if pass.snapshot.high_utilisation {
-            constants::MAX_OPEN_REQUESTS
+            constants::MIN_OPEN_REQUESTS.max(nodes / constants::NODES_PER_OPEN_REQUEST)
         } else {
-            constants::MAX_OPEN_REQUESTS_IDLE
+            constants::MIN_OPEN_REQUESTS_IDLE.max(nodes)
         };
         step.priority == 0 || open < limit
     }
@@ -179,7 +180,34 @@
             expired_workers.truncate(constants::MAX_WORKERS_PER_GANG_REQUEST);
             return expired_workers;
         }
-        self.unknown_gang_workers(step, candidates, pass)
+        let unknown = self.unknown_gang_workers(step, candidates, pass);
+        if unknown.is_empty() {
+            self.expiring_gang_workers(step, pass)
+        } else {
+            unknown
+        }
+    }
+
+    /// Returns the allowed workers whose tickets expire before a later request could renew them,
+    /// those with the most free capacity first. A gang can start in the moment in which its workers
+    /// have room together only if it holds valid tickets for all of them by then.
+    fn expiring_gang_workers(&self, step: &steps::ReadyStep, pass: &dispatch::Pass) -> Vec<usize> {
+        let Some(advice) = step.advice else {
+            return Vec::new();
+        };
+        let lead = request_duration(advice, constants::MAX_WORKERS_PER_GANG_REQUEST)
+            + constants::ADVICE_REQUEST_INTERVAL;
+        let mut expiring: Vec<(u32, usize)> = pass
+            .snapshot
+            .rows
+            .iter()
+            .filter(|row| step.is_allowed(row.worker_index))
+            .filter(|row| !step.has_ticket(row.worker_index, pass.now + lead))
+            .map(|row| (row.available.millicores, row.worker_index))
+            .collect();
+        expiring.sort_unstable_by(|a, b| b.cmp(a));
+        expiring.truncate(constants::MAX_WORKERS_PER_GANG_REQUEST);
+        expiring.into_iter().map(|(_, index)| index).collect()
     }
 
     fn unknown_gang_workers(
@@ -305,7 +333,7 @@
 /// Ratio of the number of a gang's tasks that its allowed workers can hold when empty to the number
 /// of its tasks. More choice shortens the wait for free capacity, but takes more time of the advice
 /// service.
-const GANG_CHOICE_FACTOR: f64 = 4.0;
+const GANG_CHOICE_FACTOR: f64 = 8.0;
 
 /// The same ratio while the fleet has free capacity, counting only what is free now.
 const GANG_CHOICE_FACTOR_IDLE: f64 = 1.6;
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -7,6 +7,7 @@
 use daisymast_types::time;
 
 use super::Scheduler;
+use super::order;
 use super::placement;
 use crate::constants;
 use crate::decision;
@@ -29,27 +30,21 @@
     /// Places waiting tasks, requests advice where it is needed, and reserves workers for waiting
     /// gangs. Returns the number of waiting steps.
     pub(super) fn dispatch(&mut self, now: time::Monotonic) -> usize {
-        let mut order: Vec<(steps::Tier, time::Monotonic, spec::StepId)> = self
-            .steps
-            .values()
-            .filter(|step| !step.waiting.is_empty() && !step.aborting && now >= step.not_before)
-            .map(|step| (step.tier(now), step.latest_start, step.id))
-            .collect();
-        order.sort_unstable();
-        let steps = order.len();
         let mut pass = Pass {
             now,
             snapshot: self.snapshot(now),
             reserving_gangs: 0,
             open_requests: collections::FastMap::default(),
         };
+        let order = order::waiting_steps(&self.steps, pass.snapshot.rows.len(), now);
+        let steps = order.len();
         for request in self.advice_requests.values() {
             *pass.open_requests.entry(request.queue.clone()).or_default() += 1;
         }
         let further = self.take_further(order.len());
         let urgent = order.len().min(constants::MAX_URGENT_STEPS_PER_PASS);
         for position in (0..urgent).chain(further) {
-            self.place_step(order[position].2, &mut pass);
+            self.place_step(order[position], &mut pass);
         }
         steps
     }
@@ -138,6 +133,18 @@
                 return chosen;
             }
         }
+        if step.step_spec().gang {
+            // A gang is as slow as its slowest member, so mixed workers waste the fast ones.
+            for is_fast in [true, false] {
+                let alike = candidates.iter().filter(usable);
+                let alike = alike.filter(|candidate| candidate.is_fast == is_fast);
+                take_fitting(alike, needed, &mut chosen);
+                if chosen.len() >= needed as usize {
+                    return chosen;
+                }
+                chosen.clear();
+            }
+        }
         take_fitting(candidates.iter().filter(usable), needed, &mut chosen);
         chosen
     }
@@ -218,7 +225,8 @@
     /// Reserves workers for a gang, so that smaller tasks do not take up capacity there as soon as
     /// it becomes free.
     fn reserve_for_gang(&mut self, id: spec::StepId, pass: &mut Pass) {
-        if pass.reserving_gangs >= constants::MAX_RESERVING_GANGS {
+        let limit = pass.snapshot.rows.len() / constants::WORKERS_PER_RESERVING_GANG;
+        if pass.reserving_gangs >= limit.max(constants::MIN_RESERVING_GANGS) {
             return;
         }
         let Some(step) = self.steps.get(&id) else {
--- a/crates/daisymast_scheduler/src/scheduler/placement.rs
+++ b/crates/daisymast_scheduler/src/scheduler/placement.rs
@@ -28,6 +28,8 @@
     /// Processors that are kept free for urgent steps, in thousandths of a core.
     urgent_reserve: u32,
     band: i32,
+    /// Whether the worker is much faster than most.
+    is_fast: bool,
     /// Whether the worker takes tasks of only one step at a time, after repeated failures.
     on_probation: bool,
     /// Gang that has reserved the worker.
@@ -113,6 +115,7 @@
     /// Number of tasks that fit.
     pub(super) fits: u32,
     band: i32,
+    pub(super) is_fast: bool,
     on_preferred_rack: bool,
     pub(super) free_millicores: u32,
 }
@@ -160,6 +163,7 @@
                 capacity: worker.capacity(),
                 urgent_reserve: urgent_reserve(worker),
                 band: worker.band,
+                is_fast: worker.speed > median * FAST_FACTOR,
                 on_probation: worker.consecutive_failures >= constants::QUARANTINE_THRESHOLD,
                 reserved_for: None,
             };
@@ -234,6 +238,7 @@
                     worker_index: row.worker_index,
                     fits,
                     band: row.band,
+                    is_fast: row.is_fast,
                     on_preferred_rack: is_on_preferred_rack(worker, step),
                     free_millicores: available.millicores,
                 })
