Follow the list of workers whatever another writer leaves there, and bound schedules

Deep nesting, numbers too large and ports out of range were already refused one by one, without a word. A page without a single usable value would have been read again and again.

Looked for one message that ends a process: a submission with 4,000,000,000 occurrences was stored, and each scheduler then began them one after the other until its memory ended; times that overflow the clock wrapped around.

--- a/crates/daisymast_jobs/src/spec.rs
+++ b/crates/daisymast_jobs/src/spec.rs
@@ -118,6 +118,39 @@
     pub count: u32,
 }
 
+impl Schedule {
+    /// Due time of an occurrence, in milliseconds since the Unix epoch. Saturates at the end of the
+    /// clock.
+    ///
+    /// ```
+    /// use daisymast_jobs::spec;
+    /// let schedule = spec::Schedule { start_ms: 5_000, interval_ms: 200, count: 3 };
+    /// assert_eq!(schedule.due_ms(2), 5_400);
+    /// ```
+    pub fn due_ms(&self, occurrence: u32) -> u64 {
+        let offset = self.interval_ms.saturating_mul(u64::from(occurrence));
+        self.start_ms.saturating_add(offset)
+    }
+
+    fn check(&self, tasks: u32) -> Result<(), SpecError> {
+        let error = |field, reason: String| Err(SpecError { field, reason });
+        if self.count > 1 && self.interval_ms == 0 {
+            return error("interval_ms", "occurrences need an interval".to_owned());
+        }
+        let all_tasks = u64::from(tasks) * u64::from(self.count);
+        if all_tasks > MAX_SCHEDULED_TASKS {
+            return error(
+                "repeat_count",
+                format!("{all_tasks} tasks in all, at most {MAX_SCHEDULED_TASKS} are allowed"),
+            );
+        }
+        if self.due_ms(self.count) == u64::MAX {
+            return error("start_at_ms", "the last occurrence is never due".to_owned());
+        }
+        Ok(())
+    }
+}
+
 /// Content of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -150,6 +183,9 @@
 pub const MAX_TASKS: u32 = 20_000;
 /// Maximum number of steps of a job.
 pub const MAX_STEPS: usize = 1_000;
+/// Maximum number of tasks in all occurrences of a recurring job together, which a scheduler may hold
+/// in memory at the same time: occurrences overlap, and those whose time has passed begin at once.
+pub const MAX_SCHEDULED_TASKS: u64 = 200_000;
 
 impl JobSpec {
     /// Checks the dependency graph and the limits on steps and tasks.
@@ -162,8 +198,8 @@
     /// ```
     ///
     /// # Errors
-    /// There is no step, a step has no tasks, there are too many tasks, or a step depends on one
-    /// that does not precede it.
+    /// There is no step, a step has no tasks, there are too many tasks, a step depends on one that
+    /// does not precede it, or the occurrences have no time between them or end beyond the clock.
     pub fn check(&self) -> Result<(), SpecError> {
         let error = |field, reason: String| Err(SpecError { field, reason });
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
@@ -192,7 +228,8 @@
                 format!("{tasks} tasks, at most {MAX_TASKS} are allowed"),
             );
         }
-        Ok(())
+        self.schedule
+            .map_or(Ok(()), |schedule| schedule.check(tasks))
     }
 
     /// Length of the critical path: the longest dependency chain of declared run times, in
--- a/crates/daisymast_node/src/configuration.rs
+++ b/crates/daisymast_node/src/configuration.rs
@@ -73,9 +73,12 @@
         Ok(config) => {
             context.configure(config);
         }
-        Err(error) => log::warn!(
-            "ignoring invalid configuration at revision {}: {error}",
-            item.revision
-        ),
+        Err(error) => {
+            context.metrics.count_invalid("configuration");
+            log::warn!(
+                "ignoring invalid configuration at revision {}: {error}",
+                item.revision
+            );
+        }
     }
 }
--- a/crates/daisymast_node/src/leadership/replay.rs
+++ b/crates/daisymast_node/src/leadership/replay.rs
@@ -44,8 +44,8 @@
             bytes += item.value.len();
             replayed.apply(item);
         }
-        if let Some(last) = page.items.last() {
-            after.clone_from(&last.key);
+        if let Some(last) = page.last_key {
+            after = last;
         }
         if !page.has_more {
             let took = (clock::now() - started).as_millis();
--- a/crates/daisymast_node/src/metrics.rs
+++ b/crates/daisymast_node/src/metrics.rs
@@ -25,6 +25,7 @@
 pub struct Metrics {
     requests: Family<Labels, Counter>,
     calls: Family<Labels, Counter>,
+    invalid: Family<[(&'static str, &'static str); 1], Counter>,
     submission: Histogram,
     commit: Histogram,
     term: Gauge,
@@ -35,6 +36,7 @@
         Self {
             requests: Family::default(),
             calls: Family::default(),
+            invalid: Family::default(),
             submission: histogram(),
             commit: histogram(),
             term: Gauge::default(),
@@ -55,6 +57,11 @@
         self.calls.get_or_create(&labels).inc();
     }
 
+    /// Counts an input from outside that cannot be decoded, by kind.
+    pub fn count_invalid(&self, kind: &'static str) {
+        self.invalid.get_or_create(&[("kind", kind)]).inc();
+    }
+
     /// Observes the duration of a submission.
     pub fn observe_submission(&self, took: Duration) {
         self.submission.observe(took.as_secs_f64());
@@ -82,6 +89,8 @@
         let requests = "Requests of callers";
         registry.register("requests", requests, self.requests.clone());
         registry.register("calls", "Calls to dependencies", self.calls.clone());
+        let invalid = "Inputs from outside that cannot be decoded";
+        registry.register("invalid_inputs", invalid, self.invalid.clone());
         let submission = "Time of a submission in seconds";
         registry.register("submission_seconds", submission, self.submission.clone());
         let commit = "Time of a commit to the journal in seconds";
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -193,9 +193,10 @@
             .map(|(_, index)| index)
             .collect();
         let allowance = steps::allowance_ms(queue, &job.spec);
-        let started_ms = job.spec.schedule.map_or(job.accepted.0, |schedule| {
-            schedule.start_ms + schedule.interval_ms * u64::from(id.occurrence)
-        });
+        let started_ms = job
+            .spec
+            .schedule
+            .map_or(job.accepted.0, |schedule| schedule.due_ms(id.occurrence));
         // Node clocks differ, so a start time in the future counts as now.
         let age = self.wall.0.saturating_sub(started_ms);
         let millis = std::time::Duration::from_millis;
--- a/crates/daisymast_scheduler/src/scheduler/order/tests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/order/tests.rs
@@ -71,7 +71,11 @@
 #[test]
 fn a_few_of_the_largest_gangs_go_first() {
     let mut steps: Vec<steps::ReadyStep> = (1..=40).map(|job| step(job, 4, true, 2_000)).collect();
-    steps.extend((50..60).map(|job| step(job, 60 + (job as u32 - 50), true, 9_000)));
+    steps.extend(
+        (50..60)
+            .zip(60..)
+            .map(|(job, tasks)| step(job, tasks, true, 9_000)),
+    );
     let order = order(steps, 540);
     assert_eq!(order[..4], [59, 58, 57, 56]);
     assert_eq!(order[4..44], (1..=40).collect::<Vec<u64>>());
@@ -80,7 +84,9 @@
 /// Guards against a small fleet that is kept free for large gangs only.
 #[test]
 fn a_small_fleet_prefers_one_gang() {
-    let steps = (1..=5).map(|job| step(job, 4 + job as u32, true, 2_000));
+    let steps = (1..=5)
+        .zip(5..)
+        .map(|(job, tasks)| step(job, tasks, true, 2_000));
     assert_eq!(order(steps.collect(), 48)[..2], [5, 1]);
 }
 
--- a/crates/daisymast_scheduler/src/scheduler/timers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/timers.rs
@@ -72,8 +72,7 @@
                 if next >= schedule.count || job.state().is_final() {
                     return false;
                 }
-                let due_ms = schedule.start_ms + schedule.interval_ms * u64::from(next);
-                if now.wall.0 < due_ms {
+                if now.wall.0 < schedule.due_ms(next) {
                     return true;
                 }
                 job.start_occurrence(next);
