Let late large gangs go first on large fleets

Those that are late at the end of a zone cut stay behind all others for good.

Change: as many late ones of the largest gangs go first as gangs on time beyond two: two on 540 workers, none on 350.

--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -65,8 +65,9 @@
 pub const SPEED_STORE_THRESHOLD: f64 = 0.15;
 /// Number of usable workers for each of which one of the largest gangs goes before other steps.
 pub const WORKERS_PER_LARGE_GANG: usize = 120;
-/// Number of such gangs that are on time for each of which one that is late goes first, too.
-pub const LARGE_GANGS_PER_LATE_ONE: usize = 4;
+/// Number of such gangs that go first only while they are on time. On a larger fleet, as many late
+/// ones go first as gangs that are on time beyond this number.
+pub const LARGE_GANGS_ON_TIME: usize = 2;
 /// How much later a step is ranked for each core-millisecond that it takes, in microseconds.
 pub const SIZE_DELAY_PER_CORE_MS_US: u64 = 3;
 /// Minimum number of gangs that may reserve workers in one pass.
--- a/crates/daisymast_scheduler/src/scheduler/order.rs
+++ b/crates/daisymast_scheduler/src/scheduler/order.rs
@@ -69,7 +69,7 @@
 /// those that are late: all would be late one day, and none served, on a fleet that stays full.
 fn prefer_largest_gangs(ranked: &mut [Ranked], workers: usize) {
     let on_time = (workers / constants::WORKERS_PER_LARGE_GANG).max(1);
-    let late = on_time / constants::LARGE_GANGS_PER_LATE_ONE;
+    let late = on_time.saturating_sub(constants::LARGE_GANGS_ON_TIME);
     let mut preference = 0;
     for (tier, count) in [(steps::Tier::InTime, on_time), (steps::Tier::Late, late)] {
         let mut gangs: Vec<&mut Ranked> = ranked
--- a/crates/daisymast_scheduler/src/scheduler/order/tests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/order/tests.rs
@@ -93,16 +93,16 @@
 /// Guards against late gangs that hold the workers of those that are still on time, and against late
 /// ones of which none is served.
 #[test]
-fn one_late_gang_of_a_large_fleet_is_preferred() {
+fn two_late_gangs_of_a_large_fleet_are_preferred() {
     let late = |job| {
         let mut late = step(job, 90, true, 0);
         late.latest_start = time::Monotonic::from_millis(99_000);
         late.due_at = time::Monotonic::from_millis(99_500);
         late
     };
-    let steps = || vec![late(1), late(2), step(3, 4, false, 8_000)];
-    assert_eq!(order(steps(), 540), vec![1, 3, 2]);
-    assert_eq!(order(steps(), 48), vec![3, 1, 2]);
+    let steps = || vec![late(1), late(2), late(3), step(4, 4, false, 8_000)];
+    assert_eq!(order(steps(), 540), vec![1, 2, 4, 3]);
+    assert_eq!(order(steps(), 350), vec![4, 1, 2, 3]);
 }
 
 /// Guards against urgent steps that wait behind large gangs.
