--- a/crates/daisymast_scheduler/examples/fleet_model/mod.rs
+++ b/crates/daisymast_scheduler/examples/fleet_model/mod.rs
@@ -2,13 +2,20 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::fmt;
 use std::sync::Arc;
 
-use daisymast_jobs::{job, job_table, queue, spec};
+use daisymast_jobs::{job, job_table, spec};
 use daisymast_scheduler::{action, config, report, scheduler, worker};
 use daisymast_types::{collections, quantities, time};
 
+mod jobs;
+mod summary;
+mod workers;
+
+use jobs::{Job, Kind, Random, kinds, whole};
+use summary::Summary;
+use workers::{Run, Worker};
+
 /// Start of the virtual clock, in milliseconds.
 const START_MS: u64 = 100_000;
 /// Time in which jobs arrive, in milliseconds.
@@ -29,8 +36,6 @@
 const SPEEDS: [u64; 3] = [70, 70, 170];
 /// Standard deviation of the logarithm of a declared run time around the real one.
 const ESTIMATE_SPREAD: f64 = 0.5;
-/// Credit of a job that is late, up to three times its objective.
-const LATE_CREDIT: f64 = 0.2;
 
 /// Size and load of a cell.
 #[derive(Clone, Copy, Debug)]
@@ -52,142 +57,6 @@
     }
 }
 
-/// A kind of jobs.
-struct Kind {
-    name: &'static str,
-    /// Jobs per second on 540 workers.
-    rate: f64,
-    worth: f64,
-    tasks: f64,
-    max_tasks: f64,
-    millicores: f64,
-    max_millicores: f64,
-    work_ms: f64,
-    max_work_ms: f64,
-    /// Share of jobs whose tasks form a gang.
-    gangs: f64,
-    /// Share of runs of a gang, or of tasks, that fail.
-    errors: f64,
-    /// Share of workers that the advice service allows, in percent.
-    allowed: u64,
-    terms: queue::Queue,
-}
-
-fn terms(
-    name: &str,
-    priority: u32,
-    (stretch, latency_ms): (f64, f64),
-    (decide_ms, per_worker_ms): (f64, f64),
-) -> queue::Queue {
-    queue::Queue {
-        name: name.into(),
-        host: "h".to_owned(),
-        prefix: format!("/{name}/"),
-        service: "s".into(),
-        priority,
-        attempts: 3,
-        stretch,
-        latency_ms,
-        advice: Some(queue::Advice {
-            decide_ms,
-            per_worker_ms,
-            valid_ms: 2_500.0,
-        }),
-    }
-}
-
-fn kinds() -> Vec<Kind> {
-    vec![
-        Kind {
-            name: "quotes",
-            rate: 135.0,
-            worth: 0.41,
-            tasks: 3.1,
-            max_tasks: 19.0,
-            millicores: 7_900.0,
-            max_millicores: 24_000.0,
-            work_ms: 640.0,
-            max_work_ms: 1_600.0,
-            gangs: 0.3,
-            errors: 0.005,
-            allowed: 70,
-            terms: terms("quotes", 0, (1.5, 250.0), (16.9, 0.234)),
-        },
-        Kind {
-            name: "surveys",
-            rate: 11.0,
-            worth: 5.8,
-            tasks: 20.0,
-            max_tasks: 120.0,
-            millicores: 9_000.0,
-            max_millicores: 15_000.0,
-            work_ms: 4_000.0,
-            max_work_ms: 10_000.0,
-            gangs: 1.0,
-            errors: 0.05,
-            allowed: 35,
-            terms: terms("surveys", 1, (2.2, 1_000.0), (507.0, 7.28)),
-        },
-        Kind {
-            name: "invoices",
-            rate: 18.0,
-            worth: 2.2,
-            tasks: 24.0,
-            max_tasks: 150.0,
-            millicores: 5_500.0,
-            max_millicores: 17_000.0,
-            work_ms: 2_200.0,
-            max_work_ms: 5_400.0,
-            gangs: 0.0,
-            errors: 0.005,
-            allowed: 45,
-            terms: terms("invoices", 2, (4.0, 3_000.0), (182.0, 2.6)),
-        },
-    ]
-}
-
-/// Pseudo-random numbers (xorshift64*), so that a seed repeats a run.
-struct Random(u64);
-
-impl Random {
-    fn unit(&mut self) -> f64 {
-        self.0 ^= self.0 >> 12;
-        self.0 ^= self.0 << 25;
-        self.0 ^= self.0 >> 27;
-        let bits = self.0.wrapping_mul(0x2545_F491_4F6C_DD1D) >> 11;
-        (bits as f64 + 0.5) / (1_u64 << 53) as f64
-    }
-
-    /// Log-normal number with a mean and a standard deviation of the logarithm.
-    fn around(&mut self, mean: f64, spread: f64) -> f64 {
-        let normal = (-2.0 * self.unit().ln()).sqrt() * (std::f64::consts::TAU * self.unit()).cos();
-        mean * (normal * spread - spread * spread / 2.0).exp()
-    }
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a cast from a float saturates"
-)]
-fn whole(value: f64) -> u32 {
-    value.round().max(1.0) as u32
-}
-
-/// A job that has arrived.
-struct Job {
-    kind: usize,
-    arrived: u64,
-    work_ms: u64,
-    gang: bool,
-    tasks: u32,
-    worth: f64,
-    /// Processor time of all tasks, in core-seconds.
-    core_seconds: f64,
-    objective_ms: u64,
-    completed: Option<u64>,
-}
-
 /// An event for the scheduler or a worker at a point in time.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -197,22 +66,6 @@
     Advice(u64, Vec<(String, String)>),
 }
 
-#[derive(Clone, Copy)]
-struct Run {
-    run: u32,
-    /// When the run ends, `None` while it waits for its gang.
-    ends_at: Option<u64>,
-    end: report::End,
-}
-
-#[derive(Default)]
-struct Worker {
-    running: collections::FastMap<spec::TaskId, Run>,
-    ended: Vec<report::Ended>,
-    last_end: u64,
-    has_open_poll: bool,
-}
-
 /// The scheduler with a modelled fleet.
 pub(crate) struct Simulation {
     scenario: Scenario,
@@ -280,7 +133,7 @@
             now: START_MS,
             next_arrival: vec![0.0; kinds.len()],
             kinds,
-            random: Random(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1),
+            random: Random::new(seed),
             scheduler,
             workers: (0..scenario.workers).map(|_| Worker::default()).collect(),
             names: (0..scenario.workers)
@@ -579,102 +432,7 @@
 
     /// Returns what was served of what was owed.
     pub(crate) fn summary(&self) -> Summary {
-        let mut rows: Vec<Row> = self
-            .kinds
-            .iter()
-            .map(|kind| Row {
-                name: kind.name,
-                ..Row::default()
-            })
-            .collect();
-        let (mut earned, mut owed) = (0.0, 0.0);
-        for (index, row) in rows.iter_mut().enumerate() {
-            let mut jobs: Vec<&Job> = self.jobs.iter().filter(|job| job.kind == index).collect();
-            jobs.sort_by(|a, b| b.core_seconds.total_cmp(&a.core_seconds));
-            let largest = jobs.len().div_ceil(10);
-            for (rank, job) in jobs.iter().enumerate() {
-                let credit = job.credit();
-                row.earned += job.worth * credit;
-                row.owed += job.worth;
-                row.jobs += 1.0;
-                row.served += f64::from(u8::from(credit > 0.0));
-                if rank < largest {
-                    row.largest += 1.0;
-                    row.largest_served += f64::from(u8::from(credit > 0.0));
-                }
-            }
-            earned += row.earned;
-            owed += row.owed;
-        }
-        Summary {
-            rows,
-            share: earned / owed,
-            occupied: self.occupied / (ARRIVALS_MS as f64 * 32.0 * self.scenario.workers as f64),
-        }
-    }
-}
-
-impl Worker {
-    fn end(&mut self, task: spec::TaskId, run: u32, end: report::End) {
-        if self.running.remove(&task).is_none() {
-            return;
-        }
-        self.last_end += 1;
-        self.ended.push(report::Ended {
-            number: self.last_end,
-            task,
-            run,
-            end,
-            checkpoint: None,
-        });
-    }
-}
-
-impl Job {
-    fn credit(&self) -> f64 {
-        match self.completed.map(|at| at - self.arrived) {
-            Some(took) if took <= self.objective_ms => 1.0,
-            Some(took) if took <= 3 * self.objective_ms => LATE_CREDIT,
-            _ => 0.0,
-        }
-    }
-}
-
-/// Result for one kind.
-#[derive(Clone, Debug, Default)]
-struct Row {
-    name: &'static str,
-    earned: f64,
-    owed: f64,
-    jobs: f64,
-    served: f64,
-    largest: f64,
-    largest_served: f64,
-}
-
-/// Result of a run.
-#[derive(Clone, Debug)]
-pub(crate) struct Summary {
-    rows: Vec<Row>,
-    /// Share of the worth that was earned.
-    pub(crate) share: f64,
-    /// Share of the processors that were occupied while jobs arrived.
-    occupied: f64,
-}
-
-impl fmt::Display for Summary {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "share {:.3}, {:.2} occupied", self.share, self.occupied)?;
-        for row in &self.rows {
-            write!(
-                f,
-                "; {} {:.3} (served {:.2}, of the largest tenth {:.2})",
-                row.name,
-                row.earned / row.owed,
-                row.served / row.jobs,
-                row.largest_served / row.largest.max(1.0),
-            )?;
-        }
-        Ok(())
+        let core_ms = ARRIVALS_MS as f64 * 32.0 * self.scenario.workers as f64;
+        summary::summarize(&self.kinds, &self.jobs, self.occupied / core_ms)
     }
 }
--- /dev/null
+++ b/crates/daisymast_scheduler/examples/fleet_model/workers.rs
@@ -0,0 +1,40 @@
+//! Modelled workers and their runs.
+
+use daisymast_jobs::spec;
+use daisymast_scheduler::report;
+use daisymast_types::collections;
+
+/// A run on a modelled worker.
+#[derive(Clone, Copy)]
+pub(crate) struct Run {
+    pub(crate) run: u32,
+    /// When the run ends, `None` while it waits for its gang.
+    pub(crate) ends_at: Option<u64>,
+    pub(crate) end: report::End,
+}
+
+/// A modelled worker.
+#[derive(Default)]
+pub(crate) struct Worker {
+    pub(crate) running: collections::FastMap<spec::TaskId, Run>,
+    pub(crate) ended: Vec<report::Ended>,
+    pub(crate) last_end: u64,
+    pub(crate) has_open_poll: bool,
+}
+
+impl Worker {
+    /// Ends a run, which the next report lists.
+    pub(crate) fn end(&mut self, task: spec::TaskId, run: u32, end: report::End) {
+        if self.running.remove(&task).is_none() {
+            return;
+        }
+        self.last_end += 1;
+        self.ended.push(report::Ended {
+            number: self.last_end,
+            task,
+            run,
+            end,
+            checkpoint: None,
+        });
+    }
+}
