Make the stand-ins of the review end for certain

asyncio.wait_for can lose a cancellation in Python 3.11; one run hung at its end. The waits use asyncio.wait instead, and the script ends its own process.

--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -41,6 +41,13 @@
         self.file.flush()
 
 
+async def wait_event(event, seconds):
+    """Waits for an event for a limited time."""
+    waiter = asyncio.ensure_future(event.wait())
+    await asyncio.wait({waiter}, timeout=max(seconds, 0))
+    waiter.cancel()
+
+
 # HTTP ----------------------------------------------------------------------------------------------
 
 
@@ -130,9 +137,14 @@
         finally:
             writer.transport.abort()
 
+    task = asyncio.ensure_future(exchange())
+    done, _ = await asyncio.wait({task}, timeout=timeout)
+    if not done:
+        task.cancel()
+        return 0, None
     try:
-        return await asyncio.wait_for(exchange(), timeout)
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        return task.result()
+    except (OSError, EOFError):
         return 0, None
 
 
@@ -198,7 +210,7 @@
         self.revision = 1
         self.changes = collections.deque()
         self.compacted = 0
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
         self.server = Server(self.handle)
 
     async def start(self):
@@ -211,14 +223,16 @@
         return None if item is None else item["value"]
 
     async def put(self, key, value):
-        async with self.changed:
-            self.write(key, value)
-            self.changed.notify_all()
+        self.write(key, value)
+        self.notify()
 
     async def remove(self, key):
-        async with self.changed:
-            self.delete(key)
-            self.changed.notify_all()
+        self.delete(key)
+        self.notify()
+
+    def notify(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def note(self, change):
         self.changes.append(change)
@@ -277,40 +291,39 @@
 
     async def watch(self, prefix, after, wait):
         deadline = time.monotonic() + wait
-        async with self.changed:
-            while True:
-                if after < self.compacted:
-                    raise Reply(410)
-                events = [
-                    self.encode(change)
-                    for change in self.changes
-                    if change["revision"] > after and change["key"].startswith(prefix)
-                ]
-                left = deadline - time.monotonic()
-                if events or left <= 0:
-                    return {"events": events, "current_rev": self.revision}
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    pass
+        while True:
+            if after < self.compacted:
+                raise Reply(410)
+            events = self.events(prefix, after)
+            if events or time.monotonic() >= deadline:
+                return {"events": events, "current_rev": self.revision}
+            await wait_event(self.changed, deadline - time.monotonic())
+
+    def events(self, prefix, after):
+        found = []
+        for change in reversed(self.changes):
+            if change["revision"] <= after:
+                break
+            if change["key"].startswith(prefix):
+                found.append(self.encode(change))
+        return found[::-1]
 
     async def transact(self, body):
         expect, put, remove = body.get("expect", []), body.get("put", []), body.get("remove", [])
         if len(expect) + len(put) + len(remove) > 32:
             raise Reply(400)
-        async with self.changed:
-            for row in expect:
-                item = self.items.get(row["key"])
-                if (item["revision"] if item else 0) != row["revision"]:
-                    held = [self.items[row["key"]] for row in expect if row["key"] in self.items]
-                    raise Reply(412, {"items": [self.encode(item) for item in held]})
-            revision = self.revision + 1
-            for row in put:
-                self.write(row["key"], base64.b64decode(row["value"]), revision)
-            for key in remove:
-                self.delete(key, revision)
-            self.changed.notify_all()
-            return {"revision": self.revision}
+        for row in expect:
+            item = self.items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                held = [self.items[row["key"]] for row in expect if row["key"] in self.items]
+                raise Reply(412, {"items": [self.encode(item) for item in held]})
+        revision = self.revision + 1
+        for row in put:
+            self.write(row["key"], base64.b64decode(row["value"]), revision)
+        for key in remove:
+            self.delete(key, revision)
+        self.notify()
+        return {"revision": self.revision}
 
     async def configure(self, version, routes):
         """Writes `op/config` as the operator does. `routes` are (name, fields that differ)."""
@@ -527,11 +540,7 @@
         self.forget(body.get("last_seen", 0))
         deadline = time.monotonic() + min(body.get("wait_ms", 0), 2000) / 1000
         while not self.ended and time.monotonic() < deadline:
-            event = self.end_event
-            try:
-                await asyncio.wait_for(event.wait(), deadline - time.monotonic())
-            except asyncio.TimeoutError:
-                pass
+            await wait_event(self.end_event, deadline - time.monotonic())
         report = {
             **self.answer(),
             "running": [self.row(task, run) for task, run in self.running.items()],
@@ -713,8 +722,8 @@
         name = json.loads(value)["node"]["id"] if value else None
         return next((node for node in self.nodes if node.name == name), None)
 
-    async def submit(self, node, queue, name, attempts=4, host=CALLER_HOST):
-        """Hands a job in at a node, again after no answer, 502, 503 or 504. Returns the last status."""
+    async def submit(self, node, queue, name, attempts=5, pause_s=0.6, host=CALLER_HOST):
+        """Hands a job in at a node, four times again after no answer, 502, 503 or 504. Returns the last status."""
         spec, steps = JOBS[name]
         status = 0
         for _ in range(attempts):
@@ -722,7 +731,7 @@
             self.record(f"POST /{queue}/{name} at {node.name} ({spec}): {status or 'no answer'}")
             if status not in (0, 502, 503, 504):
                 break
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(pause_s)
         return status
 
     async def state(self, node, queue, name):
@@ -765,7 +774,7 @@
 
 
 class CannotRun(Exception):
-    pass
+    """A case did not come as far as its check."""
 
 
 def main(folder, case, limit_s=110):
@@ -773,20 +782,23 @@
     record = Record(os.path.join(folder, "record.txt"))
     record(f"TROUBLE={int(ALLOWED_TROUBLE)}")
 
+    def finish(code, text):
+        record(text)
+        print(text, flush=True)
+        # Connections that are still open need no orderly end.
+        os._exit(code)
+
     async def run():
         cell = Cell(record)
+        task = asyncio.ensure_future(case(cell, record, ALLOWED_TROUBLE))
+        await asyncio.wait({task}, timeout=limit_s)
+        await cell.stop()
+        if not task.done():
+            finish(2, f"could not run: not finished after {limit_s} s")
         try:
-            return await asyncio.wait_for(case(cell, record, ALLOWED_TROUBLE), limit_s)
-        finally:
-            await cell.stop()
+            broken = task.result()
+        except (CannotRun, OSError) as error:
+            finish(2, f"could not run: {error!r}")
+        finish(1 if broken else 0, f"BROKEN: {broken}" if broken else "the rule held")
 
-    try:
-        broken = asyncio.run(run())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
-        record(f"the case could not run: {error!r}")
-        print(f"could not run: {error!r}", flush=True)
-        os._exit(2)
-    record(f"BROKEN: {broken}" if broken else "the rule held")
-    print(f"BROKEN: {broken}" if broken else "the rule held", flush=True)
-    # Connections that are still open need no orderly end.
-    os._exit(1 if broken else 0)
+    asyncio.run(run())
