Wait for leaders before the last one after two changes of the leader

Tasks of a cut-off zone started again while they ran or after their end was noted.

Cause: a new leader knew only the leader of the term before. If that one had resigned, or its restarted process answered that it did not lead, the wait for leader leases ended, although a leader before it was cut off and still acted for up to 7 s.

Change: the leader key carries for how long leaders of earlier terms may act. A leader that resigns writes the rest of that time; the next one counts it from when it learned of the record. The wait for the last leader counts from the answer to the winning write, as that leader can renew its lease until the write takes effect. A record without the field, of a release before this one, counts as a full lease.

--- a/crates/daisymast_election/src/candidate.rs
+++ b/crates/daisymast_election/src/candidate.rs
@@ -5,6 +5,7 @@
 use daisymast_types::time;
 use serde::Serialize;
 
+use crate::former_leases;
 use crate::record;
 
 /// Time without an answer of the scheduler after which a node suspects it.
@@ -112,6 +113,8 @@
 pub struct Candidate {
     me: record::Member,
     elected: Option<record::Elected>,
+    /// When this node learned of `elected`.
+    elected_since: time::Monotonic,
     /// Whether the leader key was read since the last campaign for a vacant role.
     inspected: bool,
     last_contact: time::Monotonic,
@@ -136,6 +139,7 @@
         Self {
             me,
             elected: None,
+            elected_since: now,
             inspected: false,
             last_contact: now,
             commit_age: Duration::ZERO,
@@ -156,6 +160,22 @@
         self.elected.as_ref()
     }
 
+    /// Returns what is known of the leader that a campaign for the role of `term` replaces.
+    pub fn former(&self, term: u64) -> former_leases::Former {
+        if term == 0 {
+            return former_leases::Former::None;
+        }
+        self.elected
+            .as_ref()
+            .filter(|elected| elected.term == term)
+            .map_or(former_leases::Former::Unknown, |elected| {
+                former_leases::Former::Known {
+                    elected: elected.clone(),
+                    since: self.elected_since,
+                }
+            })
+    }
+
     /// Returns the nodes that the scheduler last reported as alive.
     pub fn members(&self) -> &[record::Member] {
         &self.members
@@ -203,6 +223,7 @@
         let known = self.elected.as_ref().map_or(0, |known| known.term);
         if elected.term > known {
             self.elected = Some(elected);
+            self.elected_since = now;
             self.last_contact = now;
             self.commit_age = Duration::ZERO;
             self.heartbeat_changed = now;
--- a/crates/daisymast_election/src/lib.rs
+++ b/crates/daisymast_election/src/lib.rs
@@ -5,5 +5,6 @@
 //! store.
 
 pub mod candidate;
+pub mod former_leases;
 pub mod leader_lease;
 pub mod record;
--- a/crates/daisymast_election/src/record.rs
+++ b/crates/daisymast_election/src/record.rs
@@ -33,6 +33,10 @@
     pub life: u64,
     /// Whether the scheduler has resigned and no longer acts.
     pub resigned: bool,
+    /// Longest time, in milliseconds from the write of this record, for which leaders of earlier
+    /// terms may still act; `None` in a record of a release that does not write it.
+    #[serde(default)]
+    pub former_ms: Option<u64>,
 }
 
 /// An elected scheduler and its term.
--- a/crates/daisymast_election/tests/candidacy.rs
+++ b/crates/daisymast_election/tests/candidacy.rs
@@ -28,6 +28,7 @@
             node: member("l", 250),
             life: 1,
             resigned,
+            former_ms: Some(0),
         },
     }
 }
--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -2,11 +2,12 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use daisymast_adapter::{settings, store};
 use daisymast_election::{candidate, record};
 use daisymast_http::{client, executor};
-use daisymast_scheduler::config;
+use daisymast_scheduler::{config, lease};
 use daisymast_telemetry::decisions;
 use daisymast_types::time;
 
@@ -84,12 +85,14 @@
         member(&self.settings)
     }
 
-    /// Returns the value that this process writes to the leader key.
-    pub fn leader(&self, resigned: bool) -> record::Leader {
+    /// Returns the value that this process writes to the leader key. Leaders of earlier terms may
+    /// act for up to `former_lease` from now.
+    pub fn leader(&self, resigned: bool, former_lease: Duration) -> record::Leader {
         record::Leader {
             node: self.member(),
             life: self.incarnation,
             resigned,
+            former_ms: Some(lease::millis(former_lease)),
         }
     }
 
--- a/crates/daisymast_node/src/follower.rs
+++ b/crates/daisymast_node/src/follower.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use daisymast_adapter::{keys, store};
-use daisymast_election::{candidate, record};
+use daisymast_election::{candidate, former_leases, record};
 use daisymast_protocol::outcome;
-use daisymast_scheduler::lease;
-use daisymast_types::time;
+use daisymast_scheduler::{constants as limits, lease};
 use serde::Serialize;
 use smol::Timer;
 
@@ -26,7 +25,14 @@
         {
             // A campaign whose response was lost may still have won the election.
             last_led_term = term;
-            run_term(&context, term, clock::now(), leadership::Former::Unknown).await;
+            let now = clock::now();
+            let won = leadership::WonElection {
+                term,
+                sent: now,
+                answered: now,
+                former: former_leases::Former::Unknown,
+            };
+            run_term(&context, won).await;
             continue;
         }
         if context.is_draining() {
@@ -52,10 +58,9 @@
             } => {
                 log_campaign(&context, term, reason, delay);
                 Timer::after(delay).await;
-                let former = former_leader(&context, term, reason);
                 if let Some(won) = campaign(&context, term).await {
                     last_led_term = won.term;
-                    run_term(&context, won.term, won.sent, former).await;
+                    run_term(&context, won).await;
                 }
             }
         }
@@ -233,32 +238,8 @@
     (mine && !leader.resigned).then_some(elected.term)
 }
 
-/// Returns the leader of the term that a campaign replaces.
-fn former_leader(
-    context: &context::Context,
-    term: u64,
-    reason: candidate::Reason,
-) -> leadership::Former {
-    if matches!(
-        reason,
-        candidate::Reason::None | candidate::Reason::Resigned
-    ) {
-        return leadership::Former::None;
-    }
-    let elected = context.candidate().elected().cloned();
-    elected
-        .filter(|elected| elected.term == term)
-        .map_or(leadership::Former::Unknown, leadership::Former::MayAct)
-}
-
-/// An election that this node won.
-struct WonElection {
-    term: u64,
-    sent: time::Monotonic,
-}
-
 /// Tries to become the leader by replacing the leader key at the given term.
-async fn campaign(context: &context::Context, term: u64) -> Option<WonElection> {
+async fn campaign(context: &context::Context, term: u64) -> Option<leadership::WonElection> {
     let known = context
         .candidate()
         .elected()
@@ -266,21 +247,28 @@
     if known > term || context.is_draining() {
         return None;
     }
-    let leader = context.leader(false);
+    let former = context.candidate().former(term);
+    let sent = clock::now();
+    let leader = context.leader(false, former.remaining(sent, limits::LEADER_LEASE));
     let value = serde_json::to_vec(&leader).ok()?;
     let transaction = store::Transaction::default()
         .expect(keys::LEADER, term)
         .put(keys::LEADER, value);
-    let sent = clock::now();
     let committed = context
         .store
         .commit(&transaction, constants::STORE_TIMEOUT)
         .await;
     match committed {
         Ok(store::CommitOutcome::Done(term)) => {
+            let answered = clock::now();
             let elected = record::Elected { term, leader };
-            context.candidate().on_elected(elected, clock::now());
-            Some(WonElection { term, sent })
+            context.candidate().on_elected(elected, answered);
+            Some(leadership::WonElection {
+                term,
+                sent,
+                answered,
+                former,
+            })
         }
         Ok(store::CommitOutcome::Conflict(_) | store::CommitOutcome::Refused) | Err(_) => {
             inspect(context).await;
@@ -289,15 +277,11 @@
     }
 }
 
-async fn run_term(
-    context: &Arc<context::Context>,
-    term: u64,
-    sent: time::Monotonic,
-    former: leadership::Former,
-) {
+async fn run_term(context: &Arc<context::Context>, won: leadership::WonElection) {
+    let term = won.term;
     log::info!("elected in term {term}");
     context.set_term(term);
-    leadership::run(context, term, sent, former).await;
+    leadership::run(context, won).await;
     context.set_term(0);
     log::info!("term {term} ended");
 }
--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -2,9 +2,8 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
-use daisymast_election::{candidate, leader_lease, record};
+use daisymast_election::{candidate, former_leases, leader_lease, record};
 use daisymast_jobs::spec;
 use daisymast_relay::relays;
 use daisymast_scheduler::{action, config, constants as limits, lease, scheduler};
@@ -32,6 +31,7 @@
     term: u64,
     scheduler: Mutex<scheduler::Scheduler>,
     leader_lease: Arc<Mutex<leader_lease::LeaderLease>>,
+    former_leases: Mutex<former_leases::FormerLeases>,
     last_pings: Mutex<collections::FastMap<ids::InstanceId, (record::Member, time::Monotonic)>>,
     me: record::Member,
     pending_answers: Mutex<collections::FastMap<u64, async_channel::Sender<action::Answer>>>,
@@ -58,6 +58,7 @@
         term: u64,
         scheduler: scheduler::Scheduler,
         leader_lease: Arc<Mutex<leader_lease::LeaderLease>>,
+        former_leases: former_leases::FormerLeases,
         commit_timeout: commit_timeout::CommitTimeout,
         me: record::Member,
     ) -> Self {
@@ -67,6 +68,7 @@
             term,
             scheduler: Mutex::new(scheduler),
             leader_lease,
+            former_leases: Mutex::new(former_leases),
             last_pings: Mutex::default(),
             me,
             pending_answers: Mutex::default(),
@@ -266,29 +268,32 @@
     }
 }
 
-/// The leader of the term before.
+/// An election that this node won.
 #[derive(Clone, Debug)]
-pub enum Former {
-    /// There was none, or it has resigned.
-    None,
-    /// It may still act, as its leader lease may not have ended.
-    MayAct(record::Elected),
-    /// It may still act, and is not known.
-    Unknown,
+pub struct WonElection {
+    /// Term of this node.
+    pub term: u64,
+    /// When the winning write was sent.
+    pub sent: time::Monotonic,
+    /// When the winning write was answered.
+    pub answered: time::Monotonic,
+    /// The leader that was replaced.
+    pub former: former_leases::Former,
 }
 
 /// Runs the scheduler of a term until the term ends.
-pub async fn run(
-    context: &Arc<context::Context>,
-    term: u64,
-    sent: time::Monotonic,
-    former: Former,
-) {
+pub async fn run(context: &Arc<context::Context>, won: WonElection) {
+    let WonElection {
+        term,
+        sent,
+        answered,
+        former,
+    } = won;
     // Other nodes replace a leader whose journal does not advance, and replaying can take seconds,
     // so the term is renewed meanwhile. The write that won the election gives a first sample of the
     // store's response time.
     let mut commit_timeout = commit_timeout::CommitTimeout::default();
-    commit_timeout.record_response_time(clock::now() - sent);
+    commit_timeout.record_response_time(answered - sent);
     let leader_lease = leader_lease::LeaderLease::new(sent, limits::LEADER_LEASE);
     let leader_lease = Arc::new(Mutex::new(leader_lease));
     let renewal = journal::renew_term(Arc::clone(context), term, Arc::clone(&leader_lease));
@@ -308,16 +313,14 @@
         Timer::after(constants::TICK_INTERVAL).await;
     };
     let now = clock::timestamp();
-    let previous_leader_lease = match former {
-        Former::None => Duration::ZERO,
-        Former::MayAct(_) | Former::Unknown => limits::LEADER_LEASE,
-    };
-    let previous_leases_end = sent + previous_leader_lease + lease::longest(limits::WORKER_LEASE);
-    let scheduler = scheduler::Scheduler::resume(config, job_table, previous_leases_end, now);
+    let former_leases = former_leases::FormerLeases::new(&former, answered, limits::LEADER_LEASE);
+    let worker_leases_end = former_leases.end() + lease::longest(limits::WORKER_LEASE);
+    let scheduler = scheduler::Scheduler::resume(config, job_table, worker_leases_end, now);
     let leadership = Arc::new(Leadership::new(
         term,
         scheduler,
         leader_lease,
+        former_leases,
         commit_timeout,
         context.member(),
     ));
@@ -330,12 +333,14 @@
         Arc::clone(&leadership),
     ));
     let former_watch = match former {
-        Former::None | Former::Unknown => None,
-        Former::MayAct(former) => {
+        former_leases::Former::Known { elected, .. } if !elected.leader.resigned => {
             let watch =
-                former::confirm_stopped(Arc::clone(context), Arc::clone(&leadership), former);
+                former::confirm_stopped(Arc::clone(context), Arc::clone(&leadership), elected);
             Some(context.executor.spawn(watch))
         }
+        former_leases::Former::Known { .. }
+        | former_leases::Former::None
+        | former_leases::Former::Unknown => None,
     };
     let committer = context.executor.spawn(journal::run_writer(
         Arc::clone(context),
@@ -351,7 +356,7 @@
             .set_members(leadership.members(clock::now()));
         journal::wait_for_open_commit(&leadership).await;
         committer.cancel().await;
-        journal::resign(context, term).await;
+        journal::resign(context, &leadership).await;
     } else {
         drop(committer);
     }
--- a/crates/daisymast_node/src/leadership/former.rs
+++ b/crates/daisymast_node/src/leadership/former.rs
@@ -9,13 +9,13 @@
 
 use crate::clock;
 use crate::constants;
-use crate::context;
+use crate::context::{self, lock};
 use crate::leadership::Leadership;
 use crate::peers;
 
 /// Asks the former leader's process whether it still leads, for as long as its leader lease can
 /// last. Once it answers that it does not, the tasks of lost workers need to wait only for the
-/// workers' own leases, and not for the leader lease before them.
+/// workers' own leases and those of leaders before the former one, and not for its leader lease.
 pub(super) async fn confirm_stopped(
     context: Arc<context::Context>,
     leadership: Arc<Leadership>,
@@ -24,9 +24,13 @@
     let started = clock::now();
     while clock::now() - started < limits::LEADER_LEASE && leadership.may_act(clock::now()) {
         if has_stopped(&context, &former).await {
-            let now = clock::now();
+            let leases_end = {
+                let mut former_leases = lock(&leadership.former_leases);
+                former_leases.on_last_stopped(clock::now());
+                former_leases.end()
+            };
             log::info!("the leader of term {} has stopped", former.term);
-            leadership.update(|scheduler| scheduler.on_former_scheduler_stopped(now));
+            leadership.update(|scheduler| scheduler.on_former_scheduler_stopped(leases_end));
             return;
         }
         Timer::after(constants::PING_INTERVAL).await;
--- a/crates/daisymast_node/src/leadership/journal.rs
+++ b/crates/daisymast_node/src/leadership/journal.rs
@@ -228,8 +228,10 @@
 }
 
 /// Marks the leader key as resigned, so that another node takes over immediately.
-pub(super) async fn resign(context: &context::Context, term: u64) {
-    let leader = context.leader(true);
+pub(super) async fn resign(context: &context::Context, leadership: &leadership::Leadership) {
+    let term = leadership.term;
+    let former_lease = lock(&leadership.former_leases).remaining(clock::now());
+    let leader = context.leader(true, former_lease);
     let Ok(value) = serde_json::to_vec(&leader) else {
         return;
     };
--- a/crates/daisymast_scheduler/src/scheduler/workers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -59,10 +59,11 @@
         }
     }
 
-    /// Handles the news that the former scheduler certainly sends no orders any more. The leases that
-    /// it gave end no later than one worker lease from now.
-    pub fn on_former_scheduler_stopped(&mut self, now: time::Monotonic) {
-        let end = now + lease::longest(constants::WORKER_LEASE);
+    /// Handles the news that the former scheduler certainly sends no orders any more, and that no
+    /// earlier one does after `orders_end`. The leases that they gave end no later than one worker
+    /// lease after that.
+    pub fn on_former_scheduler_stopped(&mut self, orders_end: time::Monotonic) {
+        let end = orders_end + lease::longest(constants::WORKER_LEASE);
         for worker in self.fleet.iter_mut() {
             // Polls of this term may have given longer leases since.
             if worker.incarnation == 0 && worker.clock.is_none() {
