Acknowledge run ends once, and only to workers that answer

What workers saw: after a restart that the scheduler did not know of, a worker counts its run ends from 1 again. Each poll repeated the last acknowledged number, so the worker dropped ends that were never read, and completed tasks started again.

Cause: poll_workers sent stored_end with every poll, also with the first one after an idle time.

Change: a number is sent once, and only if the worker has answered within MAX_ANSWER_AGE and no reply is missed. An answered poll no longer repeats the number; a failed one still leads to its repetition.

--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -10,6 +10,10 @@
 /// Maximum number of concurrent polls of workers whose runs are not known yet. A new scheduler has
 /// to poll every worker, and could not answer anyone else while it sends hundreds of calls at once.
 pub const MAX_INITIAL_POLLS: usize = 96;
+/// Longest time from when a worker makes an answer to its arrival. Answers use several connections,
+/// so one may be overtaken by others within this time. The calls of orders and polls end earlier,
+/// also when other nodes make them.
+pub const MAX_ANSWER_AGE: Duration = Duration::from_millis(2_000);
 /// Minimum time between two polls of a worker, to limit the cost of polling.
 pub const MIN_POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// Time between two polls of a worker while ended runs that it reported are not stored yet. These
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -46,20 +46,20 @@
                 && !idle
                 && !worker.poll_now
                 && !has_unstored_run_ends;
+            let acked_end = worker.take_ack(now);
             worker.polling = true;
             worker.last_poll = now;
             worker.poll_now = false;
             self.actions.push(action::Action::PollWorker {
                 target,
                 deadline_ms,
-                acked_end: worker.stored_end,
+                acked_end,
                 wait: if may_wait {
                     constants::POLL_WAIT
                 } else {
                     std::time::Duration::ZERO
                 },
             });
-            worker.acked_end = worker.stored_end;
         }
     }
 
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -230,6 +230,26 @@
         Some(deadline)
     }
 
+    /// Whether the worker has answered recently.
+    fn has_answered_recently(&self, now: time::Monotonic) -> bool {
+        self.missed_replies == 0
+            && self
+                .clock
+                .is_some_and(|clock| now - clock.received_at <= constants::MAX_ANSWER_AGE)
+    }
+
+    /// Returns the highest number of an ended run that the next poll acknowledges, 0 for none.
+    ///
+    /// Each number is acknowledged once, and only to a worker that has answered recently. A worker
+    /// that has restarted numbers its run ends anew, and would forget those that were never read.
+    pub fn take_ack(&mut self, now: time::Monotonic) -> u64 {
+        if self.acked_end >= self.stored_end || !self.has_answered_recently(now) {
+            return 0;
+        }
+        self.acked_end = self.stored_end;
+        self.acked_end
+    }
+
     /// Records a reading of the worker's clock. Readings older than the known one are ignored.
     pub fn update_clock(&mut self, reading_ms: u64, now: time::Monotonic) {
         if self
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -892,9 +892,14 @@
     /// Restarts the worker with empty state.
     pub(crate) fn restart(&mut self, number: usize) {
         self.crash(number);
+        self.power_on(number);
+        self.register(number);
+    }
+
+    /// Switches a worker on again that is off. The store does not list its new process yet.
+    pub(crate) fn power_on(&mut self, number: usize) {
         self.workers[number].is_down = false;
         self.workers[number].started_at = self.now;
-        self.register(number);
     }
 
     pub(crate) fn running(&self) -> usize {
