Keep runs that a restarted worker started after its first report

Cause: a worker had restarted while the store was down, unknown to the scheduler. Its first report was made before further starts arrived and came after the answers to them. As it showed a restart, all running tasks that it left out counted as lost.

Change: the clock reading in the answer to a start tells which process answered. Readings up to MAX_ANSWER_AGE ahead of the report may be of the new process, whose runs are kept until a later report; any other reading ahead of it is one of the former process.

--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -8,6 +8,7 @@
 use crate::constants;
 use crate::decision;
 use crate::journal;
+use crate::lease;
 use crate::report;
 use crate::steps;
 use crate::worker;
@@ -387,6 +388,11 @@
 
 /// Whether a run that a report does not list has certainly ended, because the worker answered its
 /// last order before it made the report.
+///
+/// In the first report of a restarted worker, it is not known which of its processes answered the
+/// order. If the reading of that answer is at most [`constants::MAX_ANSWER_AGE`] ahead of the
+/// report, the new process may have answered after it made the report, which arrived late. Any other
+/// reading ahead of the report is one of the former process, whose runs have ended.
 fn has_certainly_ended(run: &worker::Run, clock_ms: u64, restarted: bool) -> bool {
     match run.state {
         worker::RunState::Journaling | worker::RunState::Starting => false,
@@ -395,6 +401,9 @@
         worker::RunState::Running { since }
         | worker::RunState::Stopping {
             accepted_at: Some(since),
-        } => restarted || since < clock_ms,
+        } => {
+            let max_age_ms = lease::millis(constants::MAX_ANSWER_AGE);
+            since < clock_ms || (restarted && since > clock_ms.saturating_add(max_age_ms))
+        }
     }
 }
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -16,6 +16,9 @@
 
 /// One-way network delay, in milliseconds.
 const NETWORK_DELAY_MS: u64 = 1;
+/// Longest additional delay of a worker's answer where answers may overtake each other, in
+/// milliseconds.
+const MAX_ANSWER_DELAY_MS: u64 = 100;
 /// Duration of a commit, in milliseconds.
 const COMMIT_MS: u64 = 8;
 /// Every n-th batch is replaced by a checkpoint, so that takeovers also start from checkpoints.
@@ -139,6 +142,8 @@
     next_tick: u64,
     /// Jobs whose runs all fail.
     pub(crate) failing_jobs: BTreeSet<spec::JobId>,
+    /// Source of the delays of workers' answers; without it, answers arrive in order.
+    pub(crate) answer_delays: Option<fastrand::Rng>,
 }
 
 pub(crate) fn queue(name: &str, priority: u32, advice: bool) -> queue::Queue {
@@ -252,6 +257,7 @@
             work_ms: BTreeMap::new(),
             next_tick: 0,
             failing_jobs: BTreeSet::new(),
+            answer_delays: None,
         };
         rig.register_all();
         rig.run_ms(100);
@@ -374,6 +380,16 @@
             .push((self.now + after, self.sequence, message));
     }
 
+    /// Sends an answer of a worker. Answers use different connections, so a later one may overtake
+    /// an earlier one.
+    fn send_answer(&mut self, answer: Message) {
+        let delay = self
+            .answer_delays
+            .as_mut()
+            .map_or(0, |delays| delays.u64(0..=MAX_ANSWER_DELAY_MS));
+        self.send(NETWORK_DELAY_MS + delay, answer);
+    }
+
     fn carry_out(&mut self) {
         for action in self.scheduler.take_actions() {
             match action {
@@ -512,10 +528,7 @@
                     }
                     report::OrderOutcome::Accepted(clock)
                 };
-                self.send(
-                    NETWORK_DELAY_MS,
-                    Message::StopReply(worker_index, task, run, outcome),
-                );
+                self.send_answer(Message::StopReply(worker_index, task, run, outcome));
             }
             Message::PollReply(worker_index, outcome) => {
                 self.scheduler.on_poll_outcome(worker_index, outcome, now);
@@ -565,10 +578,10 @@
         let clock = self.clock(number);
         let worker = &mut self.workers[number];
         if token < worker.token {
-            self.send(
-                NETWORK_DELAY_MS,
-                Message::PollReply(worker_index, report::PollOutcome::Fenced),
-            );
+            self.send_answer(Message::PollReply(
+                worker_index,
+                report::PollOutcome::Fenced,
+            ));
             return;
         }
         worker.token = token;
@@ -586,7 +599,7 @@
         }
         let report = self.report(number);
         let outcome = report::PollOutcome::Report(report);
-        self.send(NETWORK_DELAY_MS, Message::PollReply(worker_index, outcome));
+        self.send_answer(Message::PollReply(worker_index, outcome));
     }
 
     fn report(&self, number: usize) -> report::Report {
@@ -640,7 +653,7 @@
         if is_answered {
             let worker_index = start.target.index;
             let reply = Message::StartReply(worker_index, start.task, start.run, outcome);
-            self.send(NETWORK_DELAY_MS, reply);
+            self.send_answer(reply);
         }
     }
 
--- a/crates/daisymast_scheduler/tests/restarts.rs
+++ b/crates/daisymast_scheduler/tests/restarts.rs
@@ -7,9 +7,50 @@
 use common::{BATCH, QUICK, Rig, job, step};
 use daisymast_jobs::job::State;
 
+/// Number of random plays of each test.
+const PLAYS: u64 = 40;
 /// Time for which a job may have nothing running while there is capacity for it, in milliseconds.
 const IDLE_LIMIT_MS: u64 = 3_000;
 
+/// Lets some workers of an idle cell restart during an outage of the store, and then submits jobs
+/// while answers of workers overtake each other.
+fn play_restarts_in_an_outage(seed: u64) {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let count = random.usize(3..=12);
+    let mut rig = Rig::new(count);
+    rig.answer_delays = Some(random.fork());
+    let tasks = u32::try_from(count).expect("a small number");
+    rig.submit(1, QUICK, job(vec![step(tasks, 20, 200)]));
+    assert!(rig.run_until(1, State::Completed, 3_000).is_some());
+    rig.run_ms(random.u64(200..=20_000));
+    rig.store_down = true;
+    let restarted = random.usize(1..=count / 2);
+    (0..restarted).for_each(|number| rig.crash(number));
+    rig.run_ms(random.u64(100..=2_000));
+    (0..restarted).for_each(|number| rig.power_on(number));
+    rig.run_ms(random.u64(0..=1_500));
+    rig.store_down = false;
+    let last = 80;
+    for id in 2..=last {
+        let work_ms = random.choice([60, 100, 400]).expect("one of them");
+        rig.submit(id, QUICK, job(vec![step(4, 1, work_ms)]));
+        rig.run_ms(random.u64(5..=40));
+    }
+    (0..restarted).for_each(|number| rig.register(number));
+    for id in 2..=last {
+        let completed = rig.run_until(id, State::Completed, 4_000);
+        assert!(completed.is_some(), "seed {seed}: job {id}");
+    }
+}
+
+/// Guards against tasks that start again while they run on a restarted worker. Its first report was
+/// made before their starts arrived and came after the answers to them, so it lists none of them
+/// (review/2).
+#[test]
+fn the_first_report_of_a_restarted_worker_does_not_release_later_runs() {
+    (0..PLAYS).for_each(play_restarts_in_an_outage);
+}
+
 /// Guards against run ends of a restarted worker that are acknowledged before they were read. The
 /// worker numbers them from 1 again, and the poll that was open when a task ended still acknowledged
 /// the ends of its former process, so the completed task started again.
