Wait for the longest lease of workers that may have restarted

What workers would see: a worker restarts without the scheduler's knowledge, gets starts and is cut off. Its tasks start elsewhere after 5.1 s while it runs them for 6 s.

Cause: the deadline of an order is computed on the clock of the former process, which is far ahead of the new one's.

Change: an order that is sent when the worker may have restarted since its last answer extends the expected end of the lease by the longest lease of the settings. A busy worker's open poll shows a restart, so its lease stays exact.

Evidence: tasks_on_a_restarted_worker_that_is_cut_off_wait_for_the_longest_lease failed on the code before ("starts on worker 2 and runs on worker 0").

--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use daisymast_election::{candidate, former_leases, leader_lease, record};
 use daisymast_jobs::spec;
@@ -315,7 +316,8 @@
     let now = clock::timestamp();
     let former_leases = former_leases::FormerLeases::new(&former, answered, limits::LEADER_LEASE);
     let worker_leases_end = former_leases.end() + lease::longest(limits::WORKER_LEASE);
-    let scheduler = scheduler::Scheduler::resume(config, job_table, worker_leases_end, now);
+    let mut scheduler = scheduler::Scheduler::resume(config, job_table, worker_leases_end, now);
+    scheduler.set_max_lease(Duration::from_millis(context.settings.max_lease_ms));
     let leadership = Arc::new(Leadership::new(
         term,
         scheduler,
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -5,6 +5,7 @@
 //! see [`journal`].
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use daisymast_jobs::job;
 use daisymast_jobs::job_table;
@@ -50,6 +51,8 @@
 #[derive(Debug)]
 pub struct Scheduler {
     config: Arc<config::Configuration>,
+    /// Longest lease that a worker accepts.
+    max_lease: Duration,
     job_table: job_table::JobTable,
     fleet: fleet::Fleet,
     journal: journal::Journal,
@@ -104,6 +107,11 @@
         self.dirty = true;
     }
 
+    /// Sets the longest lease that a worker accepts. It shortens longer ones.
+    pub fn set_max_lease(&mut self, max_lease: Duration) {
+        self.max_lease = max_lease;
+    }
+
     /// Sets the live nodes, which can send requests to the advice service.
     pub fn set_advice_nodes(&mut self, alive: &[ids::InstanceId]) {
         self.advice_nodes.set(alive);
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -54,7 +54,7 @@
             return;
         }
         let target = worker.target(worker_index);
-        let deadline = worker.extend_lease(now);
+        let deadline = worker.extend_lease(now, self.max_lease);
         let (Some(target), Some(deadline_ms)) = (target, deadline) else {
             self.release(worker_index, task, now);
             return;
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -18,6 +18,7 @@
     pub(super) fn poll_workers(&mut self, now: time::Monotonic) {
         let is_open_initial_poll =
             |worker: &&worker::Worker| worker.polling && is_initial_poll(worker);
+        let max_lease = self.max_lease;
         let mut initial_polls = self.fleet.iter().filter(is_open_initial_poll).count();
         for worker_index in 0..self.fleet.len() {
             let worker = self.fleet.at_mut(worker_index);
@@ -39,7 +40,7 @@
             let deadline_ms = if idle || worker.missed_replies > 0 {
                 None
             } else {
-                worker.extend_lease(now)
+                worker.extend_lease(now, max_lease)
             };
             let has_unstored_run_ends = worker.stored_end < worker.handled_end;
             let may_wait = worker.reconciled
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -12,6 +12,7 @@
 use super::Scheduler;
 use crate::advice_nodes;
 use crate::config;
+use crate::constants;
 use crate::fleet;
 use crate::journal;
 use crate::steps;
@@ -39,6 +40,7 @@
         job_table.mark_all_committed();
         let mut scheduler = Self {
             config,
+            max_lease: constants::DEFAULT_MAX_LEASE,
             job_table,
             fleet: fleet::Fleet::default(),
             journal: journal::Journal::default(),
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use daisymast_jobs::spec;
 use daisymast_types::collections;
@@ -223,13 +224,30 @@
 
     /// Returns the lease deadline for an order that is sent now, on the worker's clock, and extends
     /// the expected end of the lease accordingly. Returns `None` if the worker's clock is unknown.
-    pub fn extend_lease(&mut self, now: time::Monotonic) -> Option<u64> {
+    ///
+    /// The clock of a worker that has restarted is far behind the known one. It then shortens the
+    /// lease to `max_lease`, the longest that it accepts.
+    pub fn extend_lease(&mut self, now: time::Monotonic, max_lease: Duration) -> Option<u64> {
         let clock = self.clock?;
         let deadline = clock.deadline(now, constants::WORKER_LEASE);
-        self.lease_end = self.lease_end.max(clock.passed_at(deadline));
+        let end = if self.may_have_restarted(clock, now) {
+            now + lease::longest(max_lease.max(constants::WORKER_LEASE))
+        } else {
+            clock.passed_at(deadline)
+        };
+        self.lease_end = self.lease_end.max(end);
         Some(deadline)
     }
 
+    /// Whether the worker may have restarted since the reading of its clock arrived. An open poll
+    /// fails when the worker ends, so a restart goes unnoticed only while none is open, or if its
+    /// connection stays silent.
+    fn may_have_restarted(&self, clock: lease::WorkerClock, now: time::Monotonic) -> bool {
+        let watched_since = if self.polling { self.last_poll } else { now };
+        watched_since - clock.received_at > constants::MIN_RESTART_TIME
+            || now - clock.received_at > constants::MAX_ANSWER_AGE
+    }
+
     /// Whether the worker has answered recently.
     fn has_answered_recently(&self, now: time::Monotonic) -> bool {
         self.missed_replies == 0
--- a/crates/daisymast_scheduler/tests/restarts.rs
+++ b/crates/daisymast_scheduler/tests/restarts.rs
@@ -68,6 +68,25 @@
     assert_eq!(rig.starts_of(2).len(), 1);
 }
 
+/// Guards against a lease that counts as expired while a restarted worker still runs the tasks. A
+/// deadline on the clock of its former process is far in the future for the new one, which then
+/// holds the lease for as long as the platform allows.
+#[test]
+fn tasks_on_a_restarted_worker_that_is_cut_off_wait_for_the_longest_lease() {
+    for connected_ms in [5, 20, 60, 150] {
+        let mut rig = Rig::new(3);
+        rig.run_ms(20_000);
+        rig.crash(0);
+        rig.run_ms(400);
+        rig.power_on(0);
+        rig.submit(1, BATCH, job(vec![step(8, 8, 9_000)]));
+        rig.run_ms(10 + connected_ms);
+        rig.workers[0].is_disconnected = true;
+        rig.run_ms(12_000);
+        assert!(rig.starts_of(1).iter().any(|start| start.run > 1));
+    }
+}
+
 /// Guards against lost tasks that wait for a lease to expire although the worker reports its
 /// restart, whichever uptimes its two processes have reached.
 #[test]
