Accept jobs only on queues that the scheduler knows

Cause: a node passed a job to the scheduler, which had not got the configuration yet. The scheduler accepted it without settings for its queue, could not make its steps ready, and did nothing when the settings arrived.

Change: such a job is not accepted. Steps of jobs in journals of earlier releases start once a configuration names their queue.

--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -5,7 +5,7 @@
 
 use daisymast_adapter::callers;
 use daisymast_http::server;
-use daisymast_jobs::{job, spec};
+use daisymast_jobs::{job, queue, spec};
 use daisymast_protocol::outcome;
 use daisymast_scheduler::lease;
 use daisymast_types::ids;
@@ -33,7 +33,7 @@
                 return server::Response::text(400, "the job id needs 16 hexadecimal digits");
             };
             match callers::parse_submission(&request.body) {
-                Ok(spec) => submit(&context, job, queue.name.clone(), spec).await,
+                Ok(spec) => submit(&context, job, queue, spec).await,
                 Err(error) => server::Response::text(400, error.to_string()),
             }
         }
@@ -91,6 +91,8 @@
     Refused,
     /// The request certainly had no effect.
     NoEffect,
+    /// The leader does not know the queue, so the request certainly had no effect.
+    UnknownQueue,
     /// The request may have taken effect.
     Unknown,
 }
@@ -101,6 +103,7 @@
             Self::Served(_) => "served",
             Self::Refused => "no_store",
             Self::NoEffect => "no_scheduler",
+            Self::UnknownQueue => "unknown_queue",
             Self::Unknown => "unknown",
         }
     }
@@ -151,12 +154,17 @@
 async fn submit(
     context: &Arc<context::Context>,
     job: spec::JobId,
-    queue: ids::QueueName,
+    queue: &queue::Queue,
     spec: spec::JobSpec,
 ) -> server::Response {
-    let request = peers::Request::Submit { job, queue, spec };
+    let request = peers::Request::Submit {
+        job,
+        queue: queue.name.clone(),
+        spec,
+        terms: None,
+    };
     let started = Instant::now();
-    let forwarded = forward(context, &request, leader_wait(context)).await;
+    let forwarded = forward(context, &request, Some(queue), leader_wait(context)).await;
     context.metrics.observe_submission(started.elapsed());
     context.metrics.count_request("submit", forwarded.name());
     if !matches!(forwarded, ForwardOutcome::Served(_)) {
@@ -164,7 +172,7 @@
     }
     match forwarded {
         ForwardOutcome::Served(_) => server::Response::new(200, JSON, "{}"),
-        ForwardOutcome::NoEffect => {
+        ForwardOutcome::NoEffect | ForwardOutcome::UnknownQueue => {
             refuse_unreachable(context, "no scheduler is reached; the job was not accepted")
         }
         ForwardOutcome::Refused => refuse_store_unavailable(),
@@ -184,7 +192,7 @@
 async fn cancel(context: &Arc<context::Context>, job: spec::JobId) -> server::Response {
     let request = peers::Request::Cancel { job };
     let started = Instant::now();
-    let forwarded = forward(context, &request, constants::FORWARD_DEADLINE).await;
+    let forwarded = forward(context, &request, None, constants::FORWARD_DEADLINE).await;
     context.metrics.count_request("cancel", forwarded.name());
     if !matches!(forwarded, ForwardOutcome::Served(_)) {
         log_unserved(context, "cancel", job, &forwarded, started.elapsed());
@@ -194,7 +202,7 @@
             server::Response::text(410, "no such job")
         }
         ForwardOutcome::Served(_) => server::Response::new(200, JSON, "{}"),
-        ForwardOutcome::NoEffect | ForwardOutcome::Refused => {
+        ForwardOutcome::NoEffect | ForwardOutcome::UnknownQueue | ForwardOutcome::Refused => {
             refuse_unreachable(context, "no scheduler is reached")
         }
         ForwardOutcome::Unknown => server::Response::text(504, "the outcome is not known"),
@@ -202,11 +210,14 @@
 }
 
 async fn read(context: &Arc<context::Context>, request: peers::Request) -> server::Response {
-    let forwarded = forward(context, &request, constants::FORWARD_DEADLINE).await;
+    let forwarded = forward(context, &request, None, constants::FORWARD_DEADLINE).await;
     context.metrics.count_request("read", forwarded.name());
     let served = match forwarded {
         ForwardOutcome::Served(served) => served,
-        ForwardOutcome::NoEffect | ForwardOutcome::Refused | ForwardOutcome::Unknown => {
+        ForwardOutcome::NoEffect
+        | ForwardOutcome::UnknownQueue
+        | ForwardOutcome::Refused
+        | ForwardOutcome::Unknown => {
             return refuse_unreachable(context, "no scheduler is reached");
         }
     };
@@ -226,20 +237,21 @@
 
 /// Sends a request to the leader, and to its successor if the first does not answer. This is safe
 /// because all requests are idempotent. While no attempt may have taken effect, waits for a leader
-/// for at most `max_wait`.
+/// for at most `max_wait`. `queue` is the queue of a submission.
 async fn forward(
     context: &Arc<context::Context>,
     request: &peers::Request,
+    queue: Option<&queue::Queue>,
     max_wait: Duration,
 ) -> ForwardOutcome {
     let started = Instant::now();
     let mut unknown = false;
     loop {
-        match forward_once(context, request).await {
+        match forward_once(context, request, queue).await {
             ForwardOutcome::Served(served) => return ForwardOutcome::Served(served),
             ForwardOutcome::Refused if !unknown => return ForwardOutcome::Refused,
             ForwardOutcome::Refused => return ForwardOutcome::Unknown,
-            ForwardOutcome::NoEffect => {}
+            ForwardOutcome::NoEffect | ForwardOutcome::UnknownQueue => {}
             ForwardOutcome::Unknown => unknown = true,
         }
         let limit = if unknown {
@@ -258,7 +270,31 @@
     }
 }
 
-async fn forward_once(context: &Arc<context::Context>, request: &peers::Request) -> ForwardOutcome {
+/// Sends a request to the leader once. A submission to a queue that the leader does not know is
+/// sent again with the queue's settings, which most submissions need not carry.
+async fn forward_once(
+    context: &Arc<context::Context>,
+    request: &peers::Request,
+    queue: Option<&queue::Queue>,
+) -> ForwardOutcome {
+    match (send_to_leader(context, request).await, request, queue) {
+        (ForwardOutcome::UnknownQueue, peers::Request::Submit { job, spec, .. }, Some(queue)) => {
+            let with_terms = peers::Request::Submit {
+                job: *job,
+                queue: queue.name.clone(),
+                spec: spec.clone(),
+                terms: Some(queue.clone()),
+            };
+            send_to_leader(context, &with_terms).await
+        }
+        (outcome, ..) => outcome,
+    }
+}
+
+async fn send_to_leader(
+    context: &Arc<context::Context>,
+    request: &peers::Request,
+) -> ForwardOutcome {
     let reply = if context.leadership().is_some() {
         peers::handle_as_leader(context, request.clone()).await
     } else {
@@ -277,6 +313,7 @@
         peers::Reply::Served(served) => ForwardOutcome::Served(served),
         peers::Reply::Unavailable => ForwardOutcome::Refused,
         peers::Reply::NotLeader => ForwardOutcome::NoEffect,
+        peers::Reply::UnknownQueue => ForwardOutcome::UnknownQueue,
         peers::Reply::Unknown
         | peers::Reply::Pong(_)
         | peers::Reply::Advice(_)
--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use daisymast_election::{candidate, former_leases, leader_lease, record};
-use daisymast_jobs::spec;
+use daisymast_jobs::{queue, spec};
 use daisymast_relay::relays;
 use daisymast_scheduler::{action, config, constants as limits, lease, scheduler};
 use daisymast_types::{collections, ids, time};
@@ -133,10 +133,15 @@
 
     /// Applies a new configuration.
     pub fn configure(&self, config: Arc<config::Configuration>) {
-        lock(&self.scheduler).configure(config);
+        lock(&self.scheduler).configure(config, clock::now());
         self.wake_driver();
     }
 
+    /// Adds a queue that another node has from a later configuration.
+    pub fn add_queue(&self, terms: queue::Queue) {
+        self.update(|scheduler| scheduler.add_queue(terms));
+    }
+
     /// Accepts a job and waits until it is committed.
     pub async fn submit(
         &self,
@@ -229,6 +234,7 @@
             Ok(action::Answer::Accepted) => peers::Reply::Served(peers::Served::Accepted),
             Ok(action::Answer::Cancelled) => peers::Reply::Served(peers::Served::Cancelled),
             Ok(action::Answer::Refused) => peers::Reply::Unavailable,
+            Ok(action::Answer::UnknownQueue) => peers::Reply::UnknownQueue,
             Ok(action::Answer::NoSuchJob) => peers::Reply::Served(peers::Served::NoSuchJob),
             Err(_) => peers::Reply::Unknown,
         }
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -7,7 +7,7 @@
 use daisymast_adapter::advice;
 use daisymast_election::record;
 use daisymast_http::{client, msgpack, server};
-use daisymast_jobs::{job, spec};
+use daisymast_jobs::{job, queue, spec};
 use daisymast_protocol::outcome;
 use daisymast_relay::wire;
 use daisymast_scheduler::config;
@@ -42,6 +42,9 @@
         queue: ids::QueueName,
         /// Content of the job.
         spec: spec::JobSpec,
+        /// Settings of the queue, if the leader said that it does not know it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        terms: Option<queue::Queue>,
     },
     /// Asks the leader for the state of a job.
     State {
@@ -143,6 +146,9 @@
     NotLeader,
     /// The leader cannot reach the store and did nothing.
     Unavailable,
+    /// The leader does not know the queue and did nothing. The node may have a later configuration,
+    /// and can send the queue's settings with the job.
+    UnknownQueue,
     /// The node stopped leading before the outcome was known.
     Unknown,
     /// Allowed workers with their tickets, or `None` if the advice service did not answer in time.
@@ -219,7 +225,17 @@
         return Reply::NotLeader;
     };
     match request {
-        Request::Submit { job, queue, spec } => leadership.submit(job, queue, spec).await,
+        Request::Submit {
+            job,
+            queue,
+            spec,
+            terms,
+        } => {
+            if let Some(terms) = terms {
+                leadership.add_queue(terms);
+            }
+            leadership.submit(job, queue, spec).await
+        }
         Request::Cancel { job } => leadership.cancel(job).await,
         Request::State { job } => leadership.state(job).await,
         Request::Pending { queue } => leadership.pending(&queue).await,
--- a/crates/daisymast_scheduler/src/action.rs
+++ b/crates/daisymast_scheduler/src/action.rs
@@ -29,6 +29,8 @@
     Cancelled,
     /// There is no job with this ID.
     NoSuchJob,
+    /// The job was not accepted and never runs, because the scheduler does not know its queue.
+    UnknownQueue,
     /// The job was not accepted and never runs, because the store takes no records at present.
     Refused,
 }
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -59,6 +59,8 @@
     steps: collections::FastMap<spec::StepId, steps::ReadyStep>,
     /// Jobs with occurrences that have not started yet.
     recurring: Vec<spec::JobId>,
+    /// Jobs with ready steps that cannot start, because their queue is unknown.
+    without_queue: Vec<spec::JobId>,
     advice_nodes: advice_nodes::AdviceNodes,
     advice_requests: collections::FastMap<u64, AdviceRequest>,
     last_request_id: u64,
@@ -102,9 +104,21 @@
     }
 
     /// Replaces the configuration.
-    pub fn configure(&mut self, config: Arc<config::Configuration>) {
+    pub fn configure(&mut self, config: Arc<config::Configuration>, now: time::Monotonic) {
         self.config = config;
         self.dirty = true;
+        for id in std::mem::take(&mut self.without_queue) {
+            self.activate_started(id, now);
+        }
+    }
+
+    /// Adds a queue that another node has from a later configuration. A queue that is known already
+    /// stays as it is.
+    pub fn add_queue(&mut self, terms: queue::Queue) {
+        if self.queue(&terms.name).is_none() {
+            self.job_table.set_queue(terms.clone());
+            self.journal.append(record::Record::Queue { terms });
+        }
     }
 
     /// Sets the longest lease that a worker accepts. It shortens longer ones.
@@ -190,7 +204,11 @@
         let Some(job) = self.job_table.job(id.job) else {
             return;
         };
-        let (Some(tasks), Some(queue)) = (job.tasks(id), self.queue(&job.queue)) else {
+        let Some(tasks) = job.tasks(id) else {
+            return;
+        };
+        let Some(queue) = self.queue(&job.queue) else {
+            self.without_queue.push(id.job);
             return;
         };
         let waiting = tasks
@@ -234,6 +252,18 @@
         self.dirty = true;
     }
 
+    /// Makes the steps of a job ready whose predecessors are all done, in all occurrences that have
+    /// started.
+    fn activate_started(&mut self, id: spec::JobId, now: time::Monotonic) {
+        let Some(job) = self.job_table.job(id).filter(|job| !job.state().is_final()) else {
+            return;
+        };
+        let started = u32::try_from(job.occurrences.len()).unwrap_or(u32::MAX);
+        for occurrence in 0..started {
+            self.activate_occurrence(id, occurrence, now);
+        }
+    }
+
     /// Makes the steps of an occurrence ready whose predecessors are all done.
     fn activate_occurrence(&mut self, id: spec::JobId, occurrence: u32, now: time::Monotonic) {
         let Some(job) = self.job_table.job(id) else {
--- a/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
@@ -13,7 +13,8 @@
 use crate::steps;
 
 impl Scheduler {
-    /// Accepts a job, and answers once it is stored. A repeated ID names the same job.
+    /// Accepts a job, and answers once it is stored. A repeated ID names the same job. A job on an
+    /// unknown queue is not accepted; see [`add_queue`](Self::add_queue).
     pub fn submit(
         &mut self,
         token: u64,
@@ -24,6 +25,11 @@
     ) {
         self.wall = now.wall;
         if self.job_table.committed_state(id).is_none() {
+            if self.queue(&queue).is_none() {
+                let answer = action::Answer::UnknownQueue;
+                self.actions.push(action::Action::Answer { token, answer });
+                return;
+            }
             if let Some(terms) = self.config.queue(&queue)
                 && self.job_table.queue(&queue) != Some(terms)
             {
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -46,6 +46,7 @@
             journal: journal::Journal::default(),
             steps: collections::FastMap::default(),
             recurring: Vec::new(),
+            without_queue: Vec::new(),
             advice_nodes: advice_nodes::AdviceNodes::default(),
             advice_requests: collections::FastMap::default(),
             last_request_id: 0,
@@ -121,22 +122,20 @@
     }
 
     fn activate_all(&mut self, now: time::Monotonic) {
-        let open: Vec<(spec::JobId, u32, bool)> = self
+        let open: Vec<(spec::JobId, bool)> = self
             .job_table
             .iter()
             .filter(|(_, job)| !job.state().is_final())
             .map(|(id, job)| {
                 let started = u32::try_from(job.occurrences.len()).unwrap_or(u32::MAX);
-                (id, started, started < job.occurrence_count())
+                (id, started < job.occurrence_count())
             })
             .collect();
-        for (id, started, has_more_occurrences) in open {
+        for (id, has_more_occurrences) in open {
             if has_more_occurrences {
                 self.recurring.push(id);
             }
-            for occurrence in 0..started {
-                self.activate_occurrence(id, occurrence, now);
-            }
+            self.activate_started(id, now);
         }
         let placed: Vec<(usize, spec::TaskId)> = (0..self.fleet.len())
             .flat_map(|worker_index| {
