End the probation of workers that run services

Cause: a worker on probation took a task only while it ran nothing, until a task ended as done. Tasks of services never end.

Change: only a run placed less than MAX_TRIAL_TIME ago that is not at work yet keeps other tasks from such a worker. A task of a long-running step that was placed after the last failure and works ends the probation.

--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -103,10 +103,15 @@
 /// Ratio between neighbouring speed bands.
 pub const SPEED_BAND_FACTOR: f64 = 1.2;
 /// Number of consecutive failures after which a worker is quarantined, and then gets one task at a
-/// time until a task completes.
+/// time until it shows that it is sound.
 pub const QUARANTINE_THRESHOLD: u32 = 3;
 /// How long a quarantined worker gets no tasks.
 pub const QUARANTINE_DURATION: Duration = Duration::from_millis(2_500);
+/// Time after which a run on a worker on probation no longer keeps other tasks from starting there.
+/// Long tasks would otherwise leave workers empty for longer than a job may have nothing running.
+pub const MAX_TRIAL_TIME: Duration = Duration::from_millis(2_000);
+/// Progress, in percent, from which on a task of a long-running step is at work.
+pub const AT_WORK_PERCENT: u8 = 100;
 /// Time without progress after which a run counts as hung.
 pub const HUNG_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Progress, in percent, from which a run is not treated as hung, as it may wait for slower members
--- a/crates/daisymast_scheduler/src/lib.rs
+++ b/crates/daisymast_scheduler/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod constants;
 pub mod decision;
 pub mod fleet;
+pub mod health;
 pub mod journal;
 pub mod lease;
 pub mod report;
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -204,7 +204,7 @@
                 worker.next_poll = now;
             }
             report::Refusal::Unhealthy => self.count_worker_failure(worker_index, now),
-            report::Refusal::NoRoom => worker.quarantined_until = now + constants::POLL_WAIT,
+            report::Refusal::NoRoom => worker.health.quarantine(now + constants::POLL_WAIT),
             report::Refusal::Fenced
             | report::Refusal::OldRun
             | report::Refusal::Expired
--- a/crates/daisymast_scheduler/src/scheduler/placement.rs
+++ b/crates/daisymast_scheduler/src/scheduler/placement.rs
@@ -164,7 +164,7 @@
                 urgent_reserve: urgent_reserve(worker),
                 band: worker.band,
                 is_fast: worker.speed > median * FAST_FACTOR,
-                on_probation: worker.consecutive_failures >= constants::QUARANTINE_THRESHOLD,
+                on_probation: worker.health.is_on_probation(),
                 reserved_for: None,
             };
             urgent_index.push(row.available.millicores);
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -165,7 +165,7 @@
             worker.handled_end = 0;
             worker.stored_end = 0;
             worker.acked_end = 0;
-            worker.consecutive_failures = 0;
+            worker.health.on_success();
         } else if worker
             .clock
             .is_some_and(|clock| report.clock_ms < clock.reading_ms)
@@ -261,6 +261,7 @@
                 run.last_progress = now;
                 self.mark_start_confirmed(running.task.step.job);
             }
+            self.check_lasting_run(worker_index, running.task, now);
         }
         if report.ended.len() >= report::MAX_RUN_ENDS_PER_REPORT {
             return;
@@ -284,6 +285,22 @@
         }
     }
 
+    /// Takes a task of a long-running step that works as proof that its worker is sound. Such tasks
+    /// never complete.
+    fn check_lasting_run(&mut self, worker_index: usize, task: spec::TaskId, now: time::Monotonic) {
+        let is_lasting = self
+            .steps
+            .get(&task.step)
+            .is_some_and(|step| step.step_spec().lasting);
+        let worker = self.fleet.at_mut(worker_index);
+        let Some(run) = worker.runs.get(&task) else {
+            return;
+        };
+        if is_lasting && !run.is_trial(now) && worker.health.is_newer_than_failures(run.placed_at) {
+            worker.health.on_success();
+        }
+    }
+
     fn is_expected(&self, worker_index: usize, running: &report::Running) -> bool {
         self.fleet
             .at(worker_index)
@@ -353,7 +370,10 @@
             return;
         }
         self.count_worker_failure(worker_index, now);
-        self.fleet.at_mut(worker_index).quarantined_until = now + constants::QUARANTINE_DURATION;
+        let worker = self.fleet.at_mut(worker_index);
+        worker
+            .health
+            .quarantine(now + constants::QUARANTINE_DURATION);
         for task in hung_tasks {
             self.request_stop(worker_index, task, decision::StopReason::Hung, now);
         }
--- a/crates/daisymast_scheduler/src/scheduler/run_ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/run_ends.rs
@@ -83,7 +83,7 @@
         now: time::Monotonic,
     ) {
         let worker = self.fleet.at_mut(worker_index);
-        worker.consecutive_failures = 0;
+        worker.health.on_success();
         let Some(job) = self.job_table.job_mut(task.step.job) else {
             return;
         };
@@ -194,12 +194,10 @@
     /// Counts a failure of a worker and quarantines it after too many.
     pub(super) fn count_worker_failure(&mut self, worker_index: usize, now: time::Monotonic) {
         let worker = self.fleet.at_mut(worker_index);
-        worker.consecutive_failures += 1;
-        if worker.consecutive_failures >= constants::QUARANTINE_THRESHOLD {
-            worker.quarantined_until = now + constants::QUARANTINE_DURATION;
+        if let Some(strikes) = worker.health.on_failure(now) {
             let quarantined = decision::Decision::Quarantined {
                 worker: worker.id.clone(),
-                strikes: worker.consecutive_failures,
+                strikes,
             };
             self.log(quarantined);
         }
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -12,6 +12,7 @@
 
 use crate::action;
 use crate::constants;
+use crate::health;
 use crate::lease;
 
 /// What a worker registers about itself in the store.
@@ -82,6 +83,19 @@
     pub last_progress: time::Monotonic,
 }
 
+impl Run {
+    /// Whether the run is at work: tasks of long-running steps say so by their progress.
+    pub fn is_at_work(&self) -> bool {
+        self.percent >= constants::AT_WORK_PERCENT
+    }
+
+    /// Whether it is still open if the run shows that its worker is sound. On a worker on
+    /// probation, no other task starts meanwhile.
+    pub fn is_trial(&self, now: time::Monotonic) -> bool {
+        !self.is_at_work() && now - self.placed_at < constants::MAX_TRIAL_TIME
+    }
+}
+
 /// State of one worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -125,10 +139,8 @@
     pub last_poll: time::Monotonic,
     /// Consecutive polls and orders without an answer; nothing is placed while it is above 0.
     pub missed_replies: u32,
-    /// Consecutive failures of runs on the worker.
-    pub consecutive_failures: u32,
-    /// No task is placed on the worker before this time.
-    pub quarantined_until: time::Monotonic,
+    /// Whether recent failures speak against the worker.
+    pub health: health::Health,
     /// Learned speed, relative to the declared run times.
     pub speed: f64,
     /// Band of the speed; workers of the same band count as equally fast.
@@ -160,8 +172,7 @@
             next_poll: time::Monotonic::ZERO,
             last_poll: time::Monotonic::ZERO,
             missed_replies: 0,
-            consecutive_failures: 0,
-            quarantined_until: time::Monotonic::ZERO,
+            health: health::Health::default(),
             speed: 1.0,
             band: 0,
             stored_speed: 1.0,
@@ -182,15 +193,15 @@
         let Some(registration) = &self.registration else {
             return false;
         };
-        let on_probation =
-            self.consecutive_failures >= constants::QUARANTINE_THRESHOLD && !self.runs.is_empty();
+        let has_open_trial =
+            self.health.is_on_probation() && self.runs.values().any(|run| run.is_trial(now));
         (self.registered || now < self.usable_until)
             && self.reconciled
             && self.clock.is_some()
             && self.missed_replies == 0
             && !registration.draining
-            && now >= self.quarantined_until
-            && !on_probation
+            && !self.health.is_quarantined(now)
+            && !has_open_trial
     }
 
     /// Resources that are free.
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -44,6 +44,8 @@
     pub(crate) own_work_ms: u64,
     /// Whether the run waits for other members of its gang to start.
     pub(crate) is_waiting_for_gang: bool,
+    /// Whether the task runs until its job is cancelled.
+    pub(crate) is_lasting: bool,
 }
 
 /// A simulated worker that starts whatever it is told to.
@@ -606,7 +608,11 @@
         let worker = &self.workers[number];
         let running = worker.runs.iter().map(|(&task, run)| {
             let part = (self.now - run.started_at_ms) * 100 / run.own_work_ms.max(1);
-            let percent = if worker.hangs { 0 } else { part.min(99) };
+            let percent = match run {
+                _ if worker.hangs => 0,
+                run if run.is_lasting => 100,
+                _ => part.min(99),
+            };
             report::Running {
                 task,
                 run: run.run,
@@ -683,6 +689,7 @@
                 started_at_ms: self.now,
                 own_work_ms: work,
                 is_waiting_for_gang: false,
+                is_lasting: start.spec.steps[usize::from(task.step.step)].lasting,
             },
         );
         if start.spec.steps[usize::from(task.step.step)].gang && !fails {
@@ -915,6 +922,33 @@
         self.workers[number].started_at = self.now;
     }
 
+    /// Lets one of the runs in progress fail; `choice` selects it.
+    pub(crate) fn fail_run(&mut self, choice: usize) {
+        let now = self.now;
+        let count = self.running().max(1);
+        let runs = self
+            .workers
+            .iter_mut()
+            .flat_map(|worker| worker.runs.values_mut());
+        if let Some(run) = runs.into_iter().nth(choice % count) {
+            run.fails = true;
+            run.ends_at = now;
+        }
+    }
+
+    /// Returns the tasks whose last run ended more than `limit` milliseconds ago.
+    pub(crate) fn waiting_since(&self, limit: u64) -> Vec<spec::TaskId> {
+        let mut last_runs: BTreeMap<spec::TaskId, &ObservedStart> = BTreeMap::new();
+        for start in &self.starts {
+            last_runs.insert(start.task, start);
+        }
+        last_runs
+            .values()
+            .filter(|start| start.ended_at.is_some_and(|end| self.now - end > limit))
+            .map(|start| start.task)
+            .collect()
+    }
+
     pub(crate) fn running(&self) -> usize {
         self.workers.iter().map(|worker| worker.runs.len()).sum()
     }
--- /dev/null
+++ b/crates/daisymast_scheduler/tests/probation.rs
@@ -0,0 +1,76 @@
+//! Tests of workers that take few tasks after repeated failures.
+
+mod common;
+
+use common::{BATCH, QUICK, Rig, job, step};
+use daisymast_jobs::job::State;
+use daisymast_jobs::spec::{JobId, Step};
+
+/// Time for which a job may have nothing running while there is capacity for it, in milliseconds.
+const IDLE_LIMIT_MS: u64 = 3_000;
+/// Time within which a task of a long-running step starts again while there is room for it, in
+/// milliseconds.
+const RESTART_LIMIT_MS: u64 = 6_000;
+/// Run time of tasks that run until their job is cancelled, in milliseconds.
+const ENDLESS_MS: u64 = 1_000_000;
+
+/// A long-running step with at most `spread` tasks on one worker.
+fn lasting(tasks: u32, cores: u32, spread: u32) -> Step {
+    Step {
+        lasting: true,
+        spread,
+        ..step(tasks, cores, 1_000)
+    }
+}
+
+/// Submits a job that runs until it is cancelled.
+fn submit_service(rig: &mut Rig, id: u64, step: Step) {
+    rig.submit(id, QUICK, job(vec![step]));
+    rig.work_ms.insert((JobId(id), 0), ENDLESS_MS);
+}
+
+/// Submits a job whose runs all fail.
+fn submit_failing(rig: &mut Rig, id: u64, step: Step) {
+    rig.failing_jobs.insert(JobId(id));
+    rig.submit(id, BATCH, job(vec![step]));
+}
+
+/// Guards against a probation that never ends. A worker on probation took a task only while it ran
+/// nothing, and with tasks of a service on all workers one failing job ended all other work
+/// (review/3).
+#[test]
+fn workers_of_a_service_take_work_again_after_a_failing_job() {
+    for workers in [1, 2, 3, 6, 12] {
+        for failing_tasks in [3, 8, 24] {
+            let count = u32::try_from(workers).expect("a small number");
+            let mut rig = Rig::new(workers);
+            submit_service(&mut rig, 1, lasting(2 * count, 2, 2));
+            rig.run_ms(1_000);
+            assert_eq!(rig.running(), 2 * workers);
+            submit_failing(&mut rig, 2, step(failing_tasks, 4, 400));
+            rig.run_ms(6_000);
+            rig.submit(3, BATCH, job(vec![step(2, 1, 300)]));
+            assert!(
+                rig.run_until(3, State::Completed, IDLE_LIMIT_MS).is_some(),
+                "{workers} workers, {failing_tasks} tasks that fail"
+            );
+        }
+    }
+}
+
+/// Guards against the same lock while only services run: their tasks never end as done, so no
+/// completed task could end a probation.
+#[test]
+fn failing_tasks_of_services_start_again_in_time() {
+    let mut rig = Rig::new(3);
+    for id in 1..=6 {
+        submit_service(&mut rig, id, lasting(3, 2, 0));
+    }
+    rig.run_ms(1_000);
+    for round in 0..40 {
+        rig.fail_run(round * 7);
+        rig.run_ms(700);
+        let waiting = rig.waiting_since(RESTART_LIMIT_MS);
+        assert!(waiting.is_empty(), "round {round}: {waiting:?}");
+    }
+}
