Tell slow tasks from workers on which tasks stand still

Cause: a run whose progress had not changed for 2.5 s counted as hung. Progress comes in whole percents.

Change: the time without progress is judged by step: three times what its runs took for one percent, at least 2.5 s. While other runs of the step progress, the worker is the cause, as before. While none does, one worker is taken for it; if another run stands still as well, that worker is cleared and the time doubles until a run progresses.

--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -112,8 +112,10 @@
 pub const MAX_TRIAL_TIME: Duration = Duration::from_millis(2_000);
 /// Progress, in percent, from which on a task of a long-running step is at work.
 pub const AT_WORK_PERCENT: u8 = 100;
-/// Time without progress after which a run counts as hung.
+/// Shortest time without progress after which a run counts as hung.
 pub const HUNG_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Multiple of the time that a run of the step took for one percent after which a run counts as hung.
+pub const STALL_FACTOR: u32 = 3;
 /// Progress, in percent, from which a run is not treated as hung, as it may wait for slower members
 /// of its gang.
 pub const GANG_WAIT_PERCENT: u8 = 99;
--- a/crates/daisymast_scheduler/src/health.rs
+++ b/crates/daisymast_scheduler/src/health.rs
@@ -15,8 +15,10 @@
     last_failure: time::Monotonic,
     /// End of the quarantine that follows from the failures.
     quarantined_until: time::Monotonic,
-    /// End of an exclusion for another reason.
+    /// End of an exclusion for lack of capacity.
     excluded_until: time::Monotonic,
+    /// Steps of which runs stood still, each with the end of the exclusion that follows.
+    stalls: collections::FastMap<spec::StepId, time::Monotonic>,
 }
 
 impl Default for Health {
@@ -26,6 +28,7 @@
             last_failure: time::Monotonic::ZERO,
             quarantined_until: time::Monotonic::ZERO,
             excluded_until: time::Monotonic::ZERO,
+            stalls: collections::FastMap::default(),
         }
     }
 }
@@ -78,6 +81,33 @@
         }
     }
 
+    /// Excludes the worker for a while, because runs of a step stood still.
+    pub fn on_stall(&mut self, step: spec::StepId, now: time::Monotonic) {
+        self.stalls.retain(|_, end| now < *end);
+        self.stalls
+            .insert(step, now + constants::QUARANTINE_DURATION);
+    }
+
+    /// Takes back a stall whose cause was the step, and the failure that was counted for it.
+    ///
+    /// ```
+    /// use daisymast_jobs::spec;
+    /// use daisymast_scheduler::health;
+    /// use daisymast_types::time;
+    /// let now = time::Monotonic::from_millis(1_000);
+    /// let mut health = health::Health::default();
+    /// let step = spec::StepId { job: spec::JobId(1), occurrence: 0, step: 0 };
+    /// health.on_stall(step, now);
+    /// assert!(health.is_quarantined(now));
+    /// health.forgive_stall(step);
+    /// assert!(!health.is_quarantined(now));
+    /// ```
+    pub fn forgive_stall(&mut self, step: spec::StepId) {
+        if self.stalls.remove(&step).is_some() {
+            self.failures.remove(&Some(step.job));
+        }
+    }
+
     /// Handles proof that the worker is sound.
     pub fn on_success(&mut self) {
         self.failures.clear();
@@ -90,7 +120,9 @@
 
     /// Whether no task may be placed on the worker at present.
     pub fn is_quarantined(&self, now: time::Monotonic) -> bool {
-        now < self.excluded_until || (self.is_on_probation() && now < self.quarantined_until)
+        now < self.excluded_until
+            || self.stalls.values().any(|&end| now < end)
+            || (self.is_on_probation() && now < self.quarantined_until)
     }
 
     /// Whether the worker takes one task at a time, to find out whether it is sound again.
--- a/crates/daisymast_scheduler/src/lib.rs
+++ b/crates/daisymast_scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod health;
 pub mod journal;
 pub mod lease;
+pub mod progress;
 pub mod report;
 pub mod scheduler;
 pub mod steps;
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::failing_jobs;
 use crate::fleet;
 use crate::journal;
+use crate::progress;
 use crate::steps;
 
 mod advice;
@@ -35,6 +36,7 @@
 mod placement;
 mod polls;
 mod run_ends;
+mod stalls;
 mod startup;
 mod timers;
 mod workers;
@@ -246,6 +248,7 @@
             open_request: None,
             next_request: now,
             not_before: now,
+            progress: progress::StepProgress::default(),
             latest_start: now + millis(time_to_start),
             due_at,
             allowance: millis(allowance),
--- a/crates/daisymast_scheduler/src/scheduler/order/tests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/order/tests.rs
@@ -5,6 +5,7 @@
 use daisymast_types::{collections, quantities, time};
 
 use super::waiting_steps;
+use crate::progress;
 use crate::steps;
 
 const NOW: time::Monotonic = time::Monotonic::from_millis(100_000);
@@ -43,6 +44,7 @@
         open_request: None,
         next_request: NOW,
         not_before: NOW,
+        progress: progress::StepProgress::default(),
         latest_start,
         due_at: latest_start + Duration::from_secs(4),
         allowance: Duration::from_secs(10),
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -247,10 +247,6 @@
             if run.run != running.run {
                 continue;
             }
-            if run.percent != running.percent {
-                run.percent = running.percent;
-                run.last_progress = now;
-            }
             if matches!(
                 run.state,
                 worker::RunState::Inherited | worker::RunState::Starting
@@ -261,6 +257,7 @@
                 run.last_progress = now;
                 self.mark_start_confirmed(running.task.step.job);
             }
+            self.record_progress(worker_index, running, now);
             self.check_lasting_run(worker_index, running.task, now);
         }
         if report.ended.len() >= report::MAX_RUN_ENDS_PER_REPORT {
@@ -347,35 +344,6 @@
             self.send_stop(worker_index, running.task, now);
         }
     }
-
-    /// Stops runs that make no progress, so that their tasks start elsewhere.
-    fn stop_hung(&mut self, worker_index: usize, now: time::Monotonic) {
-        let hung_tasks: Vec<spec::TaskId> = self
-            .fleet
-            .at(worker_index)
-            .runs
-            .iter()
-            .filter(|(task, run)| {
-                matches!(run.state, worker::RunState::Running { .. })
-                    && run.percent < constants::GANG_WAIT_PERCENT
-                    && now - run.last_progress > constants::HUNG_TIMEOUT
-                    && self
-                        .steps
-                        .get(&task.step)
-                        .is_some_and(|step| !step.step_spec().lasting && !step.aborting)
-            })
-            .map(|(&task, _)| task)
-            .collect();
-        if hung_tasks.is_empty() {
-            return;
-        }
-        self.count_worker_failure(worker_index, None, now);
-        let worker = self.fleet.at_mut(worker_index);
-        worker.health.exclude(now + constants::QUARANTINE_DURATION);
-        for task in hung_tasks {
-            self.request_stop(worker_index, task, decision::StopReason::Hung, now);
-        }
-    }
 }
 
 /// Whether a worker needs a poll: its runs are unknown, it has active runs, it was suspected, or it
--- a/crates/daisymast_scheduler/src/steps.rs
+++ b/crates/daisymast_scheduler/src/steps.rs
@@ -12,6 +12,7 @@
 
 use crate::constants;
 use crate::lease;
+use crate::progress;
 
 /// Answer of the advice service for a step on a worker.
 #[derive(Clone, Debug)]
@@ -69,6 +70,8 @@
     pub next_request: time::Monotonic,
     /// No task is placed before this time.
     pub not_before: time::Monotonic,
+    /// Progress of the step's runs.
+    pub progress: progress::StepProgress,
     /// Latest start of the first task with which the job still ends on time.
     pub latest_start: time::Monotonic,
     /// When the job is due to end.
