Give a restarted worker no tasks before it registers

What workers would see: tasks that need a label or a size that the new process does not have (ROUTE, LIMIT).

Cause: a worker that answers again under its ID was used by the registration of its former process, until the new one arrived in the store.

Change: a registration counts only while its start time is that of the process that last reported, or either is not known.

A start that is sent before the first report of the new process can still meet another kind.

--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -36,11 +36,7 @@
             .get(&task.step)
             .is_some_and(|step| step.advice.is_some() && !step.has_ticket(worker_index, now));
         let worker = self.fleet.at_mut(worker_index);
-        let is_usable = (worker.registered || now < worker.usable_until)
-            && !worker
-                .registration
-                .as_ref()
-                .is_some_and(|registration| registration.draining);
+        let takes_tasks = worker.takes_tasks(now);
         let Some(assigned_run) = worker.runs.get(&task) else {
             return;
         };
@@ -59,7 +55,7 @@
             self.release(worker_index, task, now);
             return;
         };
-        if is_unsent && (!is_usable || ticket_expired) {
+        if is_unsent && (!takes_tasks || ticket_expired) {
             self.release(worker_index, task, now);
             return;
         }
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -190,20 +190,29 @@
 
     /// Whether new tasks may be placed on the worker.
     pub fn is_usable(&self, now: time::Monotonic) -> bool {
-        let Some(registration) = &self.registration else {
-            return false;
-        };
         let has_open_trial =
             self.health.is_on_probation() && self.runs.values().any(|run| run.is_trial(now));
-        (self.registered || now < self.usable_until)
+        self.takes_tasks(now)
             && self.reconciled
             && self.clock.is_some()
             && self.missed_replies == 0
-            && !registration.draining
             && !self.health.is_quarantined(now)
             && !has_open_trial
     }
 
+    /// Whether the registration lets tasks start: it is that of the process that last reported, and
+    /// the worker is not shutting down. A process that starts under the same ID may have another
+    /// size and other labels.
+    pub fn takes_tasks(&self, now: time::Monotonic) -> bool {
+        let Some(registration) = &self.registration else {
+            return false;
+        };
+        let is_current = registration.started_at.is_none()
+            || self.started_at.is_none()
+            || registration.started_at == self.started_at;
+        (self.registered || now < self.usable_until) && is_current && !registration.draining
+    }
+
     /// Resources that are free.
     pub fn available(&self) -> quantities::Resources {
         self.capacity().saturating_sub(self.used)
--- a/crates/daisymast_scheduler/tests/restarts.rs
+++ b/crates/daisymast_scheduler/tests/restarts.rs
@@ -87,6 +87,41 @@
     }
 }
 
+/// Guards against tasks on a restarted worker that are placed by the registration of its former
+/// process. The new one may have another size or other labels.
+#[test]
+fn a_restarted_worker_gets_no_tasks_before_it_registers() {
+    for (uptime_ms, down_ms) in [(500, 100), (8_000, 400), (20_000, 3_000)] {
+        let mut rig = Rig::new(2);
+        rig.run_ms(uptime_ms);
+        rig.submit(1, BATCH, job(vec![step(2, 20, 30_000)]));
+        rig.run_ms(200);
+        rig.crash(0);
+        rig.run_ms(down_ms);
+        rig.power_on(0);
+        rig.run_ms(2_500);
+        let restarted_at = rig.now;
+        for id in 2..=6 {
+            rig.submit(id, QUICK, job(vec![step(2, 4, 300)]));
+            rig.run_ms(100);
+        }
+        let started_there = |rig: &Rig| {
+            let later = rig
+                .starts
+                .iter()
+                .filter(|start| start.started_at > restarted_at);
+            later.filter(|start| start.worker == 0).count()
+        };
+        assert_eq!(started_there(&rig), 0, "uptime {uptime_ms} ms");
+        rig.register(0);
+        for id in 7..=12 {
+            rig.submit(id, QUICK, job(vec![step(6, 4, 300)]));
+        }
+        rig.run_ms(1_000);
+        assert!(started_there(&rig) > 0, "uptime {uptime_ms} ms");
+    }
+}
+
 /// Guards against lost tasks that wait for a lease to expire although the worker reports its
 /// restart, whichever uptimes its two processes have reached.
 #[test]
