Ask the advice service again about workers that have restarted

What callers would see: a step whose workers were all denied never starts, although they have restarted as another kind.

Cause: answers were kept for as long as the step was open. A ticket holds for one life of a worker, and a new one may be of another kind.

Change: the first report of a restarted worker removes the answers about it from all open steps.

Evidence: a_restarted_worker_is_asked_about_again failed on the code before.

--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -166,6 +166,12 @@
             worker.stored_end = 0;
             worker.acked_end = 0;
             worker.health.on_success();
+            if worker.incarnation > 1 {
+                // The answers of the advice service were about the former process.
+                for step in self.steps.values_mut() {
+                    step.permissions.remove(&worker_index);
+                }
+            }
         } else if worker
             .clock
             .is_some_and(|clock| report.clock_ms < clock.reading_ms)
--- a/crates/daisymast_scheduler/tests/restarts.rs
+++ b/crates/daisymast_scheduler/tests/restarts.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use common::{BATCH, QUICK, Rig, job, step};
+use common::{BATCH, GANGS, QUICK, Rig, job, step};
 use daisymast_jobs::job::State;
 
 /// Number of random plays of each test.
@@ -122,6 +122,21 @@
     }
 }
 
+/// Guards against steps that keep the advice service's answer about a worker's former process. A
+/// step whose workers were all denied before they restarted as another kind never started.
+#[test]
+fn a_restarted_worker_is_asked_about_again() {
+    let mut rig = Rig::new(2);
+    rig.allowed.insert("none".to_owned());
+    rig.submit(1, GANGS, job(vec![step(1, 8, 500)]));
+    rig.run_ms(3_000);
+    assert!(rig.starts_of(1).is_empty());
+    rig.allowed.clear();
+    rig.run_ms(1_000);
+    rig.restart(0);
+    assert!(rig.run_until(1, State::Completed, IDLE_LIMIT_MS).is_some());
+}
+
 /// Guards against lost tasks that wait for a lease to expire although the worker reports its
 /// restart, whichever uptimes its two processes have reached.
 #[test]
