Act on a term only after one of its writes is confirmed

What callers could see: two leaders that act at the same time.

Cause: a node whose winning write was not answered learns later, from the store or another node, that it was elected. It counted its leader lease from then, although another node may have been elected meanwhile and counts the lease from its own election.

Change: the lease of such a node is not valid until a write of the term is confirmed.

No test on the code before, as the call is new.

--- a/crates/daisymast_node/src/follower.rs
+++ b/crates/daisymast_node/src/follower.rs
@@ -28,7 +28,7 @@
             let now = clock::now();
             let won = leadership::WonElection {
                 term,
-                sent: now,
+                sent: None,
                 answered: now,
                 former: former_leases::Former::Unknown,
             };
@@ -265,7 +265,7 @@
             context.candidate().on_elected(elected, answered);
             Some(leadership::WonElection {
                 term,
-                sent,
+                sent: Some(sent),
                 answered,
                 former,
             })
--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -280,9 +280,10 @@
 pub struct WonElection {
     /// Term of this node.
     pub term: u64,
-    /// When the winning write was sent.
-    pub sent: time::Monotonic,
-    /// When the winning write was answered.
+    /// When the winning write was sent; `None` if its answer was lost, and the node learned later
+    /// that it had won.
+    pub sent: Option<time::Monotonic>,
+    /// When the winning write was answered, or the node learned that it had won.
     pub answered: time::Monotonic,
     /// The leader that was replaced.
     pub former: former_leases::Former,
@@ -300,12 +301,20 @@
     // so the term is renewed meanwhile. The write that won the election gives a first sample of the
     // store's response time.
     let mut commit_timeout = commit_timeout::CommitTimeout::default();
-    commit_timeout.record_response_time(answered - sent);
-    let leader_lease = leader_lease::LeaderLease::new(sent, limits::LEADER_LEASE);
+    let leader_lease = match sent {
+        Some(sent) => {
+            commit_timeout.record_response_time(answered - sent);
+            leader_lease::LeaderLease::new(sent, limits::LEADER_LEASE)
+        }
+        None => leader_lease::LeaderLease::unconfirmed(limits::LEADER_LEASE),
+    };
     let leader_lease = Arc::new(Mutex::new(leader_lease));
     let renewal = journal::renew_term(Arc::clone(context), term, Arc::clone(&leader_lease));
     let renewal = context.executor.spawn(renewal);
-    let replayed = replay::replay(context, term).await;
+    let mut replayed = replay::replay(context, term).await;
+    if replayed.is_some() && !wait_for_lease(context, term, &leader_lease).await {
+        replayed = None;
+    }
     renewal.cancel().await;
     let Some(replay::ReplayedJournal { job_table, batches }) = replayed else {
         return;
@@ -371,6 +380,25 @@
     leadership.close();
 }
 
+/// Waits until a write of this term is confirmed. Returns whether the leader may act.
+async fn wait_for_lease(
+    context: &context::Context,
+    term: u64,
+    leader_lease: &Mutex<leader_lease::LeaderLease>,
+) -> bool {
+    let started = clock::now();
+    while clock::now() - started < limits::LEADER_LEASE {
+        if lock(leader_lease).is_valid(clock::now()) {
+            return true;
+        }
+        if context.is_draining() || replay::is_replaced(context, term) {
+            return false;
+        }
+        Timer::after(constants::TICK_INTERVAL).await;
+    }
+    false
+}
+
 /// Executes the scheduler's actions until the term ends. Returns whether the leader steps down in
 /// favour of a larger machine.
 async fn drive(context: &Arc<context::Context>, leadership: &Arc<Leadership>) -> bool {
--- a/crates/daisymast_node/src/leadership/replay.rs
+++ b/crates/daisymast_node/src/leadership/replay.rs
@@ -80,7 +80,8 @@
     }
 }
 
-fn is_replaced(context: &context::Context, term: u64) -> bool {
+/// Whether another node was elected after this term.
+pub(super) fn is_replaced(context: &context::Context, term: u64) -> bool {
     let candidate = context.candidate();
     candidate
         .elected()
