--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -39,8 +39,6 @@
 pub const SLOW_COMMIT_TOLERANCE: Duration = Duration::from_millis(1_800);
 /// Time for which a commit may fail before new jobs are rejected immediately.
 pub const STORE_OUTAGE_THRESHOLD: Duration = Duration::from_millis(500);
-/// Timeout for asking another node about the leader.
-pub const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Interval between two ticks of the scheduler.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which a newly elected leader may step down in favour of a much larger machine.
--- /dev/null
+++ b/crates/daisymast_scheduler/tests/common/workers.rs
@@ -0,0 +1,332 @@
+//! Behaviour of the simulated workers.
+
+use daisymast_jobs::spec;
+use daisymast_scheduler::{action, report};
+
+use super::{CLOCK_STEP_MS, GANG_TIMEOUT_MS, Message, ObservedStart, Poll, Rig, Run};
+
+impl Rig {
+    pub(super) fn handle_poll(&mut self, poll: Poll) {
+        let Poll {
+            worker_index,
+            token,
+            deadline,
+            acked_end,
+            wait,
+            since,
+        } = poll;
+        let number = self.at(worker_index);
+        if self.is_unreachable(number) {
+            if self.now >= since + wait + 500 {
+                self.send(
+                    0,
+                    Message::PollReply(worker_index, report::PollOutcome::Failed),
+                );
+            } else {
+                let again = Message::Poll(Poll {
+                    deadline: None,
+                    acked_end: 0,
+                    ..poll
+                });
+                self.send(CLOCK_STEP_MS, again);
+            }
+            return;
+        }
+        let clock = self.clock(number);
+        let worker = &mut self.workers[number];
+        if token < worker.token {
+            self.send_answer(Message::PollReply(
+                worker_index,
+                report::PollOutcome::Fenced,
+            ));
+            return;
+        }
+        worker.token = token;
+        worker.ended.retain(|ended| ended.number > acked_end);
+        if let Some(deadline) = deadline {
+            worker.lease_end = worker.lease_end.max(deadline.min(clock + 6_000));
+        }
+        if worker.ended.is_empty() && self.now < since + wait {
+            let again = Message::Poll(Poll {
+                deadline: None,
+                ..poll
+            });
+            self.send(CLOCK_STEP_MS, again);
+            return;
+        }
+        let report = self.report(number);
+        let outcome = report::PollOutcome::Report(report);
+        self.send_answer(Message::PollReply(worker_index, outcome));
+    }
+
+    fn report(&self, number: usize) -> report::Report {
+        let worker = &self.workers[number];
+        let running = worker.runs.iter().map(|(&task, run)| {
+            let part = (self.now - run.started_at_ms) * 100 / run.own_work_ms.max(1);
+            let percent = match run {
+                _ if worker.hangs => 0,
+                run if run.is_lasting => 100,
+                _ => part.min(99),
+            };
+            report::Running {
+                task,
+                run: run.run,
+                checkpoint: None,
+                percent: u8::try_from(percent).expect("a percentage"),
+            }
+        });
+        report::Report {
+            clock_ms: self.clock(number),
+            started_at: Some(worker.started_at),
+            is_partial: false,
+            running: running.collect(),
+            ended: worker.ended.clone(),
+        }
+    }
+
+    pub(super) fn handle_start(&mut self, token: u64, start: &action::Start, is_answered: bool) {
+        let number = self.number(start.target.id.as_str());
+        if self.is_unreachable(number) {
+            return;
+        }
+        let clock = self.clock(number);
+        let worker = &mut self.workers[number];
+        let refused = |refusal| report::OrderOutcome::Refused(refusal, Some(clock));
+        let present = worker.runs.get(&start.task).map(|run| run.run);
+        let outcome = if token < worker.token {
+            refused(report::Refusal::Fenced)
+        } else if worker
+            .finished_runs
+            .get(&start.task)
+            .is_some_and(|&finished| start.run <= finished)
+        {
+            refused(report::Refusal::OldRun)
+        } else if start.deadline_ms <= clock {
+            refused(report::Refusal::Expired)
+        } else if present == Some(start.run) {
+            report::OrderOutcome::Accepted(clock)
+        } else {
+            worker.token = token;
+            worker.lease_end = worker.lease_end.max(start.deadline_ms.min(clock + 6_000));
+            self.begin(number, start);
+            report::OrderOutcome::Accepted(clock)
+        };
+        if is_answered {
+            let worker_index = start.target.index;
+            let reply = Message::StartReply(worker_index, start.task, start.run, outcome);
+            self.send_answer(reply);
+        }
+    }
+
+    fn begin(&mut self, number: usize, start: &action::Start) {
+        let task = start.task;
+        let size = start.spec.steps[usize::from(task.step.step)].size;
+        let work =
+            self.work_ms[&(task.step.job, task.step.step)] * 100 / self.workers[number].speed;
+        let fails = self.failing_jobs.contains(&task.step.job);
+        self.check_start(number, task, size);
+        let worker = &mut self.workers[number];
+        let fails = fails || worker.fails_all_tasks;
+        let ends_at = if worker.hangs {
+            u64::MAX
+        } else if fails {
+            self.now + work / 4
+        } else {
+            self.now + work
+        };
+        worker.runs.insert(
+            task,
+            Run {
+                run: start.run,
+                ends_at,
+                size,
+                fails,
+                started_at_ms: self.now,
+                own_work_ms: work,
+                is_waiting_for_gang: false,
+                is_lasting: start.spec.steps[usize::from(task.step.step)].lasting,
+            },
+        );
+        if start.spec.steps[usize::from(task.step.step)].gang && !fails {
+            self.join_gang(
+                task,
+                start.run,
+                start.spec.steps[usize::from(task.step.step)].tasks,
+            );
+        }
+        self.starts.push(ObservedStart {
+            task,
+            run: start.run,
+            worker: number,
+            started_at: self.now,
+            ended_at: None,
+            done: false,
+        });
+    }
+
+    /// Lets the members of a gang wait until all are present. From then on they work, and end
+    /// together with the slowest one.
+    fn join_gang(&mut self, task: spec::TaskId, run: u32, size: u32) {
+        let now = self.now;
+        let work = self.work_ms[&(task.step.job, task.step.step)];
+        let mut members = Vec::new();
+        for (number, worker) in self.workers.iter_mut().enumerate() {
+            for (member, at) in &mut worker.runs {
+                if member.step == task.step && at.run == run {
+                    at.ends_at = now + GANG_TIMEOUT_MS;
+                    at.is_waiting_for_gang = true;
+                    members.push((number, *member));
+                }
+            }
+        }
+        if members.len() < size as usize {
+            return;
+        }
+        let slowest = members
+            .iter()
+            .map(|(number, _)| self.workers[*number].speed)
+            .min();
+        let ends_at = now + work * 100 / slowest.expect("a member");
+        for (number, member) in members {
+            let speed = self.workers[number].speed;
+            let at = self.workers[number]
+                .runs
+                .get_mut(&member)
+                .expect("a member");
+            at.ends_at = ends_at;
+            at.is_waiting_for_gang = false;
+            at.started_at_ms = now;
+            at.own_work_ms = work * 100 / speed;
+        }
+    }
+
+    pub(super) fn clock(&self, number: usize) -> u64 {
+        self.now - self.workers[number].started_at
+    }
+
+    pub(super) fn end(&mut self, number: usize, task: spec::TaskId, end: report::End) {
+        let now = self.now;
+        let worker = &mut self.workers[number];
+        let Some(run) = worker.runs.remove(&task) else {
+            return;
+        };
+        worker.last_end += 1;
+        let finished = worker.finished_runs.entry(task).or_default();
+        *finished = (*finished).max(run.run);
+        worker.ended.push(report::Ended {
+            number: worker.last_end,
+            task,
+            run: run.run,
+            end,
+            checkpoint: None,
+        });
+        let start = self
+            .starts
+            .iter_mut()
+            .find(|one| one.task == task && one.run == run.run && one.worker == number);
+        if let Some(start) = start {
+            start.ended_at = Some(now);
+            start.done = end == report::End::Done;
+        }
+    }
+
+    pub(super) fn advance_workers(&mut self) {
+        for number in 0..self.workers.len() {
+            if self.workers[number].is_down {
+                continue;
+            }
+            let clock = self.clock(number);
+            let worker = &self.workers[number];
+            let lease_expired = !worker.runs.is_empty() && clock >= worker.lease_end;
+            let ended: Vec<(spec::TaskId, report::End)> = worker
+                .runs
+                .iter()
+                .filter_map(|(&task, run)| {
+                    if lease_expired {
+                        Some((task, report::End::Lapsed))
+                    } else if self.now < run.ends_at {
+                        None
+                    } else if run.is_waiting_for_gang {
+                        Some((task, report::End::Alone))
+                    } else if run.fails {
+                        Some((task, report::End::Failed))
+                    } else {
+                        Some((task, report::End::Done))
+                    }
+                })
+                .collect();
+            for (task, end) in ended {
+                let run = self.workers[number].runs.get(&task).map(|run| run.run);
+                self.end(number, task, end);
+                if let Some(run) = run.filter(|_| end != report::End::Done) {
+                    self.break_gang(task, run);
+                }
+            }
+        }
+    }
+
+    /// Ends all members of a gang after one of them has ended.
+    pub(super) fn break_gang(&mut self, task: spec::TaskId, run: u32) {
+        let job = self.scheduler.job_table().job(task.step.job);
+        if !job
+            .and_then(|job| job.step(task.step))
+            .is_some_and(|step| step.gang)
+        {
+            return;
+        }
+        for number in 0..self.workers.len() {
+            let members: Vec<spec::TaskId> = self.workers[number]
+                .runs
+                .iter()
+                .filter(|(member, at)| member.step == task.step && at.run == run)
+                .map(|(&member, _)| member)
+                .collect();
+            for member in members {
+                self.end(number, member, report::End::Broken);
+            }
+        }
+    }
+
+    /// Switches the worker off. It loses all its state.
+    pub(crate) fn crash(&mut self, number: usize) {
+        let worker = &mut self.workers[number];
+        worker.is_down = true;
+        worker.runs.clear();
+        worker.ended.clear();
+        worker.finished_runs.clear();
+        worker.token = 0;
+        worker.lease_end = 0;
+        worker.last_end = 0;
+    }
+
+    /// Restarts the worker with empty state.
+    pub(crate) fn restart(&mut self, number: usize) {
+        self.crash(number);
+        self.power_on(number);
+        self.register(number);
+    }
+
+    /// Switches a worker on again that is off. The store does not list its new process yet.
+    pub(crate) fn power_on(&mut self, number: usize) {
+        self.workers[number].is_down = false;
+        self.workers[number].started_at = self.now;
+    }
+
+    /// Lets one of the runs in progress fail; `choice` selects it.
+    pub(crate) fn fail_run(&mut self, choice: usize) {
+        let now = self.now;
+        let count = self.running().max(1);
+        let runs = self
+            .workers
+            .iter_mut()
+            .flat_map(|worker| worker.runs.values_mut());
+        if let Some(run) = runs.into_iter().nth(choice % count) {
+            run.fails = true;
+            run.ends_at = now;
+        }
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.workers.iter().map(|worker| worker.runs.len()).sum()
+    }
+}
