--- /dev/null
+++ b/crates/daisymast_node/src/leadership/requests.rs
@@ -0,0 +1,119 @@
+//! Requests of callers to the leader.
+
+use std::sync::atomic::Ordering;
+
+use daisymast_jobs::{queue, spec};
+use daisymast_scheduler::{action, scheduler};
+use daisymast_types::{ids, time};
+use smol::Timer;
+
+use crate::clock;
+use crate::constants;
+use crate::context::lock;
+use crate::leadership::Leadership;
+use crate::peers;
+
+impl Leadership {
+    /// Adds a queue that another node has from a later configuration.
+    pub fn add_queue(&self, terms: queue::Queue) {
+        self.update(|scheduler| scheduler.add_queue(terms));
+    }
+
+    /// Accepts a job and waits until it is committed.
+    pub async fn submit(
+        &self,
+        job: spec::JobId,
+        queue: ids::QueueName,
+        spec: spec::JobSpec,
+    ) -> peers::Reply {
+        if self.store_unavailable.load(Ordering::Relaxed) {
+            return peers::Reply::Unavailable;
+        }
+        let now = clock::timestamp();
+        self.await_answer(|scheduler, token| scheduler.submit(token, job, queue, spec, now))
+            .await
+    }
+
+    /// Cancels a job and waits until the cancellation is committed.
+    pub async fn cancel(&self, job: spec::JobId) -> peers::Reply {
+        let now = clock::now();
+        let reply = self
+            .await_answer(|scheduler, token| scheduler.cancel(token, job, now))
+            .await;
+        if matches!(reply, peers::Reply::Served(peers::Served::NoSuchJob)) {
+            return self
+                .reply_when_confirmed(now, peers::Served::NoSuchJob)
+                .await;
+        }
+        reply
+    }
+
+    /// Returns the state of a job.
+    pub async fn state(&self, job: spec::JobId) -> peers::Reply {
+        let state = lock(&self.scheduler).state(job);
+        match state {
+            // A final state never changes, whichever node leads.
+            Some(state) if state.is_final() => peers::Reply::Served(state.into()),
+            Some(state) => self.reply_when_fresh(state.into()).await,
+            None => {
+                self.reply_when_confirmed(clock::now(), peers::Served::NoSuchJob)
+                    .await
+            }
+        }
+    }
+
+    /// Returns the number of jobs of a queue that have not started.
+    pub async fn pending(&self, queue: &ids::QueueName) -> peers::Reply {
+        let count = lock(&self.scheduler).pending(queue);
+        self.reply_when_fresh(peers::Served::Pending(count)).await
+    }
+
+    /// Replies immediately if the term was confirmed recently, and otherwise once it is confirmed.
+    /// A leader that was replaced without knowing it yet would report outdated states.
+    async fn reply_when_fresh(&self, answer: peers::Served) -> peers::Reply {
+        let now = clock::now();
+        if lock(&self.leader_lease).age(now) <= constants::FRESH_COMMIT_AGE {
+            return peers::Reply::Served(answer);
+        }
+        self.reply_when_confirmed(now, answer).await
+    }
+
+    /// Replies once a commit sent after the request has confirmed that this node still leads.
+    async fn reply_when_confirmed(
+        &self,
+        requested_at: time::Monotonic,
+        answer: peers::Served,
+    ) -> peers::Reply {
+        let started = clock::now();
+        while !self.deposed.load(Ordering::Relaxed) {
+            let now = clock::now();
+            if lock(&self.leader_lease).age(now) < now - requested_at {
+                return peers::Reply::Served(answer);
+            }
+            if now - started > constants::FORWARD_TIMEOUT {
+                break;
+            }
+            Timer::after(constants::TICK_INTERVAL).await;
+        }
+        peers::Reply::Unknown
+    }
+
+    async fn await_answer(
+        &self,
+        request: impl FnOnce(&mut scheduler::Scheduler, u64),
+    ) -> peers::Reply {
+        let token = self.last_token.fetch_add(1, Ordering::Relaxed) + 1;
+        let (sender, receiver) = async_channel::bounded(1);
+        lock(&self.pending_answers).insert(token, sender);
+        request(&mut lock(&self.scheduler), token);
+        self.wake_driver();
+        match receiver.recv().await {
+            Ok(action::Answer::Accepted) => peers::Reply::Served(peers::Served::Accepted),
+            Ok(action::Answer::Cancelled) => peers::Reply::Served(peers::Served::Cancelled),
+            Ok(action::Answer::Refused) => peers::Reply::Unavailable,
+            Ok(action::Answer::UnknownQueue) => peers::Reply::UnknownQueue,
+            Ok(action::Answer::NoSuchJob) => peers::Reply::Served(peers::Served::NoSuchJob),
+            Err(_) => peers::Reply::Unknown,
+        }
+    }
+}
