--- a/crates/daisymast_election/src/candidate.rs
+++ b/crates/daisymast_election/src/candidate.rs
@@ -35,6 +35,11 @@
 pub const LOW_CPU_MILLICORES: u32 = 200;
 /// Additional delay of a machine that should let larger ones start first.
 pub const LOW_CPU_DELAY: Duration = Duration::from_millis(1_000);
+/// Additional delay of a machine for each of its terms in a row that ended because it could not
+/// decode the journal. A machine of another release may be able to.
+pub const UNREADABLE_JOURNAL_DELAY: Duration = Duration::from_millis(1_500);
+/// Number of such terms from which on the delay no longer grows.
+const MAX_UNREADABLE_TERMS: u32 = 8;
 const MILLICORES_PER_CORE: u32 = 1_000;
 
 /// Why a node tries to take over.
@@ -131,6 +136,8 @@
     refused_pings: u32,
     /// When a call of this node to the store last failed.
     store_failed_at: Option<time::Monotonic>,
+    /// Number of terms in a row in which this node could not decode the journal.
+    unreadable_terms: u32,
 }
 
 impl Candidate {
@@ -152,6 +159,7 @@
             not_leader: false,
             refused_pings: 0,
             store_failed_at: None,
+            unreadable_terms: 0,
         }
     }
 
@@ -279,6 +287,15 @@
         self.probe_result = Some(result);
     }
 
+    /// Records whether this node, once elected, could decode the journal.
+    pub fn on_journal_read(&mut self, is_readable: bool) {
+        self.unreadable_terms = if is_readable {
+            0
+        } else {
+            (self.unreadable_terms + 1).min(MAX_UNREADABLE_TERMS)
+        };
+    }
+
     /// Sets the live nodes, as this node saw them while it was the scheduler.
     pub fn set_members(&mut self, members: Vec<record::Member>) {
         self.members = members;
@@ -359,7 +376,7 @@
                     .is_none_or(|elected| elected.leader.node.id != other.id)
         });
         let rank = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
-        let mut delay = RANK_DELAY * rank.min(8);
+        let mut delay = RANK_DELAY * rank.min(8) + UNREADABLE_JOURNAL_DELAY * self.unreadable_terms;
         if self.members.is_empty() {
             // The other nodes are not known yet, so only the machine size decides the order.
             delay += MAX_SIZE_DELAY
--- a/crates/daisymast_election/tests/candidacy.rs
+++ b/crates/daisymast_election/tests/candidacy.rs
@@ -242,3 +242,32 @@
         "the next scheduler is tried"
     );
 }
+
+/// Guards against elections that follow each other without a pause when a node cannot decode the
+/// journal of another release: nodes that have not tried yet, or could read it, go first.
+#[test]
+fn a_node_that_cannot_decode_the_journal_lets_others_go_first() {
+    let delay_after = |unreadable_terms: u32| {
+        let mut candidate = follower();
+        (0..unreadable_terms).for_each(|_| candidate.on_journal_read(false));
+        candidate.on_elected(elected(6, true), at(100));
+        candidate.on_inspect(Some(elected(6, true)), 101, at(110));
+        match candidate.next(at(120)) {
+            Step::Campaign { delay, .. } => delay,
+            step => panic!("{step:?}"),
+        }
+    };
+    assert!(delay_after(0) < Duration::from_millis(500));
+    assert!(delay_after(1) > delay_after(0) + Duration::from_millis(1_000));
+    assert!(delay_after(3) > delay_after(1));
+    assert_eq!(delay_after(100), delay_after(1_000));
+    let mut candidate = follower();
+    candidate.on_journal_read(false);
+    candidate.on_journal_read(true);
+    candidate.on_elected(elected(6, true), at(100));
+    candidate.on_inspect(Some(elected(6, true)), 101, at(110));
+    let Step::Campaign { delay, .. } = candidate.next(at(120)) else {
+        panic!("no campaign");
+    };
+    assert_eq!(delay, delay_after(0));
+}
--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -207,14 +207,20 @@
     let leader_lease = Arc::new(Mutex::new(leader_lease));
     let renewal = journal::renew_term(Arc::clone(context), term, Arc::clone(&leader_lease));
     let renewal = context.executor.spawn(renewal);
-    let mut replayed = replay::replay(context, term).await;
-    if replayed.is_some() && !wait_for_lease(context, term, &leader_lease).await {
-        replayed = None;
-    }
+    let former_leases = former_leases::FormerLeases::new(&former, answered, limits::LEADER_LEASE);
+    let replayed = replay::replay(context, term).await;
+    let has_lease = replayed.is_ok() && wait_for_lease(context, term, &leader_lease).await;
     renewal.cancel().await;
-    let Some(replay::ReplayedJournal { job_table, batches }) = replayed else {
-        return;
+    let replay::ReplayedJournal { job_table, batches } = match replayed {
+        Ok(replayed) if has_lease => replayed,
+        Ok(_) | Err(replay::ReplayError::TermEnded) => return,
+        Err(replay::ReplayError::Unreadable) => {
+            context.candidate().on_journal_read(false);
+            journal::resign(context, term, former_leases.remaining(clock::now())).await;
+            return;
+        }
     };
+    context.candidate().on_journal_read(true);
     let config = loop {
         if let Some(config) = context.config() {
             break config;
@@ -225,7 +231,6 @@
         Timer::after(constants::TICK_INTERVAL).await;
     };
     let now = clock::timestamp();
-    let former_leases = former_leases::FormerLeases::new(&former, answered, limits::LEADER_LEASE);
     let worker_leases_end = former_leases.end() + lease::longest(limits::WORKER_LEASE);
     let mut scheduler = scheduler::Scheduler::resume(config, job_table, worker_leases_end, now);
     scheduler.set_max_lease(Duration::from_millis(context.settings.max_lease_ms));
@@ -269,7 +274,8 @@
             .set_members(leadership.members(clock::now()));
         journal::wait_for_open_commit(&leadership).await;
         committer.cancel().await;
-        journal::resign(context, &leadership).await;
+        let former_lease = lock(&leadership.former_leases).remaining(clock::now());
+        journal::resign(context, term, former_lease).await;
     } else {
         drop(committer);
     }
--- a/crates/daisymast_node/src/leadership/journal.rs
+++ b/crates/daisymast_node/src/leadership/journal.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use daisymast_adapter::{keys, store};
 use daisymast_election::{leader_lease, record as election_record};
@@ -227,10 +228,9 @@
     }
 }
 
-/// Marks the leader key as resigned, so that another node takes over immediately.
-pub(super) async fn resign(context: &context::Context, leadership: &leadership::Leadership) {
-    let term = leadership.term;
-    let former_lease = lock(&leadership.former_leases).remaining(clock::now());
+/// Marks the leader key as resigned, so that another node takes over immediately. Leaders of earlier
+/// terms may act for up to `former_lease`.
+pub(super) async fn resign(context: &context::Context, term: u64, former_lease: Duration) {
     let leader = context.leader(true, former_lease);
     let Ok(value) = serde_json::to_vec(&leader) else {
         return;
--- a/crates/daisymast_node/src/leadership/replay.rs
+++ b/crates/daisymast_node/src/leadership/replay.rs
@@ -14,9 +14,20 @@
     pub(super) batches: batch_index::BatchIndex,
 }
 
+/// Why a term ends before the journal was replayed.
+pub(super) enum ReplayError {
+    /// The process is shutting down, or another node was elected.
+    TermEnded,
+    /// A batch cannot be decoded. Leading without its records would lose jobs or run tasks twice.
+    Unreadable,
+}
+
 /// Reads and replays the journal. This term's write of the leader key precedes the read, so no
 /// earlier leader can append to the journal any more.
-pub(super) async fn replay(context: &context::Context, term: u64) -> Option<ReplayedJournal> {
+pub(super) async fn replay(
+    context: &context::Context,
+    term: u64,
+) -> Result<ReplayedJournal, ReplayError> {
     let started = clock::now();
     let mut replayed = ReplayedJournal {
         job_table: job_table::JobTable::default(),
@@ -26,7 +37,7 @@
     let mut bytes = 0;
     loop {
         if context.is_draining() || is_replaced(context, term) {
-            return None;
+            return Err(ReplayError::TermEnded);
         }
         let page = context
             .store
@@ -42,7 +53,7 @@
         };
         for item in &page.items {
             bytes += item.value.len();
-            replayed.apply(item);
+            replayed.apply(item)?;
         }
         if let Some(last) = page.last_key {
             after = last;
@@ -50,33 +61,33 @@
         if !page.has_more {
             let took = (clock::now() - started).as_millis();
             log::info!("journal of {bytes} bytes was read in {took} ms");
-            return Some(replayed);
+            return Ok(replayed);
         }
     }
 }
 
 impl ReplayedJournal {
-    fn apply(&mut self, item: &store::Item) {
+    fn apply(&mut self, item: &store::Item) -> Result<(), ReplayError> {
         let number = item.key.strip_prefix(keys::JOURNAL).map(str::parse::<u64>);
         let Some(Ok(number)) = number else {
             log::error!("ignoring journal key without a batch number: {}", item.key);
-            return;
-        };
-        let batch = match record::decode(&item.value) {
-            Ok(batch) => batch,
-            Err(error) => {
-                log::error!(
-                    "failed to decode batch {}, ignoring its records: {error}",
-                    item.key
-                );
-                Vec::new()
-            }
+            return Ok(());
         };
+        let batch = record::decode(&item.value).map_err(|error| {
+            log::error!(
+                "failed to decode journal batch {} of {} bytes with release {}: {error}",
+                item.key,
+                item.value.len(),
+                env!("CARGO_PKG_VERSION")
+            );
+            ReplayError::Unreadable
+        })?;
         let kind = batch_index::BatchKind::of(&batch);
         self.batches.on_replayed(number, item.value.len(), kind);
         for record in batch {
             self.job_table.apply(record);
         }
+        Ok(())
     }
 }
 
--- a/crates/daisymast_soak/tests/odd_entries.rs
+++ b/crates/daisymast_soak/tests/odd_entries.rs
@@ -1,15 +1,13 @@
 //! Entries that another program has left among those of the workers, with real node processes.
 
-use std::time::Duration;
+mod common;
 
-use daisymast_cluster::{process, programs, wait};
+use common::run_job;
+use daisymast_cluster::{process, programs};
 use daisymast_http::executor;
-use daisymast_soak::{cell, plan};
+use daisymast_soak::cell;
 use daisymast_stand_in::store;
 
-/// Time limit for a job to complete after the scheduler was killed. The platform's bound for recovery
-/// is 12 s.
-const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 /// Number of odd entries: more than fit on a page of the list, so that a page ends with an odd key.
 const ODD_ENTRIES: usize = 520;
 /// Maximum number of lines that a process logs about odd entries, each of which it names once.
@@ -82,23 +80,3 @@
         }
     });
 }
-
-/// Submits a job and waits until it is completed.
-async fn run_job(cell: &cell::Cell, id: u64) {
-    let job = plan::Job {
-        id: daisymast_jobs::spec::JobId(id),
-        ..plan::Job::probe()
-    };
-    let queue = job.queue;
-    let id = job.id;
-    cell.clients.run(job).await;
-    wait::until(
-        RECOVERY_TIMEOUT,
-        &format!("job {id} is completed"),
-        async || {
-            cell.clients.query_state(id, queue).await;
-            (!cell.clients.unfinished_jobs().contains(&id)).then_some(())
-        },
-    )
-    .await;
-}
