Keep no failures of jobs that have ended

A run that failed after its job had ended added the job to the failing jobs again, where nothing removed it. Failures of ended jobs are no longer counted. Found when the change was read; scheduler tests pass.

--- a/crates/daisymast_scheduler/src/scheduler/run_ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/run_ends.rs
@@ -153,13 +153,14 @@
         run: u32,
         now: time::Monotonic,
     ) {
+        let job = self.job_table.job(task.step.job);
+        if job.is_none_or(|job| job.state().is_final()) {
+            return;
+        }
         self.count_failed_run(worker_index, task.step.job, now);
         let Some(job) = self.job_table.job_mut(task.step.job) else {
             return;
         };
-        if job.state().is_final() {
-            return;
-        }
         let Some(step) = job.step(task.step) else {
             return;
         };
