Show that leaders get stuck on a checkpoint that the store refuses

After eight large jobs the last part of a checkpoint is larger than a value may be. Each leader repeats the refused commit until it is replaced, and the task of a lost worker never runs again.

--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -164,6 +164,7 @@
         self.answer_s = STORE_ANSWER_S
         self.deaf_until = 0.0
         self.refused_large = 0
+        self.leaders = 0
         self.server = Server(self.serve)
 
     async def open(self):
@@ -176,6 +177,8 @@
 
     def put(self, key, value):
         self.revision += 1
+        if key == "daisymast/leader":
+            self.leaders += 1
         old = self.items.get(key)
         created = old["created"] if old else self.revision
         item = {"key": key, "value": base64.b64encode(value).decode(), "revision": self.revision,
