--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -52,9 +52,11 @@
         self.file.flush()
 
 
-def free_port():
+def free_port(host):
+    """A free port of a loopback address. Only the nodes of this cell listen on it, and outgoing
+    connections use another address, so nothing takes the port before the node does."""
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
@@ -124,11 +126,11 @@
             task.cancel()
 
 
-async def call(port, method, path, body=None, headers=(), timeout=3.0):
+async def call(host, port, method, path, body=None, headers=(), timeout=3.0):
     """One HTTP call on a connection of its own. Returns (status, body), or None without an answer."""
 
     async def exchange():
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection(host, port)
         try:
             data = b"" if body is None else json.dumps(body).encode()
             head = "%s %s HTTP/1.1\r\nContent-Length: %d\r\n" % (method, path, len(data))
@@ -486,7 +488,7 @@
 role = "node"
 machine_class = "edge"
 serves = ["edge","control_plane"]
-ip = "127.0.0.1"
+ip = "{host}"
 zone = "{zone}"
 region = "tx-central"
 port_range = [{front},{front}]
@@ -503,9 +505,9 @@
 tx-waco = "tx-central"
 tx-temple = "tx-central"
 [listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-control = "127.0.0.1:{control}"
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+control = "{host}:{control}"
 [limits]
 cpu_share = 0.25
 cores = 1
@@ -567,14 +569,16 @@
         self.cell = cell
         self.name = name
         self.zone = zone
-        self.front, self.ready, self.control = free_port(), free_port(), free_port()
+        self.host = "127.%d.%d.%d" % (cell.network + (len(cell.hosts) + 1,))
+        cell.hosts.append(self.host)
+        self.front, self.ready, self.control = (free_port(self.host) for _ in range(3))
         self.process = None
 
     def start(self):
-        seeds = ",".join('"127.0.0.1:%d"' % node.control for node in self.cell.nodes[:3])
+        seeds = ",".join('"%s:%d"' % (node.host, node.control) for node in self.cell.nodes[:3])
         path = os.path.join(self.cell.folder, self.name + ".toml")
         with open(path, "w") as file:
-            file.write(SETTINGS.format(name=self.name, zone=self.zone, front=self.front,
+            file.write(SETTINGS.format(name=self.name, zone=self.zone, host=self.host, front=self.front,
                                        ready=self.ready, control=self.control, seeds=seeds,
                                        store=self.cell.store.port))
         log = open(os.path.join(self.cell.folder, self.name + ".log"), "a")
@@ -601,6 +605,8 @@
 
     def __init__(self, record):
         self.record = record
+        self.network = (random.randint(64, 254), random.randint(1, 254))
+        self.hosts = []
         self.folder = tempfile.mkdtemp(prefix="daisymast-review-")
         self.store = None
         self.nodes = []
@@ -640,7 +646,7 @@
     async def wait_until_ready(self):
         until = time.monotonic() + 10
         while time.monotonic() < until:
-            answers = [await call(node.ready, "GET", "/v1/ready", timeout=1) for node in self.nodes]
+            answers = [await call(node.host, node.ready, "GET", "/v1/ready", timeout=1) for node in self.nodes]
             if all(answer and answer[0] == 200 for answer in answers):
                 self.record("all nodes are ready")
                 return
@@ -695,7 +701,7 @@
     async def request(self, node, method, queue, job, body=None):
         path = "/%s/%s" % (queue, job)
         self.record("sent", method, path, "to", node.name)
-        answer = await call(node.front, method, path, body, [("Host", HOST), ("Deadline-Ms", "3000")])
+        answer = await call(node.host, node.front, method, path, body, [("Host", HOST), ("Deadline-Ms", "3000")])
         self.record("answered", method, path, "by", node.name, answer[0] if answer else "nothing",
                     answer[1][:60].decode("latin-1") if answer and method == "GET" else "")
         return answer
