Wait for the longest lease that workers accept after a change of the leader

The worker's clock is 2% slow, the worker had been idle for 55 s, the leader resigns and the worker is cut off.

Cause: a deadline is a time on the worker's clock, reckoned from its last reading. Idle workers were not polled, so the reading was old and the lease of 5 s lasted for 6.1 s; a process that has started again under the same ID also holds the longest lease. The leader that sent the order counts with that, but its successor took the lease that leaders ask for as the longest that workers hold (5.2 s).

Change: a new leader waits for the longest lease that workers accept and 0.4 s for the delivery of the last order. Scheduler::resume takes both times, in place of an end that its caller computed. Idle workers are polled every 20 s, which bounds the error of a reading: otherwise a start that is carried out late on a worker that was idle for minutes outlasts that wait too.

Ruled out: deadlines that allow for a slow clock instead. They do not help after a restart, and reach into the past after four minutes.

--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -231,9 +231,9 @@
         Timer::after(constants::TICK_INTERVAL).await;
     };
     let now = clock::timestamp();
-    let worker_leases_end = former_leases.end() + lease::longest(limits::WORKER_LEASE);
-    let mut scheduler = scheduler::Scheduler::resume(config, job_table, worker_leases_end, now);
-    scheduler.set_max_lease(Duration::from_millis(context.settings.max_lease_ms));
+    let max_lease = Duration::from_millis(context.settings.max_lease_ms);
+    let orders_end = former_leases.end();
+    let scheduler = scheduler::Scheduler::resume(config, job_table, orders_end, max_lease, now);
     let leadership = Arc::new(Leadership::new(
         term,
         scheduler,
--- a/crates/daisymast_scheduler/examples/fleet_model/mod.rs
+++ b/crates/daisymast_scheduler/examples/fleet_model/mod.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use daisymast_jobs::{job, job_table, spec};
 use daisymast_scheduler::{action, config, report, scheduler, worker};
@@ -18,6 +19,8 @@
 
 /// Start of the virtual clock, in milliseconds.
 const START_MS: u64 = 100_000;
+/// Longest lease that a worker accepts.
+const MAX_LEASE: Duration = Duration::from_secs(6);
 /// Time in which jobs arrive, in milliseconds.
 const ARRIVALS_MS: u64 = 36_000;
 /// Time after the last arrival, in milliseconds.
@@ -108,6 +111,7 @@
             config,
             job_table::JobTable::default(),
             mono(START_MS),
+            MAX_LEASE,
             timestamp(START_MS),
         );
         let nodes: Vec<_> = (0..NODES)
--- a/crates/daisymast_scheduler/examples/load.rs
+++ b/crates/daisymast_scheduler/examples/load.rs
@@ -16,6 +16,8 @@
 
 /// Start of the virtual clock, in milliseconds.
 const START_MS: u64 = 100_000;
+/// Longest lease that a worker accepts.
+const MAX_LEASE: Duration = Duration::from_secs(6);
 /// Duration of the simulation, in milliseconds.
 const RUN_MS: u64 = 20_000;
 /// Duration of a call to a worker, in milliseconds.
@@ -138,6 +140,7 @@
             config,
             job_table::JobTable::default(),
             mono(now),
+            MAX_LEASE,
             timestamp(now),
         );
         let nodes: Vec<_> = (0..NODES)
--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -14,10 +14,15 @@
 /// so one may be overtaken by others within this time. The calls of orders and polls end earlier,
 /// also when other nodes make them.
 pub const MAX_ANSWER_AGE: Duration = Duration::from_millis(2_000);
+/// Longest time from the decision to send an order until it reaches its worker. An order that takes
+/// longer was given up by its sender.
+pub const MAX_DELIVERY_TIME: Duration = Duration::from_millis(400);
+/// Maximum age of the reading of an idle worker's clock. After that the worker is polled: the
+/// reading of a clock that runs 2% slow is 0.4 s off by then, and an order with a deadline that is
+/// reckoned from it gives a lease longer by as much.
+pub const MAX_CLOCK_AGE: Duration = Duration::from_millis(20_000);
 /// Shortest time in which a worker can end and start again.
 pub const MIN_RESTART_TIME: Duration = Duration::from_millis(150);
-/// Longest lease that a worker accepts, where the settings name none.
-pub const DEFAULT_MAX_LEASE: Duration = Duration::from_millis(6_000);
 /// Minimum time between two polls of a worker, to limit the cost of polling.
 pub const MIN_POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// Time between two polls of a worker while ended runs that it reported are not stored yet. These
--- a/crates/daisymast_scheduler/src/lease.rs
+++ b/crates/daisymast_scheduler/src/lease.rs
@@ -53,6 +53,23 @@
     Duration::from_millis(local_ms) + constants::WORKER_LEASE_MARGIN * 2
 }
 
+/// Returns how long after the last order of a scheduler the worker that it was sent to may hold a
+/// lease, if workers accept leases of up to `max_lease`.
+///
+/// The deadline of the order is a time on the clock of the process that the scheduler knew. For a
+/// process that has started under the same ID since, it is far in the future, so that this process
+/// holds the longest lease that it accepts.
+///
+/// ```
+/// use std::time::Duration;
+/// use daisymast_scheduler::lease;
+/// let max_lease = Duration::from_secs(6);
+/// assert!(lease::longest_granted(max_lease) > lease::longest(max_lease));
+/// ```
+pub fn longest_granted(max_lease: Duration) -> Duration {
+    longest(max_lease.max(constants::WORKER_LEASE)) + constants::MAX_DELIVERY_TIME
+}
+
 /// Converts a duration to whole milliseconds, saturating at `u64::MAX`.
 pub fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -125,11 +125,6 @@
         }
     }
 
-    /// Sets the longest lease that a worker accepts. It shortens longer ones.
-    pub fn set_max_lease(&mut self, max_lease: Duration) {
-        self.max_lease = max_lease;
-    }
-
     /// Sets the live nodes, which can send requests to the advice service.
     pub fn set_advice_nodes(&mut self, alive: &[ids::InstanceId]) {
         self.advice_nodes.set(alive);
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -352,8 +352,8 @@
     }
 }
 
-/// Whether a worker needs a poll: its runs are unknown, it has active runs, it was suspected, or it
-/// has to be told which ended runs are stored. While ended runs are not stored yet, each poll would
+/// Whether a worker needs a poll: its runs are unknown, it has active runs, it was suspected, the
+/// reading of its clock is old, or it has to be told which ended runs are stored. While ended runs are not stored yet, each poll would
 /// return at once with the same ones, so polls are limited to the rate that keeps the lease.
 fn needs_poll(worker: &worker::Worker, now: time::Monotonic) -> bool {
     if !worker.registered && worker.runs.is_empty() {
@@ -371,6 +371,7 @@
         || active
         || worker.acked_end < worker.stored_end
         || worker.missed_replies > 0
+        || worker.has_old_clock(now)
 }
 
 /// Whether this is the first poll of a worker in this term. A worker that did not answer does not
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -1,6 +1,7 @@
 //! Start of a term: jobs from the journal and runs that the former scheduler placed.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use daisymast_jobs::job;
 use daisymast_jobs::job_table;
@@ -12,10 +13,10 @@
 use super::Scheduler;
 use crate::advice_nodes;
 use crate::config;
-use crate::constants;
 use crate::failing_jobs;
 use crate::fleet;
 use crate::journal;
+use crate::lease;
 use crate::steps;
 use crate::worker;
 
@@ -29,19 +30,22 @@
 }
 
 impl Scheduler {
-    /// Starts a term with the jobs of the journal. Runs that the former scheduler placed count as
-    /// running until the worker reports, or until `former_lease_end`, when all leases that the
-    /// former scheduler may have given have expired.
+    /// Starts a term with the jobs of the journal. Runs that a former scheduler placed count as
+    /// running until the worker reports, or until all leases have expired that former schedulers may
+    /// have given: they send no orders after `orders_end`, and workers accept leases of up to
+    /// `max_lease`.
     pub fn resume(
         config: Arc<config::Configuration>,
         mut job_table: job_table::JobTable,
-        former_lease_end: time::Monotonic,
+        orders_end: time::Monotonic,
+        max_lease: Duration,
         now: time::Timestamp,
     ) -> Self {
+        let former_lease_end = orders_end + lease::longest_granted(max_lease);
         job_table.mark_all_committed();
         let mut scheduler = Self {
             config,
-            max_lease: constants::DEFAULT_MAX_LEASE,
+            max_lease,
             job_table,
             fleet: fleet::Fleet::default(),
             journal: journal::Journal::default(),
--- a/crates/daisymast_scheduler/src/scheduler/workers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -60,10 +60,10 @@
     }
 
     /// Handles the news that the former scheduler certainly sends no orders any more, and that no
-    /// earlier one does after `orders_end`. The leases that they gave end no later than one worker
-    /// lease after that.
+    /// earlier one does after `orders_end`. The leases that they gave end no later than the longest
+    /// one after that.
     pub fn on_former_scheduler_stopped(&mut self, orders_end: time::Monotonic) {
-        let end = orders_end + lease::longest(constants::WORKER_LEASE);
+        let end = orders_end + lease::longest_granted(self.max_lease);
         for worker in self.fleet.iter_mut() {
             // Polls of this term may have given longer leases since.
             if worker.incarnation == 0 && worker.clock.is_none() {
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -268,6 +268,12 @@
             || now - clock.received_at > constants::MAX_ANSWER_AGE
     }
 
+    /// Whether the last reading of the worker's clock is too old to reckon deadlines from it.
+    pub fn has_old_clock(&self, now: time::Monotonic) -> bool {
+        self.clock
+            .is_some_and(|clock| now - clock.received_at >= constants::MAX_CLOCK_AGE)
+    }
+
     /// Whether the worker has answered recently.
     fn has_answered_recently(&self, now: time::Monotonic) -> bool {
         self.missed_replies == 0
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -28,6 +28,10 @@
 const CHECKPOINT_BATCHES: u64 = 7;
 /// How long a gang member waits for the others, in milliseconds.
 const GANG_TIMEOUT_MS: u64 = 3_000;
+/// Longest lease that a worker accepts.
+const MAX_LEASE: Duration = Duration::from_secs(6);
+/// How long a scheduler that was replaced may still act.
+const LEADER_LEASE: Duration = Duration::from_secs(7);
 /// Step of the virtual clock, in milliseconds.
 const CLOCK_STEP_MS: u64 = 5;
 
@@ -76,6 +80,8 @@
     pub(crate) hangs: bool,
     /// Speed in percent.
     pub(crate) speed: u64,
+    /// Rate of the clock in percent.
+    pub(crate) clock_rate: u64,
     pub(crate) draining: bool,
 }
 
@@ -209,6 +215,11 @@
 impl Rig {
     /// Creates a scheduler and workers of 32 cores in three zones.
     pub(crate) fn new(count: usize) -> Self {
+        Self::with_clock_rate(count, 100)
+    }
+
+    /// Creates the same with workers' clocks that run at a rate in percent.
+    pub(crate) fn with_clock_rate(count: usize, clock_rate: u64) -> Self {
         let zones = ["a", "b", "c"];
         let workers: Vec<Worker> = (0..count)
             .map(|number| Worker {
@@ -227,6 +238,7 @@
                 fails_all_tasks: false,
                 hangs: false,
                 speed: 100,
+                clock_rate,
                 draining: false,
             })
             .collect();
@@ -242,6 +254,7 @@
                 config(),
                 job_table::JobTable::default(),
                 time::Monotonic::from_millis(now),
+                MAX_LEASE,
                 timestamp(now),
             ),
             token: 1,
@@ -314,9 +327,18 @@
         self.scheduler.state(spec::JobId(id))
     }
 
-    /// Replaces the scheduler by a new one that starts from the stored records. Orders of the
-    /// former one still arrive.
+    /// Replaces a scheduler that may still act. Its orders still arrive.
     pub(crate) fn take_over(&mut self) {
+        self.replace_scheduler(mono(self.now) + LEADER_LEASE);
+    }
+
+    /// Replaces a scheduler that has resigned. Its orders still arrive.
+    pub(crate) fn take_over_after_resignation(&mut self) {
+        self.replace_scheduler(mono(self.now));
+    }
+
+    /// Replaces the scheduler by a new one that starts from the stored records.
+    fn replace_scheduler(&mut self, orders_end: time::Monotonic) {
         let mut job_table = job_table::JobTable::default();
         for record in self.journal.clone() {
             job_table.apply(record);
@@ -333,7 +355,8 @@
         self.scheduler = scheduler::Scheduler::resume(
             config(),
             job_table,
-            mono(self.now + 13_000),
+            orders_end,
+            MAX_LEASE,
             timestamp(self.now),
         );
         self.register_all();
--- a/crates/daisymast_scheduler/tests/common/workers.rs
+++ b/crates/daisymast_scheduler/tests/common/workers.rs
@@ -86,7 +86,9 @@
 
     pub(super) fn handle_start(&mut self, token: u64, start: &action::Start, is_answered: bool) {
         let number = self.number(start.target.id.as_str());
-        if self.is_unreachable(number) {
+        // An order that is carried out late has reached its worker before.
+        let is_cut_off = is_answered && self.workers[number].is_disconnected;
+        if is_cut_off || self.workers[number].is_down {
             return;
         }
         let clock = self.clock(number);
@@ -201,7 +203,8 @@
     }
 
     pub(super) fn clock(&self, number: usize) -> u64 {
-        self.now - self.workers[number].started_at
+        let worker = &self.workers[number];
+        (self.now - worker.started_at) * worker.clock_rate / 100
     }
 
     pub(super) fn end(&mut self, number: usize, task: spec::TaskId, end: report::End) {
