Keep failing services from taking every place on workers on probation

Three services whose tasks fail 0.3 s after each start had run for 9 s.

Cause: three failures put a worker on probation until a task is done there, with one step at a time and 2.5 s without tasks after each further failure. A job that fails on several workers still counted once against each, so three such services kept all workers there. Their tasks start again for ever and go first as restarts: they took each place, failed and excluded the worker again.

Change: a service that fails on several workers while none of its tasks is at work does not count against them. On probation, a failure of a service excludes that service from the worker, not all work, and a run that repeats a known failure takes no place from others. A service with a task at work is not the cause, so bad workers are still found where only services run.

Evidence: probation.rs, 1 to 6 workers, 1 to 8 services of 1 to 12 tasks: the job starts within 3 s and each failing task again within 6 s; a second service on one worker. Both failed before.

--- a/crates/daisymast_scheduler/src/failing_jobs.rs
+++ b/crates/daisymast_scheduler/src/failing_jobs.rs
@@ -41,7 +41,8 @@
         (workers.len() >= MIN_WORKERS).then_some(workers)
     }
 
-    /// Forgets the failures of a job: one of its tasks has completed, or the job has ended.
+    /// Forgets the failures of a job: one of its tasks has completed or is at work, or the job has
+    /// ended.
     pub fn remove(&mut self, job: spec::JobId) {
         self.workers.remove(&job);
     }
--- a/crates/daisymast_scheduler/src/health.rs
+++ b/crates/daisymast_scheduler/src/health.rs
@@ -9,9 +9,8 @@
 /// Failures of a worker.
 #[derive(Clone, Debug)]
 pub struct Health {
-    /// Number of consecutive failures by the job whose run failed; `None` for those that belong to
-    /// no job.
-    failures: collections::FastMap<Option<spec::JobId>, u32>,
+    /// Consecutive failures by the job whose run failed; `None` for those that belong to no job.
+    failures: collections::FastMap<Option<spec::JobId>, JobFailures>,
     last_failure: time::Monotonic,
     /// End of the quarantine that follows from the failures.
     quarantined_until: time::Monotonic,
@@ -21,6 +20,14 @@
     stalls: collections::FastMap<spec::StepId, time::Monotonic>,
 }
 
+/// Failures of the runs of a job on a worker.
+#[derive(Clone, Copy, Debug, Default)]
+struct JobFailures {
+    count: u32,
+    /// Until when no task of the job is placed on the worker.
+    excluded_until: time::Monotonic,
+}
+
 impl Default for Health {
     fn default() -> Self {
         Self {
@@ -49,7 +56,7 @@
     /// assert!(!health.is_on_probation());
     /// ```
     pub fn on_failure(&mut self, job: Option<spec::JobId>, now: time::Monotonic) -> Option<u32> {
-        *self.failures.entry(job).or_default() += 1;
+        self.failures.entry(job).or_default().count += 1;
         self.last_failure = now;
         if !self.is_on_probation() {
             return None;
@@ -58,6 +65,48 @@
         Some(self.total())
     }
 
+    /// Counts a failed run of a job's long-running step, which starts again however often it fails.
+    /// On probation, it excludes the job, and not other work, for a while: several such jobs would
+    /// otherwise keep everything else from the worker.
+    ///
+    /// ```
+    /// use daisymast_jobs::spec;
+    /// use daisymast_scheduler::health;
+    /// use daisymast_types::time;
+    /// let (service, other) = (spec::JobId(1), spec::JobId(2));
+    /// let mut health = health::Health::default();
+    /// let start = time::Monotonic::from_millis(1_000);
+    /// for _ in 0..3 {
+    ///     health.on_lasting_failure(service, start);
+    /// }
+    /// assert!(health.is_quarantined(start) && health.has_failed(service));
+    /// let later = time::Monotonic::from_millis(9_000);
+    /// assert_eq!(health.on_lasting_failure(service, later), None);
+    /// assert!(health.is_excluded(service, later) && !health.is_quarantined(later));
+    /// assert!(!health.is_excluded(other, later));
+    /// ```
+    pub fn on_lasting_failure(&mut self, job: spec::JobId, now: time::Monotonic) -> Option<u32> {
+        if !self.is_on_probation() {
+            return self.on_failure(Some(job), now);
+        }
+        let failures = self.failures.entry(Some(job)).or_default();
+        failures.count += 1;
+        failures.excluded_until = now + constants::QUARANTINE_DURATION;
+        self.last_failure = now;
+        None
+    }
+
+    /// Whether a run of the job has failed on the worker since it was last known to be sound.
+    pub fn has_failed(&self, job: spec::JobId) -> bool {
+        self.failures.contains_key(&Some(job))
+    }
+
+    /// Whether no task of the job's long-running steps may be placed on the worker at present.
+    pub fn is_excluded(&self, job: spec::JobId, now: time::Monotonic) -> bool {
+        let failures = self.failures.get(&Some(job));
+        failures.is_some_and(|failures| now < failures.excluded_until)
+    }
+
     /// Counts all failures of a job that fails on other workers as well as one. Those of several
     /// such jobs still speak against the worker.
     ///
@@ -77,10 +126,28 @@
     /// ```
     pub fn count_once(&mut self, job: spec::JobId) {
         if let Some(failures) = self.failures.get_mut(&Some(job)) {
-            *failures = 1;
+            failures.count = 1;
         }
     }
 
+    /// Forgets the failures of a job that is their cause.
+    ///
+    /// ```
+    /// use daisymast_jobs::spec;
+    /// use daisymast_scheduler::health;
+    /// use daisymast_types::time;
+    /// let job = spec::JobId(1);
+    /// let mut health = health::Health::default();
+    /// for _ in 0..3 {
+    ///     health.on_failure(Some(job), time::Monotonic::from_millis(1_000));
+    /// }
+    /// health.forgive(job);
+    /// assert!(!health.is_on_probation());
+    /// ```
+    pub fn forgive(&mut self, job: spec::JobId) {
+        self.failures.remove(&Some(job));
+    }
+
     /// Excludes the worker for a while, because runs of a step stood still.
     pub fn on_stall(&mut self, step: spec::StepId, now: time::Monotonic) {
         self.stalls.retain(|_, end| now < *end);
@@ -131,7 +198,7 @@
     }
 
     fn total(&self) -> u32 {
-        self.failures.values().sum()
+        self.failures.values().map(|failures| failures.count).sum()
     }
 
     /// Whether a run that was placed at `placed_at` and works shows that the worker is sound: it was
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -173,12 +173,16 @@
         };
         let waiting = step.waiting.len();
         step.was_placed |= waiting == 0;
+        let is_lasting = step.step_spec().lasting;
+        let fails_everywhere = self.failing_jobs.workers(id.job).is_some();
         let mut placements = Vec::with_capacity(worker_indexes.len());
         for (&task_index, &worker_index) in task_indexes.iter().zip(&worker_indexes) {
             let ticket = step.ticket(worker_index, now);
             *step.placed.entry(worker_index).or_default() += 1;
-            pass.snapshot.take(worker_index, size);
             let worker = self.fleet.at_mut(worker_index);
+            let repeats_failure =
+                is_lasting && (fails_everywhere || worker.health.has_failed(id.job));
+            pass.snapshot.take(worker_index, size, repeats_failure);
             placements.push((task_index, worker.id.clone()));
             worker.insert(
                 id.task(task_index),
@@ -192,6 +196,7 @@
                     ticket,
                     percent: 0,
                     last_progress: now,
+                    repeats_failure,
                 },
             );
         }
--- a/crates/daisymast_scheduler/src/scheduler/placement.rs
+++ b/crates/daisymast_scheduler/src/scheduler/placement.rs
@@ -68,14 +68,21 @@
     index: availability::AvailabilityIndex,
     /// Whether the fleet is so full that capacity is kept free for urgent steps.
     pub(super) high_utilisation: bool,
+    taken_at: time::Monotonic,
 }
 
 impl FleetSnapshot {
-    /// Subtracts the resources of a placed task from a worker.
-    pub(super) fn take(&mut self, worker_index: usize, size: quantities::Resources) {
+    /// Subtracts the resources of a placed task from a worker. A run that repeats a failure leaves
+    /// the place of a worker on probation to other tasks.
+    pub(super) fn take(
+        &mut self,
+        worker_index: usize,
+        size: quantities::Resources,
+        repeats_failure: bool,
+    ) {
         let position = self.positions.get(worker_index).copied().flatten();
         if let Some(row) = position.and_then(|position| self.rows.get_mut(position as usize)) {
-            row.available = if row.on_probation {
+            row.available = if row.on_probation && !repeats_failure {
                 quantities::Resources::ZERO
             } else {
                 row.available.saturating_sub(size)
@@ -177,6 +184,7 @@
             urgent_index,
             index,
             high_utilisation,
+            taken_at: now,
         }
     }
 
@@ -230,7 +238,10 @@
             })
             .filter_map(|(row, available, fits)| {
                 let worker = self.fleet.at(row.worker_index);
-                if !may_run(worker, step) || step.is_denied(row.worker_index) {
+                if !may_run(worker, step)
+                    || step.is_denied(row.worker_index)
+                    || is_excluded(worker, step, snapshot.taken_at)
+                {
                     return None;
                 }
                 let fits = fits.min(remaining_spread(step, row.worker_index));
@@ -276,6 +287,11 @@
     registration.service == step.service && has_label
 }
 
+/// Whether the step is long-running and its job has failed on the worker just now.
+fn is_excluded(worker: &worker::Worker, step: &steps::ReadyStep, now: time::Monotonic) -> bool {
+    step.step_spec().lasting && worker.health.is_excluded(step.id.job, now)
+}
+
 fn is_on_preferred_rack(worker: &worker::Worker, step: &steps::ReadyStep) -> bool {
     let rack = worker
         .registration
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -334,6 +334,7 @@
                 ticket: None,
                 percent: running.percent,
                 last_progress: now,
+                repeats_failure: false,
             };
             let worker = self.fleet.at_mut(worker_index);
             worker.insert(running.task, stray);
--- a/crates/daisymast_scheduler/src/scheduler/run_ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/run_ends.rs
@@ -157,7 +157,7 @@
         if job.is_none_or(|job| job.state().is_final()) {
             return;
         }
-        self.count_failed_run(worker_index, task.step.job, now);
+        self.count_failed_run(worker_index, task.step, now);
         let Some(job) = self.job_table.job_mut(task.step.job) else {
             return;
         };
@@ -193,19 +193,48 @@
         self.stop_job(id, now);
     }
 
-    /// Counts a failed run. A job that fails everywhere does not speak against the workers that ran
-    /// it.
-    fn count_failed_run(&mut self, worker_index: usize, job: spec::JobId, now: time::Monotonic) {
+    /// Counts a failed run. A job that fails on several workers does not speak against each as often
+    /// as it fails there. Several such jobs do, as bad workers fail whatever they run, but not services
+    /// of which nothing is at work: they start again forever, and three of them would keep all workers
+    /// on probation.
+    fn count_failed_run(&mut self, worker_index: usize, step: spec::StepId, now: time::Monotonic) {
+        let job = step.job;
+        let is_lasting = self
+            .steps
+            .get(&step)
+            .is_some_and(|step| step.step_spec().lasting);
+        let is_at_work = is_lasting && self.is_at_work(step);
         self.failing_jobs.on_failed(job, worker_index);
-        let Some(workers) = self.failing_jobs.workers(job) else {
-            self.count_worker_failure(worker_index, Some(job), now);
+        let failed_on = self.failing_jobs.workers(job).unwrap_or_default();
+        if is_lasting && !is_at_work && !failed_on.is_empty() {
+            for &failed_on in failed_on {
+                self.fleet.at_mut(failed_on).health.forgive(job);
+            }
             return;
-        };
+        }
         let health = &mut self.fleet.at_mut(worker_index).health;
-        health.on_failure(Some(job), now);
-        for &failed_on in workers {
+        let strikes = if is_lasting {
+            health.on_lasting_failure(job, now)
+        } else {
+            health.on_failure(Some(job), now)
+        };
+        for &failed_on in failed_on {
             self.fleet.at_mut(failed_on).health.count_once(job);
         }
+        if failed_on.is_empty() {
+            self.log_quarantine(worker_index, strikes);
+        }
+    }
+
+    /// Whether a task of a long-running step is at work.
+    fn is_at_work(&self, step: spec::StepId) -> bool {
+        let Some(placed) = self.steps.get(&step).map(|step| &step.placed) else {
+            return false;
+        };
+        placed.keys().any(|&worker_index| {
+            let mut runs = self.fleet.at(worker_index).runs.iter();
+            runs.any(|(task, run)| task.step == step && run.is_at_work())
+        })
     }
 
     /// Counts a failure of a worker and quarantines it after too many.
@@ -215,14 +244,19 @@
         job: Option<spec::JobId>,
         now: time::Monotonic,
     ) {
-        let worker = self.fleet.at_mut(worker_index);
-        if let Some(strikes) = worker.health.on_failure(job, now) {
-            let quarantined = decision::Decision::Quarantined {
-                worker: worker.id.clone(),
-                strikes,
-            };
-            self.log(quarantined);
-        }
+        let strikes = self.fleet.at_mut(worker_index).health.on_failure(job, now);
+        self.log_quarantine(worker_index, strikes);
+    }
+
+    fn log_quarantine(&mut self, worker_index: usize, strikes: Option<u32>) {
+        let Some(strikes) = strikes else {
+            return;
+        };
+        let quarantined = decision::Decision::Quarantined {
+            worker: self.fleet.at(worker_index).id.clone(),
+            strikes,
+        };
+        self.log(quarantined);
     }
 
     /// Whether a run on a worker is the current run of its task, and not a stray.
--- a/crates/daisymast_scheduler/src/scheduler/stalls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/stalls.rs
@@ -29,8 +29,12 @@
         let took = now - run.last_progress;
         run.percent = running.percent;
         run.last_progress = now;
+        let is_at_work = run.is_at_work();
         if let Some(step) = self.steps.get_mut(&running.task.step) {
             step.progress.on_progress(advanced, took, now);
+            if is_at_work && step.step_spec().lasting {
+                self.failing_jobs.remove(running.task.step.job);
+            }
         }
     }
 
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -123,6 +123,7 @@
                 ticket: None,
                 percent: 0,
                 last_progress: now,
+                repeats_failure: false,
             },
         );
     }
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -81,6 +81,9 @@
     pub percent: u8,
     /// When the progress last changed.
     pub last_progress: time::Monotonic,
+    /// Whether the run repeats one of a long-running step that failed, on this worker or on several.
+    /// If it fails as well, that says nothing new of the worker.
+    pub repeats_failure: bool,
 }
 
 impl Run {
@@ -190,8 +193,11 @@
 
     /// Whether new tasks may be placed on the worker.
     pub fn is_usable(&self, now: time::Monotonic) -> bool {
-        let has_open_trial =
-            self.health.is_on_probation() && self.runs.values().any(|run| run.is_trial(now));
+        let has_open_trial = self.health.is_on_probation()
+            && self
+                .runs
+                .values()
+                .any(|run| run.is_trial(now) && !run.repeats_failure);
         self.takes_tasks(now)
             && self.reconciled
             && self.clock.is_some()
--- a/crates/daisymast_scheduler/tests/common/workers.rs
+++ b/crates/daisymast_scheduler/tests/common/workers.rs
@@ -65,6 +65,7 @@
             let part = (self.now - run.started_at_ms) * 100 / run.own_work_ms.max(1);
             let percent = match run {
                 _ if worker.hangs => 0,
+                run if run.is_lasting && run.fails => 0,
                 run if run.is_lasting => 100,
                 _ => part.min(99),
             };
--- a/crates/daisymast_scheduler/tests/probation.rs
+++ b/crates/daisymast_scheduler/tests/probation.rs
@@ -35,6 +35,79 @@
     rig.submit(id, BATCH, job(vec![step]));
 }
 
+/// Submits a service whose tasks fail before they are at work, again and again.
+fn submit_failing_service(rig: &mut Rig, id: u64, tasks: u32) {
+    rig.failing_jobs.insert(JobId(id));
+    rig.submit(id, BATCH, job(vec![lasting(tasks, 1, 0)]));
+}
+
+/// Guards against services whose tasks always fail and that take every place on workers on probation:
+/// an accepted job never started on an idle fleet (review/8).
+#[test]
+fn failing_services_do_not_keep_a_job_from_starting() {
+    for workers in [1, 2, 3, 6] {
+        for services in [1, 2, 3, 8] {
+            for tasks in [1, 2, 12] {
+                for wait_ms in [700, 3_100, 9_000] {
+                    let play = format!("{workers} workers, {services} services of {tasks} tasks");
+                    let mut rig = Rig::new(workers);
+                    for id in 1..=services {
+                        submit_failing_service(&mut rig, id, tasks);
+                        rig.run_ms(750);
+                    }
+                    rig.run_ms(wait_ms);
+                    let submitted_at = rig.now;
+                    rig.submit(99, QUICK, job(vec![step(4, 2, 1_000)]));
+                    let completed = rig.run_until(99, State::Completed, 2 * IDLE_LIMIT_MS);
+                    assert!(completed.is_some(), "{play}: not completed");
+                    let waited = rig.starts_of(99)[0].started_at - submitted_at;
+                    assert!(waited < IDLE_LIMIT_MS, "{play}: waited for {waited} ms");
+                    let idle = rig.waiting_since(RESTART_LIMIT_MS);
+                    assert!(idle.is_empty(), "{play}: {idle:?} do not start again");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a service that always fails on the only worker that may run another service.
+#[test]
+fn a_failing_service_does_not_keep_another_one_from_starting() {
+    for workers in [1, 3] {
+        let mut rig = Rig::new(workers);
+        submit_failing_service(&mut rig, 1, 6);
+        rig.run_ms(9_000);
+        submit_service(&mut rig, 2, lasting(2, 2, 0));
+        rig.run_ms(IDLE_LIMIT_MS);
+        let started = rig.starts_of(2);
+        assert_eq!(started.len(), 2, "{workers} workers");
+        assert!(started.iter().all(|start| start.ended_at.is_none()));
+    }
+}
+
+/// Guards against a failing worker that is no longer found: the first run of a service that is at
+/// work shows that the worker, and not the job, was the cause of failures.
+#[test]
+fn a_service_that_failed_on_bad_workers_still_speaks_against_them() {
+    let mut rig = Rig::new(6);
+    for worker in &mut rig.workers[..2] {
+        worker.fails_all_tasks = true;
+    }
+    for id in 1..=4 {
+        rig.submit(id, QUICK, job(vec![lasting(6, 1, 1)]));
+        rig.work_ms.insert((JobId(id), 0), 1_000);
+        rig.run_ms(500);
+    }
+    for id in 10..40 {
+        rig.submit(id, BATCH, job(vec![step(2, 4, 400)]));
+        rig.run_ms(150);
+    }
+    rig.run_ms(5_000);
+    for id in 10..40 {
+        assert_eq!(rig.state(id), Some(State::Completed), "job {id}");
+    }
+}
+
 /// Guards against a probation that never ends. A worker on probation took a task only while it ran
 /// nothing, and with tasks of a service on all workers one failing job ended all other work
 /// (review/3).
