Apply a new configuration to the steps of open jobs

Cause: a step that becomes ready copies service, priority, advice and deadlines of its queue, and Scheduler::configure did not renew them. On the same path: the settings of a queue that a later version drops are those stored with the last accepted job, so that a queue that moved and was then dropped went back to its former service, with the same or the next leader.

Change: a new configuration is applied to all ready steps, and settings of queues that have had jobs are stored when they change, also at the start of a term. What is done with the queues moves to scheduler/queues.rs; the deadlines of a step become a type of their own, shifted by the change of the time objective so that late steps stay late.

--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -9,7 +9,6 @@
 
 use daisymast_jobs::job;
 use daisymast_jobs::job_table;
-use daisymast_jobs::queue;
 use daisymast_jobs::record;
 use daisymast_jobs::spec;
 use daisymast_types::collections;
@@ -35,6 +34,7 @@
 mod orders;
 mod placement;
 mod polls;
+mod queues;
 mod run_ends;
 mod stalls;
 mod startup;
@@ -107,42 +107,11 @@
         }
     }
 
-    /// Replaces the configuration.
-    pub fn configure(&mut self, config: Arc<config::Configuration>, now: time::Monotonic) {
-        self.config = config;
-        self.dirty = true;
-        for id in std::mem::take(&mut self.without_queue) {
-            self.activate_started(id, now);
-        }
-    }
-
-    /// Adds a queue that another node has from a later configuration. A queue that is known already
-    /// stays as it is.
-    pub fn add_queue(&mut self, terms: queue::Queue) {
-        if self.queue(&terms.name).is_none() {
-            self.job_table.set_queue(terms.clone());
-            self.journal.append(record::Record::Queue { terms });
-        }
-    }
-
     /// Sets the live nodes, which can send requests to the advice service.
     pub fn set_advice_nodes(&mut self, alive: &[ids::InstanceId]) {
         self.advice_nodes.set(alive);
     }
 
-    /// Returns the current configuration.
-    pub fn config(&self) -> &Arc<config::Configuration> {
-        &self.config
-    }
-
-    /// Returns the configured parameters of a queue, or the last known ones if the queue was
-    /// removed from the configuration.
-    fn queue(&self, name: &ids::QueueName) -> Option<&queue::Queue> {
-        self.config
-            .queue(name)
-            .or_else(|| self.job_table.queue(name))
-    }
-
     /// Returns the jobs, for inspection.
     pub fn job_table(&self) -> &job_table::JobTable {
         &self.job_table
@@ -217,17 +186,7 @@
             .filter(|(task, _)| task.phase == job::Phase::Waiting)
             .map(|(_, index)| index)
             .collect();
-        let allowance = steps::allowance_ms(queue, &job.spec);
-        let started_ms = job
-            .spec
-            .schedule
-            .map_or(job.accepted.0, |schedule| schedule.due_ms(id.occurrence));
-        // Node clocks differ, so a start time in the future counts as now.
-        let age = self.wall.0.saturating_sub(started_ms);
-        let millis = std::time::Duration::from_millis;
-        let due_at = now + millis(allowance.saturating_sub(age));
-        let remaining_ms = steps::remaining_path_ms(&job.spec, id.step);
-        let time_to_start = allowance.saturating_sub(age).saturating_sub(remaining_ms);
+        let deadlines = self.deadlines(queue, job, id, now);
         let step = steps::ReadyStep {
             id,
             queue: job.queue.clone(),
@@ -244,9 +203,7 @@
             next_request: now,
             not_before: now,
             progress: progress::StepProgress::default(),
-            latest_start: now + millis(time_to_start),
-            due_at,
-            allowance: millis(allowance),
+            deadlines,
         };
         self.steps.insert(id, step);
         self.dirty = true;
--- a/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
@@ -30,13 +30,7 @@
                 self.actions.push(action::Action::Answer { token, answer });
                 return;
             }
-            if let Some(terms) = self.config.queue(&queue)
-                && self.job_table.queue(&queue) != Some(terms)
-            {
-                let terms = terms.clone();
-                self.job_table.set_queue(terms.clone());
-                self.journal.append(record::Record::Queue { terms });
-            }
+            self.store_configured_queue(&queue);
             self.journal.append(record::Record::Accepted {
                 job: id,
                 queue: queue.clone(),
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -167,9 +167,9 @@
         let run = runs.map(|task| task.run).max().unwrap_or(0) + 1;
         let is_first_placement = !job.started;
         let slack_ms = if is_late(step, now) {
-            -signed(lease::millis(now - step.latest_start))
+            -signed(lease::millis(now - step.deadlines.latest_start))
         } else {
-            signed(lease::millis(step.latest_start - now))
+            signed(lease::millis(step.deadlines.latest_start - now))
         };
         let waiting = step.waiting.len();
         step.was_placed |= waiting == 0;
@@ -270,7 +270,7 @@
 }
 
 fn is_late(step: &steps::ReadyStep, now: time::Monotonic) -> bool {
-    now > step.latest_start
+    now > step.deadlines.latest_start
 }
 
 fn signed(millis: u64) -> i64 {
--- a/crates/daisymast_scheduler/src/scheduler/order.rs
+++ b/crates/daisymast_scheduler/src/scheduler/order.rs
@@ -58,7 +58,7 @@
             id: step.id,
             tier: step.tier(now),
             preference: NOT_PREFERRED,
-            start_by: step.latest_start + size_delay(core_ms),
+            start_by: step.deadlines.latest_start + size_delay(core_ms),
             is_gang: step_spec.gang,
             core_ms,
         }
--- a/crates/daisymast_scheduler/src/scheduler/order/tests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/order/tests.rs
@@ -45,9 +45,11 @@
         next_request: NOW,
         not_before: NOW,
         progress: progress::StepProgress::default(),
-        latest_start,
-        due_at: latest_start + Duration::from_secs(4),
-        allowance: Duration::from_secs(10),
+        deadlines: steps::Deadlines {
+            latest_start,
+            due_at: latest_start + Duration::from_secs(4),
+            allowance: Duration::from_secs(10),
+        },
     }
 }
 
@@ -98,8 +100,8 @@
 fn two_late_gangs_of_a_large_fleet_are_preferred() {
     let late = |job| {
         let mut late = step(job, 90, true, 0);
-        late.latest_start = time::Monotonic::from_millis(99_000);
-        late.due_at = time::Monotonic::from_millis(99_500);
+        late.deadlines.latest_start = time::Monotonic::from_millis(99_000);
+        late.deadlines.due_at = time::Monotonic::from_millis(99_500);
         late
     };
     let steps = || vec![late(1), late(2), late(3), step(4, 4, false, 8_000)];
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -66,6 +66,7 @@
         for placed in scheduler.placed_runs() {
             scheduler.insert_inherited_run(placed, former_lease_end, now.mono);
         }
+        scheduler.store_known_queues();
         scheduler.activate_all(now.mono);
         scheduler
     }
--- a/crates/daisymast_scheduler/src/steps.rs
+++ b/crates/daisymast_scheduler/src/steps.rs
@@ -72,6 +72,13 @@
     pub not_before: time::Monotonic,
     /// Progress of the step's runs.
     pub progress: progress::StepProgress,
+    /// Deadlines that follow from the job's time objective.
+    pub deadlines: Deadlines,
+}
+
+/// Deadlines of a step that follow from the time objective of its job.
+#[derive(Clone, Copy, Debug)]
+pub struct Deadlines {
     /// Latest start of the first task with which the job still ends on time.
     pub latest_start: time::Monotonic,
     /// When the job is due to end.
@@ -80,7 +87,52 @@
     pub allowance: Duration,
 }
 
+impl Deadlines {
+    /// Returns the deadlines with another time objective.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use daisymast_scheduler::steps;
+    /// use daisymast_types::time;
+    /// let deadlines = steps::Deadlines {
+    ///     latest_start: time::Monotonic::from_millis(4_000),
+    ///     due_at: time::Monotonic::from_millis(9_000),
+    ///     allowance: Duration::from_millis(6_000),
+    /// };
+    /// let shorter = deadlines.with_allowance(Duration::from_millis(5_500));
+    /// assert_eq!(shorter.due_at, time::Monotonic::from_millis(8_500));
+    /// let longer = shorter.with_allowance(Duration::from_millis(8_000));
+    /// assert_eq!(longer.latest_start, time::Monotonic::from_millis(6_000));
+    /// ```
+    #[must_use]
+    pub fn with_allowance(self, allowance: Duration) -> Self {
+        let shift = |deadline: time::Monotonic| {
+            let since_start = deadline - time::Monotonic::ZERO;
+            time::Monotonic::ZERO + (since_start + allowance).saturating_sub(self.allowance)
+        };
+        Self {
+            latest_start: shift(self.latest_start),
+            due_at: shift(self.due_at),
+            allowance,
+        }
+    }
+}
+
 impl ReadyStep {
+    /// Applies changed settings of the queue.
+    pub fn apply(&mut self, queue: &queue::Queue) {
+        self.service = queue.service.clone();
+        self.priority = queue.priority;
+        self.advice = queue.advice;
+        if self.advice.is_none() {
+            self.permissions.clear();
+        }
+        let allowance_ms = allowance_ms(queue, &self.spec);
+        self.deadlines = self
+            .deadlines
+            .with_allowance(Duration::from_millis(allowance_ms));
+    }
+
     /// Returns the step's part of the job specification.
     ///
     /// # Panics
@@ -100,13 +152,13 @@
     /// is.
     pub fn tier(&self, now: time::Monotonic) -> Tier {
         let is_restart = self.was_placed && self.step_spec().lasting;
-        if now <= self.latest_start || is_restart {
+        if now <= self.deadlines.latest_start || is_restart {
             if self.priority == 0 {
                 Tier::Urgent
             } else {
                 Tier::InTime
             }
-        } else if now <= self.due_at + self.allowance * (LATE_FACTOR - 1) {
+        } else if now <= self.deadlines.due_at + self.deadlines.allowance * (LATE_FACTOR - 1) {
             Tier::Late
         } else {
             Tier::Expired
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -59,6 +59,7 @@
 #[derive(Debug)]
 pub(crate) struct Worker {
     pub(crate) id: String,
+    pub(crate) service: &'static str,
     pub(crate) zone: &'static str,
     pub(crate) started_at: u64,
     pub(crate) token: u64,
@@ -224,6 +225,7 @@
         let workers: Vec<Worker> = (0..count)
             .map(|number| Worker {
                 id: format!("w{number:02}"),
+                service: "s",
                 zone: zones[number % zones.len()],
                 started_at: 1,
                 token: 0,
@@ -294,7 +296,7 @@
         let worker = &self.workers[number];
         let registration = worker::Registration {
             id: worker.id.as_str().into(),
-            service: "s".into(),
+            service: worker.service.into(),
             address: "127.0.0.1:1".parse().expect("an address"),
             zone: worker.zone.into(),
             capacity: capacity(),
@@ -337,8 +339,21 @@
         self.replace_scheduler(mono(self.now));
     }
 
-    /// Replaces the scheduler by a new one that starts from the stored records.
+    /// Replaces a scheduler that has resigned by one with another configuration.
+    pub(crate) fn take_over_with(&mut self, config: config::Configuration) {
+        self.replace_scheduler_with(Arc::new(config), mono(self.now));
+    }
+
     fn replace_scheduler(&mut self, orders_end: time::Monotonic) {
+        self.replace_scheduler_with(config(), orders_end);
+    }
+
+    /// Replaces the scheduler by a new one that starts from the stored records.
+    fn replace_scheduler_with(
+        &mut self,
+        config: Arc<config::Configuration>,
+        orders_end: time::Monotonic,
+    ) {
         let mut job_table = job_table::JobTable::default();
         for record in self.journal.clone() {
             job_table.apply(record);
@@ -353,7 +368,7 @@
             )
         });
         self.scheduler = scheduler::Scheduler::resume(
-            config(),
+            config,
             job_table,
             orders_end,
             MAX_LEASE,
