Tell late reports and answers of a worker's former process from those of the new one

What callers would see: a task runs twice, or jobs never end, after a worker has started again under its ID while answers take long.

Cause, two sides of one fault: whatever a worker's ID answered was taken as said by its present process. A report of the former process that arrived after the first one of the new process counted as another restart, and runs of the new process were released as lost. The former process's answer to an order set the known clock forward by its uptime; reports of the new process then looked overtaken and were ignored for as long.

Change: an order remembers which process it was meant for, and its answer counts for the clock only while no other process has reported since, and only with a reading that the present process can have reached. A report with an earlier start time is ignored while the present process has answered within MAX_ANSWER_AGE. A run that a former process accepted is released once a later report does not list it. Start times alone do not decide, as workers' clocks may be set back.

Evidence: processes.rs, a_late_report_of_a_former_process_releases_nothing (on the code before: a task starts on worker 1 and runs on worker 0) and a_late_answer_of_a_former_process_does_not_change_the_clock (a job did not complete in 9 s).

--- a/crates/daisymast_scheduler/src/lease.rs
+++ b/crates/daisymast_scheduler/src/lease.rs
@@ -6,16 +6,30 @@
 
 use crate::constants;
 
-/// A reading of a worker's clock and the local time at which it arrived.
+/// What is known of a worker's clock from its readings.
 #[derive(Clone, Copy, Debug)]
 pub struct WorkerClock {
-    /// Worker's clock, in milliseconds.
+    /// Latest reading, in milliseconds.
     pub reading_ms: u64,
-    /// Local time at which the reading arrived.
+    /// Local time at which it arrived.
     pub received_at: time::Monotonic,
 }
 
 impl WorkerClock {
+    /// Creates a clock from its first reading, which arrives now.
+    pub fn new(reading_ms: u64, now: time::Monotonic) -> Self {
+        Self {
+            reading_ms,
+            received_at: now,
+        }
+    }
+
+    /// Handles a later reading.
+    pub fn update(&mut self, reading_ms: u64, now: time::Monotonic) {
+        self.reading_ms = reading_ms;
+        self.received_at = now;
+    }
+
     /// Returns the time on the worker's clock, in milliseconds, at which a lease of `lease` from
     /// `now` ends.
     ///
@@ -24,7 +38,7 @@
     /// use daisymast_scheduler::lease;
     /// use daisymast_types::time;
     /// let received_at = time::Monotonic::from_millis(1_000);
-    /// let clock = lease::WorkerClock { reading_ms: 50, received_at };
+    /// let clock = lease::WorkerClock::new(50, received_at);
     /// let now = time::Monotonic::from_millis(1_400);
     /// assert_eq!(clock.deadline(now, Duration::from_secs(5)), 5_450);
     /// ```
@@ -32,6 +46,12 @@
         self.reading_ms + millis(now - self.received_at) + millis(lease)
     }
 
+    /// Whether the clock has certainly not reached a reading that arrives now.
+    pub fn is_behind(self, reading_ms: u64, now: time::Monotonic) -> bool {
+        let age = now - self.received_at + constants::MAX_ANSWER_AGE;
+        reading_ms > self.reading_ms + millis(age)
+    }
+
     /// Returns the local time at which a deadline on the worker's clock has passed with certainty,
     /// even if that clock runs slow.
     pub fn passed_at(self, deadline: u64) -> time::Monotonic {
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -184,21 +184,10 @@
                 is_lasting && (fails_everywhere || worker.health.has_failed(id.job));
             pass.snapshot.take(worker_index, size, repeats_failure);
             placements.push((task_index, worker.id.clone()));
-            worker.insert(
-                id.task(task_index),
-                worker::Run {
-                    run,
-                    size,
-                    state: worker::RunState::Journaling,
-                    placed_at: now,
-                    send_count: 0,
-                    retry_at: now,
-                    ticket,
-                    percent: 0,
-                    last_progress: now,
-                    repeats_failure,
-                },
-            );
+            let mut placed = worker::Run::new(run, size, now);
+            placed.ticket = ticket;
+            placed.repeats_failure = repeats_failure;
+            worker.insert(id.task(task_index), placed);
         }
         if let Some((_, worker)) = placements.first() {
             let placed = decision::Decision::Placed {
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -60,11 +60,13 @@
             return;
         }
         let worker = self.fleet.at_mut(worker_index);
+        let order = worker.order_at(now);
         let Some(assigned_run) = worker.runs.get_mut(&task) else {
             return;
         };
         assigned_run.state = worker::RunState::Starting;
         assigned_run.send_count += 1;
+        assigned_run.start_order = order;
         assigned_run.last_progress = now;
         let ticket = assigned_run.ticket.clone();
         self.actions.push(action::Action::Start(action::Start {
@@ -100,21 +102,34 @@
         outcome: report::OrderOutcome,
         now: time::Monotonic,
     ) {
-        let Some(worker) = self.worker_after_outcome(worker_index, outcome, now) else {
+        if self.is_deposed_by(outcome) {
             return;
-        };
-        let Some(assigned_run) = worker.runs.get_mut(&task) else {
+        }
+        let worker = self.fleet.at_mut(worker_index);
+        let Some(assigned_run) = worker.runs.get(&task) else {
             return;
         };
         if assigned_run.run != run || assigned_run.state != worker::RunState::Starting {
             return;
         }
+        let order = assigned_run.start_order;
+        let reading = reading(outcome);
+        let is_present =
+            reading.is_some_and(|reading| worker.on_order_reading(order, reading, now));
+        // A run that a former process has accepted is not listed by reports from now on.
+        let since = reading.filter(|_| is_present);
+        let since = since.unwrap_or(worker.latest_reading(now));
+        let incarnation = worker.incarnation;
+        let Some(assigned_run) = worker.runs.get_mut(&task) else {
+            return;
+        };
         let sent_once = assigned_run.send_count <= 1;
         match outcome {
-            report::OrderOutcome::Accepted(since)
-            | report::OrderOutcome::Refused(report::Refusal::OldRun, Some(since)) => {
+            report::OrderOutcome::Accepted(_)
+            | report::OrderOutcome::Refused(report::Refusal::OldRun, Some(_)) => {
                 // `OldRun`: the run ended before its start was repeated; the next report lists it.
                 assigned_run.state = worker::RunState::Running { since };
+                assigned_run.confirmed_by = incarnation;
                 self.mark_start_confirmed(task.step.job);
             }
             report::OrderOutcome::Refused(refusal, _) => {
@@ -137,25 +152,16 @@
         }
     }
 
-    /// Returns the worker that an outcome came from, after updating its clock. Returns `None` if
-    /// the worker has seen a later term.
-    fn worker_after_outcome(
-        &mut self,
-        worker_index: usize,
-        outcome: report::OrderOutcome,
-        now: time::Monotonic,
-    ) -> Option<&mut worker::Worker> {
-        if let report::OrderOutcome::Refused(report::Refusal::Fenced, _) = outcome {
+    /// Whether the worker has seen a later term.
+    fn is_deposed_by(&mut self, outcome: report::OrderOutcome) -> bool {
+        let is_fenced = matches!(
+            outcome,
+            report::OrderOutcome::Refused(report::Refusal::Fenced, _)
+        );
+        if is_fenced {
             self.actions.push(action::Action::Deposed);
-            return None;
         }
-        let worker = self.fleet.at_mut(worker_index);
-        if let report::OrderOutcome::Accepted(clock)
-        | report::OrderOutcome::Refused(_, Some(clock)) = outcome
-        {
-            worker.update_clock(clock, now);
-        }
-        Some(worker)
+        is_fenced
     }
 
     /// Records that a worker has accepted a task of the job.
@@ -268,9 +274,11 @@
         let Some(target) = worker.target(worker_index) else {
             return;
         };
+        let incarnation = worker.incarnation;
         let Some(assigned_run) = worker.runs.get_mut(&task) else {
             return;
         };
+        assigned_run.stop_incarnation.get_or_insert(incarnation);
         assigned_run.retry_at = now + constants::STOP_RETRY_DELAY * 2;
         self.actions.push(action::Action::Stop {
             target,
@@ -288,14 +296,15 @@
         outcome: report::OrderOutcome,
         now: time::Monotonic,
     ) {
-        let Some(worker) = self.worker_after_outcome(worker_index, outcome, now) else {
+        if self.is_deposed_by(outcome) {
             return;
-        };
+        }
+        let worker = self.fleet.at_mut(worker_index);
         if let report::OrderOutcome::Refused(report::Refusal::WrongWorker, _) = outcome {
             worker.reconciled = false;
             worker.next_poll = now;
         }
-        let Some(assigned_run) = worker.runs.get_mut(&task) else {
+        let Some(assigned_run) = worker.runs.get(&task) else {
             return;
         };
         if assigned_run.run != run
@@ -303,13 +312,30 @@
         {
             return;
         }
+        let order = worker::SentOrder {
+            at: time::Monotonic::ZERO,
+            incarnation: assigned_run.stop_incarnation.unwrap_or_default(),
+        };
+        let reading = reading(outcome);
+        let is_present =
+            reading.is_some_and(|reading| worker.on_order_reading(order, reading, now));
+        let incarnation = worker.incarnation;
+        let Some(assigned_run) = worker.runs.get_mut(&task) else {
+            return;
+        };
+        assigned_run.stop_incarnation = None;
         match outcome {
-            report::OrderOutcome::Accepted(clock)
-            | report::OrderOutcome::Refused(report::Refusal::OldRun, Some(clock)) => {
+            report::OrderOutcome::Accepted(_)
+            | report::OrderOutcome::Refused(report::Refusal::OldRun, Some(_))
+                if is_present =>
+            {
                 assigned_run.state = worker::RunState::Stopping {
-                    accepted_at: Some(clock),
+                    accepted_at: reading,
                 };
+                assigned_run.confirmed_by = incarnation;
             }
+            // A former process has answered.
+            report::OrderOutcome::Accepted(_) => assigned_run.retry_at = now,
             report::OrderOutcome::Refused(..) => {
                 assigned_run.retry_at = now + constants::STOP_RETRY_DELAY;
             }
@@ -320,3 +346,12 @@
         }
     }
 }
+
+/// Returns the reading of the worker's clock in the answer to an order.
+fn reading(outcome: report::OrderOutcome) -> Option<u64> {
+    match outcome {
+        report::OrderOutcome::Accepted(reading) => Some(reading),
+        report::OrderOutcome::Refused(_, reading) => reading,
+        report::OrderOutcome::NoEffect | report::OrderOutcome::Unknown => None,
+    }
+}
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -157,24 +157,21 @@
 
     fn on_report(&mut self, worker_index: usize, report: &report::Report, now: time::Monotonic) {
         let worker = self.fleet.at_mut(worker_index);
-        let restarted = worker.started_at != report.started_at || worker.incarnation == 0;
-        if restarted {
-            worker.started_at = report.started_at;
-            worker.incarnation += 1;
-            worker.clock = None;
-            worker.handled_end = 0;
-            worker.stored_end = 0;
-            worker.acked_end = 0;
-            worker.health.on_success();
-            if worker.incarnation > 1 {
-                // The answers of the advice service were about the former process.
-                for step in self.steps.values_mut() {
-                    step.permissions.remove(&worker_index);
-                }
+        let Some(restarted) = worker.on_process_reported(report, now) else {
+            worker.next_poll = now + constants::POLL_RETRY_DELAY;
+            return;
+        };
+        if restarted && worker.incarnation > 1 {
+            // The answers of the advice service were about the former process.
+            for step in self.steps.values_mut() {
+                step.permissions.remove(&worker_index);
             }
-        } else if worker
-            .clock
-            .is_some_and(|clock| report.clock_ms < clock.reading_ms)
+        }
+        let worker = self.fleet.at_mut(worker_index);
+        if !restarted
+            && worker
+                .clock
+                .is_some_and(|clock| report.clock_ms < clock.reading_ms)
         {
             // A later answer has overtaken this one.
             worker.next_poll = now;
@@ -195,7 +192,7 @@
         }
         self.handle_run_ends(worker_index, report, now);
         if !report.is_partial {
-            self.reconcile(worker_index, report, restarted, now);
+            self.reconcile(worker_index, report, now);
             self.fleet.at_mut(worker_index).reconciled = true;
             self.stop_strays(worker_index, report, now);
         }
@@ -233,13 +230,7 @@
 
     /// Compares the runs that are assigned to a worker with its report, and releases those that
     /// have certainly ended.
-    fn reconcile(
-        &mut self,
-        worker_index: usize,
-        report: &report::Report,
-        restarted: bool,
-        now: time::Monotonic,
-    ) {
+    fn reconcile(&mut self, worker_index: usize, report: &report::Report, now: time::Monotonic) {
         for running in &report.running {
             if let Some(checkpoint) = &running.checkpoint
                 && self.is_expected(worker_index, running)
@@ -247,6 +238,7 @@
                 self.save_checkpoint(running.task, checkpoint);
             }
             let worker = self.fleet.at_mut(worker_index);
+            let incarnation = worker.incarnation;
             let Some(run) = worker.runs.get_mut(&running.task) else {
                 continue;
             };
@@ -260,6 +252,7 @@
                 run.state = worker::RunState::Running {
                     since: report.clock_ms,
                 };
+                run.confirmed_by = incarnation;
                 run.last_progress = now;
                 self.mark_start_confirmed(running.task.step.job);
             }
@@ -269,17 +262,17 @@
         if report.ended.len() >= report::MAX_RUN_ENDS_PER_REPORT {
             return;
         }
-        let absent: Vec<spec::TaskId> = self
-            .fleet
-            .at(worker_index)
+        let worker = self.fleet.at(worker_index);
+        let is_absent = |task: &spec::TaskId, run: &worker::Run| {
+            let mut running = report.running.iter();
+            !running.any(|running| running.task == *task && running.run == run.run)
+        };
+        let absent: Vec<spec::TaskId> = worker
             .runs
             .iter()
             .filter(|(task, run)| {
-                let is_listed = report
-                    .running
-                    .iter()
-                    .any(|running| running.task == **task && running.run == run.run);
-                !is_listed && has_certainly_ended(run, report.clock_ms, restarted)
+                is_absent(task, run)
+                    && has_certainly_ended(run, report.clock_ms, worker.incarnation)
             })
             .map(|(&task, _)| task)
             .collect();
@@ -316,41 +309,40 @@
     fn stop_strays(&mut self, worker_index: usize, report: &report::Report, now: time::Monotonic) {
         for running in &report.running {
             let known = self.fleet.at(worker_index).runs.get(&running.task);
-            if known.is_some_and(|run| run.run >= running.run) {
-                continue;
+            if known.is_none_or(|run| run.run < running.run) {
+                self.stop_stray(worker_index, running.task, running.run, now);
             }
-            let size = self
-                .job_table
-                .job(running.task.step.job)
-                .and_then(|job| job.step(running.task.step))
-                .map_or(self.fleet.at(worker_index).capacity(), steps::task_size);
-            let stray = worker::Run {
-                run: running.run,
-                size,
-                state: worker::RunState::Stopping { accepted_at: None },
-                placed_at: now,
-                send_count: 0,
-                retry_at: now,
-                ticket: None,
-                percent: running.percent,
-                last_progress: now,
-                repeats_failure: false,
-            };
-            let worker = self.fleet.at_mut(worker_index);
-            worker.insert(running.task, stray);
-            let stopping = decision::Decision::Stopping {
-                job: running.task.step.job,
-                step: running.task.step.step,
-                task: running.task.index,
-                run: running.run,
-                worker: worker.id.clone(),
-                reason: decision::StopReason::Stray,
-                others: 0,
-            };
-            self.log(stopping);
-            self.send_stop(worker_index, running.task, now);
         }
     }
+
+    fn stop_stray(
+        &mut self,
+        worker_index: usize,
+        task: spec::TaskId,
+        run: u32,
+        now: time::Monotonic,
+    ) {
+        let size = self
+            .job_table
+            .job(task.step.job)
+            .and_then(|job| job.step(task.step))
+            .map_or(self.fleet.at(worker_index).capacity(), steps::task_size);
+        let mut stray = worker::Run::new(run, size, now);
+        stray.state = worker::RunState::Stopping { accepted_at: None };
+        let worker = self.fleet.at_mut(worker_index);
+        worker.insert(task, stray);
+        let stopping = decision::Decision::Stopping {
+            job: task.step.job,
+            step: task.step.step,
+            task: task.index,
+            run,
+            worker: worker.id.clone(),
+            reason: decision::StopReason::Stray,
+            others: 0,
+        };
+        self.log(stopping);
+        self.send_stop(worker_index, task, now);
+    }
 }
 
 /// Whether a worker needs a poll: its runs are unknown, it has active runs, it was suspected, the
@@ -384,11 +376,11 @@
 /// Whether a run that a report does not list has certainly ended, because the worker answered its
 /// last order before it made the report.
 ///
-/// In the first report of a restarted worker, it is not known which of its processes answered the
-/// order. If the reading of that answer is at most [`constants::MAX_ANSWER_AGE`] ahead of the
-/// report, the new process may have answered after it made the report, which arrived late. Any other
-/// reading ahead of the report is one of the former process, whose runs have ended.
-fn has_certainly_ended(run: &worker::Run, clock_ms: u64, restarted: bool) -> bool {
+/// If an earlier process was known when the answer arrived, either that one or the present process
+/// gave it. If its reading is at most [`constants::MAX_ANSWER_AGE`] ahead of the report, the present
+/// process may have answered after it made the report, which arrived late. Any other reading ahead of
+/// the report is one of the former process, whose runs have ended.
+fn has_certainly_ended(run: &worker::Run, clock_ms: u64, incarnation: u32) -> bool {
     match run.state {
         worker::RunState::Journaling | worker::RunState::Starting => false,
         worker::RunState::Stopping { accepted_at: None } => false,
@@ -398,7 +390,8 @@
             accepted_at: Some(since),
         } => {
             let max_age_ms = lease::millis(constants::MAX_ANSWER_AGE);
-            since < clock_ms || (restarted && since > clock_ms.saturating_add(max_age_ms))
+            let is_from_former = run.confirmed_by < incarnation;
+            since < clock_ms || (is_from_former && since > clock_ms.saturating_add(max_age_ms))
         }
     }
 }
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -107,26 +107,13 @@
         let worker_index = self.fleet.index_or_insert(&placed.worker);
         let worker = self.fleet.at_mut(worker_index);
         worker.lease_end = former_lease_end;
-        let state = if placed.is_final {
+        let mut run = worker::Run::new(placed.run, placed.size, now);
+        run.state = if placed.is_final {
             worker::RunState::Stopping { accepted_at: None }
         } else {
             worker::RunState::Inherited
         };
-        worker.insert(
-            placed.task,
-            worker::Run {
-                run: placed.run,
-                size: placed.size,
-                state,
-                placed_at: now,
-                send_count: 0,
-                retry_at: now,
-                ticket: None,
-                percent: 0,
-                last_progress: now,
-                repeats_failure: false,
-            },
-        );
+        worker.insert(placed.task, run);
     }
 
     fn activate_all(&mut self, now: time::Monotonic) {
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -14,6 +14,7 @@
 use crate::constants;
 use crate::health;
 use crate::lease;
+use crate::report;
 
 /// What a worker registers about itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,6 +61,16 @@
     },
 }
 
+/// When an order was sent, and to which process of its worker as far as was known. A process that has
+/// started under the same ID since may carry it out, too.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SentOrder {
+    /// When the order was sent at the earliest; zero if its answer may be that of an earlier order.
+    pub at: time::Monotonic,
+    /// Process that the order was meant for.
+    pub incarnation: u32,
+}
+
 /// A run that is assigned to a worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -73,8 +84,14 @@
     pub placed_at: time::Monotonic,
     /// How often the start was sent.
     pub send_count: u8,
+    /// The last start that was sent.
+    pub start_order: SentOrder,
+    /// Process that the first stop which was sent and not answered was meant for.
+    pub stop_incarnation: Option<u32>,
     /// When an unanswered stop is sent again.
     pub retry_at: time::Monotonic,
+    /// Process that was known when the reading of the run's state arrived.
+    pub confirmed_by: u32,
     /// Ticket of the advice service, if the queue needs one.
     pub ticket: Option<Arc<str>>,
     /// Last reported progress, in percent.
@@ -87,6 +104,25 @@
 }
 
 impl Run {
+    /// Creates a run of which no start was sent yet.
+    pub fn new(run: u32, size: quantities::Resources, now: time::Monotonic) -> Self {
+        Self {
+            run,
+            size,
+            state: RunState::Journaling,
+            placed_at: now,
+            send_count: 0,
+            start_order: SentOrder::default(),
+            stop_incarnation: None,
+            retry_at: now,
+            confirmed_by: 0,
+            ticket: None,
+            percent: 0,
+            last_progress: now,
+            repeats_failure: false,
+        }
+    }
+
     /// Whether the run is at work: tasks of long-running steps say so by their progress.
     pub fn is_at_work(&self) -> bool {
         self.percent >= constants::AT_WORK_PERCENT
@@ -280,12 +316,15 @@
             .is_some_and(|clock| now - clock.received_at >= constants::MAX_CLOCK_AGE)
     }
 
+    /// Whether the known process has answered so recently that answers from before may still arrive.
+    fn has_recent_reading(&self, now: time::Monotonic) -> bool {
+        self.clock
+            .is_some_and(|clock| now - clock.received_at <= constants::MAX_ANSWER_AGE)
+    }
+
     /// Whether the worker has answered recently.
     fn has_answered_recently(&self, now: time::Monotonic) -> bool {
-        self.missed_replies == 0
-            && self
-                .clock
-                .is_some_and(|clock| now - clock.received_at <= constants::MAX_ANSWER_AGE)
+        self.missed_replies == 0 && self.has_recent_reading(now)
     }
 
     /// Returns the highest number of an ended run that the next poll acknowledges, 0 for none.
@@ -300,16 +339,79 @@
         self.acked_end
     }
 
+    /// Returns an order that is sent now.
+    pub fn order_at(&self, now: time::Monotonic) -> SentOrder {
+        SentOrder {
+            at: now,
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Handles the reading in the answer to an order. Returns whether the present process gave it.
+    ///
+    /// If another process has reported since the order was sent, it is not known which one answered,
+    /// and a reading that the present process cannot have reached is one of a former process.
+    pub fn on_order_reading(
+        &mut self,
+        order: SentOrder,
+        reading_ms: u64,
+        now: time::Monotonic,
+    ) -> bool {
+        let is_ahead = |clock: lease::WorkerClock| clock.is_behind(reading_ms, now);
+        if order.incarnation != self.incarnation || self.clock.is_some_and(is_ahead) {
+            return false;
+        }
+        self.update_clock(reading_ms, now);
+        true
+    }
+
+    /// Handles what a report says of its process. Returns `None` if the report is one of a former
+    /// process, which a later answer has overtaken, and otherwise whether it is the first of its
+    /// process.
+    pub fn on_process_reported(
+        &mut self,
+        report: &report::Report,
+        now: time::Monotonic,
+    ) -> Option<bool> {
+        if self.incarnation > 0 && self.started_at == report.started_at {
+            return Some(false);
+        }
+        // Processes start one after another, but their clocks may be set back. The present process
+        // answers again before a late report of an earlier one can arrive.
+        let is_earlier = report.started_at < self.started_at;
+        if is_earlier && self.has_recent_reading(now) {
+            return None;
+        }
+        self.started_at = report.started_at;
+        self.begin_incarnation();
+        self.health.on_success();
+        Some(true)
+    }
+
+    /// Forgets what is only true of the former process.
+    fn begin_incarnation(&mut self) {
+        self.incarnation += 1;
+        self.clock = None;
+        self.handled_end = 0;
+        self.stored_end = 0;
+        self.acked_end = 0;
+    }
+
+    /// Returns the reading that the worker's clock has reached by now at the latest, 0 if nothing is
+    /// known of it.
+    pub fn latest_reading(&self, now: time::Monotonic) -> u64 {
+        self.clock.map_or(0, |clock| {
+            let age = now - clock.received_at + constants::MAX_ANSWER_AGE;
+            clock.reading_ms + lease::millis(age)
+        })
+    }
+
     /// Records a reading of the worker's clock. Readings older than the known one are ignored.
     pub fn update_clock(&mut self, reading_ms: u64, now: time::Monotonic) {
-        if self
-            .clock
-            .is_none_or(|clock| reading_ms >= clock.reading_ms)
-        {
-            self.clock = Some(lease::WorkerClock {
-                reading_ms,
-                received_at: now,
-            });
+        match &mut self.clock {
+            None => self.clock = Some(lease::WorkerClock::new(reading_ms, now)),
+            Some(clock) if reading_ms >= clock.reading_ms => clock.update(reading_ms, now),
+            Some(_) => {}
         }
     }
 
--- /dev/null
+++ b/crates/daisymast_scheduler/tests/processes.rs
@@ -0,0 +1,82 @@
+//! Tests of workers that start again under their IDs behind silent connections, while answers and
+//! orders of the former process are still on their way. The rig checks at each start that no task
+//! runs twice and no acknowledged completion is repeated.
+
+mod common;
+
+use common::{BATCH, QUICK, Rig, job, step};
+use daisymast_jobs::job::State;
+
+/// Run time of a task that outlasts any lease, in milliseconds.
+const LONG_MS: u32 = 30_000;
+
+/// A cell of two workers of which the first runs a long task, so that a poll of it is open.
+fn cell(uptime_ms: u64) -> Rig {
+    let mut rig = Rig::new(2);
+    rig.run_ms(uptime_ms);
+    rig.submit(1, BATCH, job(vec![step(1, 4, LONG_MS)]));
+    rig.run_ms(400);
+    assert_eq!(rig.starts_of(1)[0].worker, 0);
+    rig
+}
+
+/// Guards against runs that are released because a report of the worker's former process arrives
+/// after the first one of the new process.
+#[test]
+fn a_late_report_of_a_former_process_releases_nothing() {
+    for late_ms in [500, 700, 900, 1_300] {
+        let mut rig = cell(20_000);
+        rig.submit(2, QUICK, job(vec![step(1, 4, 100)]));
+        rig.run_ms(60);
+        rig.poll_answer_delay_ms = late_ms;
+        rig.run_ms(100);
+        rig.crash(0);
+        rig.poll_answer_delay_ms = 0;
+        rig.submit(3, BATCH, job(vec![step(1, 4, 5_000)]));
+        rig.run_ms(150);
+        rig.power_on(0);
+        rig.register(0);
+        rig.run_ms(3_000);
+        for id in [4, 5] {
+            rig.submit(id, QUICK, job(vec![step(1, 4, 300)]));
+            assert!(
+                rig.run_until(id, State::Completed, 2_000).is_some(),
+                "{late_ms} ms"
+            );
+        }
+        assert!(
+            rig.run_until(3, State::Completed, 9_000).is_some(),
+            "{late_ms} ms"
+        );
+    }
+}
+
+/// Guards against a worker whose reports are ignored for as long as its former process was up. The
+/// late answer of that process to a start set the clock forward.
+#[test]
+fn a_late_answer_of_a_former_process_does_not_change_the_clock() {
+    for late_ms in [500, 700, 900] {
+        let mut rig = cell(60_000);
+        rig.order_answer_delay_ms = late_ms;
+        rig.submit(2, QUICK, job(vec![step(1, 4, 2_000)]));
+        rig.run_ms(30);
+        rig.crash(0);
+        rig.order_answer_delay_ms = 0;
+        // The start of this job gets no answer, so that the worker is polled again at once.
+        rig.submit(3, BATCH, job(vec![step(1, 4, 300)]));
+        rig.run_ms(150);
+        rig.power_on(0);
+        rig.register(0);
+        for id in [2, 3] {
+            assert!(
+                rig.run_until(id, State::Completed, 9_000).is_some(),
+                "{late_ms} ms"
+            );
+        }
+        rig.submit(4, QUICK, job(vec![step(2, 20, 300)]));
+        assert!(
+            rig.run_until(4, State::Completed, 3_000).is_some(),
+            "{late_ms} ms"
+        );
+    }
+}
