Count the longest lease for a worker that may have restarted behind a silent poll

Cause: a new process takes a deadline on its former clock for one far in the future and holds the longest lease. Before each order, the scheduler judged if the worker may have restarted since its last answer, and thought not while a poll was open. A worker that goes silent leaves its poll open for up to 1.35 s; a start in that time counted as one of 5 s, and if the worker was cut off then, its tasks started elsewhere about a second early.

Ruled out: counting the longest lease for every order. All tasks of lost workers would wait for a second more, 5 s on the large site.

Change: the answer decides. A start holds its own task for the longest lease until the known process has answered it. A clock reading that the known process had passed when the order was sent shows a new process: it is polled at once, gets no tasks before it reports, and its lease counts as the longest from the last order or poll on, as it does when a report shows it. The reading that arrived with the least delay sets the bound, so that slow answers do not hide a restart.

--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -21,8 +21,6 @@
 /// reading of a clock that runs 2% slow is 0.4 s off by then, and an order with a deadline that is
 /// reckoned from it gives a lease longer by as much.
 pub const MAX_CLOCK_AGE: Duration = Duration::from_millis(20_000);
-/// Shortest time in which a worker can end and start again.
-pub const MIN_RESTART_TIME: Duration = Duration::from_millis(150);
 /// Minimum time between two polls of a worker, to limit the cost of polling.
 pub const MIN_POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// Time between two polls of a worker while ended runs that it reported are not stored yet. These
--- a/crates/daisymast_scheduler/src/lease.rs
+++ b/crates/daisymast_scheduler/src/lease.rs
@@ -13,6 +13,8 @@
     pub reading_ms: u64,
     /// Local time at which it arrived.
     pub received_at: time::Monotonic,
+    /// The reading that arrived with the least delay, as far as can be told.
+    prompt: (u64, time::Monotonic),
 }
 
 impl WorkerClock {
@@ -21,6 +23,7 @@
         Self {
             reading_ms,
             received_at: now,
+            prompt: (reading_ms, now),
         }
     }
 
@@ -28,6 +31,9 @@
     pub fn update(&mut self, reading_ms: u64, now: time::Monotonic) {
         self.reading_ms = reading_ms;
         self.received_at = now;
+        if reading_ms >= self.earliest_reading(now) {
+            self.prompt = (reading_ms, now);
+        }
     }
 
     /// Returns the time on the worker's clock, in milliseconds, at which a lease of `lease` from
@@ -46,6 +52,24 @@
         self.reading_ms + millis(now - self.received_at) + millis(lease)
     }
 
+    /// Returns the reading that the clock has reached at a local time at the earliest, even if it runs
+    /// slow.
+    ///
+    /// ```
+    /// use daisymast_scheduler::lease;
+    /// use daisymast_types::time;
+    /// let received_at = time::Monotonic::from_millis(1_000);
+    /// let clock = lease::WorkerClock::new(5_000, received_at);
+    /// assert_eq!(clock.earliest_reading(time::Monotonic::from_millis(900)), 4_900);
+    /// assert!(clock.earliest_reading(time::Monotonic::from_millis(11_000)) < 15_000);
+    /// ```
+    pub fn earliest_reading(self, at: time::Monotonic) -> u64 {
+        let (reading_ms, received_at) = self.prompt;
+        let before_ms = millis(received_at - at);
+        let since_ms = millis(at - received_at) * 1_000 / constants::SLOW_CLOCK_PERMILLE;
+        (reading_ms + since_ms).saturating_sub(before_ms)
+    }
+
     /// Whether the clock has certainly not reached a reading that arrives now.
     pub fn is_behind(self, reading_ms: u64, now: time::Monotonic) -> bool {
         let age = now - self.received_at + constants::MAX_ANSWER_AGE;
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -9,6 +9,7 @@
 use crate::action;
 use crate::constants;
 use crate::decision;
+use crate::lease;
 use crate::report;
 use crate::worker;
 
@@ -67,6 +68,7 @@
         assigned_run.state = worker::RunState::Starting;
         assigned_run.send_count += 1;
         assigned_run.start_order = order;
+        assigned_run.lease_end = now + lease::longest_granted(self.max_lease);
         assigned_run.last_progress = now;
         let ticket = assigned_run.ticket.clone();
         self.actions.push(action::Action::Start(action::Start {
@@ -123,6 +125,9 @@
         let Some(assigned_run) = worker.runs.get_mut(&task) else {
             return;
         };
+        if is_present && order.incarnation == incarnation {
+            assigned_run.lease_end = now;
+        }
         let sent_once = assigned_run.send_count <= 1;
         match outcome {
             report::OrderOutcome::Accepted(_)
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -81,6 +81,9 @@
                 if outcome == report::PollOutcome::WrongWorker {
                     // Another worker has the address, so this worker and all its runs have ended.
                     worker.lease_end = now;
+                    for run in worker.runs.values_mut() {
+                        run.lease_end = now;
+                    }
                 }
                 worker.acked_end = 0;
                 let is_first_miss = worker.missed_replies == 0;
--- a/crates/daisymast_scheduler/src/scheduler/workers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -82,7 +82,9 @@
             let expired_tasks: Vec<spec::TaskId> = worker
                 .runs
                 .iter()
-                .filter(|(_, run)| run.state != worker::RunState::Journaling)
+                .filter(|(_, run)| {
+                    run.state != worker::RunState::Journaling && now >= run.lease_end
+                })
                 .map(|(&task, _)| task)
                 .collect();
             if expired_tasks.is_empty() {
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -90,6 +90,9 @@
     pub stop_incarnation: Option<u32>,
     /// When an unanswered stop is sent again.
     pub retry_at: time::Monotonic,
+    /// Until when the run may go on in a process that has started under the same ID, if that took the
+    /// start. Counts until the known process has answered.
+    pub lease_end: time::Monotonic,
     /// Process that was known when the reading of the run's state arrived.
     pub confirmed_by: u32,
     /// Ticket of the advice service, if the queue needs one.
@@ -115,6 +118,7 @@
             start_order: SentOrder::default(),
             stop_incarnation: None,
             retry_at: now,
+            lease_end: time::Monotonic::ZERO,
             confirmed_by: 0,
             ticket: None,
             percent: 0,
@@ -166,6 +170,11 @@
     /// Local time at which all runs of the worker have ended with certainty if no further order or
     /// poll reaches it.
     pub lease_end: time::Monotonic,
+    /// Local time at which the lease of another process that has started under the same ID has ended
+    /// with certainty, if it took the last order or poll that was meant for the known one.
+    restart_lease_end: time::Monotonic,
+    /// Whether an answer has shown that another process uses the ID, which has not reported yet.
+    awaits_report: bool,
     /// Whether the assigned runs were compared with a report of the worker.
     pub reconciled: bool,
     /// Whether a poll is open.
@@ -205,6 +214,8 @@
             stored_end: 0,
             acked_end: 0,
             lease_end: time::Monotonic::ZERO,
+            restart_lease_end: time::Monotonic::ZERO,
+            awaits_report: false,
             reconciled: false,
             polling: false,
             poll_now: false,
@@ -287,29 +298,17 @@
     /// Returns the lease deadline for an order that is sent now, on the worker's clock, and extends
     /// the expected end of the lease accordingly. Returns `None` if the worker's clock is unknown.
     ///
-    /// The clock of a worker that has restarted is far behind the known one. It then shortens the
-    /// lease to `max_lease`, the longest that it accepts.
+    /// A process that has started under the same ID since the clock was read takes any deadline for
+    /// one that is far in the future, and holds the longest lease that it accepts, `max_lease`. That
+    /// counts once such a process is known of.
     pub fn extend_lease(&mut self, now: time::Monotonic, max_lease: Duration) -> Option<u64> {
         let clock = self.clock?;
         let deadline = clock.deadline(now, constants::WORKER_LEASE);
-        let end = if self.may_have_restarted(clock, now) {
-            now + lease::longest(max_lease.max(constants::WORKER_LEASE))
-        } else {
-            clock.passed_at(deadline)
-        };
-        self.lease_end = self.lease_end.max(end);
+        self.lease_end = self.lease_end.max(clock.passed_at(deadline));
+        self.restart_lease_end = now + lease::longest_granted(max_lease);
         Some(deadline)
     }
 
-    /// Whether the worker may have restarted since the reading of its clock arrived. An open poll
-    /// fails when the worker ends, so a restart goes unnoticed only while none is open, or if its
-    /// connection stays silent.
-    fn may_have_restarted(&self, clock: lease::WorkerClock, now: time::Monotonic) -> bool {
-        let watched_since = if self.polling { self.last_poll } else { now };
-        watched_since - clock.received_at > constants::MIN_RESTART_TIME
-            || now - clock.received_at > constants::MAX_ANSWER_AGE
-    }
-
     /// Whether the last reading of the worker's clock is too old to reckon deadlines from it.
     pub fn has_old_clock(&self, now: time::Monotonic) -> bool {
         self.clock
@@ -350,7 +349,8 @@
     /// Handles the reading in the answer to an order. Returns whether the present process gave it.
     ///
     /// If another process has reported since the order was sent, it is not known which one answered,
-    /// and a reading that the present process cannot have reached is one of a former process.
+    /// and a reading that the present process cannot have reached is one of a former process. One that
+    /// the known process had passed when the order was sent shows that another has started since.
     pub fn on_order_reading(
         &mut self,
         order: SentOrder,
@@ -361,6 +361,15 @@
         if order.incarnation != self.incarnation || self.clock.is_some_and(is_ahead) {
             return false;
         }
+        let is_past = |clock: lease::WorkerClock| reading_ms < clock.earliest_reading(order.at);
+        if self.clock.is_some_and(is_past) {
+            self.begin_incarnation();
+            self.awaits_report = true;
+            self.reconciled = false;
+            // The poll that is open may have been sent to the former process.
+            self.polling = false;
+            self.next_poll = now;
+        }
         self.update_clock(reading_ms, now);
         true
     }
@@ -374,7 +383,13 @@
         now: time::Monotonic,
     ) -> Option<bool> {
         if self.incarnation > 0 && self.started_at == report.started_at {
-            return Some(false);
+            // The process whose restart was inferred from its clock reports as the former one: either
+            // this is a late report of that one, or its clock had stood still.
+            let is_late = self.awaits_report
+                && self
+                    .clock
+                    .is_some_and(|clock| clock.is_behind(report.clock_ms, now));
+            return (!is_late).then(|| std::mem::take(&mut self.awaits_report));
         }
         // Processes start one after another, but their clocks may be set back. The present process
         // answers again before a late report of an earlier one can arrive.
@@ -383,7 +398,9 @@
             return None;
         }
         self.started_at = report.started_at;
-        self.begin_incarnation();
+        if !std::mem::take(&mut self.awaits_report) {
+            self.begin_incarnation();
+        }
         self.health.on_success();
         Some(true)
     }
@@ -391,6 +408,7 @@
     /// Forgets what is only true of the former process.
     fn begin_incarnation(&mut self) {
         self.incarnation += 1;
+        self.lease_end = self.lease_end.max(self.restart_lease_end);
         self.clock = None;
         self.handled_end = 0;
         self.stored_end = 0;
--- a/crates/daisymast_scheduler/tests/processes.rs
+++ b/crates/daisymast_scheduler/tests/processes.rs
@@ -7,6 +7,9 @@
 use common::{BATCH, QUICK, Rig, job, step};
 use daisymast_jobs::job::State;
 
+/// Time within which the tasks of a worker that is cut off run again, in milliseconds: two calls that
+/// time out, the longest lease of 6 s on a slow clock, and the delivery of the last order.
+const RECOVERY_LIMIT_MS: u64 = 9_000;
 /// Run time of a task that outlasts any lease, in milliseconds.
 const LONG_MS: u32 = 30_000;
 
@@ -20,6 +23,34 @@
     rig
 }
 
+/// Guards against tasks that start elsewhere while a worker that is cut off still runs them. It had
+/// restarted behind a poll that stayed silent, and held the longest lease for a deadline on the clock
+/// of its former process, of which the scheduler counted 5 s (issue 32).
+#[test]
+fn tasks_of_an_unnoticed_restart_wait_for_the_longest_lease() {
+    for down_ms in [150, 300, 600, 900] {
+        for submit_after_ms in [0, 200, 400, 600, 800] {
+            for cut_after_ms in [20, 60, 200, 600] {
+                let mut rig = cell(20_000);
+                rig.crash(0);
+                rig.run_ms(down_ms);
+                rig.power_on(0);
+                rig.run_ms(submit_after_ms);
+                rig.submit(2, QUICK, job(vec![step(2, 4, LONG_MS)]));
+                rig.run_ms(cut_after_ms);
+                rig.workers[0].is_disconnected = true;
+                rig.run_ms(RECOVERY_LIMIT_MS);
+                let starts = rig.starts_of(2);
+                let elsewhere = starts.iter().filter(|start| start.worker == 1).count();
+                assert_eq!(
+                    elsewhere, 2,
+                    "down {down_ms} ms, cut after {cut_after_ms} ms"
+                );
+            }
+        }
+    }
+}
+
 /// Guards against runs that are released because a report of the worker's former process arrives
 /// after the first one of the new process.
 #[test]
