Stop runs in a worker's new process whose starts may still be carried out late

What callers would see: a task runs twice. A start gets no answer, its repetition is accepted, the worker starts again under its ID, the task starts elsewhere, and then the new process carries out the first copy.

Cause: a start that is late was only expected in the process that it was meant for, which refuses it once the run is stopped or ended there or its deadline has passed. A new process knows of neither, and its clock is far from the deadline.

Change: a run of which a start got no answer is not released when its process has ended, but stopped in the new process first, which then refuses the run.

Open: a copy that is carried out before the new process has reported still runs.

--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -67,6 +67,7 @@
         };
         assigned_run.state = worker::RunState::Starting;
         assigned_run.send_count += 1;
+        assigned_run.start_unknown = false;
         assigned_run.start_order = order;
         assigned_run.lease_end = now + lease::longest_granted(self.max_lease);
         assigned_run.last_progress = now;
@@ -146,7 +147,9 @@
                 self.release_or_stop(worker_index, task, sent_once, now);
             }
             report::OrderOutcome::Unknown => {
+                assigned_run.start_unknown = true;
                 let may_resend = assigned_run.send_count < constants::MAX_START_SENDS;
+                worker.on_start_unanswered(task, run, now);
                 self.suspect(worker_index, now);
                 if may_resend {
                     self.send_start(worker_index, task, run, now);
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -199,6 +199,9 @@
             self.fleet.at_mut(worker_index).reconciled = true;
             self.stop_strays(worker_index, report, now);
         }
+        if restarted {
+            self.stop_late_runs(worker_index, now);
+        }
         self.stop_hung(worker_index, now);
     }
 
@@ -280,8 +283,25 @@
             .map(|(&task, _)| task)
             .collect();
         for task in absent {
-            self.release(worker_index, task, now);
+            self.release_absent(worker_index, task, now);
+        }
+    }
+
+    /// Releases a run that has ended with its process. If a start of it may still be carried out late,
+    /// the present process is told to refuse it first.
+    fn release_absent(&mut self, worker_index: usize, task: spec::TaskId, now: time::Monotonic) {
+        let worker = self.fleet.at_mut(worker_index);
+        let incarnation = worker.incarnation;
+        if let Some(run) = worker.runs.get_mut(&task)
+            && run.has_unanswered_start()
+            && run.confirmed_by < incarnation
+            && run.state != worker::RunState::Inherited
+        {
+            run.state = worker::RunState::Stopping { accepted_at: None };
+            run.retry_at = now;
+            return;
         }
+        self.release(worker_index, task, now);
     }
 
     /// Takes a task of a long-running step that works as proof that its worker is sound. Such tasks
@@ -318,6 +338,14 @@
         }
     }
 
+    /// Tells a process that was started under the same ID to refuse starts that were meant for the
+    /// former one and may be carried out late.
+    fn stop_late_runs(&mut self, worker_index: usize, now: time::Monotonic) {
+        for (task, run) in self.fleet.at_mut(worker_index).take_late_runs(now) {
+            self.stop_stray(worker_index, task, run, now);
+        }
+    }
+
     fn stop_stray(
         &mut self,
         worker_index: usize,
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -71,6 +71,14 @@
     pub incarnation: u32,
 }
 
+/// A start that got no answer.
+#[derive(Clone, Copy, Debug)]
+struct UnansweredStart {
+    task: spec::TaskId,
+    run: u32,
+    sent_at: time::Monotonic,
+}
+
 /// A run that is assigned to a worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -84,6 +92,8 @@
     pub placed_at: time::Monotonic,
     /// How often the start was sent.
     pub send_count: u8,
+    /// Whether the last start that was sent got no answer.
+    pub start_unknown: bool,
     /// The last start that was sent.
     pub start_order: SentOrder,
     /// Process that the first stop which was sent and not answered was meant for.
@@ -115,6 +125,7 @@
             state: RunState::Journaling,
             placed_at: now,
             send_count: 0,
+            start_unknown: false,
             start_order: SentOrder::default(),
             stop_incarnation: None,
             retry_at: now,
@@ -132,6 +143,11 @@
         self.percent >= constants::AT_WORK_PERCENT
     }
 
+    /// Whether a start of the run was sent that got no answer, and may be carried out late.
+    pub fn has_unanswered_start(&self) -> bool {
+        self.send_count > 1 || self.start_unknown
+    }
+
     /// Whether it is still open if the run shows that its worker is sound. On a worker on
     /// probation, no other task starts meanwhile.
     pub fn is_trial(&self, now: time::Monotonic) -> bool {
@@ -159,6 +175,9 @@
     pub clock: Option<lease::WorkerClock>,
     /// Runs that are assigned to the worker, including those that are being stopped.
     pub runs: collections::FastMap<spec::TaskId, Run>,
+    /// Starts that got no answer and may still be carried out, also by a process that has started
+    /// under the same ID since.
+    unanswered_starts: Vec<UnansweredStart>,
     /// Resources that these runs occupy.
     pub used: quantities::Resources,
     /// Highest number of an ended run that was handled.
@@ -209,6 +228,7 @@
             incarnation: 0,
             clock: None,
             runs: collections::FastMap::default(),
+            unanswered_starts: Vec::new(),
             used: quantities::Resources::ZERO,
             handled_end: 0,
             stored_end: 0,
@@ -338,6 +358,28 @@
         self.acked_end
     }
 
+    /// Records that a start got no answer.
+    pub fn on_start_unanswered(&mut self, task: spec::TaskId, run: u32, now: time::Monotonic) {
+        self.unanswered_starts
+            .retain(|start| now - start.sent_at < constants::MAX_ORDER_AGE);
+        self.unanswered_starts.push(UnansweredStart {
+            task,
+            run,
+            sent_at: now,
+        });
+    }
+
+    /// Returns the runs that are no longer assigned to the worker, but of which a start may still be
+    /// carried out by a process that has started since.
+    pub fn take_late_runs(&mut self, now: time::Monotonic) -> Vec<(spec::TaskId, u32)> {
+        std::mem::take(&mut self.unanswered_starts)
+            .into_iter()
+            .filter(|start| now - start.sent_at < constants::MAX_ORDER_AGE)
+            .filter(|start| !self.runs.contains_key(&start.task))
+            .map(|start| (start.task, start.run))
+            .collect()
+    }
+
     /// Returns an order that is sent now.
     pub fn order_at(&self, now: time::Monotonic) -> SentOrder {
         SentOrder {
--- a/crates/daisymast_scheduler/tests/disturbances.rs
+++ b/crates/daisymast_scheduler/tests/disturbances.rs
@@ -300,4 +300,9 @@
     fn tasks_run_once_under_cuts_and_late_orders(series in series(cut(), late_orders())) {
         play(&series);
     }
+
+    #[test]
+    fn tasks_run_once_under_restarts_and_late_orders(series in series(restart(), late_orders())) {
+        play(&series);
+    }
 }
--- a/crates/daisymast_scheduler/tests/processes.rs
+++ b/crates/daisymast_scheduler/tests/processes.rs
@@ -111,3 +111,54 @@
         );
     }
 }
+
+/// Guards against a task that runs in a new process, which carries out the late copy of a start that
+/// was meant for its former life, and elsewhere.
+#[test]
+fn a_late_start_does_not_run_in_a_restarted_worker() {
+    for delay_ms in [1_500, 3_000, 6_000] {
+        for down_ms in [150, 600] {
+            let mut rig = cell(20_000);
+            rig.workers[0].order_delay_ms = delay_ms;
+            rig.submit(2, BATCH, job(vec![step(1, 4, 9_000)]));
+            rig.run_ms(100);
+            rig.workers[0].order_delay_ms = 0;
+            rig.run_ms(600);
+            assert_eq!(rig.starts_of(2).len(), 1, "the repeated start");
+            rig.crash(0);
+            rig.run_ms(down_ms);
+            rig.power_on(0);
+            rig.register(0);
+            rig.run_ms(10_000);
+            let started = rig.starts_of(2).len();
+            assert!(started >= 2, "{delay_ms} ms");
+            assert!(
+                rig.run_until(2, State::Completed, 12_000).is_some(),
+                "{delay_ms} ms"
+            );
+        }
+    }
+}
+
+/// Guards against the same after the run was stopped in the former process, and its task has started
+/// again.
+#[test]
+fn a_late_start_of_a_released_run_is_refused_by_a_restarted_worker() {
+    for delay_ms in [4_000, 6_000, 9_000] {
+        let mut rig = cell(20_000);
+        rig.workers[0].order_delay_ms = delay_ms;
+        rig.submit(2, BATCH, job(vec![step(1, 4, 9_000)]));
+        rig.run_ms(550);
+        rig.workers[0].order_delay_ms = 0;
+        rig.run_ms(1_500);
+        let second = rig.starts_of(2).first().map(|start| start.run);
+        assert_eq!(second, Some(2), "after the stop");
+        rig.crash(0);
+        rig.run_ms(200);
+        rig.power_on(0);
+        rig.register(0);
+        rig.run_ms(delay_ms);
+        let completed = rig.run_until(2, State::Completed, 12_000);
+        assert!(completed.is_some(), "{delay_ms} ms");
+    }
+}
