Acknowledge run ends only to the process that reported them

What callers would see: a task that is done starts again (TWICE).

Cause: a worker was taken for the process that had reported its run ends if any answer had arrived within 2 s. A report that took 0.4 s was young by that measure although the worker had started again since. Its run ends were acknowledged to the new process, which numbers its own from 1 and forgot those that were never read; the tasks counted as lost.

Change: an acknowledgement goes out only while the last answer, with its delay as far as clock readings show it, is younger than the shortest restart, and no start waits for its answer: then a new process has no run ends yet. The next report brings the numbers again.

--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -23,6 +23,8 @@
 pub const MAX_CLOCK_AGE: Duration = Duration::from_millis(20_000);
 /// Longest time after which a worker may still carry out an order that it left without an answer.
 pub const MAX_ORDER_AGE: Duration = Duration::from_millis(12_000);
+/// Shortest time in which a worker can end and start again.
+pub const MIN_RESTART_TIME: Duration = Duration::from_millis(150);
 /// Minimum time between two polls of a worker, to limit the cost of polling.
 pub const MIN_POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// Time between two polls of a worker while ended runs that it reported are not stored yet. These
--- a/crates/daisymast_scheduler/src/lease.rs
+++ b/crates/daisymast_scheduler/src/lease.rs
@@ -36,6 +36,25 @@
         }
     }
 
+    /// Returns the age of the latest reading, as far as can be told from those that took less time to
+    /// arrive.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use daisymast_scheduler::lease;
+    /// use daisymast_types::time;
+    /// let mut clock = lease::WorkerClock::new(50, time::Monotonic::from_millis(1_000));
+    /// let now = time::Monotonic::from_millis(1_300);
+    /// clock.update(50, now);
+    /// assert!(clock.reading_age(now) > Duration::from_millis(290));
+    /// ```
+    pub fn reading_age(&self, now: time::Monotonic) -> Duration {
+        let delay_ms = self
+            .earliest_reading(self.received_at)
+            .saturating_sub(self.reading_ms);
+        now - self.received_at + Duration::from_millis(delay_ms)
+    }
+
     /// Returns the time on the worker's clock, in milliseconds, at which a lease of `lease` from
     /// `now` ends.
     ///
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -143,6 +143,18 @@
         self.percent >= constants::AT_WORK_PERCENT
     }
 
+    /// Whether it is not known if the last start has taken effect.
+    fn has_open_start(&self) -> bool {
+        match self.state {
+            RunState::Starting => true,
+            RunState::Stopping { accepted_at: None } => self.start_unknown,
+            RunState::Journaling
+            | RunState::Running { .. }
+            | RunState::Inherited
+            | RunState::Stopping { .. } => false,
+        }
+    }
+
     /// Whether a start of the run was sent that got no answer, and may be carried out late.
     pub fn has_unanswered_start(&self) -> bool {
         self.send_count > 1 || self.start_unknown
@@ -341,17 +353,23 @@
             .is_some_and(|clock| now - clock.received_at <= constants::MAX_ANSWER_AGE)
     }
 
-    /// Whether the worker has answered recently.
-    fn has_answered_recently(&self, now: time::Monotonic) -> bool {
-        self.missed_replies == 0 && self.has_recent_reading(now)
+    /// Whether the worker has answered each call, and its last answer is so young that it cannot have
+    /// restarted since.
+    fn is_same_process(&self, now: time::Monotonic) -> bool {
+        self.missed_replies == 0
+            && self
+                .clock
+                .is_some_and(|clock| clock.reading_age(now) < constants::MIN_RESTART_TIME)
     }
 
     /// Returns the highest number of an ended run that the next poll acknowledges, 0 for none.
     ///
-    /// Each number is acknowledged once, and only to a worker that has answered recently. A worker
-    /// that has restarted numbers its run ends anew, and would forget those that were never read.
+    /// Each number is acknowledged once, and only to a worker that has answered just now. A worker that
+    /// has restarted numbers its run ends anew, and would forget those that were never read. It has
+    /// none while no start waits for its answer.
     pub fn take_ack(&mut self, now: time::Monotonic) -> u64 {
-        if self.acked_end >= self.stored_end || !self.has_answered_recently(now) {
+        let has_open_start = self.runs.values().any(Run::has_open_start);
+        if self.acked_end >= self.stored_end || has_open_start || !self.is_same_process(now) {
             return 0;
         }
         self.acked_end = self.stored_end;
--- a/crates/daisymast_scheduler/tests/processes.rs
+++ b/crates/daisymast_scheduler/tests/processes.rs
@@ -140,6 +140,33 @@
     }
 }
 
+/// Guards against run ends of a new process that are acknowledged before they were read. A report of
+/// the former process arrived late, so its run ends were acknowledged to the new one.
+#[test]
+fn a_late_report_acknowledges_nothing_to_a_new_process() {
+    for late_ms in [250, 400, 600] {
+        for submit_after_ms in [0, 10, 20, 40, 80] {
+            let mut rig = cell(20_000);
+            rig.submit(2, QUICK, job(vec![step(5, 4, 300)]));
+            rig.run_ms(250);
+            rig.poll_answer_delay_ms = late_ms;
+            rig.run_ms(90);
+            rig.crash(0);
+            rig.run_ms(155);
+            rig.power_on(0);
+            rig.poll_answer_delay_ms = 0;
+            rig.run_ms(late_ms - 180 + submit_after_ms);
+            rig.submit(3, BATCH, job(vec![step(2, 4, 60)]));
+            let play = format!("{late_ms} ms late, submitted {submit_after_ms} ms after");
+            assert!(
+                rig.run_until(3, State::Completed, 4_000).is_some(),
+                "{play}"
+            );
+            assert_eq!(rig.starts_of(3).len(), 2, "{play}");
+        }
+    }
+}
+
 /// Guards against the same after the run was stopped in the former process, and its task has started
 /// again.
 #[test]
