Let failed tasks of services use the room that is kept for urgent steps

The restart waits for 0.2 s, a waiting task of another service takes the room meanwhile, and nothing of that service ends. On the same path: workers that a gang has reserved.

Change: tasks of a long-running step that was complete once may use kept and reserved room; first starts of services may not.

--- a/crates/daisymast_scheduler/src/scheduler/placement.rs
+++ b/crates/daisymast_scheduler/src/scheduler/placement.rs
@@ -39,7 +39,7 @@
 impl WorkerSnapshot {
     /// Returns the resources that a step may use.
     pub(super) fn available_for(&self, step: &steps::ReadyStep) -> quantities::Resources {
-        if step.priority == 0 {
+        if step.uses_reserve() {
             return self.available;
         }
         quantities::Resources {
@@ -105,7 +105,7 @@
         step: &steps::ReadyStep,
         millicores: u32,
     ) -> impl Iterator<Item = &WorkerSnapshot> {
-        let index = if step.priority == 0 {
+        let index = if step.uses_reserve() {
             &self.urgent_index
         } else {
             &self.index
@@ -222,7 +222,7 @@
         let size = step.size();
         let is_unreserved = |row: &WorkerSnapshot| {
             let free = |by: spec::StepId| {
-                by == step.id || step.priority == 0 || !snapshot.high_utilisation
+                by == step.id || step.uses_reserve() || !snapshot.high_utilisation
             };
             row.reserved_for.is_none_or(free)
         };
--- a/crates/daisymast_scheduler/src/steps.rs
+++ b/crates/daisymast_scheduler/src/steps.rs
@@ -147,12 +147,23 @@
         task_size(self.step_spec())
     }
 
+    /// Whether the step is long-running and all its tasks were placed once, so that those that wait
+    /// start again.
+    pub fn is_restart(&self) -> bool {
+        self.was_placed && self.step_spec().lasting
+    }
+
+    /// Whether the step may use the capacity that is kept free for urgent steps. A task that starts
+    /// again takes no more than it had; others may have taken its place meanwhile.
+    pub fn uses_reserve(&self) -> bool {
+        self.priority == 0 || self.is_restart()
+    }
+
     /// Returns the scheduling tier of the step at a given time. A long-running step whose tasks were
     /// all placed once stays on time: a task that ended is a loss of service, however old the step
     /// is.
     pub fn tier(&self, now: time::Monotonic) -> Tier {
-        let is_restart = self.was_placed && self.step_spec().lasting;
-        if now <= self.deadlines.latest_start || is_restart {
+        if now <= self.deadlines.latest_start || self.is_restart() {
             if self.priority == 0 {
                 Tier::Urgent
             } else {
