Split checkpoints by size, and do not repeat a commit that the store refuses for good

Cause, as the reviewer guessed: a checkpoint was split by the number of its records, and the last part held all large jobs; and a commit that was answered with 400 was repeated without end, by one leader after the other.

Change: one function splits records and checkpoints by size. A commit that is refused as invalid (400, 413) is logged and not repeated: a checkpoint is put off and its records are written as a batch; jobs of a batch that is refused get 503.

--- a/crates/daisymast_jobs/src/batch_index.rs
+++ b/crates/daisymast_jobs/src/batch_index.rs
@@ -132,6 +132,12 @@
         self.batches_since_checkpoint = 0;
     }
 
+    /// Registers that the store has refused a checkpoint. The next one is due only after further
+    /// batches: jobs that make it too large may have ended by then.
+    pub fn on_checkpoint_refused(&mut self) {
+        self.batches_since_checkpoint = 0;
+    }
+
     /// Batches that the next commit should remove.
     pub fn garbage(&self) -> Range<u64> {
         self.oldest
--- a/crates/daisymast_jobs/src/record.rs
+++ b/crates/daisymast_jobs/src/record.rs
@@ -131,7 +131,29 @@
     rmp_serde::to_vec(&batch)
 }
 
-/// Encodes a checkpoint in parts of roughly `part_bytes` each, one for each store key.
+/// Encodes records in parts of at most `part_bytes` each, one for each store key. A record that is
+/// larger gets a part of its own.
+///
+/// ```
+/// use daisymast_jobs::{record, spec};
+/// let records = vec![record::Record::Cancelled { job: spec::JobId(7) }; 100];
+/// let parts = record::encode_parts(&records, 400).unwrap();
+/// assert!(parts.len() > 1);
+/// assert!(parts.iter().all(|part| part.len() <= 400));
+/// ```
+///
+/// # Errors
+/// Same as [`encode`].
+pub fn encode_parts(
+    records: &[Record],
+    part_bytes: usize,
+) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
+    let mut parts = Vec::new();
+    push_parts(records, part_bytes, &[], &mut parts)?;
+    Ok(parts)
+}
+
+/// Encodes a checkpoint like [`encode_parts`]. Each part after the first is marked as one.
 ///
 /// ```
 /// use daisymast_jobs::{job_table, record};
@@ -146,19 +168,27 @@
     records: &[Record],
     part_bytes: usize,
 ) -> Result<Vec<Vec<u8>>, rmp_serde::encode::Error> {
-    let whole = encode(records)?;
-    let count = whole.len().div_ceil(part_bytes.max(1)).max(1);
-    if count == 1 {
-        return Ok(vec![whole]);
+    let mut parts = Vec::new();
+    push_parts(records, part_bytes, &[Record::CheckpointPart], &mut parts)?;
+    Ok(parts)
+}
+
+/// Appends the parts of some records. Each part that is not the first begins with `marker`.
+fn push_parts(
+    records: &[Record],
+    part_bytes: usize,
+    marker: &[Record],
+    parts: &mut Vec<Vec<u8>>,
+) -> Result<(), rmp_serde::encode::Error> {
+    let marker_of_part = if parts.is_empty() { &[] } else { marker };
+    let bytes = encode(marker_of_part.iter().chain(records))?;
+    if bytes.len() <= part_bytes || records.len() <= 1 {
+        parts.push(bytes);
+        return Ok(());
     }
-    records
-        .chunks(records.len().div_ceil(count))
-        .enumerate()
-        .map(|(position, chunk)| {
-            let marker = (position > 0).then_some(&Record::CheckpointPart);
-            encode(marker.into_iter().chain(chunk))
-        })
-        .collect()
+    let (first, second) = records.split_at(records.len() / 2);
+    push_parts(first, part_bytes, marker, parts)?;
+    push_parts(second, part_bytes, marker, parts)
 }
 
 /// Decodes a batch of records.
--- a/crates/daisymast_jobs/tests/checkpoint.rs
+++ b/crates/daisymast_jobs/tests/checkpoint.rs
@@ -204,3 +204,52 @@
         "fewer bytes were written than the checkpoint holds"
     );
 }
+
+/// Size of a part that a checkpoint is split into, in bytes.
+const PART_BYTES: usize = 400_000;
+
+/// Guards against a part that is larger than a value of the store may be. Parts had equal numbers of
+/// records, and all large jobs are among the last ones: no leader could write a checkpoint, and none
+/// went on without one (review/7).
+#[test]
+fn no_part_of_a_checkpoint_is_larger_than_asked_for() {
+    for large_jobs in [1, 8, 40] {
+        for small_jobs in [0, 500, 5_000] {
+            let mut records = Vec::new();
+            for number in 0..small_jobs {
+                let job = JobId(1_000 + number);
+                records.push(accepted(job, 1));
+                records.push(Record::Cancelled { job });
+            }
+            for number in 0..large_jobs {
+                records.push(accepted(JobId(number), 10_000));
+                let tasks = (0..10_000)
+                    .map(|index| (index, "i-0123456789".into()))
+                    .collect();
+                records.push(Record::Placed {
+                    step: id(JobId(number), 0),
+                    run: 1,
+                    tasks,
+                });
+            }
+            let mut job_table = job_table(records);
+            job_table.compact(NOW);
+            let checkpoint = job_table.checkpoint();
+            let parts = record::encode_checkpoint(&checkpoint, PART_BYTES).expect("valid parts");
+            let largest = parts.iter().map(Vec::len).max().expect("a part");
+            assert!(
+                largest <= PART_BYTES,
+                "{large_jobs} large jobs: {largest} bytes"
+            );
+            let mut read = Vec::new();
+            for (number, part) in parts.iter().enumerate() {
+                let mut batch = record::decode(part).expect("a valid part");
+                if number > 0 {
+                    assert_eq!(batch.remove(0), Record::CheckpointPart);
+                }
+                read.append(&mut batch);
+            }
+            assert_eq!(read, checkpoint);
+        }
+    }
+}
--- a/crates/daisymast_node/src/follower.rs
+++ b/crates/daisymast_node/src/follower.rs
@@ -270,7 +270,12 @@
                 former,
             })
         }
-        Ok(store::CommitOutcome::Conflict(_) | store::CommitOutcome::Refused) | Err(_) => {
+        Ok(
+            store::CommitOutcome::Conflict(_)
+            | store::CommitOutcome::Refused
+            | store::CommitOutcome::Invalid(_),
+        )
+        | Err(_) => {
             inspect(context).await;
             None
         }
--- a/crates/daisymast_node/src/leadership/commit.rs
+++ b/crates/daisymast_node/src/leadership/commit.rs
@@ -18,6 +18,8 @@
     Stored,
     /// The batch was certainly not stored.
     NoEffect,
+    /// The batch was not stored, and the store would refuse it each time.
+    Invalid,
     /// The term has ended.
     TermEnded,
 }
@@ -84,6 +86,14 @@
                 }
                 Timer::after(constants::STORE_RETRY_DELAY / 2).await;
             }
+            Ok(store::CommitOutcome::Invalid(status)) => {
+                context.metrics.count_call("store", "invalid");
+                log::error!(
+                    "the platform store refuses a commit of {} bytes with status {status}",
+                    transaction.bytes()
+                );
+                return WriteOutcome::Invalid;
+            }
             Err(error) => {
                 context.metrics.count_call("store", "unknown");
                 log_first_failure(failures, &error.reason);
--- a/crates/daisymast_node/src/leadership/journal.rs
+++ b/crates/daisymast_node/src/leadership/journal.rs
@@ -35,7 +35,9 @@
         match committed {
             Ok(store::CommitOutcome::Done(_)) => lock(&leader_lease).renew(sent),
             Ok(store::CommitOutcome::Conflict(_)) => return,
-            Ok(store::CommitOutcome::Refused) => log::debug!("renewal of term {term} refused"),
+            Ok(store::CommitOutcome::Refused | store::CommitOutcome::Invalid(_)) => {
+                log::debug!("renewal of term {term} refused");
+            }
             Err(error) => log::debug!("failed to renew term {term}: {error}"),
         }
     }
@@ -65,13 +67,19 @@
         last = clock::now();
         let written = match batch {
             Batch::Records(records) => write(&context, &leadership, &records, &mut batches).await,
-            Batch::Checkpoint(parts) => {
-                write_checkpoint(&context, &leadership, &parts, &mut batches).await
+            Batch::Checkpoint { parts, records } => {
+                match write_checkpoint(&context, &leadership, &parts, &mut batches).await {
+                    WriteOutcome::Invalid => {
+                        batches.on_checkpoint_refused();
+                        write(&context, &leadership, &records, &mut batches).await
+                    }
+                    written => written,
+                }
             }
         };
         match written {
             WriteOutcome::Stored => {}
-            WriteOutcome::NoEffect => {
+            WriteOutcome::NoEffect | WriteOutcome::Invalid => {
                 leadership.update(|scheduler| scheduler.reject_unstored_jobs(true));
                 leadership.committing.store(false, Ordering::Relaxed);
                 Timer::after(constants::STORE_RETRY_DELAY / 2).await;
@@ -90,8 +98,13 @@
 /// Content of the next commit.
 enum Batch {
     Records(Vec<record::Record>),
-    /// A checkpoint of all records so far, encoded in parts that each fit into one key.
-    Checkpoint(Vec<Vec<u8>>),
+    /// A checkpoint of all records so far.
+    Checkpoint {
+        /// The checkpoint, encoded in parts that each fit into one key.
+        parts: Vec<Vec<u8>>,
+        /// The records since the last batch, to be written if the store refuses the checkpoint.
+        records: Vec<record::Record>,
+    },
 }
 
 fn next_batch(
@@ -106,7 +119,7 @@
     let parts = record::encode_checkpoint(&scheduler.checkpoint(), constants::MAX_BATCH_BYTES);
     match parts {
         Ok(parts) if parts.len() <= constants::MAX_CHECKPOINT_PARTS => {
-            Some(Batch::Checkpoint(parts))
+            Some(Batch::Checkpoint { parts, records })
         }
         Ok(parts) => {
             log::error!(
@@ -122,21 +135,6 @@
     }
 }
 
-/// Encodes records, splitting them into parts of limited size.
-fn encode_parts(
-    records: &[record::Record],
-    parts: &mut Vec<Vec<u8>>,
-) -> Result<(), rmp_serde::encode::Error> {
-    let bytes = record::encode(records)?;
-    if bytes.len() <= constants::MAX_BATCH_BYTES || records.len() <= 1 {
-        parts.push(bytes);
-        return Ok(());
-    }
-    let (first, second) = records.split_at(records.len() / 2);
-    encode_parts(first, parts)?;
-    encode_parts(second, parts)
-}
-
 /// Writes a checkpoint in a single commit, since a partial checkpoint would lose jobs.
 async fn write_checkpoint(
     context: &context::Context,
@@ -169,12 +167,14 @@
     batch: &[record::Record],
     batches: &mut batch_index::BatchIndex,
 ) -> WriteOutcome {
-    let mut parts = Vec::new();
-    if let Err(error) = encode_parts(batch, &mut parts) {
-        log::error!("failed to encode batch {}: {error}", batches.next());
-        leadership.depose();
-        return WriteOutcome::TermEnded;
-    }
+    let parts = match record::encode_parts(batch, constants::MAX_BATCH_BYTES) {
+        Ok(parts) => parts,
+        Err(error) => {
+            log::error!("failed to encode batch {}: {error}", batches.next());
+            leadership.depose();
+            return WriteOutcome::TermEnded;
+        }
+    };
     for (position, part) in parts.into_iter().enumerate() {
         // Once the first part is stored, the others must follow; only the first may be abandoned.
         loop {
@@ -182,6 +182,11 @@
                 WriteOutcome::Stored => break,
                 WriteOutcome::NoEffect if position == 0 => return WriteOutcome::NoEffect,
                 WriteOutcome::NoEffect => {}
+                WriteOutcome::Invalid if position == 0 => return WriteOutcome::Invalid,
+                WriteOutcome::Invalid => {
+                    leadership.depose();
+                    return WriteOutcome::TermEnded;
+                }
                 WriteOutcome::TermEnded => return WriteOutcome::TermEnded,
             }
         }
