Split what concerns runs, worker processes and reports from larger modules

Runs and the orders about them move to run.rs, what tells the processes of a worker apart to worker/processes.rs, and the handling of reports to scheduler/reports.rs. Pure moves; only paths change. All tests of the crate pass as before.

--- a/crates/daisymast_scheduler/src/lib.rs
+++ b/crates/daisymast_scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod lease;
 pub mod progress;
 pub mod report;
+pub mod run;
 pub mod scheduler;
 pub mod steps;
 pub mod worker;
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -35,6 +35,7 @@
 mod placement;
 mod polls;
 mod queues;
+mod reports;
 mod run_ends;
 mod stalls;
 mod startup;
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -13,8 +13,8 @@
 use crate::decision;
 use crate::journal;
 use crate::lease;
+use crate::run;
 use crate::steps;
-use crate::worker;
 
 /// State of one pass, shared between its steps.
 pub(super) struct Pass {
@@ -184,7 +184,7 @@
                 is_lasting && (fails_everywhere || worker.health.has_failed(id.job));
             pass.snapshot.take(worker_index, size, repeats_failure);
             placements.push((task_index, worker.id.clone()));
-            let mut placed = worker::Run::new(run, size, now);
+            let mut placed = run::Run::new(run, size, now);
             placed.ticket = ticket;
             placed.repeats_failure = repeats_failure;
             worker.insert(id.task(task_index), placed);
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -11,7 +11,7 @@
 use crate::decision;
 use crate::lease;
 use crate::report;
-use crate::worker;
+use crate::run;
 
 impl Scheduler {
     /// Sends the start of a run whose placement is stored. Releases the task if the worker can no
@@ -41,11 +41,11 @@
         let Some(assigned_run) = worker.runs.get(&task) else {
             return;
         };
-        let is_unsent = assigned_run.state == worker::RunState::Journaling;
+        let is_unsent = assigned_run.state == run::RunState::Journaling;
         if assigned_run.run != run
             || !matches!(
                 assigned_run.state,
-                worker::RunState::Journaling | worker::RunState::Starting
+                run::RunState::Journaling | run::RunState::Starting
             )
         {
             return;
@@ -65,7 +65,7 @@
         let Some(assigned_run) = worker.runs.get_mut(&task) else {
             return;
         };
-        assigned_run.state = worker::RunState::Starting;
+        assigned_run.state = run::RunState::Starting;
         assigned_run.send_count += 1;
         assigned_run.start_unknown = false;
         assigned_run.start_order = order;
@@ -112,7 +112,7 @@
         let Some(assigned_run) = worker.runs.get(&task) else {
             return;
         };
-        if assigned_run.run != run || assigned_run.state != worker::RunState::Starting {
+        if assigned_run.run != run || assigned_run.state != run::RunState::Starting {
             return;
         }
         let order = assigned_run.start_order;
@@ -134,7 +134,7 @@
             report::OrderOutcome::Accepted(_)
             | report::OrderOutcome::Refused(report::Refusal::OldRun, Some(_)) => {
                 // `OldRun`: the run ended before its start was repeated; the next report lists it.
-                assigned_run.state = worker::RunState::Running { since };
+                assigned_run.state = run::RunState::Running { since };
                 assigned_run.confirmed_by = incarnation;
                 self.mark_start_confirmed(task.step.job);
             }
@@ -236,12 +236,10 @@
             return;
         };
         match assigned_run.state {
-            worker::RunState::Journaling => self.release(worker_index, task, now),
-            worker::RunState::Stopping { .. } => {}
-            worker::RunState::Starting
-            | worker::RunState::Running { .. }
-            | worker::RunState::Inherited => {
-                assigned_run.state = worker::RunState::Stopping { accepted_at: None };
+            run::RunState::Journaling => self.release(worker_index, task, now),
+            run::RunState::Stopping { .. } => {}
+            run::RunState::Starting | run::RunState::Running { .. } | run::RunState::Inherited => {
+                assigned_run.state = run::RunState::Stopping { accepted_at: None };
                 assigned_run.retry_at = now;
                 let stopping = decision::Decision::Stopping {
                     job: task.step.job,
@@ -315,12 +313,11 @@
         let Some(assigned_run) = worker.runs.get(&task) else {
             return;
         };
-        if assigned_run.run != run
-            || !matches!(assigned_run.state, worker::RunState::Stopping { .. })
+        if assigned_run.run != run || !matches!(assigned_run.state, run::RunState::Stopping { .. })
         {
             return;
         }
-        let order = worker::SentOrder {
+        let order = run::SentOrder {
             at: time::Monotonic::ZERO,
             incarnation: assigned_run.stop_incarnation.unwrap_or_default(),
         };
@@ -337,7 +334,7 @@
             | report::OrderOutcome::Refused(report::Refusal::OldRun, Some(_))
                 if is_present =>
             {
-                assigned_run.state = worker::RunState::Stopping {
+                assigned_run.state = run::RunState::Stopping {
                     accepted_at: reading,
                 };
                 assigned_run.confirmed_by = incarnation;
--- /dev/null
+++ b/crates/daisymast_scheduler/src/scheduler/reports.rs
@@ -0,0 +1,261 @@
+//! Reports of workers: running and ended runs, and runs that are missing or not expected.
+
+use daisymast_jobs::spec;
+use daisymast_types::time;
+
+use super::Scheduler;
+use crate::constants;
+use crate::decision;
+use crate::journal;
+use crate::lease;
+use crate::report;
+use crate::run;
+use crate::steps;
+
+impl Scheduler {
+    /// Handles a report of a worker.
+    pub(super) fn on_report(
+        &mut self,
+        worker_index: usize,
+        report: &report::Report,
+        now: time::Monotonic,
+    ) {
+        let worker = self.fleet.at_mut(worker_index);
+        let Some(restarted) = worker.on_process_reported(report, now) else {
+            worker.next_poll = now + constants::POLL_RETRY_DELAY;
+            return;
+        };
+        if restarted && worker.incarnation > 1 {
+            // The answers of the advice service were about the former process.
+            for step in self.steps.values_mut() {
+                step.permissions.remove(&worker_index);
+            }
+        }
+        let worker = self.fleet.at_mut(worker_index);
+        if !restarted
+            && worker
+                .clock
+                .is_some_and(|clock| report.clock_ms < clock.reading_ms)
+        {
+            // A later answer has overtaken this one.
+            worker.next_poll = now;
+            return;
+        }
+        worker.update_clock(report.clock_ms, now);
+        let was_unknown = worker.missed_replies > 0 || !worker.reconciled;
+        worker.missed_replies = 0;
+        worker.next_poll = now + constants::MIN_POLL_INTERVAL;
+        if was_unknown {
+            self.dirty = true;
+            let worker_known = decision::Decision::WorkerKnown {
+                worker: worker.id.clone(),
+                runs: report.running.len(),
+                reborn: restarted,
+            };
+            self.log(worker_known);
+        }
+        self.handle_run_ends(worker_index, report, now);
+        if !report.is_partial {
+            self.reconcile(worker_index, report, now);
+            self.fleet.at_mut(worker_index).reconciled = true;
+            self.stop_strays(worker_index, report, now);
+        }
+        if restarted {
+            self.stop_late_runs(worker_index, now);
+        }
+        self.stop_hung(worker_index, now);
+    }
+
+    fn handle_run_ends(
+        &mut self,
+        worker_index: usize,
+        report: &report::Report,
+        now: time::Monotonic,
+    ) {
+        let handled_end = self.fleet.at(worker_index).handled_end;
+        let mut last = handled_end;
+        for ended in report
+            .ended
+            .iter()
+            .filter(|ended| ended.number > handled_end)
+        {
+            self.on_run_end(worker_index, ended, now);
+            last = last.max(ended.number);
+        }
+        if last > handled_end {
+            let worker = self.fleet.at_mut(worker_index);
+            worker.handled_end = last;
+            let incarnation = worker.incarnation;
+            let ack = journal::Effect::AckRunEnds {
+                worker: worker_index,
+                incarnation,
+                number: last,
+            };
+            self.after_commit(ack, now);
+        }
+    }
+
+    /// Compares the runs that are assigned to a worker with its report, and releases those that
+    /// have certainly ended.
+    fn reconcile(&mut self, worker_index: usize, report: &report::Report, now: time::Monotonic) {
+        for running in &report.running {
+            if let Some(checkpoint) = &running.checkpoint
+                && self.is_expected(worker_index, running)
+            {
+                self.save_checkpoint(running.task, checkpoint);
+            }
+            let worker = self.fleet.at_mut(worker_index);
+            let incarnation = worker.incarnation;
+            let Some(run) = worker.runs.get_mut(&running.task) else {
+                continue;
+            };
+            if run.run != running.run {
+                continue;
+            }
+            if matches!(
+                run.state,
+                run::RunState::Inherited | run::RunState::Starting
+            ) {
+                run.state = run::RunState::Running {
+                    since: report.clock_ms,
+                };
+                run.confirmed_by = incarnation;
+                run.last_progress = now;
+                self.mark_start_confirmed(running.task.step.job);
+            }
+            self.record_progress(worker_index, running, now);
+            self.check_lasting_run(worker_index, running.task, now);
+        }
+        if report.ended.len() >= report::MAX_RUN_ENDS_PER_REPORT {
+            return;
+        }
+        let worker = self.fleet.at(worker_index);
+        let is_absent = |task: &spec::TaskId, run: &run::Run| {
+            let mut running = report.running.iter();
+            !running.any(|running| running.task == *task && running.run == run.run)
+        };
+        let absent: Vec<spec::TaskId> = worker
+            .runs
+            .iter()
+            .filter(|(task, run)| {
+                is_absent(task, run)
+                    && has_certainly_ended(run, report.clock_ms, worker.incarnation)
+            })
+            .map(|(&task, _)| task)
+            .collect();
+        for task in absent {
+            self.release_absent(worker_index, task, now);
+        }
+    }
+
+    /// Releases a run that has ended with its process. If a start of it may still be carried out late,
+    /// the present process is told to refuse it first.
+    fn release_absent(&mut self, worker_index: usize, task: spec::TaskId, now: time::Monotonic) {
+        let worker = self.fleet.at_mut(worker_index);
+        let incarnation = worker.incarnation;
+        if let Some(run) = worker.runs.get_mut(&task)
+            && run.has_unanswered_start()
+            && run.confirmed_by < incarnation
+            && run.state != run::RunState::Inherited
+        {
+            run.state = run::RunState::Stopping { accepted_at: None };
+            run.retry_at = now;
+            return;
+        }
+        self.release(worker_index, task, now);
+    }
+
+    /// Takes a task of a long-running step that works as proof that its worker is sound. Such tasks
+    /// never complete.
+    fn check_lasting_run(&mut self, worker_index: usize, task: spec::TaskId, now: time::Monotonic) {
+        let is_lasting = self
+            .steps
+            .get(&task.step)
+            .is_some_and(|step| step.step_spec().lasting);
+        let worker = self.fleet.at_mut(worker_index);
+        let Some(run) = worker.runs.get(&task) else {
+            return;
+        };
+        if is_lasting && !run.is_trial(now) && worker.health.is_newer_than_failures(run.placed_at) {
+            worker.health.on_success();
+        }
+    }
+
+    fn is_expected(&self, worker_index: usize, running: &report::Running) -> bool {
+        self.fleet
+            .at(worker_index)
+            .runs
+            .get(&running.task)
+            .is_some_and(|run| run.run == running.run)
+    }
+
+    /// Stops runs that are not assigned to the worker. They occupy resources until they have ended.
+    fn stop_strays(&mut self, worker_index: usize, report: &report::Report, now: time::Monotonic) {
+        for running in &report.running {
+            let known = self.fleet.at(worker_index).runs.get(&running.task);
+            if known.is_none_or(|run| run.run < running.run) {
+                self.stop_stray(worker_index, running.task, running.run, now);
+            }
+        }
+    }
+
+    /// Tells a process that was started under the same ID to refuse starts that were meant for the
+    /// former one and may be carried out late.
+    fn stop_late_runs(&mut self, worker_index: usize, now: time::Monotonic) {
+        for (task, run) in self.fleet.at_mut(worker_index).take_late_runs(now) {
+            self.stop_stray(worker_index, task, run, now);
+        }
+    }
+
+    fn stop_stray(
+        &mut self,
+        worker_index: usize,
+        task: spec::TaskId,
+        run: u32,
+        now: time::Monotonic,
+    ) {
+        let size = self
+            .job_table
+            .job(task.step.job)
+            .and_then(|job| job.step(task.step))
+            .map_or(self.fleet.at(worker_index).capacity(), steps::task_size);
+        let mut stray = run::Run::new(run, size, now);
+        stray.state = run::RunState::Stopping { accepted_at: None };
+        let worker = self.fleet.at_mut(worker_index);
+        worker.insert(task, stray);
+        let stopping = decision::Decision::Stopping {
+            job: task.step.job,
+            step: task.step.step,
+            task: task.index,
+            run,
+            worker: worker.id.clone(),
+            reason: decision::StopReason::Stray,
+            others: 0,
+        };
+        self.log(stopping);
+        self.send_stop(worker_index, task, now);
+    }
+}
+
+/// Whether a run that a report does not list has certainly ended, because the worker answered its
+/// last order before it made the report.
+///
+/// If an earlier process was known when the answer arrived, either that one or the present process
+/// gave it. If its reading is at most [`constants::MAX_ANSWER_AGE`] ahead of the report, the present
+/// process may have answered after it made the report, which arrived late. Any other reading ahead of
+/// the report is one of the former process, whose runs have ended.
+fn has_certainly_ended(run: &run::Run, clock_ms: u64, incarnation: u32) -> bool {
+    match run.state {
+        run::RunState::Journaling | run::RunState::Starting => false,
+        run::RunState::Stopping { accepted_at: None } => false,
+        run::RunState::Inherited => true,
+        run::RunState::Running { since }
+        | run::RunState::Stopping {
+            accepted_at: Some(since),
+        } => {
+            let max_age_ms = lease::millis(constants::MAX_ANSWER_AGE);
+            let is_from_former = run.confirmed_by < incarnation;
+            since < clock_ms || (is_from_former && since > clock_ms.saturating_add(max_age_ms))
+        }
+    }
+}
--- a/crates/daisymast_scheduler/src/scheduler/run_ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/run_ends.rs
@@ -13,7 +13,7 @@
 use crate::journal;
 use crate::lease;
 use crate::report;
-use crate::worker;
+use crate::run;
 
 impl Scheduler {
     /// Handles an ended run that a worker reports. Runs that are not assigned to the worker are
@@ -79,7 +79,7 @@
         &mut self,
         worker_index: usize,
         task: spec::TaskId,
-        run: &worker::Run,
+        run: &run::Run,
         now: time::Monotonic,
     ) {
         let worker = self.fleet.at_mut(worker_index);
--- a/crates/daisymast_scheduler/src/scheduler/stalls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/stalls.rs
@@ -8,7 +8,7 @@
 use crate::decision;
 use crate::progress;
 use crate::report;
-use crate::worker;
+use crate::run;
 
 impl Scheduler {
     /// Records the progress that a worker reports of one of its assigned runs.
@@ -79,7 +79,7 @@
     ) -> impl Iterator<Item = spec::TaskId> {
         let runs = self.fleet.at(worker_index).runs.iter();
         runs.filter(move |(task, run)| {
-            matches!(run.state, worker::RunState::Running { .. })
+            matches!(run.state, run::RunState::Running { .. })
                 && run.percent < constants::GANG_WAIT_PERCENT
                 && now - run.last_progress > constants::HUNG_TIMEOUT
                 && self.steps.get(&task.step).is_some_and(|step| {
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -17,8 +17,8 @@
 use crate::fleet;
 use crate::journal;
 use crate::lease;
+use crate::run;
 use crate::steps;
-use crate::worker;
 
 /// A task that is placed on a worker according to the journal.
 struct PlacedRun {
@@ -107,11 +107,11 @@
         let worker_index = self.fleet.index_or_insert(&placed.worker);
         let worker = self.fleet.at_mut(worker_index);
         worker.lease_end = former_lease_end;
-        let mut run = worker::Run::new(placed.run, placed.size, now);
+        let mut run = run::Run::new(placed.run, placed.size, now);
         run.state = if placed.is_final {
-            worker::RunState::Stopping { accepted_at: None }
+            run::RunState::Stopping { accepted_at: None }
         } else {
-            worker::RunState::Inherited
+            run::RunState::Inherited
         };
         worker.insert(placed.task, run);
     }
--- a/crates/daisymast_scheduler/src/scheduler/timers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/timers.rs
@@ -7,7 +7,7 @@
 
 use super::Scheduler;
 use crate::constants;
-use crate::worker;
+use crate::run;
 
 impl Scheduler {
     /// Handles expired timers, then runs a placement pass and polls workers. To be called at
@@ -46,7 +46,7 @@
         let mut due_stops: Vec<(usize, spec::TaskId)> = Vec::new();
         for (worker_index, worker) in self.fleet.iter().enumerate() {
             for (&task, run) in &worker.runs {
-                let is_unanswered = run.state == worker::RunState::Stopping { accepted_at: None };
+                let is_unanswered = run.state == run::RunState::Stopping { accepted_at: None };
                 if is_unanswered && now >= run.retry_at {
                     due_stops.push((worker_index, task));
                 }
--- a/crates/daisymast_scheduler/src/scheduler/workers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -8,6 +8,7 @@
 use crate::constants;
 use crate::decision;
 use crate::lease;
+use crate::run;
 use crate::worker;
 
 impl Scheduler {
@@ -82,9 +83,7 @@
             let expired_tasks: Vec<spec::TaskId> = worker
                 .runs
                 .iter()
-                .filter(|(_, run)| {
-                    run.state != worker::RunState::Journaling && now >= run.lease_end
-                })
+                .filter(|(_, run)| run.state != run::RunState::Journaling && now >= run.lease_end)
                 .map(|(&task, _)| task)
                 .collect();
             if expired_tasks.is_empty() {
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -1,7 +1,6 @@
 //! State of one worker: its capacity, its lease and its runs.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use daisymast_jobs::spec;
@@ -14,7 +13,9 @@
 use crate::constants;
 use crate::health;
 use crate::lease;
-use crate::report;
+use crate::run;
+
+mod processes;
 
 /// What a worker registers about itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,134 +40,6 @@
     pub started_at: Option<u64>,
 }
 
-/// State of a run on a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunState {
-    /// The placement is not stored yet; no start was sent.
-    Journaling,
-    /// The start was sent and is not answered yet.
-    Starting,
-    /// The worker has accepted the start, or has reported the run.
-    Running {
-        /// Reading of the worker's clock in that answer, in milliseconds.
-        since: u64,
-    },
-    /// A former scheduler placed the run; the worker has not been polled since.
-    Inherited,
-    /// The run is to be stopped.
-    Stopping {
-        /// Reading of the worker's clock in its answer to the stop, in milliseconds; `None` until
-        /// it answers.
-        accepted_at: Option<u64>,
-    },
-}
-
-/// When an order was sent, and to which process of its worker as far as was known. A process that has
-/// started under the same ID since may carry it out, too.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct SentOrder {
-    /// When the order was sent at the earliest; zero if its answer may be that of an earlier order.
-    pub at: time::Monotonic,
-    /// Process that the order was meant for.
-    pub incarnation: u32,
-}
-
-/// A start that got no answer.
-#[derive(Clone, Copy, Debug)]
-struct UnansweredStart {
-    task: spec::TaskId,
-    run: u32,
-    sent_at: time::Monotonic,
-}
-
-/// A run that is assigned to a worker.
-#[derive(Clone, Debug)]
-pub struct Run {
-    /// Run number.
-    pub run: u32,
-    /// Resources that the run occupies.
-    pub size: quantities::Resources,
-    /// State of the run.
-    pub state: RunState,
-    /// When the run was placed.
-    pub placed_at: time::Monotonic,
-    /// How often the start was sent.
-    pub send_count: u8,
-    /// Whether the last start that was sent got no answer.
-    pub start_unknown: bool,
-    /// The last start that was sent.
-    pub start_order: SentOrder,
-    /// Process that the first stop which was sent and not answered was meant for.
-    pub stop_incarnation: Option<u32>,
-    /// When an unanswered stop is sent again.
-    pub retry_at: time::Monotonic,
-    /// Until when the run may go on in a process that has started under the same ID, if that took the
-    /// start. Counts until the known process has answered.
-    pub lease_end: time::Monotonic,
-    /// Process that was known when the reading of the run's state arrived.
-    pub confirmed_by: u32,
-    /// Ticket of the advice service, if the queue needs one.
-    pub ticket: Option<Arc<str>>,
-    /// Last reported progress, in percent.
-    pub percent: u8,
-    /// When the progress last changed.
-    pub last_progress: time::Monotonic,
-    /// Whether the run repeats one of a long-running step that failed, on this worker or on several.
-    /// If it fails as well, that says nothing new of the worker.
-    pub repeats_failure: bool,
-}
-
-impl Run {
-    /// Creates a run of which no start was sent yet.
-    pub fn new(run: u32, size: quantities::Resources, now: time::Monotonic) -> Self {
-        Self {
-            run,
-            size,
-            state: RunState::Journaling,
-            placed_at: now,
-            send_count: 0,
-            start_unknown: false,
-            start_order: SentOrder::default(),
-            stop_incarnation: None,
-            retry_at: now,
-            lease_end: time::Monotonic::ZERO,
-            confirmed_by: 0,
-            ticket: None,
-            percent: 0,
-            last_progress: now,
-            repeats_failure: false,
-        }
-    }
-
-    /// Whether the run is at work: tasks of long-running steps say so by their progress.
-    pub fn is_at_work(&self) -> bool {
-        self.percent >= constants::AT_WORK_PERCENT
-    }
-
-    /// Whether it is not known if the last start has taken effect.
-    fn has_open_start(&self) -> bool {
-        match self.state {
-            RunState::Starting => true,
-            RunState::Stopping { accepted_at: None } => self.start_unknown,
-            RunState::Journaling
-            | RunState::Running { .. }
-            | RunState::Inherited
-            | RunState::Stopping { .. } => false,
-        }
-    }
-
-    /// Whether a start of the run was sent that got no answer, and may be carried out late.
-    pub fn has_unanswered_start(&self) -> bool {
-        self.send_count > 1 || self.start_unknown
-    }
-
-    /// Whether it is still open if the run shows that its worker is sound. On a worker on
-    /// probation, no other task starts meanwhile.
-    pub fn is_trial(&self, now: time::Monotonic) -> bool {
-        !self.is_at_work() && now - self.placed_at < constants::MAX_TRIAL_TIME
-    }
-}
-
 /// State of one worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -186,10 +59,10 @@
     /// Latest reading of the worker's clock; `None` before the first report.
     pub clock: Option<lease::WorkerClock>,
     /// Runs that are assigned to the worker, including those that are being stopped.
-    pub runs: collections::FastMap<spec::TaskId, Run>,
+    pub runs: collections::FastMap<spec::TaskId, run::Run>,
     /// Starts that got no answer and may still be carried out, also by a process that has started
     /// under the same ID since.
-    unanswered_starts: Vec<UnansweredStart>,
+    unanswered_starts: Vec<processes::UnansweredStart>,
     /// Resources that these runs occupy.
     pub used: quantities::Resources,
     /// Highest number of an ended run that was handled.
@@ -313,7 +186,7 @@
     }
 
     /// Assigns a run to the worker, in place of an earlier run of the same task.
-    pub fn insert(&mut self, task: spec::TaskId, run: Run) {
+    pub fn insert(&mut self, task: spec::TaskId, run: run::Run) {
         self.used += run.size;
         if let Some(former) = self.runs.insert(task, run) {
             self.used = self.used.saturating_sub(former.size);
@@ -321,7 +194,7 @@
     }
 
     /// Removes the run of a task and frees its resources.
-    pub fn remove(&mut self, task: spec::TaskId) -> Option<Run> {
+    pub fn remove(&mut self, task: spec::TaskId) -> Option<run::Run> {
         let run = self.runs.remove(&task)?;
         self.used = self.used.saturating_sub(run.size);
         Some(run)
@@ -368,7 +241,7 @@
     /// has restarted numbers its run ends anew, and would forget those that were never read. It has
     /// none while no start waits for its answer.
     pub fn take_ack(&mut self, now: time::Monotonic) -> u64 {
-        let has_open_start = self.runs.values().any(Run::has_open_start);
+        let has_open_start = self.runs.values().any(run::Run::has_open_start);
         if self.acked_end >= self.stored_end || has_open_start || !self.is_same_process(now) {
             return 0;
         }
@@ -376,105 +249,6 @@
         self.acked_end
     }
 
-    /// Records that a start got no answer.
-    pub fn on_start_unanswered(&mut self, task: spec::TaskId, run: u32, now: time::Monotonic) {
-        self.unanswered_starts
-            .retain(|start| now - start.sent_at < constants::MAX_ORDER_AGE);
-        self.unanswered_starts.push(UnansweredStart {
-            task,
-            run,
-            sent_at: now,
-        });
-    }
-
-    /// Returns the runs that are no longer assigned to the worker, but of which a start may still be
-    /// carried out by a process that has started since.
-    pub fn take_late_runs(&mut self, now: time::Monotonic) -> Vec<(spec::TaskId, u32)> {
-        std::mem::take(&mut self.unanswered_starts)
-            .into_iter()
-            .filter(|start| now - start.sent_at < constants::MAX_ORDER_AGE)
-            .filter(|start| !self.runs.contains_key(&start.task))
-            .map(|start| (start.task, start.run))
-            .collect()
-    }
-
-    /// Returns an order that is sent now.
-    pub fn order_at(&self, now: time::Monotonic) -> SentOrder {
-        SentOrder {
-            at: now,
-            incarnation: self.incarnation,
-        }
-    }
-
-    /// Handles the reading in the answer to an order. Returns whether the present process gave it.
-    ///
-    /// If another process has reported since the order was sent, it is not known which one answered,
-    /// and a reading that the present process cannot have reached is one of a former process. One that
-    /// the known process had passed when the order was sent shows that another has started since.
-    pub fn on_order_reading(
-        &mut self,
-        order: SentOrder,
-        reading_ms: u64,
-        now: time::Monotonic,
-    ) -> bool {
-        let is_ahead = |clock: lease::WorkerClock| clock.is_behind(reading_ms, now);
-        if order.incarnation != self.incarnation || self.clock.is_some_and(is_ahead) {
-            return false;
-        }
-        let is_past = |clock: lease::WorkerClock| reading_ms < clock.earliest_reading(order.at);
-        if self.clock.is_some_and(is_past) {
-            self.begin_incarnation();
-            self.awaits_report = true;
-            self.reconciled = false;
-            // The poll that is open may have been sent to the former process.
-            self.polling = false;
-            self.next_poll = now;
-        }
-        self.update_clock(reading_ms, now);
-        true
-    }
-
-    /// Handles what a report says of its process. Returns `None` if the report is one of a former
-    /// process, which a later answer has overtaken, and otherwise whether it is the first of its
-    /// process.
-    pub fn on_process_reported(
-        &mut self,
-        report: &report::Report,
-        now: time::Monotonic,
-    ) -> Option<bool> {
-        if self.incarnation > 0 && self.started_at == report.started_at {
-            // The process whose restart was inferred from its clock reports as the former one: either
-            // this is a late report of that one, or its clock had stood still.
-            let is_late = self.awaits_report
-                && self
-                    .clock
-                    .is_some_and(|clock| clock.is_behind(report.clock_ms, now));
-            return (!is_late).then(|| std::mem::take(&mut self.awaits_report));
-        }
-        // Processes start one after another, but their clocks may be set back. The present process
-        // answers again before a late report of an earlier one can arrive.
-        let is_earlier = report.started_at < self.started_at;
-        if is_earlier && self.has_recent_reading(now) {
-            return None;
-        }
-        self.started_at = report.started_at;
-        if !std::mem::take(&mut self.awaits_report) {
-            self.begin_incarnation();
-        }
-        self.health.on_success();
-        Some(true)
-    }
-
-    /// Forgets what is only true of the former process.
-    fn begin_incarnation(&mut self) {
-        self.incarnation += 1;
-        self.lease_end = self.lease_end.max(self.restart_lease_end);
-        self.clock = None;
-        self.handled_end = 0;
-        self.stored_end = 0;
-        self.acked_end = 0;
-    }
-
     /// Returns the reading that the worker's clock has reached by now at the latest, 0 if nothing is
     /// known of it.
     pub fn latest_reading(&self, now: time::Monotonic) -> u64 {
