Log inferred restarts, and let no clock reading of a worker overflow

A restart that is inferred from the answer to an order now has a line of its own in the structured log, worker_restarted, with the reading that showed it; so far only worker_known with reborn followed.

What callers could see: a reading near the largest number, from a worker of another make, ends a debug build ("attempt to add with overflow") and gives wrong deadlines in a release build. Deadlines and bounds of readings saturate. One function now gives the latest reading that a clock can have reached, where two did.

Evidence: leases.rs, a_clock_reading_at_the_limit_overflows_nothing, failed before. All tests of the crate pass.

--- a/crates/daisymast_scheduler/src/decision.rs
+++ b/crates/daisymast_scheduler/src/decision.rs
@@ -120,6 +120,13 @@
         /// time.
         reborn: bool,
     },
+    /// The clock reading in an answer shows that another process has started under the worker's ID.
+    WorkerRestarted {
+        /// Worker ID.
+        worker: ids::WorkerId,
+        /// Reading of the new process's clock, in milliseconds.
+        clock_ms: u64,
+    },
     /// The lease of a worker has expired with certainty; its tasks are queued again.
     LeaseExpired {
         /// Worker ID.
--- a/crates/daisymast_scheduler/src/lease.rs
+++ b/crates/daisymast_scheduler/src/lease.rs
@@ -68,7 +68,8 @@
     /// assert_eq!(clock.deadline(now, Duration::from_secs(5)), 5_450);
     /// ```
     pub fn deadline(self, now: time::Monotonic, lease: Duration) -> u64 {
-        self.reading_ms + millis(now - self.received_at) + millis(lease)
+        let elapsed_ms = millis((now - self.received_at).saturating_add(lease));
+        self.reading_ms.saturating_add(elapsed_ms)
     }
 
     /// Returns the reading that the clock has reached at a local time at the earliest, even if it runs
@@ -86,20 +87,30 @@
         let (reading_ms, received_at) = self.prompt;
         let before_ms = millis(received_at - at);
         let since_ms = millis(at - received_at) * 1_000 / constants::SLOW_CLOCK_PERMILLE;
-        (reading_ms + since_ms).saturating_sub(before_ms)
+        reading_ms
+            .saturating_add(since_ms)
+            .saturating_sub(before_ms)
     }
 
-    /// Whether the clock has certainly not reached a reading that arrives now.
-    pub fn is_behind(self, reading_ms: u64, now: time::Monotonic) -> bool {
+    /// Returns the reading that the clock has reached by now at the latest.
+    ///
+    /// ```
+    /// use daisymast_scheduler::{constants, lease};
+    /// use daisymast_types::time;
+    /// let now = time::Monotonic::from_millis(1_000);
+    /// let clock = lease::WorkerClock::new(5_000, now);
+    /// assert_eq!(clock.latest_reading(now), 5_000 + lease::millis(constants::MAX_ANSWER_AGE));
+    /// ```
+    pub fn latest_reading(self, now: time::Monotonic) -> u64 {
         let age = now - self.received_at + constants::MAX_ANSWER_AGE;
-        reading_ms > self.reading_ms + millis(age)
+        self.reading_ms.saturating_add(millis(age))
     }
 
     /// Returns the local time at which a deadline on the worker's clock has passed with certainty,
     /// even if that clock runs slow.
     pub fn passed_at(self, deadline: u64) -> time::Monotonic {
         let remaining_ms = deadline.saturating_sub(self.reading_ms);
-        let local_ms = remaining_ms * constants::SLOW_CLOCK_PERMILLE / 1_000;
+        let local_ms = remaining_ms.saturating_mul(constants::SLOW_CLOCK_PERMILLE) / 1_000;
         self.received_at + Duration::from_millis(local_ms) + constants::WORKER_LEASE_MARGIN
     }
 }
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -117,8 +117,8 @@
         }
         let order = assigned_run.start_order;
         let reading = reading(outcome);
-        let is_present =
-            reading.is_some_and(|reading| worker.on_order_reading(order, reading, now));
+        let is_present = self.is_from_present_process(worker_index, order, reading, now);
+        let worker = self.fleet.at_mut(worker_index);
         // A run that a former process has accepted is not listed by reports from now on.
         let since = reading.filter(|_| is_present);
         let since = since.unwrap_or(worker.latest_reading(now));
@@ -160,6 +160,31 @@
         }
     }
 
+    /// Handles the reading of the worker's clock in the answer to an order, if there is one. Returns
+    /// whether the process that uses the worker's ID at present gave it.
+    fn is_from_present_process(
+        &mut self,
+        worker_index: usize,
+        order: run::SentOrder,
+        reading: Option<u64>,
+        now: time::Monotonic,
+    ) -> bool {
+        let Some(reading) = reading else {
+            return false;
+        };
+        let worker = self.fleet.at_mut(worker_index);
+        let known = worker.incarnation;
+        let is_present = worker.on_order_reading(order, reading, now);
+        if worker.incarnation != known {
+            let restarted = decision::Decision::WorkerRestarted {
+                worker: worker.id.clone(),
+                clock_ms: reading,
+            };
+            self.log(restarted);
+        }
+        is_present
+    }
+
     /// Whether the worker has seen a later term.
     fn is_deposed_by(&mut self, outcome: report::OrderOutcome) -> bool {
         let is_fenced = matches!(
@@ -322,8 +347,8 @@
             incarnation: assigned_run.stop_incarnation.unwrap_or_default(),
         };
         let reading = reading(outcome);
-        let is_present =
-            reading.is_some_and(|reading| worker.on_order_reading(order, reading, now));
+        let is_present = self.is_from_present_process(worker_index, order, reading, now);
+        let worker = self.fleet.at_mut(worker_index);
         let incarnation = worker.incarnation;
         let Some(assigned_run) = worker.runs.get_mut(&task) else {
             return;
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -252,10 +252,7 @@
     /// Returns the reading that the worker's clock has reached by now at the latest, 0 if nothing is
     /// known of it.
     pub fn latest_reading(&self, now: time::Monotonic) -> u64 {
-        self.clock.map_or(0, |clock| {
-            let age = now - clock.received_at + constants::MAX_ANSWER_AGE;
-            clock.reading_ms + lease::millis(age)
-        })
+        self.clock.map_or(0, |clock| clock.latest_reading(now))
     }
 
     /// Records a reading of the worker's clock. Readings older than the known one are ignored.
--- a/crates/daisymast_scheduler/src/worker/processes.rs
+++ b/crates/daisymast_scheduler/src/worker/processes.rs
@@ -59,7 +59,7 @@
         reading_ms: u64,
         now: time::Monotonic,
     ) -> bool {
-        let is_ahead = |clock: lease::WorkerClock| clock.is_behind(reading_ms, now);
+        let is_ahead = |clock: lease::WorkerClock| reading_ms > clock.latest_reading(now);
         if order.incarnation != self.incarnation || self.clock.is_some_and(is_ahead) {
             return false;
         }
@@ -90,7 +90,7 @@
             let is_late = self.awaits_report
                 && self
                     .clock
-                    .is_some_and(|clock| clock.is_behind(report.clock_ms, now));
+                    .is_some_and(|clock| report.clock_ms > clock.latest_reading(now));
             return (!is_late).then(|| std::mem::take(&mut self.awaits_report));
         }
         // Processes start one after another, but their clocks may be set back. The present process
--- a/crates/daisymast_scheduler/tests/leases.rs
+++ b/crates/daisymast_scheduler/tests/leases.rs
@@ -3,7 +3,10 @@
 
 mod common;
 
-use common::{BATCH, Rig, job, step};
+use std::time::Duration;
+
+use common::{BATCH, Rig, job, mono, step};
+use daisymast_scheduler::{constants, lease};
 
 /// Run time of a task that outlasts any lease, in milliseconds.
 const LONG_MS: u32 = 30_000;
@@ -98,3 +101,20 @@
         }
     }
 }
+
+/// Guards against arithmetic that overflows on the clock reading of a worker of another make, which
+/// would end the process.
+#[test]
+fn a_clock_reading_at_the_limit_overflows_nothing() {
+    let received_at = mono(10_000);
+    let now = mono(20_000);
+    for reading_ms in [0, u64::MAX / 1_000, u64::MAX - 1, u64::MAX] {
+        let mut clock = lease::WorkerClock::new(reading_ms, received_at);
+        let deadline = clock.deadline(now, constants::WORKER_LEASE);
+        assert!(deadline >= reading_ms);
+        assert!(clock.passed_at(deadline) >= received_at);
+        assert!(clock.earliest_reading(now) <= clock.latest_reading(now));
+        clock.update(reading_ms, now);
+        assert!(clock.reading_age(now) <= Duration::from_secs(10));
+    }
+}
