Carry the fencing token and the time of each call with its target

Each call to a worker now names the fencing token that it shows and when it was requested, and its outcome is passed back with both. A relay link uses the highest token of its calls; an exchange that a later one with a higher token has overtaken counts as not made, and does not end the term.

--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -85,7 +85,7 @@
         }
     }
 
-    /// Returns the term: the revision of the leader key, which also serves as fencing token.
+    /// Returns the term: the revision of the leader key, the fencing token of the first calls.
     pub fn term(&self) -> u64 {
         self.term
     }
@@ -233,7 +233,12 @@
     let now = clock::timestamp();
     let max_lease = Duration::from_millis(context.settings.max_lease_ms);
     let orders_end = former_leases.end();
-    let scheduler = scheduler::Scheduler::resume(config, job_table, orders_end, max_lease, now);
+    let scheduler_term = scheduler::Term {
+        number: term,
+        orders_end,
+        max_lease,
+    };
+    let scheduler = scheduler::Scheduler::resume(config, job_table, scheduler_term, now);
     let leadership = Arc::new(Leadership::new(
         term,
         scheduler,
--- a/crates/daisymast_node/src/leadership/calls.rs
+++ b/crates/daisymast_node/src/leadership/calls.rs
@@ -47,7 +47,7 @@
         } => {
             let hold = workers::Hold {
                 deadline_ms,
-                token: leadership.term,
+                token: target.fence,
                 acked_end,
                 wait_ms: lease::millis(wait),
             };
@@ -58,7 +58,7 @@
             context
                 .metrics
                 .count_call("worker_look", outcome_label(answered));
-            leadership.update(|scheduler| scheduler.on_poll_outcome(target.index, outcome, now));
+            leadership.update(|scheduler| scheduler.on_poll_outcome(&target, outcome, now));
         }
         action::Action::Start(start) => {
             let order = workers::StartOrder {
@@ -66,7 +66,7 @@
                 run: start.run,
                 payload: &start.spec.payload,
                 deadline_ms: start.deadline_ms,
-                token: leadership.term,
+                token: start.target.fence,
                 checkpoint: start.checkpoint.as_deref(),
                 ticket: start.ticket.as_deref(),
             };
@@ -83,9 +83,8 @@
             context
                 .metrics
                 .count_call("worker_start", outcome_label(accepted));
-            let worker_index = start.target.index;
             leadership.update(|scheduler| {
-                scheduler.on_start(worker_index, start.task, start.run, outcome, now);
+                scheduler.on_start(&start.target, start.task, start.run, outcome, now);
             });
         }
         action::Action::Stop { target, task, run } => {
@@ -94,12 +93,12 @@
                 worker(&target),
                 task,
                 run,
-                leadership.term,
+                target.fence,
                 relay_limits::ORDER_TIMEOUT,
             );
             let outcome = order.await;
             let now = clock::now();
-            leadership.update(|scheduler| scheduler.on_stop(target.index, task, run, outcome, now));
+            leadership.update(|scheduler| scheduler.on_stop(&target, task, run, outcome, now));
         }
         action::Action::RequestAdvice {
             call,
--- a/crates/daisymast_node/src/leadership/commit.rs
+++ b/crates/daisymast_node/src/leadership/commit.rs
@@ -48,7 +48,8 @@
             lock(&leadership.commit_timeout).timeout(failures) + transfer_time(transaction.bytes());
         let committed = context.store.commit(transaction, timeout).await;
         match committed {
-            Ok(store::CommitOutcome::Done(_)) => {
+            Ok(store::CommitOutcome::Done(revision)) => {
+                lock(&leadership.scheduler).on_revision(revision);
                 let took = clock::now() - sent;
                 context.metrics.count_call("store", "done");
                 context.metrics.observe_commit(took);
--- a/crates/daisymast_node/src/leadership/relaying.rs
+++ b/crates/daisymast_node/src/leadership/relaying.rs
@@ -138,6 +138,7 @@
     sending: link::Sending,
 ) {
     let (lane, number) = (sending.lane, sending.number);
+    let fence = sending.exchange.term;
     let request = peers::Request::Relay(sending.exchange);
     let answer = peers::call(&context, sending.address, &request, sending.timeout).await;
     let now = clock::now();
@@ -157,6 +158,13 @@
             deliver(&leadership, outcomes.delivered, now);
             call_directly(&context, &leadership, outcomes.undelivered);
         }
+        // A later exchange with a higher token has overtaken this one.
+        outcome::Outcome::Done(peers::Reply::NotLeader)
+            if is_superseded(&leadership, &relay, fence) =>
+        {
+            let failure = link::Failure::NoEffect;
+            fail(&context, &leadership, &relay, (lane, number), failure);
+        }
         outcome::Outcome::Done(peers::Reply::NotLeader) => {
             log::info!(
                 "relay {relay} knows of a later term than {}",
@@ -186,6 +194,13 @@
     wake_link(&context, &leadership, &relay);
 }
 
+/// Whether the calls to a relay have a higher fencing token than an exchange.
+fn is_superseded(leadership: &Leadership, relay: &ids::InstanceId, fence: u64) -> bool {
+    lock(&leadership.relays)
+        .link_mut(relay)
+        .is_some_and(|link| link.fence() > fence)
+}
+
 fn fail(
     context: &Arc<context::Context>,
     leadership: &Arc<Leadership>,
@@ -221,20 +236,20 @@
     match (action, outcome) {
         (action::Action::PollWorker { target, .. }, wire::Outcome::Report(report)) => {
             let outcome = report::PollOutcome::Report(report.into());
-            scheduler.on_poll_outcome(target.index, outcome, now);
+            scheduler.on_poll_outcome(&target, outcome, now);
         }
         (action::Action::PollWorker { target, .. }, wire::Outcome::NoReport(failure)) => {
-            scheduler.on_poll_outcome(target.index, failure.into(), now);
+            scheduler.on_poll_outcome(&target, failure.into(), now);
         }
         (action::Action::PollWorker { target, .. }, _) => {
-            scheduler.on_poll_outcome(target.index, report::PollOutcome::Failed, now);
+            scheduler.on_poll_outcome(&target, report::PollOutcome::Failed, now);
         }
         (action::Action::Start(start), outcome) => {
             let outcome = order_outcome(&outcome);
-            scheduler.on_start(start.target.index, start.task, start.run, outcome, now);
+            scheduler.on_start(&start.target, start.task, start.run, outcome, now);
         }
         (action::Action::Stop { target, task, run }, outcome) => {
-            scheduler.on_stop(target.index, task, run, order_outcome(&outcome), now);
+            scheduler.on_stop(&target, task, run, order_outcome(&outcome), now);
         }
         _ => {}
     }
--- a/crates/daisymast_relay/src/link.rs
+++ b/crates/daisymast_relay/src/link.rs
@@ -100,7 +100,9 @@
 pub struct Link {
     address: SocketAddr,
     session: u64,
-    term: u64,
+    /// Highest fencing token of the calls so far. An exchange has one token for all its calls, and the
+    /// relay accepts none with a lower one afterwards.
+    fence: u64,
     /// Process of the relay, as its last reply named it.
     process: Option<u64>,
     queue: Vec<action::Action>,
@@ -118,11 +120,11 @@
 
 impl Link {
     /// Creates a link without calls. `session` must differ from that of any other link.
-    pub fn new(address: SocketAddr, session: u64, term: u64, now: time::Monotonic) -> Self {
+    pub fn new(address: SocketAddr, session: u64, fence: u64, now: time::Monotonic) -> Self {
         Self {
             address,
             session,
-            term,
+            fence,
             process: None,
             queue: Vec::new(),
             open: collections::FastMap::default(),
@@ -146,8 +148,16 @@
         self.address
     }
 
+    /// Fencing token of the next exchange.
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
     /// Adds a call to the next exchange.
     pub fn push(&mut self, action: action::Action) {
+        if let Some(target) = target(&action) {
+            self.fence = self.fence.max(target.fence);
+        }
         self.queue.push(action);
     }
 
@@ -215,7 +225,7 @@
             address: self.address,
             exchange: wire::Exchange {
                 session: self.session,
-                term: self.term,
+                term: self.fence,
                 wait_ms: lease::millis(hold),
                 payloads,
                 calls,
@@ -405,6 +415,20 @@
     ))
 }
 
+/// Returns the worker that a call is made to, `None` if the action is no such call.
+pub(crate) fn target(action: &action::Action) -> Option<&action::Target> {
+    match action {
+        action::Action::PollWorker { target, .. } | action::Action::Stop { target, .. } => {
+            Some(target)
+        }
+        action::Action::Start(start) => Some(&start.target),
+        action::Action::RequestAdvice { .. }
+        | action::Action::Answer { .. }
+        | action::Action::Deposed
+        | action::Action::Log(_) => None,
+    }
+}
+
 /// Timeout of a call at the relay.
 fn timeout(action: &action::Action) -> Duration {
     match action {
--- a/crates/daisymast_relay/src/relays.rs
+++ b/crates/daisymast_relay/src/relays.rs
@@ -132,13 +132,7 @@
     /// Returns the relay that serves the worker of a call, or `None` if the leader has to make the
     /// call itself.
     pub fn relay_of(&self, call: &action::Action) -> Option<&ids::InstanceId> {
-        let index = match call {
-            action::Action::PollWorker { target, .. } | action::Action::Stop { target, .. } => {
-                target.index
-            }
-            action::Action::Start(start) => start.target.index,
-            _ => return None,
-        };
+        let index = link::target(call)?.index;
         let relay = self.by_worker.get(index)?.as_ref()?;
         self.links.contains_key(relay).then_some(relay)
     }
--- a/crates/daisymast_relay/src/wire.rs
+++ b/crates/daisymast_relay/src/wire.rs
@@ -15,7 +15,7 @@
 pub struct Exchange {
     /// Identifies the leader's connection state. Outcomes of an earlier session are not delivered.
     pub session: u64,
-    /// Term of the leader, which is the fencing token of all calls.
+    /// Fencing token of all calls, at least the term of the leader and below the next one.
     pub term: u64,
     /// How long the relay may wait for outcomes before it answers, in milliseconds.
     pub wait_ms: u64,
--- a/crates/daisymast_relay/tests/common/mod.rs
+++ b/crates/daisymast_relay/tests/common/mod.rs
@@ -23,6 +23,8 @@
         index,
         id: format!("w-{index}").into(),
         address: address(1),
+        fence: 1,
+        sent_at: time::Monotonic::ZERO,
     }
 }
 
--- a/crates/daisymast_scheduler/examples/fleet_model/mod.rs
+++ b/crates/daisymast_scheduler/examples/fleet_model/mod.rs
@@ -64,8 +64,8 @@
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Committed,
-    Started(usize, spec::TaskId, u32),
-    PollReply(usize),
+    Started(action::Target, spec::TaskId, u32),
+    PollReply(action::Target),
     Advice(u64, Vec<(String, String)>),
 }
 
@@ -110,8 +110,11 @@
         let mut scheduler = scheduler::Scheduler::resume(
             config,
             job_table::JobTable::default(),
-            mono(START_MS),
-            MAX_LEASE,
+            scheduler::Term {
+                number: 1,
+                orders_end: mono(START_MS),
+                max_lease: MAX_LEASE,
+            },
             timestamp(START_MS),
         );
         let nodes: Vec<_> = (0..NODES)
@@ -273,12 +276,12 @@
         let now = mono(self.now);
         match event {
             Event::Committed => self.scheduler.committed(now),
-            Event::Started(index, task, run) => {
-                self.begin(index, task, run);
+            Event::Started(target, task, run) => {
+                self.begin(target.index, task, run);
                 let outcome = report::OrderOutcome::Accepted(self.now);
-                self.scheduler.on_start(index, task, run, outcome, now);
+                self.scheduler.on_start(&target, task, run, outcome, now);
             }
-            Event::PollReply(index) => self.answer_poll(index),
+            Event::PollReply(target) => self.answer_poll(&target),
             Event::Advice(call, allowed) => self.scheduler.on_advice(call, Some(allowed), now),
         }
     }
@@ -333,17 +336,18 @@
             for (task, run) in due {
                 worker.end(task, run.run, run.end);
             }
-            if !worker.ended.is_empty() && worker.has_open_poll {
-                worker.has_open_poll = false;
-                self.send(ROUND_TRIP_MS, Event::PollReply(index));
+            if !worker.ended.is_empty()
+                && let Some(target) = worker.open_poll.take()
+            {
+                self.send(ROUND_TRIP_MS, Event::PollReply(target));
             }
         }
     }
 
-    fn answer_poll(&mut self, index: usize) {
+    fn answer_poll(&mut self, target: &action::Target) {
         let clock = self.now;
-        let worker = &mut self.workers[index];
-        worker.has_open_poll = false;
+        let worker = &mut self.workers[target.index];
+        worker.open_poll = None;
         // Progress is modelled as steady, so that no run counts as hung.
         let percent = u8::try_from(clock / 500 % 90).unwrap_or(0);
         let running = worker.running.iter().map(|(&task, run)| report::Running {
@@ -360,7 +364,7 @@
             ended: worker.ended.clone(),
         };
         let outcome = report::PollOutcome::Report(report);
-        self.scheduler.on_poll_outcome(index, outcome, mono(clock));
+        self.scheduler.on_poll_outcome(target, outcome, mono(clock));
         self.note_completions();
     }
 
@@ -379,7 +383,7 @@
     fn carry_out(&mut self, action: action::Action) {
         match action {
             action::Action::Start(start) => {
-                let event = Event::Started(start.target.index, start.task, start.run);
+                let event = Event::Started(start.target, start.task, start.run);
                 self.send(ROUND_TRIP_MS, event);
             }
             action::Action::PollWorker {
@@ -392,17 +396,16 @@
                 worker.ended.retain(|ended| ended.number > acked_end);
                 let wait = u64::try_from(wait.as_millis()).unwrap_or(0);
                 if worker.ended.is_empty() && wait > 0 {
-                    worker.has_open_poll = true;
-                    self.send(wait, Event::PollReply(target.index));
+                    worker.open_poll = Some(target.clone());
+                    self.send(wait, Event::PollReply(target));
                 } else {
-                    self.send(ROUND_TRIP_MS, Event::PollReply(target.index));
+                    self.send(ROUND_TRIP_MS, Event::PollReply(target));
                 }
             }
             action::Action::Stop { target, task, run } => {
                 self.workers[target.index].end(task, run, report::End::Stopped);
                 let (now, outcome) = (mono(self.now), report::OrderOutcome::Accepted(self.now));
-                self.scheduler
-                    .on_stop(target.index, task, run, outcome, now);
+                self.scheduler.on_stop(&target, task, run, outcome, now);
             }
             action::Action::RequestAdvice {
                 call,
--- a/crates/daisymast_scheduler/examples/fleet_model/workers.rs
+++ b/crates/daisymast_scheduler/examples/fleet_model/workers.rs
@@ -1,7 +1,7 @@
 //! Modelled workers and their runs.
 
 use daisymast_jobs::spec;
-use daisymast_scheduler::report;
+use daisymast_scheduler::{action, report};
 use daisymast_types::collections;
 
 /// A run on a modelled worker.
@@ -19,7 +19,7 @@
     pub(crate) running: collections::FastMap<spec::TaskId, Run>,
     pub(crate) ended: Vec<report::Ended>,
     pub(crate) last_end: u64,
-    pub(crate) has_open_poll: bool,
+    pub(crate) open_poll: Option<action::Target>,
 }
 
 impl Worker {
--- a/crates/daisymast_scheduler/examples/load.rs
+++ b/crates/daisymast_scheduler/examples/load.rs
@@ -88,8 +88,8 @@
 enum Event {
     Arrival(usize),
     Committed,
-    Started(usize, spec::TaskId, u32),
-    PollReply(usize),
+    Started(action::Target, spec::TaskId, u32),
+    PollReply(action::Target),
     Advice(u64, Vec<(String, String)>),
 }
 
@@ -97,8 +97,8 @@
     running: Vec<(spec::TaskId, u32, u64)>,
     ended: Vec<report::Ended>,
     last_end: u64,
-    /// Whether a poll waits for a run to end.
-    has_open_poll: bool,
+    /// The poll that waits for a run to end.
+    open_poll: Option<action::Target>,
 }
 
 struct Simulation {
@@ -139,8 +139,11 @@
         let mut scheduler = scheduler::Scheduler::resume(
             config,
             job_table::JobTable::default(),
-            mono(now),
-            MAX_LEASE,
+            scheduler::Term {
+                number: 1,
+                orders_end: mono(now),
+                max_lease: MAX_LEASE,
+            },
             timestamp(now),
         );
         let nodes: Vec<_> = (0..NODES)
@@ -165,7 +168,7 @@
             running: Vec::new(),
             ended: Vec::new(),
             last_end: 0,
-            has_open_poll: false,
+            open_poll: None,
         };
         Self {
             now,
@@ -226,32 +229,31 @@
                 self.submit(kind_index);
             }
             Event::Committed => self.timed(|scheduler| scheduler.committed(now)),
-            Event::Started(worker_index, task, run) => {
+            Event::Started(target, task, run) => {
                 let work = self
                     .work_ms_by_job
                     .get(&task.step.job)
                     .copied()
                     .unwrap_or(1);
-                self.workers[worker_index]
+                self.workers[target.index]
                     .running
                     .push((task, run, self.now + work));
                 let outcome = report::OrderOutcome::Accepted(self.now);
-                self.timed(|scheduler| scheduler.on_start(worker_index, task, run, outcome, now));
+                self.timed(|scheduler| scheduler.on_start(&target, task, run, outcome, now));
             }
-            Event::PollReply(worker_index) => self.answer_poll(worker_index),
+            Event::PollReply(target) => self.answer_poll(&target),
             Event::Advice(call, allowed) => {
                 self.timed(|scheduler| scheduler.on_advice(call, Some(allowed), now));
             }
         }
     }
 
-    fn answer_poll(&mut self, worker_index: usize) {
+    fn answer_poll(&mut self, target: &action::Target) {
         let clock = self.now;
-        let worker = &mut self.workers[worker_index];
-        if !worker.has_open_poll {
+        let worker = &mut self.workers[target.index];
+        if worker.open_poll.take().is_none() {
             return;
         }
-        worker.has_open_poll = false;
         let running = worker.running.iter().map(|&(task, run, ends)| {
             let left = u8::try_from(ends.saturating_sub(clock).min(9_900) / 100).unwrap_or(99);
             report::Running {
@@ -270,7 +272,7 @@
         };
         let now = mono(self.now);
         let outcome = report::PollOutcome::Report(report);
-        self.timed(|scheduler| scheduler.on_poll_outcome(worker_index, outcome, now));
+        self.timed(|scheduler| scheduler.on_poll_outcome(target, outcome, now));
     }
 
     /// Ends the runs whose time is over, and answers open polls of their workers.
@@ -294,8 +296,10 @@
                     checkpoint: None,
                 });
             }
-            if worker.ended.len() > before && worker.has_open_poll {
-                self.send(ROUND_TRIP_MS, Event::PollReply(worker_index));
+            if worker.ended.len() > before
+                && let Some(target) = worker.open_poll.clone()
+            {
+                self.send(ROUND_TRIP_MS, Event::PollReply(target));
             }
         }
     }
@@ -303,7 +307,7 @@
     fn carry_out(&mut self, action: action::Action) {
         match action {
             action::Action::Start(start) => {
-                let event = Event::Started(start.target.index, start.task, start.run);
+                let event = Event::Started(start.target, start.task, start.run);
                 self.send(ROUND_TRIP_MS, event);
             }
             action::Action::PollWorker {
@@ -314,10 +318,10 @@
             } => {
                 let worker = &mut self.workers[target.index];
                 worker.ended.retain(|ended| ended.number > acked_end);
-                worker.has_open_poll = true;
+                worker.open_poll = Some(target.clone());
                 let wait = u64::try_from(wait.as_millis()).unwrap_or(0);
                 let wait = if worker.ended.is_empty() { wait } else { 0 };
-                self.send(wait + ROUND_TRIP_MS, Event::PollReply(target.index));
+                self.send(wait + ROUND_TRIP_MS, Event::PollReply(target));
             }
             action::Action::Stop { target, task, run } => {
                 let worker = &mut self.workers[target.index];
@@ -334,7 +338,7 @@
                     });
                 }
                 let (now, outcome) = (mono(self.now), report::OrderOutcome::Accepted(self.now));
-                self.timed(|scheduler| scheduler.on_stop(target.index, task, run, outcome, now));
+                self.timed(|scheduler| scheduler.on_stop(&target, task, run, outcome, now));
             }
             action::Action::RequestAdvice {
                 call,
--- a/crates/daisymast_scheduler/src/action.rs
+++ b/crates/daisymast_scheduler/src/action.rs
@@ -6,11 +6,12 @@
 
 use daisymast_jobs::spec;
 use daisymast_types::ids;
+use daisymast_types::time;
 
 use crate::decision;
 
-/// Address of a worker, with the index that the outcome of the call is reported under.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Worker to call, and what ties the outcome to the call.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Target {
     /// Index of the worker in the fleet.
     pub index: usize,
@@ -18,6 +19,10 @@
     pub id: ids::WorkerId,
     /// Address of the worker's control endpoint.
     pub address: SocketAddr,
+    /// Fencing token of the call. The worker refuses calls with a lower one from then on.
+    pub fence: u64,
+    /// When the call was requested.
+    pub sent_at: time::Monotonic,
 }
 
 /// Answer to a caller request, sent once the records that it depends on are stored.
--- a/crates/daisymast_scheduler/src/lib.rs
+++ b/crates/daisymast_scheduler/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod constants;
 pub mod decision;
 pub mod failing_jobs;
+pub mod fencing;
 pub mod fleet;
 pub mod health;
 pub mod journal;
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -20,6 +20,7 @@
 use crate::config;
 use crate::decision;
 use crate::failing_jobs;
+use crate::fencing;
 use crate::fleet;
 use crate::journal;
 use crate::progress;
@@ -51,10 +52,22 @@
     workers: Vec<usize>,
 }
 
+/// What a scheduler has to know of its term.
+#[derive(Clone, Copy, Debug)]
+pub struct Term {
+    /// Number of the term, the fencing token of its first calls.
+    pub number: u64,
+    /// After this time, no former scheduler sends orders.
+    pub orders_end: time::Monotonic,
+    /// Longest lease that a worker accepts.
+    pub max_lease: Duration,
+}
+
 /// State of the scheduler in one term.
 #[derive(Debug)]
 pub struct Scheduler {
     config: Arc<config::Configuration>,
+    fencing: fencing::Fencing,
     /// Longest lease that a worker accepts.
     max_lease: Duration,
     job_table: job_table::JobTable,
@@ -108,6 +121,11 @@
         }
     }
 
+    /// Records the revision of the store that a commit of the term has returned.
+    pub fn on_revision(&mut self, revision: u64) {
+        self.fencing.on_committed(revision);
+    }
+
     /// Sets the live nodes, which can send requests to the advice service.
     pub fn set_advice_nodes(&mut self, alive: &[ids::InstanceId]) {
         self.advice_nodes.set(alive);
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -36,6 +36,7 @@
             .steps
             .get(&task.step)
             .is_some_and(|step| step.advice.is_some() && !step.has_ticket(worker_index, now));
+        let fence = self.fencing.token();
         let worker = self.fleet.at_mut(worker_index);
         let takes_tasks = worker.takes_tasks(now);
         let Some(assigned_run) = worker.runs.get(&task) else {
@@ -50,7 +51,7 @@
         {
             return;
         }
-        let target = worker.target(worker_index);
+        let target = worker.target(worker_index, fence, now);
         let deadline = worker.extend_lease(now, self.max_lease);
         let (Some(target), Some(deadline_ms)) = (target, deadline) else {
             self.release(worker_index, task, now);
@@ -96,15 +97,16 @@
         }
     }
 
-    /// Handles the outcome of a start.
+    /// Handles the outcome of a start that was sent to `target`.
     pub fn on_start(
         &mut self,
-        worker_index: usize,
+        target: &action::Target,
         task: spec::TaskId,
         run: u32,
         outcome: report::OrderOutcome,
         now: time::Monotonic,
     ) {
+        let worker_index = target.index;
         if self.is_deposed_by(outcome) {
             return;
         }
@@ -297,12 +299,13 @@
         task: spec::TaskId,
         now: time::Monotonic,
     ) {
+        let fence = self.fencing.token();
         let worker = self.fleet.at_mut(worker_index);
         // The worker must know the fencing token first, which it learns from the first poll.
         if !worker.reconciled {
             return;
         }
-        let Some(target) = worker.target(worker_index) else {
+        let Some(target) = worker.target(worker_index, fence, now) else {
             return;
         };
         let incarnation = worker.incarnation;
@@ -318,15 +321,16 @@
         });
     }
 
-    /// Handles the outcome of a stop.
+    /// Handles the outcome of a stop that was sent to `target`.
     pub fn on_stop(
         &mut self,
-        worker_index: usize,
+        target: &action::Target,
         task: spec::TaskId,
         run: u32,
         outcome: report::OrderOutcome,
         now: time::Monotonic,
     ) {
+        let worker_index = target.index;
         if self.is_deposed_by(outcome) {
             return;
         }
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -16,6 +16,7 @@
         let is_open_initial_poll =
             |worker: &&worker::Worker| worker.polling && is_initial_poll(worker);
         let max_lease = self.max_lease;
+        let fence = self.fencing.token();
         let mut initial_polls = self.fleet.iter().filter(is_open_initial_poll).count();
         for worker_index in 0..self.fleet.len() {
             let worker = self.fleet.at_mut(worker_index);
@@ -28,7 +29,7 @@
                 }
                 initial_polls += 1;
             }
-            let Some(target) = worker.target(worker_index) else {
+            let Some(target) = worker.target(worker_index, fence, now) else {
                 continue;
             };
             let idle = worker.runs.is_empty();
@@ -62,13 +63,14 @@
         }
     }
 
-    /// Handles the outcome of a poll.
+    /// Handles the outcome of a poll that was sent to `target`.
     pub fn on_poll_outcome(
         &mut self,
-        worker_index: usize,
+        target: &action::Target,
         outcome: report::PollOutcome,
         now: time::Monotonic,
     ) {
+        let worker_index = target.index;
         let worker = self.fleet.at_mut(worker_index);
         worker.polling = false;
         match outcome {
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -1,7 +1,6 @@
 //! Start of a term: jobs from the journal and runs that the former scheduler placed.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use daisymast_jobs::job;
 use daisymast_jobs::job_table;
@@ -10,10 +9,11 @@
 use daisymast_types::ids;
 use daisymast_types::time;
 
-use super::Scheduler;
+use super::{Scheduler, Term};
 use crate::advice_nodes;
 use crate::config;
 use crate::failing_jobs;
+use crate::fencing;
 use crate::fleet;
 use crate::journal;
 use crate::lease;
@@ -32,20 +32,19 @@
 impl Scheduler {
     /// Starts a term with the jobs of the journal. Runs that a former scheduler placed count as
     /// running until the worker reports, or until all leases have expired that former schedulers may
-    /// have given: they send no orders after `orders_end`, and workers accept leases of up to
-    /// `max_lease`.
+    /// have given.
     pub fn resume(
         config: Arc<config::Configuration>,
         mut job_table: job_table::JobTable,
-        orders_end: time::Monotonic,
-        max_lease: Duration,
+        term: Term,
         now: time::Timestamp,
     ) -> Self {
-        let former_lease_end = orders_end + lease::longest_granted(max_lease);
+        let former_lease_end = term.orders_end + lease::longest_granted(term.max_lease);
         job_table.mark_all_committed();
         let mut scheduler = Self {
             config,
-            max_lease,
+            fencing: fencing::Fencing::new(term.number),
+            max_lease: term.max_lease,
             job_table,
             fleet: fleet::Fleet::default(),
             journal: journal::Journal::default(),
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -134,12 +134,15 @@
         }
     }
 
-    /// Returns the target for orders and polls, or `None` if the address is unknown.
-    pub fn target(&self, index: usize) -> Option<action::Target> {
+    /// Returns the target of an order or poll that is sent now with a fencing token, or `None` if the
+    /// address is unknown.
+    pub fn target(&self, index: usize, fence: u64, now: time::Monotonic) -> Option<action::Target> {
         Some(action::Target {
             index,
             id: self.id.clone(),
             address: self.registration.as_ref()?.address,
+            fence,
+            sent_at: now,
         })
     }
 
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -95,14 +95,13 @@
 }
 
 /// A poll of a worker.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct Poll {
-    worker_index: usize,
+    target: action::Target,
     number: usize,
     /// Start time of the process that the poll has reached. Its connection stays silent if that
     /// process ends.
     reached: Option<u64>,
-    token: u64,
     deadline: Option<u64>,
     acked_end: u64,
     wait: u64,
@@ -123,23 +122,21 @@
 enum Message {
     Poll(Poll),
     Start {
-        token: u64,
         start: Box<action::Start>,
         delivery: Delivery,
     },
     Stop {
-        worker_index: usize,
+        target: action::Target,
         number: usize,
-        token: u64,
         task: spec::TaskId,
         run: u32,
         delivery: Delivery,
     },
-    PollReply(usize, report::PollOutcome),
-    StartReply(usize, spec::TaskId, u32, report::OrderOutcome),
-    StopReply(usize, spec::TaskId, u32, report::OrderOutcome),
+    PollReply(action::Target, report::PollOutcome),
+    StartReply(action::Target, spec::TaskId, u32, report::OrderOutcome),
+    StopReply(action::Target, spec::TaskId, u32, report::OrderOutcome),
     Advice(u64, Vec<(String, String)>),
-    Committed(Vec<record::Record>),
+    Committed(Vec<record::Record>, u64),
 }
 
 /// The start of a run, as a worker observed it.
@@ -159,7 +156,10 @@
 pub(crate) struct Rig {
     pub(crate) now: u64,
     pub(crate) scheduler: scheduler::Scheduler,
-    pub(crate) token: u64,
+    /// Number of the scheduler's term.
+    term: u64,
+    /// Revision of the store.
+    revision: u64,
     pub(crate) workers: Vec<Worker>,
     pub(crate) worker_numbers: BTreeMap<String, usize>,
     pub(crate) starts: Vec<ObservedStart>,
@@ -289,11 +289,15 @@
             scheduler: scheduler::Scheduler::resume(
                 config(),
                 job_table::JobTable::default(),
-                time::Monotonic::from_millis(now),
-                MAX_LEASE,
+                scheduler::Term {
+                    number: 1,
+                    orders_end: time::Monotonic::from_millis(now),
+                    max_lease: MAX_LEASE,
+                },
                 timestamp(now),
             ),
-            token: 1,
+            term: 1,
+            revision: 1,
             workers,
             worker_numbers,
             starts: Vec::new(),
@@ -395,7 +399,8 @@
         for record in self.journal.clone() {
             job_table.apply(record);
         }
-        self.token += 1;
+        self.revision += 1;
+        self.term = self.revision;
         self.deposed = false;
         // Replies and open commits were addressed to the former scheduler.
         self.messages.retain(|(_, _, message)| {
@@ -407,8 +412,11 @@
         self.scheduler = scheduler::Scheduler::resume(
             config,
             job_table,
-            orders_end,
-            MAX_LEASE,
+            scheduler::Term {
+                number: self.term,
+                orders_end,
+                max_lease: MAX_LEASE,
+            },
             timestamp(self.now),
         );
         self.register_all();
@@ -436,7 +444,8 @@
                 } else {
                     batch
                 };
-                self.send(COMMIT_MS, Message::Committed(batch));
+                self.revision += 1;
+                self.send(COMMIT_MS, Message::Committed(batch, self.revision));
             }
         }
     }
@@ -486,10 +495,9 @@
                 } => {
                     self.polls += 1;
                     let poll = Poll {
-                        worker_index: target.index,
                         number: self.number(target.id.as_str()),
+                        target,
                         reached: None,
-                        token: self.token,
                         deadline: deadline_ms,
                         acked_end,
                         wait: millis(wait),
@@ -502,7 +510,6 @@
                     let delay = self.workers[number].order_delay_ms;
                     let delivery = self.delivery(number);
                     let message = Message::Start {
-                        token: self.token,
                         start: Box::new(start.clone()),
                         delivery,
                     };
@@ -510,7 +517,7 @@
                     if !delivery.is_answered {
                         let unknown = report::OrderOutcome::Unknown;
                         let reply =
-                            Message::StartReply(start.target.index, start.task, start.run, unknown);
+                            Message::StartReply(start.target, start.task, start.run, unknown);
                         self.send(ORDER_TIMEOUT_MS, reply);
                     }
                 }
@@ -519,9 +526,8 @@
                     let delay = self.workers[number].order_delay_ms;
                     let delivery = self.delivery(number);
                     let message = Message::Stop {
-                        worker_index: target.index,
+                        target: target.clone(),
                         number,
-                        token: self.token,
                         task,
                         run,
                         delivery,
@@ -529,7 +535,7 @@
                     self.send(NETWORK_DELAY_MS + delay, message);
                     if !delivery.is_answered {
                         let unknown = report::OrderOutcome::Unknown;
-                        let reply = Message::StopReply(target.index, task, run, unknown);
+                        let reply = Message::StopReply(target, task, run, unknown);
                         self.send(ORDER_TIMEOUT_MS, reply);
                     }
                 }
@@ -557,6 +563,11 @@
         }
     }
 
+    /// Whether a call was sent by the present scheduler, which alone gets its answer.
+    fn is_current(&self, target: &action::Target) -> bool {
+        target.fence >= self.term
+    }
+
     fn number(&self, id: &str) -> usize {
         self.worker_numbers[id]
     }
@@ -597,47 +608,41 @@
         let now = mono(self.now);
         match message {
             Message::Poll(poll) => self.handle_poll(poll),
-            Message::Start {
-                token,
-                start,
-                delivery,
-            } => self.handle_start(token, &start, delivery),
+            Message::Start { start, delivery } => self.handle_start(&start, delivery),
             Message::Stop {
-                worker_index,
+                target,
                 number,
-                token,
                 task,
                 run,
                 delivery,
             } => {
-                let outcome = self.handle_stop(number, token, task, run, delivery);
-                if delivery.is_answered && token == self.token {
+                let outcome = self.handle_stop(number, target.fence, task, run, delivery);
+                if delivery.is_answered && self.is_current(&target) {
                     match outcome {
                         Some(outcome) => {
-                            self.send_answer(Message::StopReply(worker_index, task, run, outcome));
+                            self.send_answer(Message::StopReply(target, task, run, outcome));
                         }
                         None => {
                             let unknown = report::OrderOutcome::Unknown;
-                            let reply = Message::StopReply(worker_index, task, run, unknown);
+                            let reply = Message::StopReply(target, task, run, unknown);
                             self.send(ORDER_TIMEOUT_MS, reply);
                         }
                     }
                 }
             }
-            Message::PollReply(worker_index, outcome) => {
-                self.scheduler.on_poll_outcome(worker_index, outcome, now);
+            Message::PollReply(target, outcome) => {
+                self.scheduler.on_poll_outcome(&target, outcome, now);
             }
-            Message::StartReply(worker_index, task, run, outcome) => {
-                self.scheduler
-                    .on_start(worker_index, task, run, outcome, now);
+            Message::StartReply(target, task, run, outcome) => {
+                self.scheduler.on_start(&target, task, run, outcome, now);
             }
-            Message::StopReply(worker_index, task, run, outcome) => {
-                self.scheduler
-                    .on_stop(worker_index, task, run, outcome, now);
+            Message::StopReply(target, task, run, outcome) => {
+                self.scheduler.on_stop(&target, task, run, outcome, now);
             }
             Message::Advice(call, allowed) => self.scheduler.on_advice(call, Some(allowed), now),
-            Message::Committed(batch) => {
+            Message::Committed(batch, revision) => {
                 self.journal.extend(batch);
+                self.scheduler.on_revision(revision);
                 self.scheduler.committed(now);
             }
         }
--- a/crates/daisymast_scheduler/tests/common/workers.rs
+++ b/crates/daisymast_scheduler/tests/common/workers.rs
@@ -11,15 +11,16 @@
 impl Rig {
     pub(super) fn handle_poll(&mut self, poll: Poll) {
         let Poll {
-            worker_index,
+            ref target,
             number,
             reached,
-            token,
             deadline,
             acked_end,
             wait,
             since,
         } = poll;
+        let token = target.fence;
+        let is_current = self.is_current(target);
         let started_at = self.workers[number].started_at;
         let is_silent = reached.is_some_and(|reached| reached != started_at);
         if is_silent || self.is_unreachable(number) {
@@ -30,18 +31,18 @@
                     ..poll
                 });
                 self.send(CLOCK_STEP_MS, again);
-            } else if token == self.token {
+            } else if is_current {
                 let failed = report::PollOutcome::Failed;
-                self.send(0, Message::PollReply(worker_index, failed));
+                self.send(0, Message::PollReply(poll.target, failed));
             }
             return;
         }
         let clock = self.clock(number);
         let worker = &mut self.workers[number];
         if token < worker.token {
-            if token == self.token {
+            if is_current {
                 let fenced = report::PollOutcome::Fenced;
-                self.send_answer(Message::PollReply(worker_index, fenced));
+                self.send_answer(Message::PollReply(poll.target, fenced));
             }
             return;
         }
@@ -60,9 +61,9 @@
             self.send(CLOCK_STEP_MS, again);
             return;
         }
-        if token == self.token {
+        if is_current {
             let outcome = report::PollOutcome::Report(self.report(number));
-            self.send_answer(Message::PollReply(worker_index, outcome));
+            self.send_answer(Message::PollReply(poll.target, outcome));
         }
     }
 
@@ -125,11 +126,12 @@
         worker.is_down || (worker.is_disconnected && !delivery.is_late)
     }
 
-    pub(super) fn handle_start(&mut self, token: u64, start: &action::Start, delivery: Delivery) {
+    pub(super) fn handle_start(&mut self, start: &action::Start, delivery: Delivery) {
         let number = self.number(start.target.id.as_str());
+        let token = start.target.fence;
         let reply =
-            |outcome| Message::StartReply(start.target.index, start.task, start.run, outcome);
-        let is_answered = delivery.is_answered && token == self.token;
+            |outcome| Message::StartReply(start.target.clone(), start.task, start.run, outcome);
+        let is_answered = delivery.is_answered && self.is_current(&start.target);
         if self.loses_order(number, delivery) {
             if is_answered {
                 self.send(ORDER_TIMEOUT_MS, reply(report::OrderOutcome::Unknown));
--- a/crates/daisymast_scheduler/tests/faults.rs
+++ b/crates/daisymast_scheduler/tests/faults.rs
@@ -445,6 +445,8 @@
     let id = rig.workers[first.worker].id.as_str().into();
     let worker_index = rig.scheduler.fleet().index_of(&id).expect("the worker");
     let worker = rig.scheduler.fleet().at(worker_index);
+    let target = worker.target(worker_index, 1, common::mono(rig.now));
+    let target = target.expect("a registered worker");
     let reading = worker.clock.expect("a clock").reading_ms;
     let stale = report::Report {
         clock_ms: reading,
@@ -460,7 +462,7 @@
     };
     let now = common::mono(rig.now);
     let outcome = report::PollOutcome::Report(stale);
-    rig.scheduler.on_poll_outcome(worker_index, outcome, now);
+    rig.scheduler.on_poll_outcome(&target, outcome, now);
     rig.workers[first.worker].hangs = false;
     rig.run_ms(2_000);
     assert_eq!(rig.starts_of(1).len(), 2, "{:?}", rig.starts_of(1));
