--- a/crates/daisymast_scheduler/src/decision.rs
+++ b/crates/daisymast_scheduler/src/decision.rs
@@ -119,6 +119,30 @@
         /// Whether the worker process was restarted since its last report, or reports for the first
         /// time.
         reborn: bool,
+        /// Number of processes seen under the worker's ID.
+        incarnation: u32,
+        /// Fencing token of the poll that the worker answered.
+        fence: u64,
+        /// Time since the last call that extended the lease, in milliseconds.
+        last_call_ms: u64,
+    },
+    /// A start got no answer, so it may have taken effect, or may do so later.
+    StartUnanswered {
+        /// Job ID.
+        #[serde(serialize_with = "text")]
+        job: spec::JobId,
+        /// Position of the step in the job.
+        step: u16,
+        /// Position of the task in the step.
+        task: u32,
+        /// Run number.
+        run: u32,
+        /// Worker that the start was sent to.
+        worker: ids::WorkerId,
+        /// Process of the worker that the start was meant for.
+        incarnation: u32,
+        /// How often the start was sent.
+        sends: u8,
     },
     /// The clock reading in an answer shows that another process has started under the worker's ID.
     WorkerRestarted {
@@ -133,6 +157,12 @@
         worker: ids::WorkerId,
         /// Number of runs that are written off.
         runs: usize,
+        /// Number of processes seen under the worker's ID.
+        incarnation: u32,
+        /// Time since the last call that extended the lease, in milliseconds.
+        last_call_ms: u64,
+        /// Time since the last answer of the known process, in milliseconds; `None` if there was none.
+        last_answer_ms: Option<u64>,
     },
     /// A worker is excluded from placement for a while.
     Quarantined {
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -150,8 +150,18 @@
             }
             report::OrderOutcome::Unknown => {
                 assigned_run.start_unknown = true;
+                let unanswered = decision::Decision::StartUnanswered {
+                    job: task.step.job,
+                    step: task.step.step,
+                    task: task.index,
+                    run,
+                    worker: target.id.clone(),
+                    incarnation,
+                    sends: assigned_run.send_count,
+                };
                 let may_resend = assigned_run.send_count < constants::MAX_START_SENDS;
                 worker.on_start_unanswered(task, run, now);
+                self.log(unanswered);
                 self.suspect(worker_index, now);
                 if may_resend {
                     self.send_start(worker_index, task, run, now);
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -74,7 +74,7 @@
         let worker = self.fleet.at_mut(worker_index);
         worker.polling = false;
         match outcome {
-            report::PollOutcome::Report(report) => self.on_report(worker_index, &report, now),
+            report::PollOutcome::Report(report) => self.on_report(target, &report, now),
             report::PollOutcome::Fenced => self.actions.push(action::Action::Deposed),
             report::PollOutcome::WrongWorker | report::PollOutcome::Failed => {
                 if outcome == report::PollOutcome::WrongWorker {
--- a/crates/daisymast_scheduler/src/scheduler/reports.rs
+++ b/crates/daisymast_scheduler/src/scheduler/reports.rs
@@ -4,6 +4,7 @@
 use daisymast_types::time;
 
 use super::Scheduler;
+use crate::action;
 use crate::constants;
 use crate::decision;
 use crate::journal;
@@ -16,10 +17,11 @@
     /// Handles a report of a worker.
     pub(super) fn on_report(
         &mut self,
-        worker_index: usize,
+        target: &action::Target,
         report: &report::Report,
         now: time::Monotonic,
     ) {
+        let worker_index = target.index;
         let worker = self.fleet.at_mut(worker_index);
         let Some(restarted) = worker.on_process_reported(report, now) else {
             worker.next_poll = now + constants::POLL_RETRY_DELAY;
@@ -51,6 +53,9 @@
                 worker: worker.id.clone(),
                 runs: report.running.len(),
                 reborn: restarted,
+                incarnation: worker.incarnation,
+                fence: target.fence,
+                last_call_ms: lease::millis(now - worker.last_lease_call),
             };
             self.log(worker_known);
         }
--- a/crates/daisymast_scheduler/src/scheduler/workers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -93,6 +93,11 @@
             let expired = decision::Decision::LeaseExpired {
                 worker: worker.id.clone(),
                 runs: expired_tasks.len(),
+                incarnation: worker.incarnation,
+                last_call_ms: lease::millis(now - worker.last_lease_call),
+                last_answer_ms: worker
+                    .clock
+                    .map(|clock| lease::millis(now - clock.received_at)),
             };
             self.log(expired);
             for task in expired_tasks {
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -74,6 +74,8 @@
     /// Local time at which all runs of the worker have ended with certainty if no further order or
     /// poll reaches it.
     pub lease_end: time::Monotonic,
+    /// When the last call that extended the lease was sent.
+    pub last_lease_call: time::Monotonic,
     /// Local time at which the lease of another process that has started under the same ID has ended
     /// with certainty, if it took the last order or poll that was meant for the known one.
     restart_lease_end: time::Monotonic,
@@ -119,6 +121,7 @@
             stored_end: 0,
             acked_end: 0,
             lease_end: time::Monotonic::ZERO,
+            last_lease_call: time::Monotonic::ZERO,
             restart_lease_end: time::Monotonic::ZERO,
             awaits_report: false,
             reconciled: false,
@@ -213,6 +216,7 @@
         let clock = self.clock?;
         let deadline = clock.deadline(now, constants::WORKER_LEASE);
         self.lease_end = self.lease_end.max(clock.passed_at(deadline));
+        self.last_lease_call = now;
         self.restart_lease_end = now + lease::longest_granted(max_lease);
         Some(deadline)
     }
