Let the scheduler's test rig carry out late polls

The rig carried out only starts and stops late. A poll that gets no answer may be carried out late as well, by the process that uses the ID then: it renews the lease and acknowledges run ends there, unless that process has seen a higher fencing token. The sender sees it fail after its timeout.

Three details now follow the platform's contract more closely. A start that is refused as old renews the lease, a call with any outcome but a refusal of its token raises the token that the worker has seen, and the end of a run belongs to its latest start where two processes of a worker have started the same run.

--- a/crates/daisymast_scheduler/tests/common/checks.rs
+++ b/crates/daisymast_scheduler/tests/common/checks.rs
@@ -81,7 +81,7 @@
             .ended
             .retain(|ended| ended.number > acked_end);
         for ended in noted.iter().filter(|ended| ended.number <= acked_end) {
-            let start = self.starts.iter_mut().find(|start| {
+            let start = self.starts.iter_mut().rfind(|start| {
                 start.task == ended.task && start.run == ended.run && start.worker == number
             });
             let Some(start) = start else { continue };
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use daisymast_types::{quantities, time};
 
 mod checks;
+mod late_calls;
 mod workers;
 
 /// One-way network delay, in milliseconds.
@@ -81,6 +82,10 @@
     pub(crate) is_down: bool,
     /// Orders are executed this much later and are not answered; 0 for normal operation.
     pub(crate) order_delay_ms: u64,
+    /// Polls are carried out this much later and are not answered; 0 for normal operation.
+    pub(crate) poll_delay_ms: u64,
+    /// Share of calls, in percent, that are not answered and carried out late, each by a random time.
+    pub(crate) late_percent: u64,
     /// Whether the answers to orders are lost.
     pub(crate) loses_answers: bool,
     /// Whether all runs that the worker starts fail.
@@ -121,6 +126,8 @@
 /// A message in transit.
 enum Message {
     Poll(Poll),
+    /// A poll that is not answered and carried out late, by the process that uses the ID then.
+    LatePoll(Poll),
     Start {
         start: Box<action::Start>,
         delivery: Delivery,
@@ -180,6 +187,8 @@
     next_tick: u64,
     /// Jobs whose runs all fail.
     pub(crate) failing_jobs: BTreeSet<spec::JobId>,
+    /// Source of the choice of late calls and of their lateness.
+    late_calls: fastrand::Rng,
     /// Source of the delays of workers' answers; without it, answers arrive in order.
     pub(crate) answer_delays: Option<fastrand::Rng>,
     /// Longest additional delay of a worker's answer, in milliseconds.
@@ -270,6 +279,8 @@
                 is_disconnected: false,
                 is_down: false,
                 order_delay_ms: 0,
+                poll_delay_ms: 0,
+                late_percent: 0,
                 loses_answers: false,
                 fails_all_tasks: false,
                 hangs: false,
@@ -315,6 +326,7 @@
             work_ms: BTreeMap::new(),
             next_tick: 0,
             failing_jobs: BTreeSet::new(),
+            late_calls: fastrand::Rng::with_seed(0),
             answer_delays: None,
             max_answer_delay_ms: DEFAULT_ANSWER_DELAY_MS,
             poll_answer_delay_ms: 0,
@@ -406,7 +418,10 @@
         self.messages.retain(|(_, _, message)| {
             matches!(
                 message,
-                Message::Start { .. } | Message::Stop { .. } | Message::Poll(_)
+                Message::Start { .. }
+                    | Message::Stop { .. }
+                    | Message::Poll(_)
+                    | Message::LatePoll(_)
             )
         });
         self.scheduler = scheduler::Scheduler::resume(
@@ -503,12 +518,12 @@
                         wait: millis(wait),
                         since: self.now,
                     };
-                    self.send(NETWORK_DELAY_MS, Message::Poll(poll));
+                    self.send_poll(poll);
                 }
                 action::Action::Start(start) => {
                     let number = self.number(start.target.id.as_str());
-                    let delay = self.workers[number].order_delay_ms;
-                    let delivery = self.delivery(number);
+                    let delay = self.lateness(number, self.workers[number].order_delay_ms);
+                    let delivery = self.delivery(number, delay);
                     let message = Message::Start {
                         start: Box::new(start.clone()),
                         delivery,
@@ -523,8 +538,8 @@
                 }
                 action::Action::Stop { target, task, run } => {
                     let number = self.number(target.id.as_str());
-                    let delay = self.workers[number].order_delay_ms;
-                    let delivery = self.delivery(number);
+                    let delay = self.lateness(number, self.workers[number].order_delay_ms);
+                    let delivery = self.delivery(number, delay);
                     let message = Message::Stop {
                         target: target.clone(),
                         number,
@@ -572,10 +587,10 @@
         self.worker_numbers[id]
     }
 
-    /// Returns how an order that is sent now reaches its worker.
-    fn delivery(&self, number: usize) -> Delivery {
+    /// Returns how an order that is sent now and carried out `delay_ms` late reaches its worker.
+    fn delivery(&self, number: usize, delay_ms: u64) -> Delivery {
         let worker = &self.workers[number];
-        let is_late = worker.order_delay_ms > 0 && !self.is_unreachable(number);
+        let is_late = delay_ms > 0 && !self.is_unreachable(number);
         Delivery {
             is_answered: !is_late && !worker.loses_answers && !self.is_unreachable(number),
             is_late,
@@ -608,6 +623,7 @@
         let now = mono(self.now);
         match message {
             Message::Poll(poll) => self.handle_poll(poll),
+            Message::LatePoll(poll) => self.handle_late_poll(&poll),
             Message::Start { start, delivery } => self.handle_start(&start, delivery),
             Message::Stop {
                 target,
--- a/crates/daisymast_scheduler/tests/common/workers.rs
+++ b/crates/daisymast_scheduler/tests/common/workers.rs
@@ -1,10 +1,10 @@
 //! Behaviour of the simulated workers.
 
 use daisymast_jobs::spec;
-use daisymast_scheduler::{action, report};
+use daisymast_scheduler::{action, lease, report};
 
 use super::{
-    CLOCK_STEP_MS, Delivery, GANG_TIMEOUT_MS, Message, ORDER_TIMEOUT_MS, ObservedStart,
+    CLOCK_STEP_MS, Delivery, GANG_TIMEOUT_MS, MAX_LEASE, Message, ORDER_TIMEOUT_MS, ObservedStart,
     POLL_TIMEOUT_MARGIN_MS, Poll, Rig, Run,
 };
 
@@ -37,21 +37,14 @@
             }
             return;
         }
-        let clock = self.clock(number);
-        let worker = &mut self.workers[number];
-        if token < worker.token {
+        if !self.take_poll(number, token, deadline, acked_end) {
             if is_current {
                 let fenced = report::PollOutcome::Fenced;
                 self.send_answer(Message::PollReply(poll.target, fenced));
             }
             return;
         }
-        worker.token = token;
-        self.note_ends(number, acked_end);
-        let worker = &mut self.workers[number];
-        if let Some(deadline) = deadline {
-            worker.lease_end = worker.lease_end.max(deadline.min(clock + 6_000));
-        }
+        let worker = &self.workers[number];
         if worker.ended.is_empty() && self.now < since + wait {
             let again = Message::Poll(Poll {
                 deadline: None,
@@ -67,6 +60,34 @@
         }
     }
 
+    /// Renews the lease of a worker and lets it forget ended runs. Returns whether the worker takes
+    /// calls with the fencing token.
+    pub(super) fn take_poll(
+        &mut self,
+        number: usize,
+        token: u64,
+        deadline: Option<u64>,
+        acked_end: u64,
+    ) -> bool {
+        let worker = &mut self.workers[number];
+        if token < worker.token {
+            return false;
+        }
+        worker.token = token;
+        self.note_ends(number, acked_end);
+        if let Some(deadline) = deadline {
+            self.extend_lease(number, deadline);
+        }
+        true
+    }
+
+    /// Extends the lease of a worker to a time on its clock, at most by the longest lease.
+    fn extend_lease(&mut self, number: usize, deadline: u64) {
+        let longest = self.clock(number) + lease::millis(MAX_LEASE);
+        let worker = &mut self.workers[number];
+        worker.lease_end = worker.lease_end.max(deadline.min(longest));
+    }
+
     fn report(&self, number: usize) -> report::Report {
         let worker = &self.workers[number];
         let running = worker.runs.iter().map(|(&task, run)| {
@@ -128,7 +149,6 @@
 
     pub(super) fn handle_start(&mut self, start: &action::Start, delivery: Delivery) {
         let number = self.number(start.target.id.as_str());
-        let token = start.target.fence;
         let reply =
             |outcome| Message::StartReply(start.target.clone(), start.task, start.run, outcome);
         let is_answered = delivery.is_answered && self.is_current(&start.target);
@@ -138,31 +158,35 @@
             }
             return;
         }
+        let outcome = self.take_start(number, start);
+        if is_answered {
+            self.send_answer(reply(outcome));
+        }
+    }
+
+    /// Carries out a start. One that is refused for another reason than its fencing token renews the
+    /// lease nevertheless.
+    fn take_start(&mut self, number: usize, start: &action::Start) -> report::OrderOutcome {
         let clock = self.clock(number);
-        let worker = &mut self.workers[number];
         let refused = |refusal| report::OrderOutcome::Refused(refusal, Some(clock));
-        let present = worker.runs.get(&start.task).map(|run| run.run);
-        let outcome = if token < worker.token {
-            refused(report::Refusal::Fenced)
-        } else if worker
-            .finished_runs
-            .get(&start.task)
-            .is_some_and(|&finished| start.run <= finished)
-        {
-            refused(report::Refusal::OldRun)
-        } else if start.deadline_ms <= clock {
-            refused(report::Refusal::Expired)
-        } else if present == Some(start.run) {
-            report::OrderOutcome::Accepted(clock)
-        } else {
-            worker.token = token;
-            worker.lease_end = worker.lease_end.max(start.deadline_ms.min(clock + 6_000));
+        let worker = &mut self.workers[number];
+        if start.target.fence < worker.token {
+            return refused(report::Refusal::Fenced);
+        }
+        worker.token = start.target.fence;
+        self.extend_lease(number, start.deadline_ms);
+        let worker = &self.workers[number];
+        let finished = worker.finished_runs.get(&start.task);
+        if finished.is_some_and(|&finished| start.run <= finished) {
+            return refused(report::Refusal::OldRun);
+        }
+        if start.deadline_ms <= clock {
+            return refused(report::Refusal::Expired);
+        }
+        if worker.runs.get(&start.task).map(|run| run.run) != Some(start.run) {
             self.begin(number, start);
-            report::OrderOutcome::Accepted(clock)
-        };
-        if is_answered {
-            self.send_answer(reply(outcome));
         }
+        report::OrderOutcome::Accepted(clock)
     }
 
     fn begin(&mut self, number: usize, start: &action::Start) {
@@ -269,10 +293,11 @@
             end,
             checkpoint: None,
         });
+        // A former process of the worker may have started the same run.
         let start = self
             .starts
             .iter_mut()
-            .find(|one| one.task == task && one.run == run.run && one.worker == number);
+            .rfind(|one| one.task == task && one.run == run.run && one.worker == number);
         if let Some(start) = start {
             start.ended_at = Some(now);
             start.done = end == report::End::Done;
