Check each start by the specification that it carries

The rig looked up the steps of a task in the scheduler's table. A late start may belong to a completed job that the scheduler has dropped meanwhile; the rig then panicked instead of checking it. The specification of the start has the same steps, so the check is as strict as before, and no start is left out.

--- a/crates/daisymast_scheduler/tests/common/checks.rs
+++ b/crates/daisymast_scheduler/tests/common/checks.rs
@@ -4,19 +4,14 @@
 
 use daisymast_jobs::spec;
 use daisymast_scheduler::report;
-use daisymast_types::quantities;
 
 use super::{ObservedStart, Rig, capacity};
 
 impl Rig {
     /// Checks a start from the workers' view: the capacity is not exceeded, the task does not run
     /// elsewhere, its completion was not acknowledged before, and the previous steps are done.
-    pub(super) fn check_start(
-        &self,
-        number: usize,
-        task: spec::TaskId,
-        size: quantities::Resources,
-    ) {
+    pub(super) fn check_start(&self, number: usize, task: spec::TaskId, spec: &spec::JobSpec) {
+        let size = spec.steps[usize::from(task.step.step)].size;
         let used = self.workers[number]
             .runs
             .values()
@@ -51,18 +46,13 @@
                 .filter(|start| start.task == task)
                 .collect::<Vec<_>>()
         );
-        let job = self
-            .scheduler
-            .job_table()
-            .job(task.step.job)
-            .expect("a known job");
-        for &before in &job.spec.steps[usize::from(task.step.step)].after {
+        for &before in &spec.steps[usize::from(task.step.step)].after {
+            let count = spec.steps[usize::from(before)].tasks;
             let before = spec::StepId {
                 step: before,
                 ..task.step
             };
-            let count = job.tasks(before).map_or(0, |tasks| tasks.tasks.len());
-            for index in 0..u32::try_from(count).expect("a count") {
+            for index in 0..count {
                 let done = self
                     .starts
                     .iter()
--- a/crates/daisymast_scheduler/tests/common/workers.rs
+++ b/crates/daisymast_scheduler/tests/common/workers.rs
@@ -195,7 +195,7 @@
         let work =
             self.work_ms[&(task.step.job, task.step.step)] * 100 / self.workers[number].speed;
         let fails = self.failing_jobs.contains(&task.step.job);
-        self.check_start(number, task, size);
+        self.check_start(number, task, &start.spec);
         let worker = &mut self.workers[number];
         let fails = fails || worker.fails_all_tasks;
         let ends_at = if worker.hangs {
