Test late calls right before and after the news of a new process

A late poll that a new process carries out before its first report gives it a longer lease than the scheduler counts from the first start there. A start that is sent to a process which is up, but not known yet, has a deadline on the former clock as well, and may be late in turn.

Some plays of the former tests passed, so they are changed to such that fail: restarts without a cut come right before the late start, and the changes of the scheduler without a resignation are played with starts that outlast its wait.

--- a/crates/daisymast_scheduler/tests/common/late_calls.rs
+++ b/crates/daisymast_scheduler/tests/common/late_calls.rs
@@ -54,4 +54,14 @@
             );
         }
     }
+    /// Returns when the late calls that are under way will be carried out.
+    pub(crate) fn late_calls(&self) -> impl Iterator<Item = u64> {
+        let is_late = |message: &Message| match message {
+            Message::LatePoll(_) => true,
+            Message::Start { delivery, .. } | Message::Stop { delivery, .. } => delivery.is_late,
+            _ => false,
+        };
+        let messages = self.messages.iter();
+        messages.filter_map(move |(at, _, message)| is_late(message).then_some(*at))
+    }
 }
--- a/crates/daisymast_scheduler/tests/former_calls.rs
+++ b/crates/daisymast_scheduler/tests/former_calls.rs
@@ -43,14 +43,39 @@
     rig.workers[0].order_delay_ms = 0;
 }
 
-/// Starts the first worker again, behind a cut or not, without news of it in the store.
-fn restart_unnoticed(rig: &mut Rig, is_cut: bool) {
-    rig.workers[0].is_disconnected = is_cut;
+/// Starts the first worker again behind a cut.
+fn restart_cut_off(rig: &mut Rig) {
+    rig.workers[0].is_disconnected = true;
+    restart_unnoticed(rig, 300);
+}
+
+/// Starts the first worker again, without news of it in the store.
+fn restart_unnoticed(rig: &mut Rig, down_ms: u64) {
     rig.crash(0);
-    rig.run_ms(300);
+    rig.run_ms(down_ms);
     rig.power_on(0);
 }
 
+/// Starts the first worker again behind a cut, or right before its first late start. In both cases, the
+/// scheduler has not heard of the new process when that carries out the start.
+fn restart_unheard(rig: &mut Rig, is_cut: bool) {
+    if is_cut {
+        restart_cut_off(rig);
+    } else {
+        let at = rig.late_calls().min().expect("a late start");
+        restart_unnoticed(rig, at - rig.now - 5);
+    }
+}
+
+/// Replaces the scheduler by another one.
+fn take_over(rig: &mut Rig, has_resigned: bool) {
+    if has_resigned {
+        rig.take_over_after_resignation();
+    } else {
+        rig.take_over();
+    }
+}
+
 fn assert_completed(rig: &mut Rig, id: u64, play: &str) {
     let completed = rig.run_until(id, State::Completed, COMPLETION_LIMIT_MS);
     assert!(completed.is_some(), "{play}: job {id} is not completed");
@@ -60,7 +85,7 @@
 /// poll that was meant for its former process has renewed its lease.
 #[test]
 fn a_late_poll_does_not_renew_the_lease_of_a_new_process() {
-    for cut_after_ms in [1_000, 2_000, 3_000] {
+    for cut_after_ms in [2_000, 3_000, 4_000] {
         let mut rig = cell();
         rig.submit(1, BATCH, job(vec![step(1, 4, LONG_MS)]));
         rig.run_ms(400);
@@ -77,6 +102,36 @@
     }
 }
 
+/// Guards against the same after a late poll that the new process has carried out just before its first
+/// report, so that no fencing token could reach it in time.
+#[test]
+fn a_late_poll_before_the_first_report_renews_no_uncounted_lease() {
+    for before_ms in [10, 50, 100, 200, 300, 400, 500, 700] {
+        for cut_after_ms in [5, 20, 60] {
+            let mut rig = cell();
+            rig.submit(1, BATCH, job(vec![step(1, 4, LONG_MS)]));
+            rig.run_ms(400);
+            rig.workers[0].poll_delay_ms = 9_000;
+            rig.run_ms(1_200);
+            rig.workers[0].poll_delay_ms = 0;
+            let first_late_ms = rig.late_calls().min().expect("a late poll");
+            rig.crash(0);
+            rig.run_ms(first_late_ms - rig.now - before_ms);
+            rig.power_on(0);
+            rig.register(0);
+            let started = |rig: &Rig| rig.starts_of(1).len() == 2;
+            while !started(&rig) {
+                rig.run_ms(5);
+            }
+            rig.run_ms(cut_after_ms);
+            rig.workers[0].is_disconnected = true;
+            rig.register(1);
+            let play = format!("{before_ms} ms before, cut after {cut_after_ms} ms");
+            assert_completed(&mut rig, 1, &play);
+        }
+    }
+}
+
 /// Guards against the same after a late start of a released run, which the new process has refused as
 /// old. A refused start renews the lease as well.
 #[test]
@@ -131,7 +186,7 @@
             submit_with_late_starts(&mut rig, 1, 4, LONG_MS, late_ms);
             move_to_second(&mut rig);
             rig.run_ms(RELEASE_MS);
-            restart_unnoticed(&mut rig, is_cut);
+            restart_unheard(&mut rig, is_cut);
             assert_completed(&mut rig, 1, &format!("{late_ms} ms late, cut: {is_cut}"));
         }
     }
@@ -147,7 +202,7 @@
             submit_with_late_starts(&mut rig, 1, 4, 200, late_ms);
             move_to_second(&mut rig);
             rig.run_ms(RELEASE_MS);
-            restart_unnoticed(&mut rig, is_cut);
+            restart_unheard(&mut rig, is_cut);
             assert_completed(&mut rig, 1, &format!("{late_ms} ms late, cut: {is_cut}"));
             rig.run_ms(13_000);
         }
@@ -165,7 +220,7 @@
         rig.run_ms(100);
         rig.deregister(0);
         rig.register(1);
-        restart_unnoticed(&mut rig, true);
+        restart_cut_off(&mut rig);
         assert_completed(&mut rig, 1, &format!("{late_ms} ms late"));
     }
 }
@@ -180,7 +235,23 @@
         rig.submit(1, BATCH, job(vec![step(1, 4, LONG_MS)]));
         rig.run_ms(100);
         rig.register(1);
-        restart_unnoticed(&mut rig, true);
+        restart_cut_off(&mut rig);
+        assert_completed(&mut rig, 1, &format!("{late_ms} ms late"));
+    }
+}
+
+/// Guards against the same after a start that was sent when the new process was up already, but not
+/// known yet: its deadline is one on the clock of the former process, too.
+#[test]
+fn the_next_run_waits_for_the_lease_of_a_start_after_an_unnoticed_restart() {
+    for late_ms in [2_000, 4_000, 6_000, 11_000] {
+        let mut rig = cell();
+        restart_unnoticed(&mut rig, 300);
+        rig.workers[0].order_delay_ms = late_ms;
+        rig.submit(1, BATCH, job(vec![step(1, 4, LONG_MS)]));
+        rig.run_ms(100);
+        rig.workers[0].is_disconnected = true;
+        rig.register(1);
         assert_completed(&mut rig, 1, &format!("{late_ms} ms late"));
     }
 }
@@ -197,7 +268,7 @@
                 .cancel(10 + id, spec::JobId(id), mono(rig.now));
             rig.run_ms(RELEASE_MS);
         }
-        restart_unnoticed(&mut rig, true);
+        restart_cut_off(&mut rig);
         rig.run_ms(12_000);
         rig.workers[0].is_disconnected = false;
         rig.register(0);
@@ -218,13 +289,9 @@
             rig.run_ms(100);
             rig.workers[0].order_delay_ms = 0;
             rig.workers[0].draining = true;
-            if has_resigned {
-                rig.take_over_after_resignation();
-            } else {
-                rig.take_over();
-            }
+            take_over(&mut rig, has_resigned);
             rig.run_ms(RELEASE_MS);
-            restart_unnoticed(&mut rig, true);
+            restart_cut_off(&mut rig);
             let play = format!("{late_ms} ms late, resigned: {has_resigned}");
             assert_completed(&mut rig, 1, &play);
         }
@@ -235,22 +302,18 @@
 /// leases that the former scheduler has given.
 #[test]
 fn the_next_scheduler_waits_for_the_lease_of_a_late_start() {
-    for late_ms in [2_000, 4_000, 8_000, 12_000] {
-        for has_resigned in [false, true] {
-            let mut rig = cell();
-            rig.workers[0].order_delay_ms = late_ms;
-            rig.submit(1, BATCH, job(vec![step(1, 4, LONG_MS)]));
-            rig.run_ms(100);
-            rig.workers[0].order_delay_ms = 0;
-            rig.workers[0].is_disconnected = true;
-            if has_resigned {
-                rig.take_over_after_resignation();
-            } else {
-                rig.take_over();
-            }
-            restart_unnoticed(&mut rig, true);
-            let play = format!("{late_ms} ms late, resigned: {has_resigned}");
-            assert_completed(&mut rig, 1, &play);
-        }
+    let after_resignation = [2_000, 4_000, 8_000, 12_000].map(|late_ms| (late_ms, true));
+    let after_loss = [8_000, 12_000].map(|late_ms| (late_ms, false));
+    for (late_ms, has_resigned) in after_resignation.into_iter().chain(after_loss) {
+        let mut rig = cell();
+        rig.workers[0].order_delay_ms = late_ms;
+        rig.submit(1, BATCH, job(vec![step(1, 4, LONG_MS)]));
+        rig.run_ms(100);
+        rig.workers[0].order_delay_ms = 0;
+        rig.workers[0].is_disconnected = true;
+        take_over(&mut rig, has_resigned);
+        restart_cut_off(&mut rig);
+        let play = format!("{late_ms} ms late, resigned: {has_resigned}");
+        assert_completed(&mut rig, 1, &play);
     }
 }
