Let a worker's new process refuse the calls that were meant for its former one

What callers saw: a task ran twice at the same time, on a worker that had restarted under its ID and was cut off soon after, and on another one. Both starts came from one leader, and neither was late.

Cause: a deadline is a time on the clock of the process that the scheduler knew. A poll that got no answer may be carried out seconds later, by a process that has started under the ID since. Its deadline is far in the future there, so it renewed the lease for the longest time once more, behind the cut, while the scheduler counted from the last call to the present process. A late poll also acknowledged run ends that the new process had numbered anew, and a late start that was refused as old renewed the lease as well.

Change: a process has seen no fencing token when it starts. Once the scheduler learns of a new process, it raises the token of the term above that of all calls to the former one and uses the worker only when it has answered a poll with the new token.

--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -43,6 +43,7 @@
             return;
         };
         let is_unsent = assigned_run.state == run::RunState::Journaling;
+        let is_fenced = worker.fenced;
         if assigned_run.run != run
             || !matches!(
                 assigned_run.state,
@@ -52,16 +53,17 @@
             return;
         }
         let target = worker.target(worker_index, fence, now);
-        let deadline = worker.extend_lease(now, self.max_lease);
+        let deadline = worker.extend_lease(now);
         let (Some(target), Some(deadline_ms)) = (target, deadline) else {
             self.release(worker_index, task, now);
             return;
         };
-        if is_unsent && (!takes_tasks || ticket_expired) {
+        if is_unsent && (!takes_tasks || ticket_expired || !is_fenced) {
             self.release(worker_index, task, now);
             return;
         }
         let worker = self.fleet.at_mut(worker_index);
+        worker.on_call(fence);
         let order = worker.order_at(now);
         let Some(assigned_run) = worker.runs.get_mut(&task) else {
             return;
@@ -107,7 +109,7 @@
         now: time::Monotonic,
     ) {
         let worker_index = target.index;
-        if self.is_deposed_by(outcome) {
+        if self.is_deposed_by(target, outcome) {
             return;
         }
         let worker = self.fleet.at_mut(worker_index);
@@ -140,6 +142,11 @@
                 assigned_run.confirmed_by = incarnation;
                 self.mark_start_confirmed(task.step.job);
             }
+            // A poll with a higher token has overtaken the start.
+            report::OrderOutcome::Refused(report::Refusal::Fenced, _) => {
+                worker.poll_soon(now);
+                self.request_stop(worker_index, task, decision::StopReason::StartUnknown, now);
+            }
             report::OrderOutcome::Refused(refusal, _) => {
                 self.on_refused(worker_index, task, refusal, now);
                 self.release_or_stop(worker_index, task, sent_once, now);
@@ -184,9 +191,10 @@
         let Some(reading) = reading else {
             return false;
         };
+        let max_lease = self.max_lease;
         let worker = self.fleet.at_mut(worker_index);
         let known = worker.incarnation;
-        let is_present = worker.on_order_reading(order, reading, now);
+        let is_present = worker.on_order_reading(order, reading, max_lease, now);
         if worker.incarnation != known {
             let restarted = decision::Decision::WorkerRestarted {
                 worker: worker.id.clone(),
@@ -197,16 +205,17 @@
         is_present
     }
 
-    /// Whether the worker has seen a later term.
-    fn is_deposed_by(&mut self, outcome: report::OrderOutcome) -> bool {
+    /// Whether the worker has seen a later term. It may also have seen a higher token of this one.
+    fn is_deposed_by(&mut self, target: &action::Target, outcome: report::OrderOutcome) -> bool {
         let is_fenced = matches!(
             outcome,
             report::OrderOutcome::Refused(report::Refusal::Fenced, _)
         );
-        if is_fenced {
+        let is_deposed = is_fenced && target.fence >= self.fencing.token();
+        if is_deposed {
             self.actions.push(action::Action::Deposed);
         }
-        is_fenced
+        is_deposed
     }
 
     /// Records that a worker has accepted a task of the job.
@@ -318,6 +327,7 @@
         let Some(target) = worker.target(worker_index, fence, now) else {
             return;
         };
+        worker.on_call(fence);
         let incarnation = worker.incarnation;
         let Some(assigned_run) = worker.runs.get_mut(&task) else {
             return;
@@ -341,7 +351,7 @@
         now: time::Monotonic,
     ) {
         let worker_index = target.index;
-        if self.is_deposed_by(outcome) {
+        if self.is_deposed_by(target, outcome) {
             return;
         }
         let worker = self.fleet.at_mut(worker_index);
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -15,8 +15,6 @@
     pub(super) fn poll_workers(&mut self, now: time::Monotonic) {
         let is_open_initial_poll =
             |worker: &&worker::Worker| worker.polling && is_initial_poll(worker);
-        let max_lease = self.max_lease;
-        let fence = self.fencing.token();
         let mut initial_polls = self.fleet.iter().filter(is_open_initial_poll).count();
         for worker_index in 0..self.fleet.len() {
             let worker = self.fleet.at_mut(worker_index);
@@ -29,16 +27,24 @@
                 }
                 initial_polls += 1;
             }
+            let needs_fence = worker.needs_fence();
+            if needs_fence {
+                self.fencing.raise_above(worker.call_fence());
+            }
+            let fence = self.fencing.token();
             let Some(target) = worker.target(worker_index, fence, now) else {
                 continue;
             };
+            if !needs_fence {
+                worker.on_call(fence);
+            }
             let idle = worker.runs.is_empty();
             // A poll that is not answered may still arrive. It must not renew the lease of a lost
             // worker, or the tasks there would never start elsewhere.
-            let deadline_ms = if idle || worker.missed_replies > 0 {
+            let deadline_ms = if idle || worker.missed_replies > 0 || needs_fence {
                 None
             } else {
-                worker.extend_lease(now, max_lease)
+                worker.extend_lease(now)
             };
             let has_unstored_run_ends = worker.stored_end < worker.handled_end;
             let may_wait = worker.reconciled
@@ -72,10 +78,17 @@
     ) {
         let worker_index = target.index;
         let worker = self.fleet.at_mut(worker_index);
+        if outcome == report::PollOutcome::Failed && worker.is_former_poll(target.fence) {
+            return;
+        }
         worker.polling = false;
         match outcome {
             report::PollOutcome::Report(report) => self.on_report(target, &report, now),
-            report::PollOutcome::Fenced => self.actions.push(action::Action::Deposed),
+            report::PollOutcome::Fenced if target.fence >= self.fencing.token() => {
+                self.actions.push(action::Action::Deposed);
+            }
+            // A call with a higher token of this term has overtaken the poll.
+            report::PollOutcome::Fenced => worker.poll_soon(now),
             report::PollOutcome::WrongWorker | report::PollOutcome::Failed => {
                 if outcome == report::PollOutcome::WrongWorker {
                     // Another worker has the address, so this worker and all its runs have ended.
--- a/crates/daisymast_scheduler/src/scheduler/reports.rs
+++ b/crates/daisymast_scheduler/src/scheduler/reports.rs
@@ -22,8 +22,9 @@
         now: time::Monotonic,
     ) {
         let worker_index = target.index;
+        let max_lease = self.max_lease;
         let worker = self.fleet.at_mut(worker_index);
-        let Some(restarted) = worker.on_process_reported(report, now) else {
+        let Some(restarted) = worker.on_process_reported(report, max_lease, now) else {
             worker.next_poll = now + constants::POLL_RETRY_DELAY;
             return;
         };
@@ -47,7 +48,11 @@
         let was_unknown = worker.missed_replies > 0 || !worker.reconciled;
         worker.missed_replies = 0;
         worker.next_poll = now + constants::MIN_POLL_INTERVAL;
-        if was_unknown {
+        let fenced = worker.on_fence_reported(target.fence, max_lease, now);
+        if !fenced && self.fencing.raise_above(worker.call_fence()) {
+            worker.next_poll = now;
+        }
+        if was_unknown && (fenced || restarted) {
             self.dirty = true;
             let worker_known = decision::Decision::WorkerKnown {
                 worker: worker.id.clone(),
@@ -62,7 +67,7 @@
         self.handle_run_ends(worker_index, report, now);
         if !report.is_partial {
             self.reconcile(worker_index, report, now);
-            self.fleet.at_mut(worker_index).reconciled = true;
+            self.fleet.at_mut(worker_index).reconciled = fenced;
             self.stop_strays(worker_index, report, now);
         }
         if restarted {
--- a/crates/daisymast_scheduler/src/scheduler/workers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -36,6 +36,8 @@
         if restarted || moved || !worker.registered {
             worker.reconciled = false;
             worker.next_poll = now;
+            // The poll that is open may have been sent to the former process.
+            worker.polling &= !restarted;
         }
         worker.registered = true;
         worker.registration = Some(registration);
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -1,7 +1,6 @@
 //! State of one worker: its capacity, its lease and its runs.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use daisymast_jobs::spec;
 use daisymast_types::collections;
@@ -76,9 +75,13 @@
     pub lease_end: time::Monotonic,
     /// When the last call that extended the lease was sent.
     pub last_lease_call: time::Monotonic,
-    /// Local time at which the lease of another process that has started under the same ID has ended
-    /// with certainty, if it took the last order or poll that was meant for the known one.
-    restart_lease_end: time::Monotonic,
+    /// Highest fencing token of a call that was meant for the known process.
+    call_fence: u64,
+    /// Lowest fencing token of a poll whose answer shows that the process refuses all calls that were
+    /// meant for a former one.
+    min_fence: u64,
+    /// Whether such a poll was answered.
+    pub fenced: bool,
     /// Whether an answer has shown that another process uses the ID, which has not reported yet.
     awaits_report: bool,
     /// Whether the assigned runs were compared with a report of the worker.
@@ -122,7 +125,9 @@
             acked_end: 0,
             lease_end: time::Monotonic::ZERO,
             last_lease_call: time::Monotonic::ZERO,
-            restart_lease_end: time::Monotonic::ZERO,
+            call_fence: 0,
+            min_fence: 0,
+            fenced: true,
             awaits_report: false,
             reconciled: false,
             polling: false,
@@ -208,19 +213,21 @@
 
     /// Returns the lease deadline for an order that is sent now, on the worker's clock, and extends
     /// the expected end of the lease accordingly. Returns `None` if the worker's clock is unknown.
-    ///
-    /// A process that has started under the same ID since the clock was read takes any deadline for
-    /// one that is far in the future, and holds the longest lease that it accepts, `max_lease`. That
-    /// counts once such a process is known of.
-    pub fn extend_lease(&mut self, now: time::Monotonic, max_lease: Duration) -> Option<u64> {
+    pub fn extend_lease(&mut self, now: time::Monotonic) -> Option<u64> {
         let clock = self.clock?;
         let deadline = clock.deadline(now, constants::WORKER_LEASE);
         self.lease_end = self.lease_end.max(clock.passed_at(deadline));
         self.last_lease_call = now;
-        self.restart_lease_end = now + lease::longest_granted(max_lease);
         Some(deadline)
     }
 
+    /// Lets the worker be polled at once, beside a poll that is open.
+    pub fn poll_soon(&mut self, now: time::Monotonic) {
+        self.polling = false;
+        self.poll_now = true;
+        self.next_poll = now;
+    }
+
     /// Whether the last reading of the worker's clock is too old to reckon deadlines from it.
     pub fn has_old_clock(&self, now: time::Monotonic) -> bool {
         self.clock
