--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -36,12 +36,14 @@
             .steps
             .get(&task.step)
             .is_some_and(|step| step.advice.is_some() && !step.has_ticket(worker_index, now));
+        let fence = self.fencing.token();
         let worker = self.fleet.at_mut(worker_index);
         let takes_tasks = worker.takes_tasks(now);
         let Some(assigned_run) = worker.runs.get(&task) else {
             return;
         };
         let is_unsent = assigned_run.state == run::RunState::Journaling;
+        let is_fenced = worker.fenced;
         if assigned_run.run != run
             || !matches!(
                 assigned_run.state,
@@ -50,17 +52,18 @@
         {
             return;
         }
-        let target = worker.target(worker_index);
-        let deadline = worker.extend_lease(now, self.max_lease);
+        let target = worker.target(worker_index, fence, now);
+        let deadline = worker.extend_lease(now);
         let (Some(target), Some(deadline_ms)) = (target, deadline) else {
             self.release(worker_index, task, now);
             return;
         };
-        if is_unsent && (!takes_tasks || ticket_expired) {
+        if is_unsent && (!takes_tasks || ticket_expired || !is_fenced) {
             self.release(worker_index, task, now);
             return;
         }
         let worker = self.fleet.at_mut(worker_index);
+        worker.on_call(fence);
         let order = worker.order_at(now);
         let Some(assigned_run) = worker.runs.get_mut(&task) else {
             return;
@@ -96,16 +99,17 @@
         }
     }
 
-    /// Handles the outcome of a start.
+    /// Handles the outcome of a start that was sent to `target`.
     pub fn on_start(
         &mut self,
-        worker_index: usize,
+        target: &action::Target,
         task: spec::TaskId,
         run: u32,
         outcome: report::OrderOutcome,
         now: time::Monotonic,
     ) {
-        if self.is_deposed_by(outcome) {
+        let worker_index = target.index;
+        if self.is_deposed_by(target, outcome) {
             return;
         }
         let worker = self.fleet.at_mut(worker_index);
@@ -138,6 +142,11 @@
                 assigned_run.confirmed_by = incarnation;
                 self.mark_start_confirmed(task.step.job);
             }
+            // A poll with a higher token has overtaken the start.
+            report::OrderOutcome::Refused(report::Refusal::Fenced, _) => {
+                worker.poll_soon(now);
+                self.request_stop(worker_index, task, decision::StopReason::StartUnknown, now);
+            }
             report::OrderOutcome::Refused(refusal, _) => {
                 self.on_refused(worker_index, task, refusal, now);
                 self.release_or_stop(worker_index, task, sent_once, now);
@@ -148,8 +157,18 @@
             }
             report::OrderOutcome::Unknown => {
                 assigned_run.start_unknown = true;
+                let unanswered = decision::Decision::StartUnanswered {
+                    job: task.step.job,
+                    step: task.step.step,
+                    task: task.index,
+                    run,
+                    worker: target.id.clone(),
+                    incarnation,
+                    sends: assigned_run.send_count,
+                };
                 let may_resend = assigned_run.send_count < constants::MAX_START_SENDS;
                 worker.on_start_unanswered(task, run, now);
+                self.log(unanswered);
                 self.suspect(worker_index, now);
                 if may_resend {
                     self.send_start(worker_index, task, run, now);
@@ -172,9 +191,10 @@
         let Some(reading) = reading else {
             return false;
         };
+        let max_lease = self.max_lease;
         let worker = self.fleet.at_mut(worker_index);
         let known = worker.incarnation;
-        let is_present = worker.on_order_reading(order, reading, now);
+        let is_present = worker.on_order_reading(order, reading, max_lease, now);
         if worker.incarnation != known {
             let restarted = decision::Decision::WorkerRestarted {
                 worker: worker.id.clone(),
@@ -185,16 +205,17 @@
         is_present
     }
 
-    /// Whether the worker has seen a later term.
-    fn is_deposed_by(&mut self, outcome: report::OrderOutcome) -> bool {
+    /// Whether the worker has seen a later term. It may also have seen a higher token of this one.
+    fn is_deposed_by(&mut self, target: &action::Target, outcome: report::OrderOutcome) -> bool {
         let is_fenced = matches!(
             outcome,
             report::OrderOutcome::Refused(report::Refusal::Fenced, _)
         );
-        if is_fenced {
+        let is_deposed = is_fenced && target.fence >= self.fencing.token();
+        if is_deposed {
             self.actions.push(action::Action::Deposed);
         }
-        is_fenced
+        is_deposed
     }
 
     /// Records that a worker has accepted a task of the job.
@@ -297,14 +318,16 @@
         task: spec::TaskId,
         now: time::Monotonic,
     ) {
+        let fence = self.fencing.token();
         let worker = self.fleet.at_mut(worker_index);
         // The worker must know the fencing token first, which it learns from the first poll.
         if !worker.reconciled {
             return;
         }
-        let Some(target) = worker.target(worker_index) else {
+        let Some(target) = worker.target(worker_index, fence, now) else {
             return;
         };
+        worker.on_call(fence);
         let incarnation = worker.incarnation;
         let Some(assigned_run) = worker.runs.get_mut(&task) else {
             return;
@@ -318,16 +341,17 @@
         });
     }
 
-    /// Handles the outcome of a stop.
+    /// Handles the outcome of a stop that was sent to `target`.
     pub fn on_stop(
         &mut self,
-        worker_index: usize,
+        target: &action::Target,
         task: spec::TaskId,
         run: u32,
         outcome: report::OrderOutcome,
         now: time::Monotonic,
     ) {
-        if self.is_deposed_by(outcome) {
+        let worker_index = target.index;
+        if self.is_deposed_by(target, outcome) {
             return;
         }
         let worker = self.fleet.at_mut(worker_index);
--- a/crates/daisymast_scheduler/src/scheduler/workers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -36,6 +36,8 @@
         if restarted || moved || !worker.registered {
             worker.reconciled = false;
             worker.next_poll = now;
+            // The poll that is open may have been sent to the former process.
+            worker.polling &= !restarted;
         }
         worker.registered = true;
         worker.registration = Some(registration);
@@ -93,6 +95,11 @@
             let expired = decision::Decision::LeaseExpired {
                 worker: worker.id.clone(),
                 runs: expired_tasks.len(),
+                incarnation: worker.incarnation,
+                last_call_ms: lease::millis(now - worker.last_lease_call),
+                last_answer_ms: worker
+                    .clock
+                    .map(|clock| lease::millis(now - clock.received_at)),
             };
             self.log(expired);
             for task in expired_tasks {
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -15,6 +15,8 @@
 use daisymast_types::{quantities, time};
 
 mod checks;
+mod late_calls;
+pub(crate) mod series;
 mod workers;
 
 /// One-way network delay, in milliseconds.
@@ -28,6 +30,8 @@
 const POLL_TIMEOUT_MARGIN_MS: u64 = 500;
 /// Duration of a commit, in milliseconds.
 const COMMIT_MS: u64 = 8;
+/// Time without a commit after which the scheduler's term is renewed, in milliseconds.
+const RENEWAL_MS: u64 = 300;
 /// Every n-th batch is replaced by a checkpoint, so that takeovers also start from checkpoints.
 const CHECKPOINT_BATCHES: u64 = 7;
 /// How long a gang member waits for the others, in milliseconds.
@@ -81,6 +85,10 @@
     pub(crate) is_down: bool,
     /// Orders are executed this much later and are not answered; 0 for normal operation.
     pub(crate) order_delay_ms: u64,
+    /// Polls are carried out this much later and are not answered; 0 for normal operation.
+    pub(crate) poll_delay_ms: u64,
+    /// Share of calls, in percent, that are not answered and carried out late, each by a random time.
+    pub(crate) late_percent: u64,
     /// Whether the answers to orders are lost.
     pub(crate) loses_answers: bool,
     /// Whether all runs that the worker starts fail.
@@ -95,14 +103,13 @@
 }
 
 /// A poll of a worker.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct Poll {
-    worker_index: usize,
+    target: action::Target,
     number: usize,
     /// Start time of the process that the poll has reached. Its connection stays silent if that
     /// process ends.
     reached: Option<u64>,
-    token: u64,
     deadline: Option<u64>,
     acked_end: u64,
     wait: u64,
@@ -122,24 +129,24 @@
 /// A message in transit.
 enum Message {
     Poll(Poll),
+    /// A poll that is not answered and carried out late, by the process that uses the ID then.
+    LatePoll(Poll),
     Start {
-        token: u64,
         start: Box<action::Start>,
         delivery: Delivery,
     },
     Stop {
-        worker_index: usize,
+        target: action::Target,
         number: usize,
-        token: u64,
         task: spec::TaskId,
         run: u32,
         delivery: Delivery,
     },
-    PollReply(usize, report::PollOutcome),
-    StartReply(usize, spec::TaskId, u32, report::OrderOutcome),
-    StopReply(usize, spec::TaskId, u32, report::OrderOutcome),
+    PollReply(action::Target, report::PollOutcome),
+    StartReply(action::Target, spec::TaskId, u32, report::OrderOutcome),
+    StopReply(action::Target, spec::TaskId, u32, report::OrderOutcome),
     Advice(u64, Vec<(String, String)>),
-    Committed(Vec<record::Record>),
+    Committed(Vec<record::Record>, u64),
 }
 
 /// The start of a run, as a worker observed it.
@@ -159,13 +166,17 @@
 pub(crate) struct Rig {
     pub(crate) now: u64,
     pub(crate) scheduler: scheduler::Scheduler,
-    pub(crate) token: u64,
+    /// Number of the scheduler's term.
+    term: u64,
+    /// Revision of the store.
+    revision: u64,
     pub(crate) workers: Vec<Worker>,
     pub(crate) worker_numbers: BTreeMap<String, usize>,
     pub(crate) starts: Vec<ObservedStart>,
     pub(crate) answers: BTreeMap<u64, action::Answer>,
     pub(crate) deposed: bool,
     pub(crate) journal: Vec<record::Record>,
+    last_commit: u64,
     batches: u64,
     /// Workers that the advice service allows; empty if it allows all.
     pub(crate) allowed: BTreeSet<String>,
@@ -180,6 +191,8 @@
     next_tick: u64,
     /// Jobs whose runs all fail.
     pub(crate) failing_jobs: BTreeSet<spec::JobId>,
+    /// Source of the choice of late calls and of their lateness.
+    late_calls: fastrand::Rng,
     /// Source of the delays of workers' answers; without it, answers arrive in order.
     pub(crate) answer_delays: Option<fastrand::Rng>,
     /// Longest additional delay of a worker's answer, in milliseconds.
@@ -270,6 +283,8 @@
                 is_disconnected: false,
                 is_down: false,
                 order_delay_ms: 0,
+                poll_delay_ms: 0,
+                late_percent: 0,
                 loses_answers: false,
                 fails_all_tasks: false,
                 hangs: false,
@@ -289,17 +304,22 @@
             scheduler: scheduler::Scheduler::resume(
                 config(),
                 job_table::JobTable::default(),
-                time::Monotonic::from_millis(now),
-                MAX_LEASE,
+                scheduler::Term {
+                    number: 1,
+                    orders_end: time::Monotonic::from_millis(now),
+                    max_lease: MAX_LEASE,
+                },
                 timestamp(now),
             ),
-            token: 1,
+            term: 1,
+            revision: 1,
             workers,
             worker_numbers,
             starts: Vec::new(),
             answers: BTreeMap::new(),
             deposed: false,
             journal: Vec::new(),
+            last_commit: 0,
             batches: 0,
             allowed: BTreeSet::new(),
             store_down: false,
@@ -311,6 +331,7 @@
             work_ms: BTreeMap::new(),
             next_tick: 0,
             failing_jobs: BTreeSet::new(),
+            late_calls: fastrand::Rng::with_seed(0),
             answer_delays: None,
             max_answer_delay_ms: DEFAULT_ANSWER_DELAY_MS,
             poll_answer_delay_ms: 0,
@@ -395,20 +416,27 @@
         for record in self.journal.clone() {
             job_table.apply(record);
         }
-        self.token += 1;
+        self.revision += 1;
+        self.term = self.revision;
         self.deposed = false;
         // Replies and open commits were addressed to the former scheduler.
         self.messages.retain(|(_, _, message)| {
             matches!(
                 message,
-                Message::Start { .. } | Message::Stop { .. } | Message::Poll(_)
+                Message::Start { .. }
+                    | Message::Stop { .. }
+                    | Message::Poll(_)
+                    | Message::LatePoll(_)
             )
         });
         self.scheduler = scheduler::Scheduler::resume(
             config,
             job_table,
-            orders_end,
-            MAX_LEASE,
+            scheduler::Term {
+                number: self.term,
+                orders_end,
+                max_lease: MAX_LEASE,
+            },
             timestamp(self.now),
         );
         self.register_all();
@@ -436,11 +464,19 @@
                 } else {
                     batch
                 };
-                self.send(COMMIT_MS, Message::Committed(batch));
+                self.commit(batch);
+            } else if self.now >= self.last_commit + RENEWAL_MS && !self.store_down {
+                self.commit(Vec::new());
             }
         }
     }
 
+    fn commit(&mut self, batch: Vec<record::Record>) {
+        self.last_commit = self.now;
+        self.revision += 1;
+        self.send(COMMIT_MS, Message::Committed(batch, self.revision));
+    }
+
     /// Runs until a job has a state, for at most `limit` milliseconds. Returns the time, or `None`
     /// if the limit was reached.
     pub(crate) fn run_until(&mut self, id: u64, state: job::State, limit: u64) -> Option<u64> {
@@ -486,23 +522,21 @@
                 } => {
                     self.polls += 1;
                     let poll = Poll {
-                        worker_index: target.index,
                         number: self.number(target.id.as_str()),
+                        target,
                         reached: None,
-                        token: self.token,
                         deadline: deadline_ms,
                         acked_end,
                         wait: millis(wait),
                         since: self.now,
                     };
-                    self.send(NETWORK_DELAY_MS, Message::Poll(poll));
+                    self.send_poll(poll);
                 }
                 action::Action::Start(start) => {
                     let number = self.number(start.target.id.as_str());
-                    let delay = self.workers[number].order_delay_ms;
-                    let delivery = self.delivery(number);
+                    let delay = self.lateness(number, self.workers[number].order_delay_ms);
+                    let delivery = self.delivery(number, delay);
                     let message = Message::Start {
-                        token: self.token,
                         start: Box::new(start.clone()),
                         delivery,
                     };
@@ -510,18 +544,17 @@
                     if !delivery.is_answered {
                         let unknown = report::OrderOutcome::Unknown;
                         let reply =
-                            Message::StartReply(start.target.index, start.task, start.run, unknown);
+                            Message::StartReply(start.target, start.task, start.run, unknown);
                         self.send(ORDER_TIMEOUT_MS, reply);
                     }
                 }
                 action::Action::Stop { target, task, run } => {
                     let number = self.number(target.id.as_str());
-                    let delay = self.workers[number].order_delay_ms;
-                    let delivery = self.delivery(number);
+                    let delay = self.lateness(number, self.workers[number].order_delay_ms);
+                    let delivery = self.delivery(number, delay);
                     let message = Message::Stop {
-                        worker_index: target.index,
+                        target: target.clone(),
                         number,
-                        token: self.token,
                         task,
                         run,
                         delivery,
@@ -529,7 +562,7 @@
                     self.send(NETWORK_DELAY_MS + delay, message);
                     if !delivery.is_answered {
                         let unknown = report::OrderOutcome::Unknown;
-                        let reply = Message::StopReply(target.index, task, run, unknown);
+                        let reply = Message::StopReply(target, task, run, unknown);
                         self.send(ORDER_TIMEOUT_MS, reply);
                     }
                 }
@@ -557,14 +590,19 @@
         }
     }
 
+    /// Whether a call was sent by the present scheduler, which alone gets its answer.
+    fn is_current(&self, target: &action::Target) -> bool {
+        target.fence >= self.term
+    }
+
     fn number(&self, id: &str) -> usize {
         self.worker_numbers[id]
     }
 
-    /// Returns how an order that is sent now reaches its worker.
-    fn delivery(&self, number: usize) -> Delivery {
+    /// Returns how an order that is sent now and carried out `delay_ms` late reaches its worker.
+    fn delivery(&self, number: usize, delay_ms: u64) -> Delivery {
         let worker = &self.workers[number];
-        let is_late = worker.order_delay_ms > 0 && !self.is_unreachable(number);
+        let is_late = delay_ms > 0 && !self.is_unreachable(number);
         Delivery {
             is_answered: !is_late && !worker.loses_answers && !self.is_unreachable(number),
             is_late,
@@ -597,48 +635,45 @@
         let now = mono(self.now);
         match message {
             Message::Poll(poll) => self.handle_poll(poll),
-            Message::Start {
-                token,
-                start,
-                delivery,
-            } => self.handle_start(token, &start, delivery),
+            Message::LatePoll(poll) => self.handle_late_poll(&poll),
+            Message::Start { start, delivery } => self.handle_start(&start, delivery),
             Message::Stop {
-                worker_index,
+                target,
                 number,
-                token,
                 task,
                 run,
                 delivery,
             } => {
-                let outcome = self.handle_stop(number, token, task, run, delivery);
-                if delivery.is_answered && token == self.token {
+                let outcome = self.handle_stop(number, target.fence, task, run, delivery);
+                if delivery.is_answered && self.is_current(&target) {
                     match outcome {
                         Some(outcome) => {
-                            self.send_answer(Message::StopReply(worker_index, task, run, outcome));
+                            self.send_answer(Message::StopReply(target, task, run, outcome));
                         }
                         None => {
                             let unknown = report::OrderOutcome::Unknown;
-                            let reply = Message::StopReply(worker_index, task, run, unknown);
+                            let reply = Message::StopReply(target, task, run, unknown);
                             self.send(ORDER_TIMEOUT_MS, reply);
                         }
                     }
                 }
             }
-            Message::PollReply(worker_index, outcome) => {
-                self.scheduler.on_poll_outcome(worker_index, outcome, now);
+            Message::PollReply(target, outcome) => {
+                self.scheduler.on_poll_outcome(&target, outcome, now);
             }
-            Message::StartReply(worker_index, task, run, outcome) => {
-                self.scheduler
-                    .on_start(worker_index, task, run, outcome, now);
+            Message::StartReply(target, task, run, outcome) => {
+                self.scheduler.on_start(&target, task, run, outcome, now);
             }
-            Message::StopReply(worker_index, task, run, outcome) => {
-                self.scheduler
-                    .on_stop(worker_index, task, run, outcome, now);
+            Message::StopReply(target, task, run, outcome) => {
+                self.scheduler.on_stop(&target, task, run, outcome, now);
             }
             Message::Advice(call, allowed) => self.scheduler.on_advice(call, Some(allowed), now),
-            Message::Committed(batch) => {
-                self.journal.extend(batch);
-                self.scheduler.committed(now);
+            Message::Committed(batch, revision) => {
+                self.journal.extend(batch.iter().cloned());
+                self.scheduler.on_revision(revision);
+                if !batch.is_empty() {
+                    self.scheduler.committed(now);
+                }
             }
         }
     }
