Let a task run nowhere else while a start of it may be carried out late

Cause: a start without an answer was sent once more, and then stopped. The stop, or the loss of the worker, was taken for proof that it had not run. But a start may be carried out for 12 s, also by a process that has started under the ID since and has heard neither of the stop nor of a fencing token.

Change: after a start without an answer, the worker is polled. If it lists the run, that start has taken effect and cannot do so again. If not, the start is repeated there under the same run number, which is idempotent for as long as the process lives. When the run is given up, its task and its room stay with the worker until no start can be carried out any more: it starts again in place if a new process can take it, and elsewhere after 12 s, or after the longest lease more if the worker cannot be reached. The end of such a run is acknowledged only after that time, since a worker that lost its state could run it again. Starts with a ticket are exempt, as tickets are valid for one process only.

The next scheduler has to know: a placement that is written again says that a start got no answer, and placements of the last 72 batches count as open until the worker reports.

--- a/crates/daisymast_jobs/src/job.rs
+++ b/crates/daisymast_jobs/src/job.rs
@@ -49,6 +49,18 @@
     Done,
 }
 
+/// Whether starts of a run may still be carried out that no answer has been recorded of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum OpenStart {
+    /// There is none as far as the journal tells.
+    #[default]
+    No,
+    /// The start was sent so recently that its answer may have been open when the journal ended.
+    Single,
+    /// A start got no answer, and may have been sent again. A repeated placement record says so.
+    Repeated,
+}
+
 /// Progress of one task.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Task {
@@ -62,6 +74,9 @@
     pub failures: u32,
     /// Latest checkpoint that a run of the task reported.
     pub checkpoint: Option<Arc<str>>,
+    /// Whether a start of the present run may be open.
+    #[serde(skip)]
+    pub open_start: OpenStart,
 }
 
 /// Tasks of a step in one occurrence of the job.
@@ -110,6 +125,9 @@
     /// State that committed journal records support, and so the only one that callers are told.
     #[serde(rename = "shown")]
     pub committed_state: State,
+    /// Since when the job has only been kept because a start may be carried out late.
+    #[serde(skip)]
+    pub kept_since: Option<time::UnixMillis>,
 }
 
 impl Job {
@@ -125,6 +143,7 @@
             started: false,
             start_confirmed: false,
             committed_state: State::Queued,
+            kept_since: None,
         };
         if job.spec.schedule.is_none() {
             job.start_occurrence(0);
@@ -231,6 +250,14 @@
         }
     }
 
+    /// Whether a start of a task got no answer, so that it may be carried out late.
+    pub fn has_repeated_start(&self) -> bool {
+        self.occurrences.iter().any(|steps| {
+            let mut tasks = steps.iter().flat_map(|step| &step.tasks);
+            tasks.any(|task| task.open_start == OpenStart::Repeated)
+        })
+    }
+
     /// Whether the final state is committed and no task is placed on a worker, so that the job can
     /// be reduced to its state.
     pub fn is_settled(&self) -> bool {
--- a/crates/daisymast_jobs/src/job_table.rs
+++ b/crates/daisymast_jobs/src/job_table.rs
@@ -14,6 +14,11 @@
 /// Time for which the final state of an ended job can be queried. Callers are promised two minutes.
 pub const ENDED_RETENTION: Duration = Duration::from_secs(600);
 
+/// Time for which an ended job is kept whole after a start of one of its tasks got no answer. The next
+/// scheduler must not acknowledge the end of such a task while the start may be carried out: for 12 s after
+/// the last order of this one, which may act for 7 s more.
+pub const LATE_START_RETENTION: Duration = Duration::from_secs(20);
+
 /// Table of all known jobs, plus the queue settings and worker speeds that the journal records.
 #[derive(Clone, Debug, Default)]
 pub struct JobTable {
@@ -97,6 +102,13 @@
             if !job.is_settled() {
                 return true;
             }
+            if job.has_repeated_start() {
+                let since = *job.kept_since.get_or_insert(now);
+                let span = now.0.saturating_sub(since.0);
+                if u128::from(span) < LATE_START_RETENTION.as_millis() {
+                    return true;
+                }
+            }
             let state = job.committed_state;
             ended.insert(id, record::Ended { state, at: now });
             false
@@ -120,11 +132,14 @@
         }
         let groups = groups.into_iter();
         records.extend(groups.map(|(ended, jobs)| record::Record::Ended { ended, jobs }));
-        let jobs = self.jobs.iter();
-        records.extend(jobs.map(|(&job, content)| record::Record::Restored {
-            job,
-            content: Box::new(content.clone()),
-        }));
+        for (&job, content) in &self.jobs {
+            let restored = record::Record::Restored {
+                job,
+                content: Box::new(content.clone()),
+            };
+            records.push(restored);
+            records.extend(repeated_placements(job, content));
+        }
         records
     }
 
@@ -177,7 +192,8 @@
         }
     }
 
-    /// Marks tasks as placed on workers under a run number.
+    /// Marks tasks as placed on workers under a run number. Placing a task again under the same number on
+    /// the same worker says that its start is repeated.
     pub fn place(&mut self, step: spec::StepId, run: u32, tasks: Vec<(u32, ids::WorkerId)>) {
         let Some(job) = self.job_mut(step.job) else {
             return;
@@ -188,9 +204,37 @@
             let Some(task) = job.task_mut(step.task(index)) else {
                 continue;
             };
+            let phase = job::Phase::Placed { worker };
+            let is_repeated = task.phase == job::Phase::Done || task.phase == phase;
+            task.open_start = if task.run == run && is_repeated {
+                job::OpenStart::Repeated
+            } else {
+                job::OpenStart::No
+            };
             task.run = task.run.max(run);
             if task.phase != job::Phase::Done {
-                task.phase = job::Phase::Placed { worker };
+                task.phase = phase;
+            }
+        }
+    }
+
+    /// Marks the tasks of a placement as ones whose start may be open, if they are still placed by it.
+    pub fn mark_recent_placement(
+        &mut self,
+        step: spec::StepId,
+        run: u32,
+        tasks: Vec<(u32, ids::WorkerId)>,
+    ) {
+        let Some(job) = self.job_mut(step.job) else {
+            return;
+        };
+        for (index, worker) in tasks {
+            let phase = job::Phase::Placed { worker };
+            if let Some(task) = job.task_mut(step.task(index))
+                && task.run == run
+                && task.phase == phase
+            {
+                task.open_start = task.open_start.max(job::OpenStart::Single);
             }
         }
     }
@@ -214,3 +258,34 @@
         }
     }
 }
+
+/// Returns the placements of the tasks of a job whose start was repeated, as a restored job does not tell
+/// of them.
+fn repeated_placements(id: spec::JobId, job: &job::Job) -> Vec<record::Record> {
+    let mut records = Vec::new();
+    for (occurrence, steps) in (0_u32..).zip(&job.occurrences) {
+        for (step, tasks) in (0_u16..).zip(steps) {
+            let step = spec::StepId {
+                job: id,
+                occurrence,
+                step,
+            };
+            for (index, task) in (0_u32..).zip(&tasks.tasks) {
+                let worker = match &task.phase {
+                    job::Phase::Placed { worker } => worker.clone(),
+                    // The placement of a task that is done counts whatever worker it names.
+                    job::Phase::Done => ids::WorkerId::from(""),
+                    job::Phase::Waiting => continue,
+                };
+                if task.open_start == job::OpenStart::Repeated {
+                    records.push(record::Record::Placed {
+                        step,
+                        run: task.run,
+                        tasks: vec![(index, worker)],
+                    });
+                }
+            }
+        }
+    }
+    records
+}
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -25,6 +25,9 @@
 pub const STORE_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Minimum time between two commits, so that records are batched.
 pub const MIN_COMMIT_INTERVAL: Duration = Duration::from_millis(15);
+/// Number of the last batches of a journal whose starts may not have been answered, also through a
+/// relay: they cover the second before its end.
+pub const RECENT_BATCHES: usize = 72;
 /// Maximum time without a commit. After that, an empty commit renews the term.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum age of the last confirmed commit for the leader to answer reads without confirming its
--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -211,7 +211,9 @@
     let replayed = replay::replay(context, term).await;
     let has_lease = replayed.is_ok() && wait_for_lease(context, term, &leader_lease).await;
     renewal.cancel().await;
-    let replay::ReplayedJournal { job_table, batches } = match replayed {
+    let replay::ReplayedJournal {
+        job_table, batches, ..
+    } = match replayed {
         Ok(replayed) if has_lease => replayed,
         Ok(_) | Err(replay::ReplayError::TermEnded) => return,
         Err(replay::ReplayError::Unreadable) => {
--- a/crates/daisymast_node/src/leadership/relaying.rs
+++ b/crates/daisymast_node/src/leadership/relaying.rs
@@ -273,6 +273,13 @@
         return;
     }
     for call in undelivered {
+        if call.may_have_been_sent
+            && let action::Action::Start(start) = &call.action
+        {
+            let (target, task, run) = (&start.target, start.task, start.run);
+            let now = clock::now();
+            leadership.update(|scheduler| scheduler.on_start_repeated(target, task, run, now));
+        }
         let call = calls::call(
             Arc::clone(context),
             Arc::clone(leadership),
--- a/crates/daisymast_node/src/leadership/replay.rs
+++ b/crates/daisymast_node/src/leadership/replay.rs
@@ -1,5 +1,7 @@
 //! Replays the journal at the start of a term.
 
+use std::collections::VecDeque;
+
 use daisymast_adapter::{keys, store};
 use daisymast_jobs::{batch_index, job_table, record};
 use smol::Timer;
@@ -12,6 +14,8 @@
 pub(super) struct ReplayedJournal {
     pub(super) job_table: job_table::JobTable,
     pub(super) batches: batch_index::BatchIndex,
+    /// Batches that were written last.
+    recent: VecDeque<Vec<record::Record>>,
 }
 
 /// Why a term ends before the journal was replayed.
@@ -32,6 +36,7 @@
     let mut replayed = ReplayedJournal {
         job_table: job_table::JobTable::default(),
         batches: batch_index::BatchIndex::default(),
+        recent: VecDeque::new(),
     };
     let mut after = String::new();
     let mut bytes = 0;
@@ -59,6 +64,7 @@
             after = last;
         }
         if !page.has_more {
+            replayed.mark_recent_placements();
             let took = (clock::now() - started).as_millis();
             log::info!("journal of {bytes} bytes was read in {took} ms");
             return Ok(replayed);
@@ -84,11 +90,27 @@
         })?;
         let kind = batch_index::BatchKind::of(&batch);
         self.batches.on_replayed(number, item.value.len(), kind);
+        let placements = batch
+            .iter()
+            .filter(|record| matches!(record, record::Record::Placed { .. }));
+        self.recent.push_back(placements.cloned().collect());
+        if self.recent.len() > constants::RECENT_BATCHES {
+            self.recent.pop_front();
+        }
         for record in batch {
             self.job_table.apply(record);
         }
         Ok(())
     }
+
+    /// Marks the placements of the last batches, whose starts may not have been answered.
+    fn mark_recent_placements(&mut self) {
+        for record in std::mem::take(&mut self.recent).into_iter().flatten() {
+            if let record::Record::Placed { step, run, tasks } = record {
+                self.job_table.mark_recent_placement(step, run, tasks);
+            }
+        }
+    }
 }
 
 /// Whether another node was elected after this term.
--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -30,6 +30,9 @@
 /// Time between two polls of a worker while ended runs that it reported are not stored yet. These
 /// polls renew its lease during an outage of the store.
 pub const UNSTORED_RUN_ENDS_POLL_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Time between two polls of a worker while the acknowledgement of a run end is withheld. Polls with a
+/// wait would return at once.
+pub const WITHHELD_ACK_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay before a failed poll is repeated.
 pub const POLL_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Delay before an unanswered stop is sent again.
@@ -47,8 +50,11 @@
 pub const ZONE_SUSPECT_THRESHOLD: usize = 2;
 /// Number of further workers that are polled when the first worker of a zone is suspected.
 pub const ZONE_PROBE_WORKERS: usize = 2;
-/// How often a start is sent without an answer before the run is stopped.
-pub const MAX_START_SENDS: u8 = 2;
+/// How often a start is sent to a process without an answer before the run is stopped. While one of
+/// them may be carried out late, the task cannot run elsewhere.
+pub const MAX_START_SENDS: u8 = 6;
+/// The same for a start with a ticket, which is valid for a short time, and whose gang waits meanwhile.
+pub const MAX_TICKET_START_SENDS: u8 = 2;
 /// Validity that a ticket must have left when a start is decided: the placement is stored and the
 /// start is sent before the worker checks the ticket.
 pub const MIN_TICKET_VALIDITY: Duration = Duration::from_millis(250);
--- a/crates/daisymast_scheduler/src/run.rs
+++ b/crates/daisymast_scheduler/src/run.rs
@@ -1,7 +1,9 @@
 //! Runs of tasks that are assigned to a worker, and the orders about them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use daisymast_jobs::job;
 use daisymast_types::quantities;
 use daisymast_types::time;
 
@@ -21,6 +23,9 @@
     },
     /// A former scheduler placed the run; the worker has not been polled since.
     Inherited,
+    /// The run has ended or was never seen, but a start of it may still be carried out by a process
+    /// that starts under the worker's ID.
+    Unsettled,
     /// The run is to be stopped.
     Stopping {
         /// Reading of the worker's clock in its answer to the stop, in milliseconds; `None` until
@@ -54,6 +59,16 @@
     pub send_count: u8,
     /// Whether the last start that was sent got no answer.
     pub start_unknown: bool,
+    /// When the last start without an answer was given up.
+    pub unknown_at: time::Monotonic,
+    /// Number of starts that were sent, got no answer and have not been seen to take effect.
+    unanswered_starts: u8,
+    /// Until when one of them may be carried out, also by a process that has started under the same ID
+    /// since; zero if there is none.
+    pub late_until: time::Monotonic,
+    /// Process of the worker in which the run has ended or was stopped, so that it refuses each further
+    /// start of the run.
+    pub closed_in: Option<u32>,
     /// The last start that was sent.
     pub start_order: SentOrder,
     /// Process that the first stop which was sent and not answered was meant for.
@@ -86,6 +101,10 @@
             placed_at: now,
             send_count: 0,
             start_unknown: false,
+            unknown_at: time::Monotonic::ZERO,
+            unanswered_starts: 0,
+            late_until: time::Monotonic::ZERO,
+            closed_in: None,
             start_order: SentOrder::default(),
             stop_incarnation: None,
             retry_at: now,
@@ -111,13 +130,85 @@
             RunState::Journaling
             | RunState::Running { .. }
             | RunState::Inherited
+            | RunState::Unsettled
             | RunState::Stopping { .. } => false,
         }
     }
 
-    /// Whether a start of the run was sent that got no answer, and may be carried out late.
-    pub fn has_unanswered_start(&self) -> bool {
-        self.send_count > 1 || self.start_unknown
+    /// Records that the last start got no answer. A process that has started since refuses the ticket
+    /// of a start that was meant for the former one.
+    pub fn on_start_unanswered(&mut self, now: time::Monotonic) {
+        self.start_unknown = true;
+        self.unknown_at = now;
+        self.on_start_repeated(now);
+    }
+
+    /// Records that a start may have been sent that gets no answer, beside the one that is open.
+    pub fn on_start_repeated(&mut self, now: time::Monotonic) {
+        if self.ticket.is_none() {
+            self.unanswered_starts = self.unanswered_starts.saturating_add(1);
+            self.late_until = now + constants::MAX_ORDER_AGE;
+        }
+    }
+
+    /// Records that starts which a former scheduler sent may be carried out until a given time.
+    pub fn inherit_open_start(&mut self, open_start: job::OpenStart, late_until: time::Monotonic) {
+        self.unanswered_starts = match open_start {
+            job::OpenStart::No => return,
+            job::OpenStart::Single => 1,
+            job::OpenStart::Repeated => 2,
+        };
+        self.late_until = late_until;
+    }
+
+    /// Records that the worker has reported the run before a start of it was answered. If all starts were
+    /// given up, one of them has taken effect, and each takes effect once. Otherwise it may have been the
+    /// one whose answer is open.
+    pub fn on_unanswered_run_reported(&mut self) {
+        if self.state == RunState::Starting && !self.start_unknown {
+            return;
+        }
+        self.unanswered_starts = self.unanswered_starts.saturating_sub(1);
+        if self.unanswered_starts == 0 {
+            self.late_until = time::Monotonic::ZERO;
+        }
+    }
+
+    /// Whether a start of the run may still be carried out that got no answer.
+    pub fn may_start_late(&self, now: time::Monotonic) -> bool {
+        now < self.late_until
+    }
+
+    /// Returns when the lease has ended with certainty of a process that carries out a start of the run
+    /// late, if it holds the longest lease that workers accept.
+    pub fn late_lease_end(&self, longest_lease: Duration) -> time::Monotonic {
+        if self.late_until == time::Monotonic::ZERO {
+            return time::Monotonic::ZERO;
+        }
+        self.late_until + longest_lease
+    }
+
+    /// Whether the run was given up, and a report that answers a poll of this time, but does not list
+    /// the run, shows that it may start again: no start of it can be carried out late any more, or the
+    /// process that made the report has not refused the run.
+    pub fn is_settled(&self, polled_at: time::Monotonic, incarnation: u32) -> bool {
+        self.state == RunState::Unsettled
+            && (polled_at >= self.late_until || self.closed_in != Some(incarnation))
+    }
+
+    /// Whether the start was sent as often as it may be without an answer.
+    pub fn has_no_sends_left(&self) -> bool {
+        let max_sends = match self.ticket {
+            Some(_) => constants::MAX_TICKET_START_SENDS,
+            None => constants::MAX_START_SENDS,
+        };
+        self.send_count >= max_sends
+    }
+
+    /// Whether the last start got no answer, and a report that answers a poll of this time, but does
+    /// not list the run, shows that it has not taken effect.
+    pub fn has_lost_start(&self, polled_at: time::Monotonic) -> bool {
+        self.state == RunState::Starting && self.start_unknown && polled_at >= self.unknown_at
     }
 
     /// Whether it is still open if the run shows that its worker is sound. On a worker on
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -31,6 +31,7 @@
 mod caller_requests;
 mod dispatch;
 mod gangs;
+mod late_starts;
 mod order;
 mod orders;
 mod placement;
@@ -70,6 +71,8 @@
     fencing: fencing::Fencing,
     /// Longest lease that a worker accepts.
     max_lease: Duration,
+    /// After this time, no former scheduler sends orders.
+    former_orders_end: time::Monotonic,
     job_table: job_table::JobTable,
     fleet: fleet::Fleet,
     journal: journal::Journal,
@@ -110,6 +113,7 @@
     /// Returns records that replace all batches up to the one that was just taken. Must be called
     /// right after [`take_batch`](Self::take_batch), before any change that is in no batch yet.
     pub fn checkpoint(&mut self) -> Vec<record::Record> {
+        self.mark_open_starts();
         self.job_table.compact(self.wall);
         self.job_table.checkpoint()
     }
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -62,6 +62,10 @@
             self.release(worker_index, task, now);
             return;
         }
+        if !is_fenced {
+            self.await_report(worker_index, task, now);
+            return;
+        }
         let worker = self.fleet.at_mut(worker_index);
         worker.on_call(fence);
         let order = worker.order_at(now);
@@ -86,6 +90,16 @@
         }));
     }
 
+    /// Lets the next report decide whether a start has taken effect.
+    fn await_report(&mut self, worker_index: usize, task: spec::TaskId, now: time::Monotonic) {
+        let worker = self.fleet.at_mut(worker_index);
+        worker.poll_soon(now);
+        if let Some(run) = worker.runs.get_mut(&task) {
+            run.start_unknown = true;
+            run.unknown_at = now;
+        }
+    }
+
     /// Removes a run that is certainly not on its worker any more, and queues its task again.
     pub(super) fn release(
         &mut self,
@@ -95,7 +109,7 @@
     ) {
         if let Some(run) = self.fleet.at_mut(worker_index).remove(task) {
             self.remove_placed(worker_index, task, run.run);
-            self.requeue(worker_index, task, run.run, now);
+            self.requeue(worker_index, task, run, now);
         }
     }
 
@@ -113,10 +127,17 @@
             return;
         }
         let worker = self.fleet.at_mut(worker_index);
-        let Some(assigned_run) = worker.runs.get(&task) else {
+        let Some(assigned_run) = worker.runs.get_mut(&task) else {
             return;
         };
-        if assigned_run.run != run || assigned_run.state != run::RunState::Starting {
+        if assigned_run.run != run {
+            return;
+        }
+        if assigned_run.state != run::RunState::Starting {
+            // One of several starts has taken effect before this one was given up.
+            if outcome == report::OrderOutcome::Unknown && assigned_run.send_count > 1 {
+                assigned_run.on_start_repeated(now);
+            }
             return;
         }
         let order = assigned_run.start_order;
@@ -138,14 +159,16 @@
             report::OrderOutcome::Accepted(_)
             | report::OrderOutcome::Refused(report::Refusal::OldRun, Some(_)) => {
                 // `OldRun`: the run ended before its start was repeated; the next report lists it.
+                if !matches!(outcome, report::OrderOutcome::Accepted(_)) {
+                    assigned_run.closed_in = Some(incarnation);
+                }
                 assigned_run.state = run::RunState::Running { since };
                 assigned_run.confirmed_by = incarnation;
                 self.mark_start_confirmed(task.step.job);
             }
             // A poll with a higher token has overtaken the start.
             report::OrderOutcome::Refused(report::Refusal::Fenced, _) => {
-                worker.poll_soon(now);
-                self.request_stop(worker_index, task, decision::StopReason::StartUnknown, now);
+                self.await_report(worker_index, task, now);
             }
             report::OrderOutcome::Refused(refusal, _) => {
                 self.on_refused(worker_index, task, refusal, now);
@@ -156,7 +179,7 @@
                 self.release_or_stop(worker_index, task, sent_once, now);
             }
             report::OrderOutcome::Unknown => {
-                assigned_run.start_unknown = true;
+                assigned_run.on_start_unanswered(now);
                 let unanswered = decision::Decision::StartUnanswered {
                     job: task.step.job,
                     step: task.step.step,
@@ -166,13 +189,12 @@
                     incarnation,
                     sends: assigned_run.send_count,
                 };
-                let may_resend = assigned_run.send_count < constants::MAX_START_SENDS;
-                worker.on_start_unanswered(task, run, now);
+                // Otherwise the next report shows whether the start has taken effect.
+                let is_last = assigned_run.has_no_sends_left();
                 self.log(unanswered);
+                self.record_open_start(worker_index, task);
                 self.suspect(worker_index, now);
-                if may_resend {
-                    self.send_start(worker_index, task, run, now);
-                } else {
+                if is_last {
                     self.request_stop(worker_index, task, decision::StopReason::StartUnknown, now);
                 }
             }
@@ -283,7 +305,7 @@
         };
         match assigned_run.state {
             run::RunState::Journaling => self.release(worker_index, task, now),
-            run::RunState::Stopping { .. } => {}
+            run::RunState::Stopping { .. } | run::RunState::Unsettled => {}
             run::RunState::Starting | run::RunState::Running { .. } | run::RunState::Inherited => {
                 assigned_run.state = run::RunState::Stopping { accepted_at: None };
                 assigned_run.retry_at = now;
@@ -387,6 +409,7 @@
                     accepted_at: reading,
                 };
                 assigned_run.confirmed_by = incarnation;
+                assigned_run.closed_in = Some(incarnation);
             }
             // A former process has answered.
             report::OrderOutcome::Accepted(_) => assigned_run.retry_at = now,
--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -51,7 +51,8 @@
                 && worker.missed_replies == 0
                 && !idle
                 && !worker.poll_now
-                && !has_unstored_run_ends;
+                && !has_unstored_run_ends
+                && !worker.withholds_acks(now);
             let acked_end = worker.take_ack(now);
             worker.polling = true;
             worker.last_poll = now;
@@ -182,13 +183,16 @@
         .runs
         .values()
         .any(|run| run.state != run::RunState::Journaling);
+    if worker.withholds_acks(now) && worker.reconciled && worker.missed_replies == 0 {
+        return active && now >= worker.last_poll + constants::WITHHELD_ACK_POLL_INTERVAL;
+    }
     if worker.stored_end < worker.handled_end {
         return active && now >= worker.last_poll + constants::UNSTORED_RUN_ENDS_POLL_INTERVAL;
     }
     worker.poll_now
         || !worker.reconciled
         || active
-        || worker.acked_end < worker.stored_end
+        || worker.acked_end < worker.ackable_end(now)
         || worker.missed_replies > 0
         || worker.has_old_clock(now)
 }
--- a/crates/daisymast_scheduler/src/scheduler/reports.rs
+++ b/crates/daisymast_scheduler/src/scheduler/reports.rs
@@ -66,13 +66,11 @@
         }
         self.handle_run_ends(worker_index, report, now);
         if !report.is_partial {
-            self.reconcile(worker_index, report, now);
             self.fleet.at_mut(worker_index).reconciled = fenced;
+            self.adopt_running(worker_index, report, now);
+            self.release_absent_runs(target, report, now);
             self.stop_strays(worker_index, report, now);
         }
-        if restarted {
-            self.stop_late_runs(worker_index, now);
-        }
         self.stop_hung(worker_index, now);
     }
 
@@ -105,9 +103,13 @@
         }
     }
 
-    /// Compares the runs that are assigned to a worker with its report, and releases those that
-    /// have certainly ended.
-    fn reconcile(&mut self, worker_index: usize, report: &report::Report, now: time::Monotonic) {
+    /// Updates the assigned runs that a report lists.
+    fn adopt_running(
+        &mut self,
+        worker_index: usize,
+        report: &report::Report,
+        now: time::Monotonic,
+    ) {
         for running in &report.running {
             if let Some(checkpoint) = &running.checkpoint
                 && self.is_expected(worker_index, running)
@@ -122,10 +124,14 @@
             if run.run != running.run {
                 continue;
             }
-            if matches!(
-                run.state,
-                run::RunState::Inherited | run::RunState::Starting
-            ) {
+            let was_unsettled = run.state == run::RunState::Unsettled;
+            if was_unsettled
+                || matches!(
+                    run.state,
+                    run::RunState::Inherited | run::RunState::Starting
+                )
+            {
+                run.on_unanswered_run_reported();
                 run.state = run::RunState::Running {
                     since: report.clock_ms,
                 };
@@ -133,46 +139,52 @@
                 run.last_progress = now;
                 self.mark_start_confirmed(running.task.step.job);
             }
+            if was_unsettled && !self.is_wanted(worker_index, running.task, running.run) {
+                let reason = decision::StopReason::Stray;
+                self.request_stop(worker_index, running.task, reason, now);
+            }
             self.record_progress(worker_index, running, now);
             self.check_lasting_run(worker_index, running.task, now);
         }
+    }
+
+    /// Handles the assigned runs that a report does not list: those that have certainly ended, and
+    /// those of which no start has taken effect.
+    fn release_absent_runs(
+        &mut self,
+        target: &action::Target,
+        report: &report::Report,
+        now: time::Monotonic,
+    ) {
         if report.ended.len() >= report::MAX_RUN_ENDS_PER_REPORT {
             return;
         }
-        let worker = self.fleet.at(worker_index);
+        let worker = self.fleet.at(target.index);
         let is_absent = |task: &spec::TaskId, run: &run::Run| {
             let mut running = report.running.iter();
             !running.any(|running| running.task == *task && running.run == run.run)
         };
-        let absent: Vec<spec::TaskId> = worker
+        let absent_runs = worker
             .runs
             .iter()
-            .filter(|(task, run)| {
-                is_absent(task, run)
-                    && has_certainly_ended(run, report.clock_ms, worker.incarnation)
-            })
-            .map(|(&task, _)| task)
-            .collect();
-        for task in absent {
-            self.release_absent(worker_index, task, now);
+            .filter(|(task, run)| is_absent(task, run));
+        let mut ended: Vec<spec::TaskId> = Vec::new();
+        let mut lost: Vec<spec::TaskId> = Vec::new();
+        for (&task, run) in absent_runs {
+            if run.has_lost_start(target.sent_at) {
+                lost.push(task);
+            } else if has_certainly_ended(run, report.clock_ms, worker.incarnation)
+                || run.is_settled(target.sent_at, worker.incarnation)
+            {
+                ended.push(task);
+            }
         }
-    }
-
-    /// Releases a run that has ended with its process. If a start of it may still be carried out late,
-    /// the present process is told to refuse it first.
-    fn release_absent(&mut self, worker_index: usize, task: spec::TaskId, now: time::Monotonic) {
-        let worker = self.fleet.at_mut(worker_index);
-        let incarnation = worker.incarnation;
-        if let Some(run) = worker.runs.get_mut(&task)
-            && run.has_unanswered_start()
-            && run.confirmed_by < incarnation
-            && run.state != run::RunState::Inherited
-        {
-            run.state = run::RunState::Stopping { accepted_at: None };
-            run.retry_at = now;
-            return;
+        for task in ended {
+            self.on_absent(target.index, task, now);
+        }
+        for task in lost {
+            self.on_start_lost(target.index, task, now);
         }
-        self.release(worker_index, task, now);
     }
 
     /// Takes a task of a long-running step that works as proof that its worker is sound. Such tasks
@@ -209,14 +221,6 @@
         }
     }
 
-    /// Tells a process that was started under the same ID to refuse starts that were meant for the
-    /// former one and may be carried out late.
-    fn stop_late_runs(&mut self, worker_index: usize, now: time::Monotonic) {
-        for (task, run) in self.fleet.at_mut(worker_index).take_late_runs(now) {
-            self.stop_stray(worker_index, task, run, now);
-        }
-    }
-
     fn stop_stray(
         &mut self,
         worker_index: usize,
@@ -256,7 +260,7 @@
 /// the report is one of the former process, whose runs have ended.
 fn has_certainly_ended(run: &run::Run, clock_ms: u64, incarnation: u32) -> bool {
     match run.state {
-        run::RunState::Journaling | run::RunState::Starting => false,
+        run::RunState::Journaling | run::RunState::Starting | run::RunState::Unsettled => false,
         run::RunState::Stopping { accepted_at: None } => false,
         run::RunState::Inherited => true,
         run::RunState::Running { since }
--- a/crates/daisymast_scheduler/src/scheduler/run_ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/run_ends.rs
@@ -25,16 +25,23 @@
         now: time::Monotonic,
     ) {
         let worker = self.fleet.at_mut(worker_index);
+        let incarnation = worker.incarnation;
         if worker
             .runs
             .get(&ended.task)
             .is_none_or(|run| run.run != ended.run)
         {
+            self.withhold_former_ack(worker_index, ended.task, ended.number, now);
             return;
         }
-        let Some(run) = worker.remove(ended.task) else {
+        let Some(mut run) = worker.remove(ended.task) else {
             return;
         };
+        run.closed_in = Some(incarnation);
+        let counts = matches!(ended.end, report::End::Done | report::End::Failed);
+        if counts && run.may_start_late(now) {
+            worker.withhold_ack(ended.number, run.late_until);
+        }
         self.dirty = true;
         if let Some(checkpoint) = &ended.checkpoint {
             self.save_checkpoint(ended.task, checkpoint);
@@ -53,12 +60,16 @@
             });
         }
         match ended.end {
-            report::End::Done => self.on_done(worker_index, ended.task, &run, now),
-            report::End::Failed => self.on_failed(worker_index, ended.task, ended.run, now),
+            report::End::Done if run.may_start_late(now) => {
+                self.keep_room(worker_index, ended.task, run.clone());
+                self.on_done(worker_index, ended.task, run, now);
+            }
+            report::End::Done => self.on_done(worker_index, ended.task, run, now),
+            report::End::Failed => self.on_failed(worker_index, ended.task, run, now),
             report::End::Stopped
             | report::End::Lapsed
             | report::End::Broken
-            | report::End::Alone => self.requeue(worker_index, ended.task, ended.run, now),
+            | report::End::Alone => self.requeue(worker_index, ended.task, run, now),
         }
     }
 
@@ -79,7 +90,7 @@
         &mut self,
         worker_index: usize,
         task: spec::TaskId,
-        run: &run::Run,
+        run: run::Run,
         now: time::Monotonic,
     ) {
         let worker = self.fleet.at_mut(worker_index);
@@ -96,7 +107,7 @@
         };
         let is_gang = step.gang;
         if step.lasting {
-            self.requeue(worker_index, task, run.run, now);
+            self.requeue(worker_index, task, run, now);
             return;
         }
         let declared = f64::from(step.estimate_ms);
@@ -150,7 +161,7 @@
         &mut self,
         worker_index: usize,
         task: spec::TaskId,
-        run: u32,
+        run: run::Run,
         now: time::Monotonic,
     ) {
         let job = self.job_table.job(task.step.job);
@@ -168,12 +179,12 @@
         // Failures of a gang are counted once, at its first task.
         let counted_task = if step.gang { task.step.task(0) } else { task };
         let queue = job.queue.clone();
-        let failures = job.record_failure(counted_task, run);
+        let failures = job.record_failure(counted_task, run.run);
         let attempts = self.queue(&queue).map_or(u32::MAX, |queue| queue.attempts);
         if let Some(failures) = failures {
             self.journal.append(record::Record::Failed {
                 task: counted_task,
-                run,
+                run: run.run,
             });
             if failures >= attempts && !lasting {
                 self.fail_job(task.step.job, now);
@@ -260,7 +271,7 @@
     }
 
     /// Whether a run on a worker is the current run of its task, and not a stray.
-    fn is_current_run(&self, worker_index: usize, task: spec::TaskId, run: u32) -> bool {
+    pub(super) fn is_current_run(&self, worker_index: usize, task: spec::TaskId, run: u32) -> bool {
         let worker = &self.fleet.at(worker_index).id;
         let job = self.job_table.job(task.step.job);
         job.and_then(|job| job.task(task))
@@ -280,17 +291,22 @@
         }
     }
 
-    /// Queues a task again after its run has ended without completing it. Does nothing if the run
-    /// was a stray, as the task then waits already or runs elsewhere.
+    /// Queues a task again after its run has ended without completing it, once no start of the run can
+    /// be carried out late any more. Does nothing if the run was a stray, as the task then waits already
+    /// or runs elsewhere.
     pub(super) fn requeue(
         &mut self,
         worker_index: usize,
         task: spec::TaskId,
-        run: u32,
+        run: run::Run,
         now: time::Monotonic,
     ) {
         self.dirty = true;
-        if !self.is_current_run(worker_index, task, run) {
+        if !self.is_current_run(worker_index, task, run.run) {
+            return;
+        }
+        if run.may_start_late(now) {
+            self.hold_back(worker_index, task, run, now);
             return;
         }
         let Some(job) = self.job_table.job_mut(task.step.job) else {
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -27,6 +27,7 @@
     worker: ids::WorkerId,
     size: daisymast_types::quantities::Resources,
     is_final: bool,
+    open_start: job::OpenStart,
 }
 
 impl Scheduler {
@@ -45,6 +46,7 @@
             config,
             fencing: fencing::Fencing::new(term.number),
             max_lease: term.max_lease,
+            former_orders_end: term.orders_end,
             job_table,
             fleet: fleet::Fleet::default(),
             journal: journal::Journal::default(),
@@ -88,6 +90,7 @@
                                 worker: worker.clone(),
                                 size: steps::task_size(step_spec),
                                 is_final: job.state().is_final(),
+                                open_start: task.open_start,
                             });
                         }
                     }
@@ -103,6 +106,7 @@
         former_lease_end: time::Monotonic,
         now: time::Monotonic,
     ) {
+        let late_until = self.former_starts_end();
         let worker_index = self.fleet.index_or_insert(&placed.worker);
         let worker = self.fleet.at_mut(worker_index);
         worker.lease_end = former_lease_end;
@@ -112,6 +116,7 @@
         } else {
             run::RunState::Inherited
         };
+        run.inherit_open_start(placed.open_start, late_until);
         worker.insert(placed.task, run);
     }
 
--- a/crates/daisymast_scheduler/src/scheduler/workers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/workers.rs
@@ -66,17 +66,29 @@
     /// earlier one does after `orders_end`. The leases that they gave end no later than the longest
     /// one after that.
     pub fn on_former_scheduler_stopped(&mut self, orders_end: time::Monotonic) {
+        self.former_orders_end = self.former_orders_end.min(orders_end);
         let end = orders_end + lease::longest_granted(self.max_lease);
+        let late_until = self.former_starts_end();
         for worker in self.fleet.iter_mut() {
             // Polls of this term may have given longer leases since.
             if worker.incarnation == 0 && worker.clock.is_none() {
                 worker.lease_end = worker.lease_end.min(end);
             }
+            for run in worker.runs.values_mut() {
+                if run.state == run::RunState::Inherited {
+                    run.late_until = run.late_until.min(late_until);
+                }
+            }
         }
     }
 
     /// Queues the tasks of workers again whose lease has certainly expired.
     pub(super) fn expire_leases(&mut self, now: time::Monotonic) {
+        let longest = lease::longest(self.max_lease);
+        let is_over = |run: &run::Run| {
+            let lease_end = run.lease_end.max(run.late_lease_end(longest));
+            run.state != run::RunState::Journaling && now >= lease_end
+        };
         for worker_index in 0..self.fleet.len() {
             let worker = self.fleet.at_mut(worker_index);
             if worker.runs.is_empty() || now < worker.lease_end {
@@ -85,7 +97,7 @@
             let expired_tasks: Vec<spec::TaskId> = worker
                 .runs
                 .iter()
-                .filter(|(_, run)| run.state != run::RunState::Journaling && now >= run.lease_end)
+                .filter(|(_, run)| is_over(run))
                 .map(|(&task, _)| task)
                 .collect();
             if expired_tasks.is_empty() {
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -59,9 +59,6 @@
     pub clock: Option<lease::WorkerClock>,
     /// Runs that are assigned to the worker, including those that are being stopped.
     pub runs: collections::FastMap<spec::TaskId, run::Run>,
-    /// Starts that got no answer and may still be carried out, also by a process that has started
-    /// under the same ID since.
-    unanswered_starts: Vec<processes::UnansweredStart>,
     /// Resources that these runs occupy.
     pub used: quantities::Resources,
     /// Highest number of an ended run that was handled.
@@ -82,6 +79,8 @@
     min_fence: u64,
     /// Whether such a poll was answered.
     pub fenced: bool,
+    /// Ended runs whose acknowledgement is withheld, by number, and until when.
+    withheld_ends: Vec<(u64, time::Monotonic)>,
     /// Whether an answer has shown that another process uses the ID, which has not reported yet.
     awaits_report: bool,
     /// Whether the assigned runs were compared with a report of the worker.
@@ -118,7 +117,6 @@
             incarnation: 0,
             clock: None,
             runs: collections::FastMap::default(),
-            unanswered_starts: Vec::new(),
             used: quantities::Resources::ZERO,
             handled_end: 0,
             stored_end: 0,
@@ -128,6 +126,7 @@
             call_fence: 0,
             min_fence: 0,
             fenced: true,
+            withheld_ends: Vec::new(),
             awaits_report: false,
             reconciled: false,
             polling: false,
@@ -256,13 +255,32 @@
     /// none while no start waits for its answer.
     pub fn take_ack(&mut self, now: time::Monotonic) -> u64 {
         let has_open_start = self.runs.values().any(run::Run::has_open_start);
-        if self.acked_end >= self.stored_end || has_open_start || !self.is_same_process(now) {
+        let ackable_end = self.ackable_end(now);
+        if self.acked_end >= ackable_end || has_open_start || !self.is_same_process(now) {
             return 0;
         }
-        self.acked_end = self.stored_end;
+        self.acked_end = ackable_end;
         self.acked_end
     }
 
+    /// Withholds the acknowledgement of an ended run, and with it that of all later ones.
+    pub fn withhold_ack(&mut self, number: u64, until: time::Monotonic) {
+        self.withheld_ends.push((number, until));
+    }
+
+    /// Whether the acknowledgement of an ended run is withheld, so that each report lists it.
+    pub fn withholds_acks(&self, now: time::Monotonic) -> bool {
+        self.withheld_ends.iter().any(|&(_, until)| now < until)
+    }
+
+    /// Returns the highest number of an ended run that may be acknowledged.
+    pub fn ackable_end(&self, now: time::Monotonic) -> u64 {
+        let withheld = self.withheld_ends.iter();
+        let first = withheld.filter(|&&(_, until)| now < until);
+        let first = first.map(|&(number, _)| number).min();
+        first.map_or(self.stored_end, |first| self.stored_end.min(first - 1))
+    }
+
     /// Returns the reading that the worker's clock has reached by now at the latest, 0 if nothing is
     /// known of it.
     pub fn latest_reading(&self, now: time::Monotonic) -> u64 {
--- a/crates/daisymast_scheduler/src/worker/processes.rs
+++ b/crates/daisymast_scheduler/src/worker/processes.rs
@@ -8,7 +8,6 @@
 
 use std::time::Duration;
 
-use daisymast_jobs::spec;
 use daisymast_types::time;
 
 use super::Worker;
@@ -17,37 +16,7 @@
 use crate::report;
 use crate::run;
 
-/// A start that got no answer.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct UnansweredStart {
-    task: spec::TaskId,
-    run: u32,
-    sent_at: time::Monotonic,
-}
-
 impl Worker {
-    /// Records that a start got no answer.
-    pub fn on_start_unanswered(&mut self, task: spec::TaskId, run: u32, now: time::Monotonic) {
-        self.unanswered_starts
-            .retain(|start| now - start.sent_at < constants::MAX_ORDER_AGE);
-        self.unanswered_starts.push(UnansweredStart {
-            task,
-            run,
-            sent_at: now,
-        });
-    }
-
-    /// Returns the runs that are no longer assigned to the worker, but of which a start may still be
-    /// carried out by a process that has started since.
-    pub fn take_late_runs(&mut self, now: time::Monotonic) -> Vec<(spec::TaskId, u32)> {
-        std::mem::take(&mut self.unanswered_starts)
-            .into_iter()
-            .filter(|start| now - start.sent_at < constants::MAX_ORDER_AGE)
-            .filter(|start| !self.runs.contains_key(&start.task))
-            .map(|start| (start.task, start.run))
-            .collect()
-    }
-
     /// Returns an order that is sent now.
     pub fn order_at(&self, now: time::Monotonic) -> run::SentOrder {
         run::SentOrder {
@@ -173,5 +142,6 @@
         self.handled_end = 0;
         self.stored_end = 0;
         self.acked_end = 0;
+        self.withheld_ends.clear();
     }
 }
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -30,6 +30,9 @@
 const POLL_TIMEOUT_MARGIN_MS: u64 = 500;
 /// Duration of a commit, in milliseconds.
 const COMMIT_MS: u64 = 8;
+/// Age of placements whose starts may not have been answered when a scheduler is replaced, in
+/// milliseconds.
+pub(crate) const RECENT_MS: u64 = 300;
 /// Time without a commit after which the scheduler's term is renewed, in milliseconds.
 const RENEWAL_MS: u64 = 300;
 /// Every n-th batch is replaced by a checkpoint, so that takeovers also start from checkpoints.
@@ -176,6 +179,8 @@
     pub(crate) answers: BTreeMap<u64, action::Answer>,
     pub(crate) deposed: bool,
     pub(crate) journal: Vec<record::Record>,
+    /// When each record of the journal was committed.
+    committed_at: Vec<u64>,
     last_commit: u64,
     batches: u64,
     /// Workers that the advice service allows; empty if it allows all.
@@ -319,6 +324,7 @@
             answers: BTreeMap::new(),
             deposed: false,
             journal: Vec::new(),
+            committed_at: Vec::new(),
             last_commit: 0,
             batches: 0,
             allowed: BTreeSet::new(),
@@ -416,6 +422,13 @@
         for record in self.journal.clone() {
             job_table.apply(record);
         }
+        for (record, &at) in self.journal.iter().zip(&self.committed_at) {
+            if let record::Record::Placed { step, run, tasks } = record
+                && self.now - at <= RECENT_MS
+            {
+                job_table.mark_recent_placement(*step, *run, tasks.clone());
+            }
+        }
         self.revision += 1;
         self.term = self.revision;
         self.deposed = false;
@@ -669,6 +682,8 @@
             }
             Message::Advice(call, allowed) => self.scheduler.on_advice(call, Some(allowed), now),
             Message::Committed(batch, revision) => {
+                self.committed_at
+                    .extend(std::iter::repeat_n(self.now, batch.len()));
                 self.journal.extend(batch.iter().cloned());
                 self.scheduler.on_revision(revision);
                 if !batch.is_empty() {
