Count a start as answered when its run is reported as ended

A run that was reported in progress cleared the open start, one that was reported as ended did not, though its start has taken effect as well.

tests/former_calls.rs: two tests failed before.

--- a/crates/daisymast_scheduler/src/run.rs
+++ b/crates/daisymast_scheduler/src/run.rs
@@ -161,11 +161,15 @@
         self.late_until = late_until;
     }
 
-    /// Records that the worker has reported the run before a start of it was answered. If all starts were
-    /// given up, one of them has taken effect, and each takes effect once. Otherwise it may have been the
-    /// one whose answer is open.
-    pub fn on_unanswered_run_reported(&mut self) {
-        if self.state == RunState::Starting && !self.start_unknown {
+    /// Records that the worker has reported the run, in progress or ended. If no start was answered, one
+    /// of those without an answer has taken effect, and each takes effect once.
+    pub fn on_reported(&mut self) {
+        let is_unanswered = match self.state {
+            RunState::Inherited | RunState::Unsettled => true,
+            RunState::Starting => self.start_unknown,
+            RunState::Journaling | RunState::Running { .. } | RunState::Stopping { .. } => false,
+        };
+        if !is_unanswered {
             return;
         }
         self.unanswered_starts = self.unanswered_starts.saturating_sub(1);
--- a/crates/daisymast_scheduler/src/scheduler/reports.rs
+++ b/crates/daisymast_scheduler/src/scheduler/reports.rs
@@ -131,7 +131,7 @@
                     run::RunState::Inherited | run::RunState::Starting
                 )
             {
-                run.on_unanswered_run_reported();
+                run.on_reported();
                 run.state = run::RunState::Running {
                     since: report.clock_ms,
                 };
--- a/crates/daisymast_scheduler/src/scheduler/run_ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/run_ends.rs
@@ -37,6 +37,7 @@
         let Some(mut run) = worker.remove(ended.task) else {
             return;
         };
+        run.on_reported();
         run.closed_in = Some(incarnation);
         let counts = matches!(ended.end, report::End::Done | report::End::Failed);
         if counts && run.may_start_late(now) {
--- a/crates/daisymast_scheduler/tests/former_calls.rs
+++ b/crates/daisymast_scheduler/tests/former_calls.rs
@@ -8,6 +8,7 @@
 use common::{BATCH, Rig, job, mono, step};
 use daisymast_jobs::job::State;
 use daisymast_jobs::spec;
+use daisymast_types::quantities;
 
 /// Time within which a job of one task is completed, in milliseconds: a lost run that is known as late
 /// as possible, the longest lateness of a start of 12 s, the longest lease of 6 s, and the next run.
@@ -317,3 +318,41 @@
         assert_completed(&mut rig, 1, &play);
     }
 }
+
+/// Guards against room that is kept free on workers, and completions that are not acknowledged, for starts
+/// that have taken effect: the task ended before the worker reported it in progress.
+#[test]
+fn a_start_that_took_effect_keeps_no_room() {
+    let mut rig = cell();
+    rig.workers[0].loses_answers = true;
+    rig.poll_answer_delay_ms = 400;
+    rig.submit(1, BATCH, job(vec![step(3, 4, 100)]));
+    rig.run_ms(700);
+    rig.poll_answer_delay_ms = 0;
+    rig.run_ms(1_000);
+    assert_eq!(rig.state(1), Some(State::Completed));
+    assert_no_room_kept(&rig);
+}
+
+/// Guards against the same after a change of the scheduler.
+#[test]
+fn a_start_of_a_former_scheduler_that_took_effect_keeps_no_room() {
+    let mut rig = cell();
+    rig.poll_answer_delay_ms = 400;
+    rig.submit(1, BATCH, job(vec![step(3, 4, 100)]));
+    rig.run_ms(200);
+    rig.poll_answer_delay_ms = 0;
+    rig.take_over();
+    rig.run_ms(1_000);
+    assert_eq!(rig.state(1), Some(State::Completed));
+    assert_no_room_kept(&rig);
+}
+
+fn assert_no_room_kept(rig: &Rig) {
+    let used = rig.scheduler.fleet().iter().map(|worker| worker.used);
+    assert!(
+        used.into_iter()
+            .all(|used| used == quantities::Resources::ZERO)
+    );
+    assert!(rig.workers[0].ended.is_empty(), "unacknowledged run ends");
+}
