Do not send direct calls that are too old

Only relays checked the age of a call, and a relay's calls that came back after a pause counted as new.

Cause: calls::call made each call without asking when it was decided, and the leader lease was checked before the pause only.

Change: each call that the leader makes itself has a time from which on it is not sent: MAX_DELIVERY_TIME (400 ms) after the decision, or after a relay passed it back, and never after the end of the leader lease. A call that a relay passes back has to be younger than the longest wait for a relay: 1.3 s for orders, 2.4 s for polls. A start or stop that was not sent has no effect, or an unknown one if a relay may have sent it; a poll counts as failed. The clock is CLOCK_BOOTTIME, which counts a suspension.

A test with a paused process was not written: the window between decision and call is too short to hit from outside.

--- a/crates/daisymast_election/src/leader_lease.rs
+++ b/crates/daisymast_election/src/leader_lease.rs
@@ -66,6 +66,21 @@
             .is_some_and(|renewed_at| now - renewed_at < self.duration)
     }
 
+    /// Returns the time from which on the scheduler may no longer act, `None` before the first confirmed
+    /// write.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use daisymast_election::leader_lease;
+    /// use daisymast_types::time;
+    /// let sent = time::Monotonic::from_millis(1_000);
+    /// let lease = leader_lease::LeaderLease::new(sent, Duration::from_secs(7));
+    /// assert_eq!(lease.end(), Some(time::Monotonic::from_millis(8_000)));
+    /// ```
+    pub fn end(&self) -> Option<time::Monotonic> {
+        Some(self.renewed_at? + self.duration)
+    }
+
     /// Returns the time since the last confirmed commit was sent, [`Duration::MAX`] before the first.
     pub fn age(&self, now: time::Monotonic) -> Duration {
         self.renewed_at
--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -106,6 +106,15 @@
         !self.deposed.load(Ordering::Relaxed) && lock(&self.leader_lease).is_valid(now)
     }
 
+    /// Returns the time from which on the scheduler may no longer send orders, `None` if its term has
+    /// ended.
+    fn lease_end(&self) -> Option<time::Monotonic> {
+        if self.deposed.load(Ordering::Relaxed) {
+            return None;
+        }
+        lock(&self.leader_lease).end()
+    }
+
     /// Clears the failure flags after a commit took effect.
     fn on_commit_succeeded(&self) {
         self.store_unavailable.store(false, Ordering::Relaxed);
--- a/crates/daisymast_node/src/leadership/calls.rs
+++ b/crates/daisymast_node/src/leadership/calls.rs
@@ -7,9 +7,9 @@
 use daisymast_adapter::workers;
 use daisymast_jobs::spec;
 use daisymast_protocol::outcome;
-use daisymast_relay::constants as relay_limits;
+use daisymast_relay::{constants as relay_limits, direct};
 use daisymast_scheduler::{action, lease, report};
-use daisymast_types::ids;
+use daisymast_types::{ids, time};
 
 use crate::clock;
 use crate::context::{self, lock};
@@ -30,15 +30,15 @@
     }
 }
 
-/// Makes a call and passes its outcome to the scheduler. `may_have_been_sent` says that a relay may
-/// have made the same call before, or may still make it.
+/// Makes a call and passes its outcome to the scheduler. A call to a worker that is too old, or that
+/// the leader may no longer make, is not sent: its process may have been paused since the decision.
 pub(super) async fn call(
     context: Arc<context::Context>,
     leadership: Arc<Leadership>,
-    action: action::Action,
-    may_have_been_sent: bool,
+    call: direct::DirectCall,
 ) {
-    match action {
+    let send_by = call.send_by(leadership.lease_end());
+    match &call.action {
         action::Action::PollWorker {
             target,
             deadline_ms,
@@ -46,59 +46,19 @@
             wait,
         } => {
             let hold = workers::Hold {
-                deadline_ms,
+                deadline_ms: *deadline_ms,
                 token: target.fence,
-                acked_end,
-                wait_ms: lease::millis(wait),
+                acked_end: *acked_end,
+                wait_ms: lease::millis(*wait),
             };
-            let timeout = wait + relay_limits::POLL_TIMEOUT_MARGIN;
-            let outcome = workers::hold(&context.workers, worker(&target), hold, timeout).await;
-            let now = clock::now();
-            let answered = matches!(outcome, report::PollOutcome::Report(_));
-            context
-                .metrics
-                .count_call("worker_look", outcome_label(answered));
-            leadership.update(|scheduler| scheduler.on_poll_outcome(&target, outcome, now));
-        }
-        action::Action::Start(start) => {
-            let order = workers::StartOrder {
-                task: start.task,
-                run: start.run,
-                payload: &start.spec.payload,
-                deadline_ms: start.deadline_ms,
-                token: start.target.fence,
-                checkpoint: start.checkpoint.as_deref(),
-                ticket: start.ticket.as_deref(),
-            };
-            let target = worker(&start.target);
-            let started = workers::start(
-                &context.workers,
-                target,
-                &order,
-                relay_limits::ORDER_TIMEOUT,
-            );
-            let outcome = repeated_start_outcome(started.await, may_have_been_sent);
-            let now = clock::now();
-            let accepted = matches!(outcome, report::OrderOutcome::Accepted(_));
-            context
-                .metrics
-                .count_call("worker_start", outcome_label(accepted));
-            leadership.update(|scheduler| {
-                scheduler.on_start(&start.target, start.task, start.run, outcome, now);
-            });
+            poll(&context, &leadership, target, hold, send_by).await;
         }
+        action::Action::Start(order) => start(&context, &leadership, &call, order, send_by).await,
         action::Action::Stop { target, task, run } => {
-            let order = workers::stop(
-                &context.workers,
-                worker(&target),
-                task,
-                run,
-                target.fence,
-                relay_limits::ORDER_TIMEOUT,
-            );
-            let outcome = order.await;
+            let outcome = stop(&context, target, (*task, *run), send_by).await;
+            let outcome = call.stop_outcome(outcome);
             let now = clock::now();
-            leadership.update(|scheduler| scheduler.on_stop(&target, task, run, outcome, now));
+            leadership.update(|scheduler| scheduler.on_stop(target, *task, *run, outcome, now));
         }
         action::Action::RequestAdvice {
             call,
@@ -107,34 +67,96 @@
             workers,
             timeout,
         } => {
-            let answer = request_advice(&context, &leadership, &node, step, workers, timeout).await;
+            let answer =
+                request_advice(&context, &leadership, node, *step, workers, *timeout).await;
             let now = clock::now();
             context
                 .metrics
                 .count_call("advice", outcome_label(answer.is_some()));
-            leadership.update(|scheduler| scheduler.on_advice(call, answer, now));
+            leadership.update(|scheduler| scheduler.on_advice(*call, answer, now));
         }
         action::Action::Answer { .. } | action::Action::Deposed | action::Action::Log(_) => {}
     }
 }
 
-/// Returns the outcome of a start that a relay may have sent before. Unless the worker says that it
-/// knows the run or another leader, the earlier copy may still take effect.
-fn repeated_start_outcome(
-    outcome: report::OrderOutcome,
-    may_have_been_sent: bool,
+async fn poll(
+    context: &context::Context,
+    leadership: &Leadership,
+    target: &action::Target,
+    hold: workers::Hold,
+    send_by: time::Monotonic,
+) {
+    let timeout = Duration::from_millis(hold.wait_ms) + relay_limits::POLL_TIMEOUT_MARGIN;
+    let outcome = if clock::now() < send_by {
+        workers::hold(&context.workers, worker(target), hold, timeout).await
+    } else {
+        report::PollOutcome::Failed
+    };
+    let now = clock::now();
+    let answered = matches!(outcome, report::PollOutcome::Report(_));
+    context
+        .metrics
+        .count_call("worker_look", outcome_label(answered));
+    leadership.update(|scheduler| scheduler.on_poll_outcome(target, outcome, now));
+}
+
+async fn start(
+    context: &context::Context,
+    leadership: &Leadership,
+    call: &direct::DirectCall,
+    start: &action::Start,
+    send_by: time::Monotonic,
+) {
+    let order = workers::StartOrder {
+        task: start.task,
+        run: start.run,
+        payload: &start.spec.payload,
+        deadline_ms: start.deadline_ms,
+        token: start.target.fence,
+        checkpoint: start.checkpoint.as_deref(),
+        ticket: start.ticket.as_deref(),
+    };
+    let outcome = if clock::now() < send_by {
+        let target = worker(&start.target);
+        workers::start(
+            &context.workers,
+            target,
+            &order,
+            relay_limits::ORDER_TIMEOUT,
+        )
+        .await
+    } else {
+        report::OrderOutcome::NoEffect
+    };
+    let outcome = call.start_outcome(outcome);
+    let now = clock::now();
+    let accepted = matches!(outcome, report::OrderOutcome::Accepted(_));
+    context
+        .metrics
+        .count_call("worker_start", outcome_label(accepted));
+    leadership.update(|scheduler| {
+        scheduler.on_start(&start.target, start.task, start.run, outcome, now);
+    });
+}
+
+async fn stop(
+    context: &context::Context,
+    target: &action::Target,
+    (task, run): (spec::TaskId, u32),
+    send_by: time::Monotonic,
 ) -> report::OrderOutcome {
-    match outcome {
-        report::OrderOutcome::Refused(report::Refusal::Fenced | report::Refusal::OldRun, _)
-        | report::OrderOutcome::Accepted(_)
-        | report::OrderOutcome::Unknown => outcome,
-        report::OrderOutcome::Refused(..) | report::OrderOutcome::NoEffect
-            if may_have_been_sent =>
-        {
-            report::OrderOutcome::Unknown
-        }
-        report::OrderOutcome::Refused(..) | report::OrderOutcome::NoEffect => outcome,
+    if clock::now() >= send_by {
+        return report::OrderOutcome::NoEffect;
     }
+    workers::stop(
+        &context.workers,
+        worker(target),
+        task,
+        run,
+        target.fence,
+        relay_limits::ORDER_TIMEOUT,
+    )
+    .await
 }
 
 fn outcome_label(done: bool) -> &'static str {
@@ -153,11 +175,11 @@
     leadership: &Leadership,
     node: &ids::InstanceId,
     step: spec::StepId,
-    workers: Vec<String>,
+    workers: &[String],
     timeout: Duration,
 ) -> Option<Vec<(String, String)>> {
     if *node == leadership.me.id {
-        return peers::request_advice(context, step, &workers, timeout).await;
+        return peers::request_advice(context, step, workers, timeout).await;
     }
     let address = {
         let last_pings = lock(&leadership.last_pings);
@@ -165,7 +187,7 @@
     };
     let request = peers::Request::Ask {
         step,
-        workers,
+        workers: workers.to_vec(),
         timeout_ms: lease::millis(timeout),
     };
     match peers::call(context, address, &request, timeout).await {
--- a/crates/daisymast_node/src/leadership/relaying.rs
+++ b/crates/daisymast_node/src/leadership/relaying.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use daisymast_protocol::outcome;
-use daisymast_relay::{link, wire};
+use daisymast_relay::{direct, link, wire};
 use daisymast_scheduler::{action, report, scheduler};
 use daisymast_types::{ids, time};
 use futures_lite::future;
@@ -51,7 +51,11 @@
             }
             None => {
                 drop(relays);
-                let call = calls::call(Arc::clone(context), Arc::clone(leadership), action, false);
+                let call = calls::call(
+                    Arc::clone(context),
+                    Arc::clone(leadership),
+                    direct::DirectCall::requested(action),
+                );
                 context.executor.spawn(call).detach();
                 return;
             }
@@ -269,15 +273,15 @@
     leadership: &Arc<Leadership>,
     undelivered: Vec<link::Undelivered>,
 ) {
-    if undelivered.is_empty() || !leadership.may_act(clock::now()) {
+    let now = clock::now();
+    if undelivered.is_empty() || !leadership.may_act(now) {
         return;
     }
     for call in undelivered {
         let call = calls::call(
             Arc::clone(context),
             Arc::clone(leadership),
-            call.action,
-            call.may_have_been_sent,
+            direct::DirectCall::passed_on(call, now),
         );
         context.executor.spawn(call).detach();
     }
--- a/crates/daisymast_relay/src/lib.rs
+++ b/crates/daisymast_relay/src/lib.rs
@@ -3,14 +3,15 @@
 //! On a large fleet, the scheduler's node could not make all calls to workers itself. The leader
 //! collects them and sends them in batches to other nodes, the relays, which make the calls and
 //! return the outcomes in batches. [`table`] decides which relay serves which worker, [`link`] is
-//! the leader's side of the exchange with one relay, [`session`] is the relay's side, and [`wire`]
-//! defines the messages.
+//! the leader's side of the exchange with one relay, [`session`] is the relay's side, [`wire`] defines
+//! the messages, and [`direct`] holds the calls that the leader makes itself.
 //!
 //! A relay decides nothing about runs. Each order carries the fencing token of its term and a lease
 //! deadline on the worker's clock, both set by the scheduler, so an order that a relay delays or
 //! repeats has no more effect than one that the network delays or repeats.
 
 pub mod constants;
+pub mod direct;
 pub mod link;
 pub mod relays;
 pub mod session;
--- a/crates/daisymast_relay/src/link.rs
+++ b/crates/daisymast_relay/src/link.rs
@@ -430,7 +430,7 @@
 }
 
 /// Timeout of a call at the relay.
-fn timeout(action: &action::Action) -> Duration {
+pub(crate) fn timeout(action: &action::Action) -> Duration {
     match action {
         action::Action::PollWorker { wait, .. } => *wait + constants::POLL_TIMEOUT_MARGIN,
         _ => constants::ORDER_TIMEOUT,
