Reset the connection of a request whose call has ended

A call that timed out closed its connection gracefully, and the kernel went on delivering what the peer had not received yet. When a cut healed seconds later, the order reached a worker, or the relay, long after it had been given up.

Cause: closing a socket leaves unsent bytes with the kernel.

Change: connections of the client linger for no time, so that closing one resets it and the kernel drops its bytes. This holds for calls that time out or are dropped, for idle connections, and for a process that is killed. rustix, which smol uses already, sets the option without unsafe code. Bytes that the peer's kernel has received before the reset can still be read, as before.

--- a/crates/daisymast_http/src/client.rs
+++ b/crates/daisymast_http/src/client.rs
@@ -112,8 +112,9 @@
 
 /// HTTP client that reuses connections.
 ///
-/// A connection is closed if its exchange failed, timed out or was dropped, so that a late response
-/// cannot be taken for the response to a later request.
+/// A connection is reset if its exchange failed, timed out or was dropped, so that a late response
+/// cannot be taken for the response to a later request, and so that what the peer has not received of
+/// the request is lost.
 #[derive(Debug)]
 pub struct Client {
     pool: Pool,
--- a/crates/daisymast_http/src/client/pool.rs
+++ b/crates/daisymast_http/src/client/pool.rs
@@ -3,19 +3,21 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use daisymast_types::collections::FastMap;
 use http_body_util::Full;
 use hyper::client::conn::http1;
+use rustix::net::sockopt;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
 use super::Settings;
 use crate::executor;
 
-/// An open connection. Dropping it cancels its driver, which closes the socket.
+/// An open connection. Dropping it cancels its driver, which resets the connection: bytes that the
+/// kernel has not delivered are lost.
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) sender: http1::SendRequest<Full<Bytes>>,
@@ -125,6 +127,9 @@
     async fn connect(&self, address: SocketAddr) -> io::Result<Connection> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        // Closing resets the connection. After a graceful close, the kernel would go on delivering the
+        // rest of a request whose call has ended. Where the option is missing, that remains so.
+        let _ = sockopt::set_socket_linger(&stream, Some(Duration::ZERO));
         let (sender, driver) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(io::Error::other)?;
--- /dev/null
+++ b/crates/daisymast_http/tests/late_requests.rs
@@ -0,0 +1,84 @@
+//! Requests whose call has ended must not reach the peer later.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{call, client, run, wait_until, with_timeout};
+use daisymast_protocol::outcome::Outcome;
+use rustix::io::Errno;
+use rustix::net;
+use smol::io::AsyncReadExt;
+use smol::net::{TcpListener, TcpStream};
+
+const SHORT: Duration = Duration::from_millis(200);
+/// Receive buffer of a peer that stands for one behind a cut: what it does not take in stays in the
+/// client's kernel.
+const RECEIVE_BUFFER_BYTES: usize = 4 * 1024;
+/// Size of a request that fits into the send buffer but not into the receive buffer.
+const REQUEST_BYTES: usize = 128 * 1024;
+
+/// Returns a listener whose connections take in only a part of a request until it is read.
+fn slow_listener() -> TcpListener {
+    let socket = net::socket(net::AddressFamily::INET, net::SocketType::STREAM, None).unwrap();
+    // The window of a connection is limited only if the size is set before listening.
+    net::sockopt::set_socket_recv_buffer_size(&socket, RECEIVE_BUFFER_BYTES).unwrap();
+    net::bind(&socket, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    net::listen(&socket, 8).unwrap();
+    std::net::TcpListener::from(socket).try_into().unwrap()
+}
+
+/// Waits until the client resets the connection, then reads what has arrived of the request.
+async fn read_after_reset(mut stream: TcpStream) -> usize {
+    let reset = Ok(Err(Errno::CONNRESET));
+    wait_until("reset", || net::sockopt::socket_error(&stream) == reset).await;
+    let mut bytes = Vec::new();
+    with_timeout(stream.read_to_end(&mut bytes)).await.unwrap();
+    bytes.len()
+}
+
+/// Guards against a request that the kernel goes on delivering after its call has timed out: when a
+/// cut heals, it would reach a worker that was given up seconds ago (issue 35).
+#[test]
+fn a_request_that_timed_out_is_not_delivered_later() {
+    run(async |executor| {
+        let listener = slow_listener();
+        let mut call = call(listener.local_addr().unwrap());
+        call.timeout = SHORT;
+        let client = client(&executor);
+        let outcome = client
+            .post(&call, "", Bytes::from(vec![b'x'; REQUEST_BYTES]))
+            .await;
+        assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+        let (stream, _) = listener.accept().await.unwrap();
+        let bytes = read_after_reset(stream).await;
+        assert!(bytes < REQUEST_BYTES, "{bytes} bytes arrived");
+    });
+}
+
+/// Guards against a request that is delivered after its caller has dropped the call.
+#[test]
+fn a_dropped_request_is_not_delivered_later() {
+    run(async |executor| {
+        let listener = slow_listener();
+        let call = call(listener.local_addr().unwrap());
+        let client = client(&executor);
+        let exchange = async {
+            let body = Bytes::from(vec![b'x'; REQUEST_BYTES]);
+            let _ = client.post(&call, "", body).await;
+        };
+        let mut stream = None;
+        let give_up = async {
+            let (mut accepted, _) = listener.accept().await.unwrap();
+            accepted.read_exact(&mut [0]).await.unwrap();
+            stream = Some(accepted);
+        };
+        with_timeout(smol::future::or(exchange, give_up)).await;
+        let bytes = read_after_reset(stream.unwrap()).await;
+        assert!(bytes < REQUEST_BYTES, "{bytes} bytes arrived");
+    });
+}
