Write no request after the time that its caller allows

A call that waited for a connection while the machine was suspended went on with the rest of its timeout afterwards, and a request that the client had passed to its connection was written whenever the process ran again.

Cause: the deadline of a call is a timer, which does not count a suspension, and nothing looked at a clock between the decision to call and the write.

Change: a call may name the time from which on nothing of it is sent. The client compares it, and the end of the call's timeout, with CLOCK_BOOTTIME before it connects, before it passes the request on, and before each write to the socket. A request that was not passed on has no effect; one that was, an unknown one. The clock moves to the client, as the node's own clock is the same.

Result: the three new tests of tests/late_requests.rs pass. With the checks switched off all three fail, as the request is carried out ("Done"); with only the check before each write, or only that before the request is passed on, one fails.

--- a/crates/daisymast_http/src/client.rs
+++ b/crates/daisymast_http/src/client.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use daisymast_protocol::limits;
 use daisymast_protocol::outcome::{CallError, Outcome};
-use daisymast_types::time::UnixMillis;
+use daisymast_types::time::{Monotonic, UnixMillis};
 use futures_lite::future;
 use http::{HeaderValue, Method, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
+use nix::time::{ClockId, clock_gettime};
 use smol::Timer;
 
 use crate::auth;
@@ -17,6 +18,7 @@
 use pool::{Connection, Pool};
 
 mod pool;
+mod stream;
 
 /// Destination and options of a request, and the operation and peer that its errors name.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +29,9 @@
     pub path: &'a str,
     /// Timeout for the whole exchange, from connecting to the end of the response.
     pub timeout: Duration,
+    /// Time on the client's clock from which on nothing of the request is sent, if it is earlier than
+    /// the end of the timeout.
+    pub send_by: Option<Monotonic>,
     /// Operation that error messages name, such as `renew control lease`.
     pub step: &'a str,
     /// Peer that error messages name, such as `worker w-7`.
@@ -44,6 +49,7 @@
             address,
             path,
             timeout,
+            send_by: None,
             step: "call",
             peer: "peer",
             key: None,
@@ -58,6 +64,13 @@
         self
     }
 
+    /// Sets the time from which on nothing of the request is sent.
+    #[must_use]
+    pub fn with_send_by(mut self, send_by: Monotonic) -> Self {
+        self.send_by = Some(send_by);
+        self
+    }
+
     /// Sets the operation and the peer that error messages name.
     #[must_use]
     pub fn with_error_context(mut self, step: &'a str, peer: &'a str) -> Self {
@@ -98,6 +111,9 @@
     pub max_idle_age: Duration,
     /// Maximum size of a response body, in bytes.
     pub body_bytes: usize,
+    /// Clock that [`Call::send_by`] refers to. Has to advance while the machine is suspended, as the
+    /// timers of the timeouts do not.
+    pub clock: fn() -> Monotonic,
 }
 
 impl Default for Settings {
@@ -106,6 +122,7 @@
             max_idle_connections: 16,
             max_idle_age: Duration::from_secs(3),
             body_bytes: limits::PEER_BODY_BYTES,
+            clock: boot_clock,
         }
     }
 }
@@ -164,11 +181,16 @@
     ) -> Outcome<Response> {
         let started = Instant::now();
         let deadline = started + call.timeout;
+        let timeout_end = (self.settings.clock)() + call.timeout;
+        let send_by = call.send_by.map_or(timeout_end, |at| at.min(timeout_end));
         let mut request = match build_request(call, method, content_type, body) {
             Ok(request) => request,
             Err(reason) => return Outcome::NoEffect(call.error(&reason)),
         };
         loop {
+            if (self.settings.clock)() >= send_by {
+                return Outcome::NoEffect(call.error("request is too old to be sent"));
+            }
             let connecting = async { Ok(self.pool.acquire(call.address).await) };
             let mut connection = match with_deadline(deadline, connecting).await {
                 Ok(Ok(connection)) => connection,
@@ -179,6 +201,10 @@
                     return Outcome::NoEffect(call.error(&exceeded.message(call, "connected")));
                 }
             };
+            if (self.settings.clock)() >= send_by {
+                return Outcome::NoEffect(call.error("request is too old to be sent"));
+            }
+            connection.limit.set(send_by);
             match with_deadline(deadline, self.send(&mut connection, request)).await {
                 Ok(SendOutcome::Completed(response)) => {
                     self.pool.release(call.address, connection);
@@ -297,6 +323,13 @@
         .map_err(|error| format!("request is malformed: {error}"))
 }
 
+/// Returns the time since the machine booted. The clock advances while the machine is suspended.
+pub fn boot_clock() -> Monotonic {
+    let reading = clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from);
+    let millis = reading.map_or(0, |since| since.as_millis());
+    Monotonic::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
 /// Current wall-clock time, as used for the timestamps of signed messages.
 pub fn wall_clock() -> UnixMillis {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/daisymast_http/src/client/pool.rs
+++ b/crates/daisymast_http/src/client/pool.rs
@@ -14,6 +14,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use super::Settings;
+use super::stream::{LimitedStream, SendLimit};
 use crate::executor;
 
 /// An open connection. Dropping it cancels its driver, which resets the connection: bytes that the
@@ -23,6 +24,7 @@
     pub(super) sender: http1::SendRequest<Full<Bytes>>,
     /// Whether an exchange was completed on this connection.
     pub(super) used: bool,
+    pub(super) limit: SendLimit,
     _driver: smol::Task<()>,
 }
 
@@ -130,6 +132,11 @@
         // Closing resets the connection. After a graceful close, the kernel would go on delivering the
         // rest of a request whose call has ended. Where the option is missing, that remains so.
         let _ = sockopt::set_socket_linger(&stream, Some(Duration::ZERO));
+        let limit = SendLimit::new(self.settings.clock);
+        let stream = LimitedStream {
+            stream,
+            limit: limit.clone(),
+        };
         let (sender, driver) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -138,6 +145,7 @@
         Ok(Connection {
             sender,
             used: false,
+            limit,
             _driver: driver,
         })
     }
--- a/crates/daisymast_http/tests/late_requests.rs
+++ b/crates/daisymast_http/tests/late_requests.rs
@@ -5,11 +5,16 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{call, client, run, wait_until, with_timeout};
+use common::{call, run, wait_until, with_timeout};
+use daisymast_http::client;
+use daisymast_http::executor::Executor;
+use daisymast_http::server::Limits;
 use daisymast_protocol::outcome::Outcome;
+use daisymast_types::time;
 use rustix::io::Errno;
 use rustix::net;
 use smol::io::AsyncReadExt;
@@ -49,7 +54,7 @@
         let listener = slow_listener();
         let mut call = call(listener.local_addr().unwrap());
         call.timeout = SHORT;
-        let client = client(&executor);
+        let client = common::client(&executor);
         let outcome = client
             .post(&call, "", Bytes::from(vec![b'x'; REQUEST_BYTES]))
             .await;
@@ -66,7 +71,7 @@
     run(async |executor| {
         let listener = slow_listener();
         let call = call(listener.local_addr().unwrap());
-        let client = client(&executor);
+        let client = common::client(&executor);
         let exchange = async {
             let body = Bytes::from(vec![b'x'; REQUEST_BYTES]);
             let _ = client.post(&call, "", body).await;
@@ -82,3 +87,79 @@
         assert!(bytes < REQUEST_BYTES, "{bytes} bytes arrived");
     });
 }
+
+/// Posts a request with a clock and returns its outcome with the number of requests that arrived.
+async fn post_with_clock(
+    executor: &Executor,
+    clock: fn() -> time::Monotonic,
+    send_by: Option<time::Monotonic>,
+) -> (Outcome<client::Response>, u64) {
+    let server = common::echo(executor, Limits::default()).await;
+    let settings = client::Settings {
+        clock,
+        ..client::Settings::default()
+    };
+    let client = client::Client::new(executor.clone(), settings);
+    let mut call = call(server.address());
+    call.send_by = send_by;
+    let outcome = client.post(&call, "", Bytes::from("a")).await;
+    (outcome, server.counters().requests.get())
+}
+
+/// Returns a clock that a suspension sets forward after a number of readings.
+macro_rules! clock_suspended_after {
+    ($readings:expr) => {{
+        static READINGS: AtomicU64 = AtomicU64::new(0);
+        || {
+            if READINGS.fetch_add(1, Ordering::Relaxed) < $readings {
+                time::Monotonic::from_millis(1_000)
+            } else {
+                time::Monotonic::from_millis(60_000)
+            }
+        }
+    }};
+}
+
+/// Guards against a request that waits for a connection while the machine is suspended, and is sent
+/// afterwards: the timer of the call does not count the suspension.
+#[test]
+fn a_request_is_not_sent_after_a_suspension() {
+    run(async |executor| {
+        // The first two readings are taken before the client waits for a connection.
+        let clock = clock_suspended_after!(2);
+        let (outcome, requests) = post_with_clock(&executor, clock, None).await;
+        assert!(matches!(outcome, Outcome::NoEffect(_)), "{outcome:?}");
+        assert_eq!(requests, 0);
+    });
+}
+
+/// Guards against a request that is written after a suspension which begins when the client has
+/// passed it to its connection.
+#[test]
+fn a_request_is_not_written_after_a_suspension() {
+    run(async |executor| {
+        let clock = clock_suspended_after!(3);
+        let (outcome, requests) = post_with_clock(&executor, clock, None).await;
+        assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+        assert_eq!(requests, 0);
+    });
+}
+
+/// Guards against an order that is sent later than its decision allows, although the timeout of the
+/// call has not passed.
+#[test]
+fn a_request_is_sent_before_its_limit_only() {
+    run(async |executor| {
+        let clock = || time::Monotonic::from_millis(1_000);
+        for (limit, sent) in [(1_000, 0), (1_001, 1)] {
+            let limit = Some(time::Monotonic::from_millis(limit));
+            let (outcome, requests) = post_with_clock(&executor, clock, limit).await;
+            assert_eq!(
+                matches!(outcome, Outcome::Done(_)),
+                sent == 1,
+                "{outcome:?}"
+            );
+            assert_eq!(requests, sent);
+        }
+    });
+}
--- a/crates/daisymast_node/src/leadership/calls.rs
+++ b/crates/daisymast_node/src/leadership/calls.rs
@@ -87,11 +87,8 @@
     send_by: time::Monotonic,
 ) {
     let timeout = Duration::from_millis(hold.wait_ms) + relay_limits::POLL_TIMEOUT_MARGIN;
-    let outcome = if clock::now() < send_by {
-        workers::hold(&context.workers, worker(target), hold, timeout).await
-    } else {
-        report::PollOutcome::Failed
-    };
+    let target_worker = worker(target, send_by);
+    let outcome = workers::hold(&context.workers, target_worker, hold, timeout).await;
     let now = clock::now();
     let answered = matches!(outcome, report::PollOutcome::Report(_));
     context
@@ -116,19 +113,13 @@
         checkpoint: start.checkpoint.as_deref(),
         ticket: start.ticket.as_deref(),
     };
-    let outcome = if clock::now() < send_by {
-        let target = worker(&start.target);
-        workers::start(
-            &context.workers,
-            target,
-            &order,
-            relay_limits::ORDER_TIMEOUT,
-        )
-        .await
-    } else {
-        report::OrderOutcome::NoEffect
-    };
-    let outcome = call.start_outcome(outcome);
+    let started = workers::start(
+        &context.workers,
+        worker(&start.target, send_by),
+        &order,
+        relay_limits::ORDER_TIMEOUT,
+    );
+    let outcome = call.start_outcome(started.await);
     let now = clock::now();
     let accepted = matches!(outcome, report::OrderOutcome::Accepted(_));
     context
@@ -145,12 +136,9 @@
     (task, run): (spec::TaskId, u32),
     send_by: time::Monotonic,
 ) -> report::OrderOutcome {
-    if clock::now() >= send_by {
-        return report::OrderOutcome::NoEffect;
-    }
     workers::stop(
         &context.workers,
-        worker(target),
+        worker(target, send_by),
         task,
         run,
         target.fence,
@@ -163,10 +151,11 @@
     if done { "done" } else { "failed" }
 }
 
-fn worker(target: &action::Target) -> workers::Target<'_> {
+fn worker(target: &action::Target, send_by: time::Monotonic) -> workers::Target<'_> {
     workers::Target {
         id: &target.id,
         address: target.address,
+        send_by,
     }
 }
 
--- a/crates/daisymast_node/src/relay.rs
+++ b/crates/daisymast_node/src/relay.rs
@@ -97,6 +97,7 @@
     let target = workers::Target {
         id: worker,
         address: *address,
+        send_by: accepted.send_by(),
     };
     let outcome = if accepted.may_send(clock::now()) {
         send(&context, target, operation, &accepted).await
--- a/crates/daisymast_relay/src/session.rs
+++ b/crates/daisymast_relay/src/session.rs
@@ -29,7 +29,12 @@
     /// Whether the call may still be sent. To be asked right before it is sent, with a clock that
     /// advances while the process is suspended.
     pub fn may_send(&self, now: time::Monotonic) -> bool {
-        now - self.accepted_at <= constants::MAX_CALL_AGE
+        now <= self.send_by()
+    }
+
+    /// Returns the last time at which the call may be sent.
+    pub fn send_by(&self) -> time::Monotonic {
+        self.accepted_at + constants::MAX_CALL_AGE
     }
 }
 
