Do not send old calls to a relay either

Calls that waited for a relay while the leader was paused went to it afterwards, up to the end of the leader lease of 7 s. The relay counts the age of a call from its arrival, so they were made as new ones.

Cause: the queue of a link keeps calls until the exchange before is answered, and nothing asked for their age when the next one was sent.

Change: before each exchange, calls older than MAX_DELIVERY_TIME leave the queue. They end like direct calls that are too old: orders have no effect, polls failed. An exchange is not sent after the end of the leader lease.

Result: calls_that_waited_during_a_pause_are_not_sent passes; with the leader lease as the only limit, the former rule, it fails.

--- a/crates/daisymast_node/src/leadership/relaying.rs
+++ b/crates/daisymast_node/src/leadership/relaying.rs
@@ -51,12 +51,8 @@
             }
             None => {
                 drop(relays);
-                let call = calls::call(
-                    Arc::clone(context),
-                    Arc::clone(leadership),
-                    direct::DirectCall::requested(action),
-                );
-                context.executor.spawn(call).detach();
+                let call = direct::DirectCall::requested(action);
+                make_calls(context, leadership, [call]);
                 return;
             }
         }
@@ -101,7 +97,12 @@
         if !leadership.may_act(clock::now()) {
             break;
         }
-        let next = lock(&leadership.relays).next(&relay, clock::now());
+        let now = clock::now();
+        let (expired, next) = {
+            let mut relays = lock(&leadership.relays);
+            (relays.take_expired(&relay, now), relays.next(&relay, now))
+        };
+        make_calls(&context, &leadership, expired);
         let until = match next {
             None => break,
             Some(link::Next::Send(sending)) => {
@@ -144,7 +145,16 @@
     let (lane, number) = (sending.lane, sending.number);
     let fence = sending.exchange.term;
     let request = peers::Request::Relay(sending.exchange);
-    let answer = peers::call(&context, sending.address, &request, sending.timeout).await;
+    // `None` if the term has ended meanwhile.
+    let send_by = leadership.lease_end().unwrap_or(time::Monotonic::ZERO);
+    let answer = peers::call_before(
+        &context,
+        sending.address,
+        &request,
+        sending.timeout,
+        Some(send_by),
+    );
+    let answer = answer.await;
     let now = clock::now();
     context.metrics.count_call(
         "relay",
@@ -277,12 +287,17 @@
     if undelivered.is_empty() || !leadership.may_act(now) {
         return;
     }
-    for call in undelivered {
-        let call = calls::call(
-            Arc::clone(context),
-            Arc::clone(leadership),
-            direct::DirectCall::passed_on(call, now),
-        );
+    let passed_on = |call| direct::DirectCall::passed_on(call, now);
+    make_calls(context, leadership, undelivered.into_iter().map(passed_on));
+}
+
+fn make_calls(
+    context: &Arc<context::Context>,
+    leadership: &Arc<Leadership>,
+    direct_calls: impl IntoIterator<Item = direct::DirectCall>,
+) {
+    for call in direct_calls {
+        let call = calls::call(Arc::clone(context), Arc::clone(leadership), call);
         context.executor.spawn(call).detach();
     }
 }
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -11,7 +11,7 @@
 use daisymast_protocol::outcome;
 use daisymast_relay::wire;
 use daisymast_scheduler::config;
-use daisymast_types::ids;
+use daisymast_types::{ids, time};
 use serde::{Deserialize, Serialize};
 
 use crate::clock;
@@ -163,10 +163,22 @@
     address: SocketAddr,
     request: &Request,
     timeout: Duration,
+) -> outcome::Outcome<Reply> {
+    call_before(context, address, request, timeout, None).await
+}
+
+/// Sends a request to another node, unless that takes until `send_by`.
+pub async fn call_before(
+    context: &context::Context,
+    address: SocketAddr,
+    request: &Request,
+    timeout: Duration,
+    send_by: Option<time::Monotonic>,
 ) -> outcome::Outcome<Reply> {
     let peer = address.to_string();
-    let call =
+    let mut call =
         client::Call::new(address, PATH, timeout).with_error_context(step_name(request), &peer);
+    call.send_by = send_by;
     msgpack::post(&context.peers, &call, request).await
 }
 
--- a/crates/daisymast_relay/src/link.rs
+++ b/crates/daisymast_relay/src/link.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use daisymast_jobs::spec;
-use daisymast_scheduler::action;
-use daisymast_scheduler::lease;
+use daisymast_scheduler::{action, constants as limits, lease};
 use daisymast_types::collections;
 use daisymast_types::time;
 
 use crate::constants;
+use crate::direct;
 use crate::wire;
 
 /// Kind of an exchange. One of each kind may be open at a time.
@@ -161,6 +161,16 @@
         self.queue.push(action);
     }
 
+    /// Takes the waiting calls that are too old to be sent. As they wait for the end of one exchange, the
+    /// process was probably paused.
+    pub fn take_expired(&mut self, now: time::Monotonic) -> Vec<direct::DirectCall> {
+        let is_expired = |action: &mut action::Action| {
+            target(action).is_some_and(|target| now - target.sent_at > limits::MAX_DELIVERY_TIME)
+        };
+        let expired = self.queue.extract_if(.., is_expired);
+        expired.map(direct::DirectCall::requested).collect()
+    }
+
     /// Returns the next exchange if it is due. `interval` is the time between two exchanges.
     pub fn next(&mut self, now: time::Monotonic, interval: Duration) -> Next {
         let mut next_at: Option<time::Monotonic> = None;
--- a/crates/daisymast_relay/src/relays.rs
+++ b/crates/daisymast_relay/src/relays.rs
@@ -11,6 +11,7 @@
 use daisymast_types::time;
 
 use crate::constants;
+use crate::direct;
 use crate::link;
 use crate::table;
 
@@ -137,6 +138,16 @@
         self.links.contains_key(relay).then_some(relay)
     }
 
+    /// Takes the calls that wait for a relay and are too old to be sent.
+    pub fn take_expired(
+        &mut self,
+        relay: &ids::InstanceId,
+        now: time::Monotonic,
+    ) -> Vec<direct::DirectCall> {
+        let link = self.links.get_mut(relay);
+        link.map_or_else(Vec::new, |link| link.take_expired(now))
+    }
+
     /// Returns what to do next with a relay's link, or `None` if the node is no relay any more.
     pub fn next(&mut self, relay: &ids::InstanceId, now: time::Monotonic) -> Option<link::Next> {
         let interval = self.interval;
--- a/crates/daisymast_relay/tests/link.rs
+++ b/crates/daisymast_relay/tests/link.rs
@@ -7,6 +7,7 @@
 use common::{accepted, address, at, key, poll, reply, start};
 use daisymast_relay::link::{Failure, Lane, Link, Next, Sending};
 use daisymast_relay::{constants, wire};
+use daisymast_scheduler::constants as limits;
 
 const INTERVAL: Duration = constants::MIN_EXCHANGE_INTERVAL;
 
@@ -172,3 +173,23 @@
     assert_eq!(payloads[1], "payload of 1");
     assert_eq!(payloads[2], "payload of 2");
 }
+
+/// Guards against orders that wait for a relay while the leader is paused, and are sent to it
+/// afterwards (issue 35): the relay counts their age from their arrival.
+#[test]
+fn calls_that_waited_during_a_pause_are_not_sent() {
+    let mut link = link();
+    link.push(start(1, 1));
+    let oldest = at(0) + limits::MAX_DELIVERY_TIME;
+    assert!(link.take_expired(oldest).is_empty());
+    let expired = link.take_expired(oldest + Duration::from_millis(1));
+    let [call] = expired.as_slice() else {
+        panic!("one call: {expired:?}");
+    };
+    assert_eq!(key(&call.action), 1);
+    assert!(
+        call.send_by(Some(at(60_000))) <= oldest,
+        "nor is it sent directly"
+    );
+    assert_eq!(link.next(at(3_000), INTERVAL), Next::Idle);
+}
