Bound the age of the calls that reach a relay

An exchange that stalled on its way, or in the socket of a relay that was paused before it served anyone, was carried out at any age: the relay counts the age of a call from its arrival, and notices a pause of its own process only while exchanges arrive.

Cause: an exchange carried nothing that tells its age, as the clocks of two nodes have no common zero.

Change: a relay adds a reading of its clock to each reply. The leader reckons from it when the calls of an exchange become too old, 400 ms after it sends them, and names the process whose clock it means. The relay does not make calls that have expired or that were meant for its former process, and says so; the time on the way counts against the 400 ms. Both fields are optional, and earlier builds ignore them. The first exchange of a link has no expiry, as the clock is unknown, and neither have exchanges with a relay of an earlier build.

Result: the four new tests pass. With a relay that ignores the expiry, as before, calls_of_an_exchange_that_stalled_are_not_made and calls_for_the_former_process_of_a_relay_are_not_made fail. A test encodes the messages with the fields of the former build and decodes them both ways.

--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -60,15 +60,16 @@
         };
         let client = || client::Client::new(Arc::clone(&executor), limits);
         let me = member(&settings);
+        let incarnation = fastrand::u64(1..);
         Self {
-            incarnation: fastrand::u64(1..),
+            incarnation,
             store: store::Store::new(client(), settings.store),
             metrics: metrics::Metrics::default(),
             decisions: decisions::Recorder::start(settings.instance.as_str()),
             peers: client(),
             workers: client(),
             advice: client(),
-            relay: relay::Relay::default(),
+            relay: relay::Relay::new(incarnation),
             candidate: Mutex::new(candidate::Candidate::new(me, clock::now())),
             config: Mutex::new(None),
             config_behind_since: Mutex::new(None),
--- a/crates/daisymast_node/src/relay.rs
+++ b/crates/daisymast_node/src/relay.rs
@@ -16,7 +16,7 @@
 use crate::peers;
 
 /// Calls that this node makes for the leader, and exchanges that wait for their outcomes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Relay {
     sessions: Mutex<session::Sessions>,
     /// Whether [`tick`] runs.
@@ -25,6 +25,17 @@
     waiting: Mutex<collections::FastMap<u64, Vec<async_channel::Sender<()>>>>,
 }
 
+impl Relay {
+    /// Creates the relay of a process.
+    pub fn new(process: u64) -> Self {
+        Self {
+            sessions: Mutex::new(session::Sessions::new(process)),
+            ticking: AtomicBool::new(false),
+            waiting: Mutex::default(),
+        }
+    }
+}
+
 /// Handles an exchange with the leader: starts the calls that it brings, and returns outcomes.
 pub async fn serve(context: &Arc<context::Context>, exchange: wire::Exchange) -> peers::Reply {
     let now = clock::now();
@@ -57,6 +68,7 @@
         process: context.incarnation,
         draining: context.is_draining(),
         outcomes: lock(&context.relay.sessions).take_outcomes(session),
+        clock_ms: Some(clock::now().as_millis()),
     })
 }
 
--- a/crates/daisymast_node/tests/messages.rs
+++ b/crates/daisymast_node/tests/messages.rs
@@ -56,6 +56,10 @@
                     ticket: Some("t".into()),
                 },
             )],
+            expiry: Some(wire::Expiry {
+                process: 3,
+                clock_ms: 9_000,
+            }),
         }),
     ];
     let encode = |request: &peers::Request| msgpack::encode_response(request).body.to_vec();
--- a/crates/daisymast_relay/src/constants.rs
+++ b/crates/daisymast_relay/src/constants.rs
@@ -22,6 +22,9 @@
 /// Maximum age at which a relay still sends a call. A relay that was paused must not send orders
 /// that the leader has given up on.
 pub const MAX_CALL_AGE: Duration = Duration::from_millis(400);
+/// Time for which a reading of a relay's clock is preferred to later ones that were longer on their way.
+/// A clock that is 2% slow is 40 ms off by then.
+pub const CLOCK_READING_PERIOD: Duration = Duration::from_millis(2_000);
 /// Interval at which a relay checks that its process is running.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// How long after a pause a relay sends no calls of the exchanges that it reads. They may have waited
--- a/crates/daisymast_relay/src/link.rs
+++ b/crates/daisymast_relay/src/link.rs
@@ -116,6 +116,8 @@
     open_orders: Option<u64>,
     open_collect: Option<u64>,
     draining: bool,
+    /// Reading of the relay's clock, and when it arrived.
+    clock: Option<(wire::Expiry, time::Monotonic)>,
 }
 
 impl Link {
@@ -135,6 +137,7 @@
             open_orders: None,
             open_collect: None,
             draining: false,
+            clock: None,
         }
     }
 
@@ -215,7 +218,34 @@
             };
             self.open.insert(self.last_call, open);
         }
-        self.sending(Lane::Orders, payloads.texts, calls)
+        let mut sending = self.sending(Lane::Orders, payloads.texts, calls);
+        sending.exchange.expiry = self.expiry(now);
+        sending
+    }
+
+    /// Returns when calls that are sent now become too old, on the relay's clock. The relay read its
+    /// clock before the reading arrived, so this is early rather than late.
+    fn expiry(&self, now: time::Monotonic) -> Option<wire::Expiry> {
+        let (reading, arrived) = self.clock?;
+        let since = (now - arrived) + constants::MAX_CALL_AGE;
+        Some(wire::Expiry {
+            clock_ms: reading.clock_ms.saturating_add(lease::millis(since)),
+            ..reading
+        })
+    }
+
+    /// Records a reading of the relay's clock. One that was long on its way makes calls expire too early,
+    /// so the best one of the last [`constants::CLOCK_READING_PERIOD`] is used.
+    fn on_clock_reading(&mut self, reading: wire::Expiry, now: time::Monotonic) {
+        let is_better = |(best, arrived): (wire::Expiry, time::Monotonic)| {
+            let expected = best.clock_ms.saturating_add(lease::millis(now - arrived));
+            reading.process != best.process
+                || reading.clock_ms >= expected
+                || now - arrived > constants::CLOCK_READING_PERIOD
+        };
+        if self.clock.is_none_or(is_better) {
+            self.clock = Some((reading, now));
+        }
     }
 
     fn send_collect(&mut self) -> Sending {
@@ -239,6 +269,7 @@
                 wait_ms: lease::millis(hold),
                 payloads,
                 calls,
+                expiry: None,
             },
             timeout: hold + constants::EXCHANGE_TIMEOUT_MARGIN,
         }
@@ -260,6 +291,10 @@
         self.process = Some(reply.process);
         self.last_reply = now;
         self.draining = reply.draining;
+        if let Some(clock_ms) = reply.clock_ms {
+            let process = reply.process;
+            self.on_clock_reading(wire::Expiry { process, clock_ms }, now);
+        }
         if restarted {
             // The new process knows only the calls of this exchange.
             outcomes.undelivered = self.take_open(|open| open.exchange != number);
--- a/crates/daisymast_relay/src/session.rs
+++ b/crates/daisymast_relay/src/session.rs
@@ -23,6 +23,8 @@
     pub payload: Option<Arc<str>>,
     /// When the relay accepted the call.
     pub accepted_at: time::Monotonic,
+    /// When the call becomes too old, as the leader has set it.
+    pub expires: Option<time::Monotonic>,
 }
 
 impl AcceptedCall {
@@ -34,7 +36,8 @@
 
     /// Returns the last time at which the call may be sent.
     pub fn send_by(&self) -> time::Monotonic {
-        self.accepted_at + constants::MAX_CALL_AGE
+        let latest = self.accepted_at + constants::MAX_CALL_AGE;
+        self.expires.map_or(latest, |expires| expires.min(latest))
     }
 }
 
@@ -57,6 +60,8 @@
 /// Sessions of a relay with the leaders that it has served, the latest last.
 #[derive(Debug, Default)]
 pub struct Sessions {
+    /// Identifies the process of the relay.
+    process: u64,
     sessions: VecDeque<Session>,
     /// Highest term of an accepted exchange.
     term: u64,
@@ -67,6 +72,14 @@
 }
 
 impl Sessions {
+    /// Creates the state of a relay's process, which exchanges name in their expiry.
+    pub fn new(process: u64) -> Self {
+        Self {
+            process,
+            ..Self::default()
+        }
+    }
+
     /// Records that the process is running. To be called every [`constants::TICK_INTERVAL`] while
     /// exchanges arrive. Returns whether further ticks are needed.
     pub fn on_tick(&mut self, now: time::Monotonic) -> bool {
@@ -87,7 +100,8 @@
     }
 
     /// Accepts the calls of an exchange. `known_term` is the latest term that this node has heard
-    /// of. Right after a pause, the calls are not made, as the exchange may be as old as the pause.
+    /// of. Calls that have expired are not made. Right after a pause none are, as the exchange may be
+    /// as old as the pause.
     ///
     /// # Errors
     /// A later term is known, so the calls must not be made.
@@ -106,7 +120,11 @@
         self.last_exchange = Some(now);
         self.detect_pause(now);
         let was_paused = |resumed: time::Monotonic| now - resumed < constants::RESUME_PERIOD;
-        if self.resumed_at.is_some_and(was_paused) {
+        let expiry = exchange.expiry;
+        let is_expired = |expiry: wire::Expiry| {
+            expiry.process != self.process || expiry.clock_ms < now.as_millis()
+        };
+        if self.resumed_at.is_some_and(was_paused) || expiry.is_some_and(is_expired) {
             for call in exchange.calls {
                 self.complete(exchange.session, call.0, wire::Outcome::NotSent);
             }
@@ -124,6 +142,7 @@
                 call,
                 payload,
                 accepted_at: now,
+                expires: expiry.map(|expiry| time::Monotonic::from_millis(expiry.clock_ms)),
             }
         });
         Ok(calls.collect())
--- a/crates/daisymast_relay/src/wire.rs
+++ b/crates/daisymast_relay/src/wire.rs
@@ -23,6 +23,19 @@
     pub payloads: Vec<Arc<str>>,
     /// The calls.
     pub calls: Vec<Call>,
+    /// When the calls become too old to be made; `None` until the relay has told its clock, which
+    /// earlier releases do not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expiry: Option<Expiry>,
+}
+
+/// A time on the clock of a relay's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Expiry {
+    /// The process. Another one does not make the calls.
+    pub process: u64,
+    /// The time, in milliseconds.
+    pub clock_ms: u64,
 }
 
 /// One call to a worker.
@@ -104,6 +117,9 @@
     pub draining: bool,
     /// Numbers of the calls with their outcomes.
     pub outcomes: Vec<(u64, Outcome)>,
+    /// Reading of the relay's clock, in milliseconds; `None` from earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub clock_ms: Option<u64>,
 }
 
 /// Outcome of one call.
--- a/crates/daisymast_relay/tests/common/mod.rs
+++ b/crates/daisymast_relay/tests/common/mod.rs
@@ -82,5 +82,6 @@
         process,
         draining: false,
         outcomes,
+        clock_ms: None,
     }
 }
--- a/crates/daisymast_relay/tests/link.rs
+++ b/crates/daisymast_relay/tests/link.rs
@@ -7,7 +7,7 @@
 use common::{accepted, address, at, key, poll, reply, start};
 use daisymast_relay::link::{Failure, Lane, Link, Next, Sending};
 use daisymast_relay::{constants, wire};
-use daisymast_scheduler::constants as limits;
+use daisymast_scheduler::{constants as limits, lease};
 
 const INTERVAL: Duration = constants::MIN_EXCHANGE_INTERVAL;
 
@@ -193,3 +193,26 @@
     );
     assert_eq!(link.next(at(3_000), INTERVAL), Next::Idle);
 }
+
+/// Guards against calls that expire too early because an answer of the relay was slow: the leader
+/// would make them all itself when it is busy.
+#[test]
+fn a_slow_answer_does_not_shorten_the_expiry() {
+    let mut link = link();
+    let mut exchange = |now: u64, arrival: u64, clock_ms: u64| {
+        link.push(start(now, 1));
+        let sent = send(&mut link, now);
+        let mut reply = reply(1, vec![(sent.exchange.calls[0].0, accepted(5))]);
+        reply.clock_ms = Some(clock_ms);
+        link.on_reply(Lane::Orders, sent.number, reply, at(arrival));
+        sent.exchange.expiry.map(|expiry| expiry.clock_ms)
+    };
+    let allowed = lease::millis(constants::MAX_CALL_AGE);
+    assert_eq!(exchange(0, 10, 50_010), None, "the clock is not known yet");
+    // This answer is 300 ms on its way.
+    assert_eq!(exchange(1_000, 1_310, 51_010), Some(51_000 + allowed));
+    assert_eq!(exchange(1_500, 1_510, 51_510), Some(51_500 + allowed));
+    // After a while, a slow answer counts, as the clock may be slow.
+    assert_eq!(exchange(3_700, 4_010, 53_710), Some(53_700 + allowed));
+    assert_eq!(exchange(5_000, 5_010, 55_010), Some(54_700 + allowed));
+}
--- a/crates/daisymast_relay/tests/matrix.rs
+++ b/crates/daisymast_relay/tests/matrix.rs
@@ -81,7 +81,7 @@
         Self {
             now: 0,
             link: Link::new(address(7), 1, 4, at(0)),
-            sessions: Sessions::default(),
+            sessions: Sessions::new(1),
             process: 1,
             last_session: 1,
             paused_until: 0,
@@ -105,7 +105,7 @@
         match fault {
             Fault::Restart => {
                 self.process += 1;
-                self.sessions = Sessions::default();
+                self.sessions = Sessions::new(self.process);
                 self.accepted.clear();
                 self.at_worker.clear();
             }
@@ -177,6 +177,7 @@
                 process: self.process,
                 draining: false,
                 outcomes: self.sessions.take_outcomes(sending.exchange.session),
+                clock_ms: Some(self.now),
             };
             if !matches!(self.active_fault(), Some(Fault::LoseReplies)) {
                 self.replies
--- a/crates/daisymast_relay/tests/session.rs
+++ b/crates/daisymast_relay/tests/session.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{accepted, address, at, poll, start};
+use common::{accepted, address, at, poll, reply, start};
 use daisymast_relay::link::{Link, Next};
 use daisymast_relay::session::{Sessions, Superseded};
 use daisymast_relay::{constants, wire};
@@ -51,6 +51,97 @@
     assert!(!call.may_send(at(1_001) + constants::MAX_CALL_AGE));
 }
 
+/// Returns a later exchange of a link whose relay read `clock_ms` on its clock when the leader's
+/// showed 1 s. The later exchange is sent at 2 s of the leader's clock.
+fn exchange_after_reading(process: u64, clock_ms: u64) -> wire::Exchange {
+    let mut link = Link::new(address(7), 1, 4, at(0));
+    link.push(start(1, 1));
+    let Next::Send(first) = link.next(at(990), Duration::ZERO) else {
+        panic!("a call waits");
+    };
+    let mut reply = reply(process, vec![(first.exchange.calls[0].0, accepted(5))]);
+    reply.clock_ms = Some(clock_ms);
+    link.on_reply(first.lane, first.number, reply, at(1_000));
+    link.push(start(2, 1));
+    match link.next(at(2_000), Duration::ZERO) {
+        Next::Send(sending) => sending.exchange,
+        other => panic!("nothing to send: {other:?}"),
+    }
+}
+
+/// Guards against an exchange that stalled on its way, or in the socket of a relay that was idle and
+/// paused, and whose calls are made at any age when it arrives (issue 35).
+#[test]
+fn calls_of_an_exchange_that_stalled_are_not_made() {
+    // The relay's clock is 50 s ahead.
+    let expires = at(52_000) + constants::MAX_CALL_AGE;
+    let exchange = || exchange_after_reading(7, 51_000);
+    let mut sessions = Sessions::new(7);
+    let late = sessions.accept(exchange(), 0, expires + Duration::from_millis(1));
+    assert!(late.expect("the term is current").is_empty());
+    assert_eq!(
+        sessions.take_outcomes(1),
+        vec![(2, wire::Outcome::NotSent)],
+        "the leader learns that the call was not made"
+    );
+    let mut sessions = Sessions::new(7);
+    let calls = sessions.accept(exchange(), 0, at(52_300));
+    let call = &calls.expect("the term is current")[0];
+    assert!(call.may_send(expires));
+    assert!(
+        !call.may_send(expires + Duration::from_millis(1)),
+        "the time on the way counts"
+    );
+}
+
+/// Guards against an exchange with a relay's former process that its new one takes for its own: the
+/// expiry is a time on another clock.
+#[test]
+fn calls_for_the_former_process_of_a_relay_are_not_made() {
+    let mut sessions = Sessions::new(8);
+    let calls = sessions.accept(exchange_after_reading(7, 51_000), 0, at(100));
+    assert!(calls.expect("the term is current").is_empty());
+    assert!(sessions.has_outcomes(1));
+}
+
+/// Guards against messages that nodes of the releases before and after the expiry cannot exchange.
+#[test]
+fn expiry_and_clock_are_optional_in_messages() {
+    #[derive(Debug, serde::Serialize, serde::Deserialize)]
+    struct FormerExchange {
+        session: u64,
+        term: u64,
+        wait_ms: u64,
+        payloads: Vec<String>,
+        calls: Vec<wire::Call>,
+    }
+    #[derive(Debug, serde::Serialize, serde::Deserialize)]
+    struct FormerReply {
+        process: u64,
+        draining: bool,
+        outcomes: Vec<(u64, wire::Outcome)>,
+    }
+    let sent = exchange_after_reading(7, 51_000);
+    assert!(sent.expiry.is_some());
+    let bytes = rmp_serde::to_vec_named(&sent).expect("it can be encoded");
+    let former: FormerExchange = rmp_serde::from_slice(&bytes).expect("a former build decodes it");
+    assert_eq!(former.calls, sent.calls);
+    let bytes = rmp_serde::to_vec_named(&former).expect("it can be encoded");
+    let received: wire::Exchange = rmp_serde::from_slice(&bytes).expect("this build decodes it");
+    assert_eq!(received.expiry, None);
+    assert_eq!(received.calls, sent.calls);
+
+    let mut sent = reply(7, vec![(1, accepted(5))]);
+    sent.clock_ms = Some(9);
+    let bytes = rmp_serde::to_vec_named(&sent).expect("it can be encoded");
+    let former: FormerReply = rmp_serde::from_slice(&bytes).expect("a former build decodes it");
+    let bytes = rmp_serde::to_vec_named(&former).expect("it can be encoded");
+    let received: wire::ExchangeReply =
+        rmp_serde::from_slice(&bytes).expect("this build decodes it");
+    assert_eq!(received.clock_ms, None);
+    assert_eq!(received.outcomes, sent.outcomes);
+}
+
 /// Guards against outcomes that reach a session which did not ask for them.
 #[test]
 fn outcomes_are_returned_once_and_to_their_session() {
