Let the kernel give up calls that are not acknowledged

An order that was written right before its process was paused, on a link that was cut, was delivered when the cut healed: the call's timer, which resets the connection, did not run in the paused process, and the kernel repeats a packet for minutes.

Cause: nothing outside of the process bounded the delivery.

Change: the clients for workers and for other nodes set TCP_USER_TIMEOUT to 0.7 s. The kernel then drops the connection with all it holds, whether the process runs or not. The store keeps the system's value, as its calls may take longer.

Result: the_kernel_gives_up_a_request_that_is_not_delivered passes; without the option the call ends by its own timeout after 20 s, and the test fails. It stands for a paused process by a call whose timeout does not pass; no process is stopped.

--- a/crates/daisymast_http/src/client.rs
+++ b/crates/daisymast_http/src/client.rs
@@ -111,6 +111,10 @@
     pub max_idle_age: Duration,
     /// Maximum size of a response body, in bytes.
     pub body_bytes: usize,
+    /// Time after which the kernel gives up a connection whose peer acknowledges nothing. It does so
+    /// while the process is paused, too, when no call can time out. `None` leaves it to the system,
+    /// which goes on for minutes.
+    pub delivery_timeout: Option<Duration>,
     /// Clock that [`Call::send_by`] refers to. Has to advance while the machine is suspended, as the
     /// timers of the timeouts do not.
     pub clock: fn() -> Monotonic,
@@ -122,6 +126,7 @@
             max_idle_connections: 16,
             max_idle_age: Duration::from_secs(3),
             body_bytes: limits::PEER_BODY_BYTES,
+            delivery_timeout: None,
             clock: boot_clock,
         }
     }
--- a/crates/daisymast_http/src/client/pool.rs
+++ b/crates/daisymast_http/src/client/pool.rs
@@ -130,8 +130,13 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         // Closing resets the connection. After a graceful close, the kernel would go on delivering the
-        // rest of a request whose call has ended. Where the option is missing, that remains so.
+        // rest of a request whose call has ended. A system without one of the options is no reason to
+        // make no calls.
         let _ = sockopt::set_socket_linger(&stream, Some(Duration::ZERO));
+        if let Some(timeout) = self.settings.delivery_timeout {
+            let millis = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
+            let _ = sockopt::set_tcp_user_timeout(&stream, millis);
+        }
         let limit = SendLimit::new(self.settings.clock);
         let stream = LimitedStream {
             stream,
--- a/crates/daisymast_http/tests/late_requests.rs
+++ b/crates/daisymast_http/tests/late_requests.rs
@@ -163,3 +163,29 @@
         }
     });
 }
+
+/// Guards against a request that the kernel goes on delivering while the process is paused: no timer
+/// of the process ends its call then. The call of the test has a timeout that does not pass.
+#[test]
+fn the_kernel_gives_up_a_request_that_is_not_delivered() {
+    run(async |executor| {
+        let listener = slow_listener();
+        let call = call(listener.local_addr().unwrap());
+        let settings = client::Settings {
+            delivery_timeout: Some(SHORT),
+            ..client::Settings::default()
+        };
+        let client = client::Client::new(executor.clone(), settings);
+        let body = Bytes::from(vec![b'x'; REQUEST_BYTES]);
+        let outcome = client.post(&call, "", body).await;
+        let Outcome::Unknown(error) = outcome else {
+            panic!("{outcome:?}");
+        };
+        let text = error.to_string();
+        assert!(text.contains("connection lost"), "{text}");
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = Vec::new();
+        let _ = with_timeout(stream.read_to_end(&mut bytes)).await;
+        assert!(bytes.len() < REQUEST_BYTES, "{} bytes arrived", bytes.len());
+    });
+}
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -68,6 +68,10 @@
 pub const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Maximum idle time of a connection to another process before it is no longer reused.
 pub const MAX_IDLE_AGE: Duration = Duration::from_secs(12);
+/// Time after which the kernel gives up a call to a worker or a node that is not acknowledged. It bounds
+/// the age of an order that was sent right before its process was paused and the link was cut. Leaves
+/// room for two retransmissions, 200 and 400 ms after the packet.
+pub const DELIVERY_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum size of one journal batch. Larger batches are split over several keys.
 pub const MAX_BATCH_BYTES: usize = 400_000;
 /// Maximum number of parts of a checkpoint. They are written in one commit of at most 32 entries.
--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -59,6 +59,11 @@
             ..client::Settings::default()
         };
         let client = || client::Client::new(Arc::clone(&executor), limits);
+        let bounded = client::Settings {
+            delivery_timeout: Some(constants::DELIVERY_TIMEOUT),
+            ..limits
+        };
+        let bounded_client = || client::Client::new(Arc::clone(&executor), bounded);
         let me = member(&settings);
         let incarnation = fastrand::u64(1..);
         Self {
@@ -66,8 +71,8 @@
             store: store::Store::new(client(), settings.store),
             metrics: metrics::Metrics::default(),
             decisions: decisions::Recorder::start(settings.instance.as_str()),
-            peers: client(),
-            workers: client(),
+            peers: bounded_client(),
+            workers: bounded_client(),
             advice: client(),
             relay: relay::Relay::new(incarnation),
             candidate: Mutex::new(candidate::Candidate::new(me, clock::now())),
