--- a/crates/daisymast_relay/src/link.rs
+++ b/crates/daisymast_relay/src/link.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use daisymast_jobs::spec;
-use daisymast_scheduler::action;
-use daisymast_scheduler::lease;
+use daisymast_scheduler::{action, constants as limits, lease};
 use daisymast_types::collections;
 use daisymast_types::time;
 
 use crate::constants;
+use crate::direct;
 use crate::wire;
 
 /// Kind of an exchange. One of each kind may be open at a time.
@@ -116,6 +116,8 @@
     open_orders: Option<u64>,
     open_collect: Option<u64>,
     draining: bool,
+    /// Reading of the relay's clock, and when it arrived.
+    clock: Option<(wire::Expiry, time::Monotonic)>,
 }
 
 impl Link {
@@ -135,6 +137,7 @@
             open_orders: None,
             open_collect: None,
             draining: false,
+            clock: None,
         }
     }
 
@@ -161,6 +164,16 @@
         self.queue.push(action);
     }
 
+    /// Takes the waiting calls that are too old to be sent. As they wait for the end of one exchange, the
+    /// process was probably paused.
+    pub fn take_expired(&mut self, now: time::Monotonic) -> Vec<direct::DirectCall> {
+        let is_expired = |action: &mut action::Action| {
+            target(action).is_some_and(|target| now - target.sent_at > limits::MAX_DELIVERY_TIME)
+        };
+        let expired = self.queue.extract_if(.., is_expired);
+        expired.map(direct::DirectCall::requested).collect()
+    }
+
     /// Returns the next exchange if it is due. `interval` is the time between two exchanges.
     pub fn next(&mut self, now: time::Monotonic, interval: Duration) -> Next {
         let mut next_at: Option<time::Monotonic> = None;
@@ -205,7 +218,34 @@
             };
             self.open.insert(self.last_call, open);
         }
-        self.sending(Lane::Orders, payloads.texts, calls)
+        let mut sending = self.sending(Lane::Orders, payloads.texts, calls);
+        sending.exchange.expiry = self.expiry(now);
+        sending
+    }
+
+    /// Returns when calls that are sent now become too old, on the relay's clock. The relay read its
+    /// clock before the reading arrived, so this is early rather than late.
+    fn expiry(&self, now: time::Monotonic) -> Option<wire::Expiry> {
+        let (reading, arrived) = self.clock?;
+        let since = (now - arrived) + constants::MAX_CALL_AGE;
+        Some(wire::Expiry {
+            clock_ms: reading.clock_ms.saturating_add(lease::millis(since)),
+            ..reading
+        })
+    }
+
+    /// Records a reading of the relay's clock. One that was long on its way makes calls expire too early,
+    /// so the best one of the last [`constants::CLOCK_READING_PERIOD`] is used.
+    fn on_clock_reading(&mut self, reading: wire::Expiry, now: time::Monotonic) {
+        let is_better = |(best, arrived): (wire::Expiry, time::Monotonic)| {
+            let expected = best.clock_ms.saturating_add(lease::millis(now - arrived));
+            reading.process != best.process
+                || reading.clock_ms >= expected
+                || now - arrived > constants::CLOCK_READING_PERIOD
+        };
+        if self.clock.is_none_or(is_better) {
+            self.clock = Some((reading, now));
+        }
     }
 
     fn send_collect(&mut self) -> Sending {
@@ -229,6 +269,7 @@
                 wait_ms: lease::millis(hold),
                 payloads,
                 calls,
+                expiry: None,
             },
             timeout: hold + constants::EXCHANGE_TIMEOUT_MARGIN,
         }
@@ -250,6 +291,10 @@
         self.process = Some(reply.process);
         self.last_reply = now;
         self.draining = reply.draining;
+        if let Some(clock_ms) = reply.clock_ms {
+            let process = reply.process;
+            self.on_clock_reading(wire::Expiry { process, clock_ms }, now);
+        }
         if restarted {
             // The new process knows only the calls of this exchange.
             outcomes.undelivered = self.take_open(|open| open.exchange != number);
@@ -430,7 +475,7 @@
 }
 
 /// Timeout of a call at the relay.
-fn timeout(action: &action::Action) -> Duration {
+pub(crate) fn timeout(action: &action::Action) -> Duration {
     match action {
         action::Action::PollWorker { wait, .. } => *wait + constants::POLL_TIMEOUT_MARGIN,
         _ => constants::ORDER_TIMEOUT,
