Count a start as answered when its run was stopped before the report

After a change of the leader, gangs whose members had failed waited for up to 25 s: one member's end was read first and stopped the others, whose ends in the same report no longer cleared their open starts. The run now remembers whether one of its starts was seen, whatever its state. Inherited runs on queues with advice have no open starts, as a new process refuses their tickets.

tests/former_calls.rs: a_gang_of_a_former_scheduler_that_has_failed_starts_again failed before.

--- a/crates/daisymast_scheduler/src/run.rs
+++ b/crates/daisymast_scheduler/src/run.rs
@@ -61,6 +61,8 @@
     pub start_unknown: bool,
     /// When the last start without an answer was given up.
     pub unknown_at: time::Monotonic,
+    /// Whether a start was answered, or the worker has reported the run.
+    seen: bool,
     /// Number of starts that were sent, got no answer and have not been seen to take effect.
     unanswered_starts: u8,
     /// Until when one of them may be carried out, also by a process that has started under the same ID
@@ -102,6 +104,7 @@
             send_count: 0,
             start_unknown: false,
             unknown_at: time::Monotonic::ZERO,
+            seen: false,
             unanswered_starts: 0,
             late_until: time::Monotonic::ZERO,
             closed_in: None,
@@ -161,15 +164,17 @@
         self.late_until = late_until;
     }
 
+    /// Records that a start was answered.
+    pub fn on_start_answered(&mut self) {
+        self.seen = true;
+    }
+
     /// Records that the worker has reported the run, in progress or ended. If no start was answered, one
     /// of those without an answer has taken effect, and each takes effect once.
     pub fn on_reported(&mut self) {
-        let is_unanswered = match self.state {
-            RunState::Inherited | RunState::Unsettled => true,
-            RunState::Starting => self.start_unknown,
-            RunState::Journaling | RunState::Running { .. } | RunState::Stopping { .. } => false,
-        };
-        if !is_unanswered {
+        // A former scheduler sent the starts of a run of which this one sent none.
+        let has_open_answer = self.send_count > 0 && !self.start_unknown;
+        if std::mem::replace(&mut self.seen, true) || has_open_answer {
             return;
         }
         self.unanswered_starts = self.unanswered_starts.saturating_sub(1);
@@ -178,6 +183,13 @@
         }
     }
 
+    /// Lets the run start again in place, where it is not present.
+    pub fn begin_again(&mut self) {
+        self.state = RunState::Starting;
+        self.send_count = 0;
+        self.seen = false;
+    }
+
     /// Whether a start of the run may still be carried out that got no answer.
     pub fn may_start_late(&self, now: time::Monotonic) -> bool {
         now < self.late_until
--- a/crates/daisymast_scheduler/src/scheduler/late_starts.rs
+++ b/crates/daisymast_scheduler/src/scheduler/late_starts.rs
@@ -86,8 +86,7 @@
         } else if self.can_start_in_place(worker_index, task, now) {
             let worker = self.fleet.at_mut(worker_index);
             if let Some(run) = worker.runs.get_mut(&task) {
-                run.state = run::RunState::Starting;
-                run.send_count = 0;
+                run.begin_again();
             }
             self.record_open_start(worker_index, task);
             self.repeat_start(worker_index, task, now);
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -162,6 +162,7 @@
                 if !matches!(outcome, report::OrderOutcome::Accepted(_)) {
                     assigned_run.closed_in = Some(incarnation);
                 }
+                assigned_run.on_start_answered();
                 assigned_run.state = run::RunState::Running { since };
                 assigned_run.confirmed_by = incarnation;
                 self.mark_start_confirmed(task.step.job);
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -75,6 +75,10 @@
     fn placed_runs(&self) -> Vec<PlacedRun> {
         let mut placed = Vec::new();
         for (id, job) in self.job_table.iter() {
+            // A process that has started since refuses the ticket of a start.
+            let has_tickets = self
+                .queue(&job.queue)
+                .is_some_and(|queue| queue.advice.is_some());
             for (occurrence, steps) in (0_u32..).zip(&job.occurrences) {
                 for ((step, tasks), step_spec) in (0_u16..).zip(steps).zip(&job.spec.steps) {
                     let step = spec::StepId {
@@ -90,7 +94,11 @@
                                 worker: worker.clone(),
                                 size: steps::task_size(step_spec),
                                 is_final: job.state().is_final(),
-                                open_start: task.open_start,
+                                open_start: if has_tickets {
+                                    job::OpenStart::No
+                                } else {
+                                    task.open_start
+                                },
                             });
                         }
                     }
--- a/crates/daisymast_scheduler/tests/former_calls.rs
+++ b/crates/daisymast_scheduler/tests/former_calls.rs
@@ -5,7 +5,7 @@
 
 mod common;
 
-use common::{BATCH, Rig, job, mono, step};
+use common::{BATCH, Rig, gang, job, mono, step};
 use daisymast_jobs::job::State;
 use daisymast_jobs::spec;
 use daisymast_types::quantities;
@@ -348,6 +348,21 @@
     assert_no_room_kept(&rig);
 }
 
+/// Guards against gangs that wait for a start that has taken effect: after a change of the scheduler, one
+/// member was reported as ended, and the others as broken.
+#[test]
+fn a_gang_of_a_former_scheduler_that_has_failed_starts_again() {
+    let mut rig = cell();
+    rig.failing_jobs.insert(spec::JobId(1));
+    rig.poll_answer_delay_ms = 600;
+    rig.submit(1, BATCH, job(vec![gang(2, 4, 400)]));
+    rig.run_ms(220);
+    rig.poll_answer_delay_ms = 0;
+    rig.take_over();
+    rig.run_ms(1_000);
+    assert!(rig.starts_of(1).len() > 2, "{:?}", rig.starts_of(1));
+}
+
 fn assert_no_room_kept(rig: &Rig) {
     let used = rig.scheduler.fleet().iter().map(|worker| worker.used);
     assert!(
