--- a/crates/daisymast_relay/src/lib.rs
+++ b/crates/daisymast_relay/src/lib.rs
@@ -6,9 +6,9 @@
 //! the leader's side of the exchange with one relay, [`session`] is the relay's side, [`wire`] defines
 //! the messages, and [`direct`] holds the calls that the leader makes itself.
 //!
-//! A relay decides nothing about runs. Each order carries the fencing token of its term and a lease
-//! deadline on the worker's clock, both set by the scheduler, so an order that a relay delays or
-//! repeats has no more effect than one that the network delays or repeats.
+//! A relay decides nothing about runs. Each order carries a fencing token and a lease deadline on the
+//! worker's clock, both set by the scheduler. The deadline bounds an order only in the process whose
+//! clock it refers to, so calls also expire: a relay makes none that is older than the leader allows.
 
 pub mod constants;
 pub mod direct;
