Do not encode a checkpoint that is too large for each batch

A checkpoint of more than 24 parts does not fit into one commit. The leader then wrote the records instead, but the checkpoint stayed due, so it compacted the job table and encoded the whole checkpoint again for each further batch, with the scheduler locked. A checkpoint that the store refuses already waits for 24 batches before the next attempt; one that the leader finds too large did not.

It now counts as refused, too. The choice between records and a checkpoint has become a function of the scheduler and the batch index (daisymast_node::batch), so that it can be tested without a store.

tests/batches.rs opens 3,000 jobs with payloads of 4,000 bytes, the longest that callers may submit. On the former choice, in its new place, a_checkpoint_that_is_too_large_is_not_encoded_for_each_batch failed: "due again after batch 0". Both tests pass now. The second one shows that a checkpoint is written again once it fits.

--- a/crates/daisymast_jobs/src/batch_index.rs
+++ b/crates/daisymast_jobs/src/batch_index.rs
@@ -132,8 +132,8 @@
         self.batches_since_checkpoint = 0;
     }
 
-    /// Registers that the store has refused a checkpoint. The next one is due only after further
-    /// batches: jobs that make it too large may have ended by then.
+    /// Registers that a checkpoint was too large for one commit or that the store has refused it. The
+    /// next one is due only after further batches: jobs that make it too large may have ended by then.
     pub fn on_checkpoint_refused(&mut self) {
         self.batches_since_checkpoint = 0;
     }
--- a/crates/daisymast_node/src/leadership/journal.rs
+++ b/crates/daisymast_node/src/leadership/journal.rs
@@ -9,6 +9,7 @@
 use daisymast_jobs::{batch_index, record};
 use smol::Timer;
 
+use crate::batch;
 use crate::clock;
 use crate::constants;
 use crate::context::{self, lock};
@@ -51,7 +52,8 @@
 ) {
     let mut last = clock::now();
     loop {
-        let Some(batch) = next_batch(&leadership, &batches) else {
+        let next = batch::next_batch(&mut lock(&leadership.scheduler), &mut batches);
+        let Some(batch) = next else {
             if clock::now() - last >= constants::RENEWAL_INTERVAL {
                 last = clock::now();
                 let transaction = commit::term_transaction(&leadership);
@@ -66,8 +68,10 @@
         leadership.committing.store(true, Ordering::Relaxed);
         last = clock::now();
         let written = match batch {
-            Batch::Records(records) => write(&context, &leadership, &records, &mut batches).await,
-            Batch::Checkpoint { parts, records } => {
+            batch::Batch::Records(records) => {
+                write(&context, &leadership, &records, &mut batches).await
+            }
+            batch::Batch::Checkpoint { parts, records } => {
                 match write_checkpoint(&context, &leadership, &parts, &mut batches).await {
                     WriteOutcome::Invalid => {
                         batches.on_checkpoint_refused();
@@ -95,46 +99,6 @@
     }
 }
 
-/// Content of the next commit.
-enum Batch {
-    Records(Vec<record::Record>),
-    /// A checkpoint of all records so far.
-    Checkpoint {
-        /// The checkpoint, encoded in parts that each fit into one key.
-        parts: Vec<Vec<u8>>,
-        /// The records since the last batch, to be written if the store refuses the checkpoint.
-        records: Vec<record::Record>,
-    },
-}
-
-fn next_batch(
-    leadership: &leadership::Leadership,
-    batches: &batch_index::BatchIndex,
-) -> Option<Batch> {
-    let mut scheduler = lock(&leadership.scheduler);
-    let records = scheduler.take_batch()?;
-    if !batches.is_checkpoint_due() {
-        return Some(Batch::Records(records));
-    }
-    let parts = record::encode_checkpoint(&scheduler.checkpoint(), constants::MAX_BATCH_BYTES);
-    match parts {
-        Ok(parts) if parts.len() <= constants::MAX_CHECKPOINT_PARTS => {
-            Some(Batch::Checkpoint { parts, records })
-        }
-        Ok(parts) => {
-            log::error!(
-                "checkpoint of {} parts does not fit into one commit; writing records instead",
-                parts.len()
-            );
-            Some(Batch::Records(records))
-        }
-        Err(error) => {
-            log::error!("failed to encode the checkpoint; writing records instead: {error}");
-            Some(Batch::Records(records))
-        }
-    }
-}
-
 /// Writes a checkpoint in a single commit, since a partial checkpoint would lose jobs.
 async fn write_checkpoint(
     context: &context::Context,
