Do not ask for advice only through nodes that do not answer

A node that leaves an advice request without an answer is excluded for 2 s. Of several idle nodes the first in the order of their IDs was picked. A step that waits alone makes one request at a time, and one through a silent node takes its expected duration and 0.4 s. With three silent nodes at the head of the order, the exclusion of the first has ended when the third request fails (3.03 s for 30 workers at 400 ms and 7 ms each), so the step asked these three forever although 28 others would have answered. Nodes leave the choice 0.9 s after their last ping, so this needs nodes that still ping but leave calls of the leader, or calls to the advice service, without an answer.

Of several idle nodes, one that left its last request without an answer is now picked last. Under load, when the others are busy, it is tried again after 2 s as before.

a_step_asks_nodes_that_answer_after_some_that_do_not lets one step make 60 requests, one after another, with 1 to 10 silent nodes of 31, first in order. It failed before. Requests that failed: formerly 12 of 60 with one silent node, 30 with two and all 60 with three to ten; now one for each silent node.

--- a/crates/daisymast_scheduler/src/advice_nodes.rs
+++ b/crates/daisymast_scheduler/src/advice_nodes.rs
@@ -25,6 +25,8 @@
     open: usize,
     /// The node gets no requests before this time.
     excluded_until: time::Monotonic,
+    /// Whether the node left its last request without an answer.
+    is_silent: bool,
 }
 
 /// The live nodes and their open requests.
@@ -44,6 +46,7 @@
                     busy_until: time::Monotonic::ZERO,
                     open: 0,
                     excluded_until: time::Monotonic::ZERO,
+                    is_silent: false,
                 });
             }
         }
@@ -61,7 +64,9 @@
     }
 
     /// Picks the node that will answer first, and adds the request to its load. Returns the node
-    /// and the expected time until its answer, or `None` if no node can take a request.
+    /// and the expected time until its answer, or `None` if no node can take a request. Of several
+    /// idle nodes it picks one that did not leave its last request without an answer: a step that
+    /// waits alone would otherwise ask the same few nodes again and again.
     ///
     /// ```
     /// use std::time::Duration;
@@ -90,16 +95,18 @@
             .iter_mut()
             .take(usable_nodes)
             .filter(|node| node.open < MAX_OPEN_PER_NODE && now >= node.excluded_until)
-            .min_by_key(|node| node.busy_until.max(now))?;
+            .min_by_key(|node| (node.busy_until.max(now), node.is_silent))?;
         node.busy_until = node.busy_until.max(now) + cost;
         node.open += 1;
         Some((node.id.clone(), node.busy_until - now))
     }
 
-    /// Records that a request of a node was answered or has timed out.
+    /// Records that a request of a node was answered or has timed out. A timeout is also passed to
+    /// [`exclude`](Self::exclude), afterwards.
     pub fn finish(&mut self, id: &ids::InstanceId, now: time::Monotonic) {
         if let Some(node) = self.nodes.iter_mut().find(|node| node.id == *id) {
             node.open = node.open.saturating_sub(1);
+            node.is_silent = false;
             if node.open == 0 {
                 node.busy_until = now;
             }
@@ -110,6 +117,7 @@
     pub fn exclude(&mut self, id: &ids::InstanceId, now: time::Monotonic) {
         if let Some(node) = self.nodes.iter_mut().find(|node| node.id == *id) {
             node.excluded_until = now + EXCLUSION;
+            node.is_silent = true;
         }
     }
 }
--- a/crates/daisymast_scheduler/tests/advisors.rs
+++ b/crates/daisymast_scheduler/tests/advisors.rs
@@ -63,3 +63,41 @@
         .count();
     assert!(taken < 32, "{taken}");
 }
+
+/// Expected duration of a request about 30 workers to a slow advice service.
+const REQUEST: Duration = Duration::from_millis(610);
+/// Time beyond the expected one after which a request counts as failed.
+const TIMEOUT_MARGIN: Duration = Duration::from_millis(400);
+/// Number of requests that a step makes one after another.
+const REQUESTS: usize = 60;
+
+/// Guards against a step that asks only nodes that do not answer, while others would. From three of
+/// them on, each was idle again, and first in order, as soon as its exclusion had ended.
+#[test]
+fn a_step_asks_nodes_that_answer_after_some_that_do_not() {
+    for silent in 1..=10 {
+        let mut alive = nodes(31);
+        alive.sort();
+        let mut advice_nodes = AdviceNodes::default();
+        advice_nodes.set(&alive);
+        let mut now = Monotonic::from_millis(10_000);
+        let mut failed = 0;
+        for request in 0..REQUESTS {
+            let (picked, wait) = advice_nodes.pick(now, REQUEST).expect("a node");
+            if alive[..silent].contains(&picked) {
+                failed += 1;
+                now = now + wait + TIMEOUT_MARGIN;
+                advice_nodes.finish(&picked, now);
+                advice_nodes.exclude(&picked, now);
+            } else {
+                now = now + wait;
+                advice_nodes.finish(&picked, now);
+            }
+            assert!(
+                failed <= silent,
+                "{silent} silent nodes: {failed} of {} requests failed",
+                request + 1
+            );
+        }
+    }
+}
