Show jobs that keep the former service of a queue which moved unseen

Suspected: a configuration that no leader has seen. It is so: a queue moves to another service in one version and is dropped in the next, both while no leader is elected, or while the leader cannot read the store and then gets the newest version only. Its open jobs go on there, and once the workers of the former service have left they wait for ever.

It takes nodes that keep the last settings of dropped queues, and a version in record::Record::Queue.

A second test, which passes, shows that the jobs complete on the former service as long as it has workers.

--- a/crates/daisymast_scheduler/tests/queue_moves.rs
+++ b/crates/daisymast_scheduler/tests/queue_moves.rs
@@ -137,6 +137,31 @@
     check_runs_on_new_service(&mut rig, "moved between terms");
 }
 
+/// Guards against the same when the queue moves and is dropped while no scheduler is elected. The new
+/// scheduler has never had the version that names the new service; a node that has had it would need to
+/// pass it on.
+#[test]
+fn jobs_of_a_queue_that_moves_and_is_dropped_between_terms_run_on_its_new_service() {
+    let mut rig = two_services();
+    submit_jobs(&mut rig);
+    rig.take_over_with(without_queue());
+    rig.run_ms(500);
+    remove_former_worker(&mut rig);
+    check_runs_on_new_service(&mut rig, "moved and dropped between terms");
+}
+
+/// Shows what the same jobs do until then: they run on the workers of the former service while there
+/// are any.
+#[test]
+fn jobs_of_a_queue_that_moves_and_is_dropped_between_terms_run_on_its_former_service() {
+    let mut rig = two_services();
+    submit_jobs(&mut rig);
+    rig.take_over_with(without_queue());
+    for id in [1, 3] {
+        assert!(rig.run_until(id, State::Completed, 30_000).is_some());
+    }
+}
+
 /// Guards against a step that keeps the priority that its queue had when it became ready.
 #[test]
 fn a_waiting_step_takes_the_new_priority_of_its_queue() {
