--- a/crates/daisymast_node/tests/batches.rs
+++ b/crates/daisymast_node/tests/batches.rs
@@ -12,7 +12,7 @@
 use daisymast_node::batch::{self, Batch};
 use daisymast_node::constants;
 use daisymast_scheduler::config::Configuration;
-use daisymast_scheduler::scheduler::Scheduler;
+use daisymast_scheduler::scheduler::{Scheduler, Term};
 use daisymast_types::time::{Monotonic, Timestamp, UnixMillis};
 
 const NOW: Timestamp = Timestamp {
@@ -63,7 +63,12 @@
         services: Vec::new(),
     };
     let max_lease = Duration::from_secs(6);
-    Scheduler::resume(Arc::new(config), job_table, NOW.mono, max_lease, NOW)
+    let term = Term {
+        number: 1,
+        orders_end: NOW.mono,
+        max_lease,
+    };
+    Scheduler::resume(Arc::new(config), job_table, term, NOW)
 }
 
 /// An index for which a checkpoint is due.
