Count the lease from the first report of a term

What callers saw: a task could run twice, on a worker that had restarted around a change of the leader and was cut off soon after, and on another one.

Cause: a poll of the former leader may be carried out seconds later by a new process, just before its first report to the present leader. It grants the longest lease, while the leader counted only its own calls. Only later restarts in the term were fenced.

Change: the first process of a term counts as fenced with its first report as well, and its lease for the longest time from then on.

--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -75,7 +75,7 @@
     /// Highest fencing token of a call that was meant for the known process.
     call_fence: u64,
     /// Lowest fencing token of a poll whose answer shows that the process refuses all calls that were
-    /// meant for a former one.
+    /// meant for a former one; 0 for the first process of the term, as each token of the term will do.
     min_fence: u64,
     /// Whether such a poll was answered.
     pub fenced: bool,
@@ -125,7 +125,7 @@
             last_lease_call: time::Monotonic::ZERO,
             call_fence: 0,
             min_fence: 0,
-            fenced: true,
+            fenced: false,
             withheld_ends: Vec::new(),
             awaits_report: false,
             reconciled: false,
--- a/crates/daisymast_scheduler/src/worker/processes.rs
+++ b/crates/daisymast_scheduler/src/worker/processes.rs
@@ -56,7 +56,7 @@
     ) -> bool {
         if !self.fenced && fence >= self.min_fence {
             self.fenced = true;
-            // The last call of a former process may have granted a lease just before.
+            // A call of a former scheduler, or to a former process, may have granted a lease just before.
             self.lease_end = now + lease::longest(max_lease);
         }
         self.fenced
