Poll again after the last poll of a process that is not fenced has failed

What callers saw: a worker that restarted while no later revision of the store was known, and left a poll without an answer, was never used again.

Cause: failed polls with a token that is too low for the new process are taken for those of the former one and ignored. While the token cannot rise, the open poll has such a token, too, and stays marked as open.

Change: only a poll that a later one has overtaken is ignored.

--- a/crates/daisymast_scheduler/src/scheduler/polls.rs
+++ b/crates/daisymast_scheduler/src/scheduler/polls.rs
@@ -79,7 +79,11 @@
     ) {
         let worker_index = target.index;
         let worker = self.fleet.at_mut(worker_index);
-        if outcome == report::PollOutcome::Failed && worker.is_former_poll(target.fence) {
+        let is_overtaken = target.sent_at < worker.last_poll;
+        if outcome == report::PollOutcome::Failed
+            && is_overtaken
+            && worker.is_former_poll(target.fence)
+        {
             return;
         }
         worker.polling = false;
