Start no completed task in place

What callers saw: a task that was completed started again when its worker restarted, if a start of it had got no answer and its step was not done.

Cause: the room that is kept for a late start of a completed task was taken for a run that waits to start again in place.

Change: only the current run of a task starts in place.

tests/review_35.rs: a_completed_task_does_not_start_in_place failed before.

--- a/crates/daisymast_scheduler/src/scheduler/late_starts.rs
+++ b/crates/daisymast_scheduler/src/scheduler/late_starts.rs
@@ -109,10 +109,10 @@
         now: time::Monotonic,
     ) -> bool {
         let worker = self.fleet.at(worker_index);
-        let is_open = worker
-            .runs
-            .get(&task)
-            .is_some_and(|run| run.closed_in != Some(worker.incarnation));
+        let is_open = worker.runs.get(&task).is_some_and(|run| {
+            run.closed_in != Some(worker.incarnation)
+                && self.is_current_run(worker_index, task, run.run)
+        });
         let may_run = self.steps.get(&task.step).is_some_and(|step| {
             let is_alone = !step.step_spec().gang && step.advice.is_none();
             is_alone && placement::may_run(worker, step)
