Place nothing on a new process before its first full report

Cause: a relay may leave the runs in progress out of the first report of a new process. The worker then counted as reconciled still, but refused calls of its former process only later, so each start was given up before it was sent.

Change: a new process is not reconciled, however it became known.

--- a/crates/daisymast_scheduler/src/worker/processes.rs
+++ b/crates/daisymast_scheduler/src/worker/processes.rs
@@ -87,7 +87,6 @@
         if self.clock.is_some_and(is_past) {
             self.begin_incarnation(max_lease);
             self.awaits_report = true;
-            self.reconciled = false;
             // The poll that is open may have been sent to the former process.
             self.polling = false;
             self.next_poll = now;
@@ -139,6 +138,7 @@
         }
         self.incarnation += 1;
         self.clock = None;
+        self.reconciled = false;
         self.handled_end = 0;
         self.stored_end = 0;
         self.acked_end = 0;
