Repeat lost starts on workers with many run ends

What callers saw: a worker whose run ends were not acknowledged for some seconds, and that left a start without an answer meanwhile, was never used again.

Cause: reports with 500 run ends are not searched for lost starts, as they may leave out ends. While a start is open, no end is acknowledged, so these reports went on.

Change: such reports let a start be sent again to the process that left it unanswered, which has no effect if the run has ended there.

--- a/crates/daisymast_scheduler/src/scheduler/reports.rs
+++ b/crates/daisymast_scheduler/src/scheduler/reports.rs
@@ -149,16 +149,15 @@
     }
 
     /// Handles the assigned runs that a report does not list: those that have certainly ended, and
-    /// those of which no start has taken effect.
+    /// those of which no start has taken effect. If the report may leave out run ends, only starts that
+    /// the present process has left unanswered are sent again there, which has no effect after an end.
     fn release_absent_runs(
         &mut self,
         target: &action::Target,
         report: &report::Report,
         now: time::Monotonic,
     ) {
-        if report.ended.len() >= report::MAX_RUN_ENDS_PER_REPORT {
-            return;
-        }
+        let lists_all_ends = report.ended.len() < report::MAX_RUN_ENDS_PER_REPORT;
         let worker = self.fleet.at(target.index);
         let is_absent = |task: &spec::TaskId, run: &run::Run| {
             let mut running = report.running.iter();
@@ -171,10 +170,12 @@
         let mut ended: Vec<spec::TaskId> = Vec::new();
         let mut lost: Vec<spec::TaskId> = Vec::new();
         for (&task, run) in absent_runs {
-            if run.has_lost_start(target.sent_at) {
+            let is_idempotent = run.start_order.incarnation == worker.incarnation;
+            if run.has_lost_start(target.sent_at) && (lists_all_ends || is_idempotent) {
                 lost.push(task);
-            } else if has_certainly_ended(run, report.clock_ms, worker.incarnation)
-                || run.is_settled(target.sent_at, worker.incarnation)
+            } else if lists_all_ends
+                && (has_certainly_ended(run, report.clock_ms, worker.incarnation)
+                    || run.is_settled(target.sent_at, worker.incarnation))
             {
                 ended.push(task);
             }
