Take tasks of ended jobs from their workers when their runs end

What callers saw: failed jobs stayed in the job table and in each checkpoint until the next change of the leader, and late starts of them took room that others used.

Cause: a run that failed for good, or ended after its job, was removed, but its task stayed placed, and no room was kept for a start that may be carried out late.

Change: these tasks are queued again like all others, which keeps the room where needed, and else marks them as not placed.

--- a/crates/daisymast_scheduler/src/scheduler/run_ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/run_ends.rs
@@ -101,6 +101,7 @@
             return;
         };
         if job.state().is_final() {
+            self.requeue(worker_index, task, run, now);
             return;
         }
         let Some(step) = job.step(task.step) else {
@@ -167,6 +168,7 @@
     ) {
         let job = self.job_table.job(task.step.job);
         if job.is_none_or(|job| job.state().is_final()) {
+            self.requeue(worker_index, task, run, now);
             return;
         }
         self.count_failed_run(worker_index, task.step, now);
@@ -189,7 +191,6 @@
             });
             if failures >= attempts && !lasting {
                 self.fail_job(task.step.job, now);
-                return;
             }
         }
         self.requeue(worker_index, task, run, now);
