Wait for starts that are open when their run is stopped

What callers saw: a gang member ran twice, or a worker got more than its capacity, after a gang was stopped or a job cancelled within the quarter of a second in which the outcome of a start was open.

Cause: the outcome of a start was ignored once its run was stopped. The stop was answered in time, so the run counted as ended although its start could be carried out by a new process for 12 s.

Change: a run that is stopped while its start is open counts as one whose start got no answer. The answer, or a report that lists the run, takes that back.

--- a/crates/daisymast_scheduler/src/run.rs
+++ b/crates/daisymast_scheduler/src/run.rs
@@ -143,6 +143,28 @@
         self.on_start_repeated(now);
     }
 
+    /// Records that the run is to be stopped while the last start is open: it counts as unanswered until
+    /// its outcome is known.
+    pub fn on_stopped_while_open(&mut self, now: time::Monotonic) {
+        if self.state == RunState::Starting && !self.start_unknown {
+            self.on_start_unanswered(now + constants::MAX_DELIVERY_TIME);
+        }
+    }
+
+    /// Handles the outcome of a start of a run that is not starting any more. `is_answered` says that
+    /// the start cannot take effect from now on.
+    pub fn on_late_outcome(&mut self, is_answered: bool, now: time::Monotonic) {
+        let was_stopped = self.start_unknown
+            && matches!(self.state, RunState::Stopping { .. } | RunState::Unsettled);
+        if is_answered && was_stopped {
+            self.on_reported();
+            self.start_unknown = false;
+        } else if !is_answered && !was_stopped && self.send_count > 1 {
+            // One of several starts has taken effect before this one was given up.
+            self.on_start_repeated(now);
+        }
+    }
+
     /// Records that a start may have been sent that gets no answer, beside the one that is open.
     pub fn on_start_repeated(&mut self, now: time::Monotonic) {
         if self.ticket.is_none() {
@@ -166,8 +188,8 @@
     pub fn on_reported(&mut self) {
         let is_unanswered = match self.state {
             RunState::Inherited | RunState::Unsettled => true,
-            RunState::Starting => self.start_unknown,
-            RunState::Journaling | RunState::Running { .. } | RunState::Stopping { .. } => false,
+            RunState::Starting | RunState::Stopping { .. } => self.start_unknown,
+            RunState::Journaling | RunState::Running { .. } => false,
         };
         if !is_unanswered {
             return;
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -134,10 +134,8 @@
             return;
         }
         if assigned_run.state != run::RunState::Starting {
-            // One of several starts has taken effect before this one was given up.
-            if outcome == report::OrderOutcome::Unknown && assigned_run.send_count > 1 {
-                assigned_run.on_start_repeated(now);
-            }
+            let is_answered = outcome != report::OrderOutcome::Unknown;
+            assigned_run.on_late_outcome(is_answered, now);
             return;
         }
         let order = assigned_run.start_order;
@@ -307,6 +305,7 @@
             run::RunState::Journaling => self.release(worker_index, task, now),
             run::RunState::Stopping { .. } | run::RunState::Unsettled => {}
             run::RunState::Starting | run::RunState::Running { .. } | run::RunState::Inherited => {
+                assigned_run.on_stopped_while_open(now);
                 assigned_run.state = run::RunState::Stopping { accepted_at: None };
                 assigned_run.retry_at = now;
                 let stopping = decision::Decision::Stopping {
