Count starts that are made again after their run was reported

A start that a relay may have made is made once more by the leader. If the worker had reported the run before, or the run had been stopped, that copy was not counted, so nothing waited for it when it got no answer.

tests/review_35.rs: a_start_that_is_made_again_after_its_run_was_reported_may_be_late failed before.

--- a/crates/daisymast_scheduler/src/scheduler/late_starts.rs
+++ b/crates/daisymast_scheduler/src/scheduler/late_starts.rs
@@ -19,7 +19,8 @@
 use crate::steps;
 
 impl Scheduler {
-    /// Records that the start of a run may have been sent twice, and only one of them is answered.
+    /// Records that the start of a run may have been sent twice, and only one of them is answered. The
+    /// worker may have reported the run meanwhile, or the run may have been stopped.
     pub fn on_start_repeated(
         &mut self,
         target: &action::Target,
@@ -30,7 +31,7 @@
         let worker = self.fleet.at_mut(target.index);
         if let Some(assigned_run) = worker.runs.get_mut(&task)
             && assigned_run.run == run
-            && assigned_run.state == run::RunState::Starting
+            && assigned_run.state != run::RunState::Journaling
         {
             assigned_run.send_count = assigned_run.send_count.saturating_add(1);
             assigned_run.on_start_repeated(now + constants::MAX_DELIVERY_TIME);
--- a/crates/daisymast_scheduler/tests/review_35.rs
+++ b/crates/daisymast_scheduler/tests/review_35.rs
@@ -7,7 +7,7 @@
 use common::{BATCH, Rig, gang, job, mono, step};
 use daisymast_jobs::job::{Job, State};
 use daisymast_jobs::{record, spec};
-use daisymast_scheduler::{action, report};
+use daisymast_scheduler::{action, report, run};
 
 /// Time within which a job of one task is completed, in milliseconds: the longest lateness of a start of
 /// 12 s, the longest lease of 6 s, a run of 20 s and the next one.
@@ -306,3 +306,27 @@
     let starts = rig.starts_of(id);
     starts.iter().filter(|at| at.ended_at.is_some()).count()
 }
+
+/// Guards against a copy of a start that is not waited for: a relay did not say that it made the start, so
+/// that it is made once more, but the worker has reported the run meanwhile.
+#[test]
+fn a_start_that_is_made_again_after_its_run_was_reported_may_be_late() {
+    let mut rig = cell();
+    rig.workers[0].loses_answers = true;
+    rig.submit(1, BATCH, job(vec![step(1, 4, LONG_MS)]));
+    rig.run_ms(STOP_MS);
+    let start = rig.starts_of(1)[0].clone();
+    let run = &rig.scheduler.fleet().at(0).runs[&start.task];
+    assert!(matches!(run.state, run::RunState::Running { .. }));
+    assert!(!run.may_start_late(mono(rig.now)), "the start took effect");
+    let now = mono(rig.now);
+    let target = rig.scheduler.fleet().at(0).target(0, 1, now);
+    let target = target.expect("a registered worker");
+    rig.scheduler
+        .on_start_repeated(&target, start.task, start.run, now);
+    let unknown = report::OrderOutcome::Unknown;
+    rig.scheduler
+        .on_start(&target, start.task, start.run, unknown, now);
+    let run = &rig.scheduler.fleet().at(0).runs[&start.task];
+    assert!(run.may_start_late(mono(rig.now)));
+}
