Send each relayed call with its own fencing token

What callers could see: a poll or start that a relay made was carried out late by a new process of its worker, though the scheduler counted it as refused.

Cause: an exchange carries one token, the highest of all queued calls. If the token rose because another worker had restarted, calls that were decided before reached their workers with it. When one of these workers restarted as well, the scheduler raised the token above the recorded one only, which the late call equalled.

Change: an exchange brings only the first calls with equal tokens; calls with a higher one follow in the next exchange. A call that is queued behind one with a higher token is still raised, as the relay accepts no lower ones.

--- a/crates/daisymast_relay/src/link.rs
+++ b/crates/daisymast_relay/src/link.rs
@@ -100,8 +100,8 @@
 pub struct Link {
     address: SocketAddr,
     session: u64,
-    /// Highest fencing token of the calls so far. An exchange has one token for all its calls, and the
-    /// relay accepts none with a lower one afterwards.
+    /// Fencing token of the last exchange. An exchange has one token for all its calls, and the relay
+    /// accepts none with a lower one afterwards.
     fence: u64,
     /// Process of the relay, as its last reply named it.
     process: Option<u64>,
@@ -148,16 +148,13 @@
         self.address
     }
 
-    /// Fencing token of the next exchange.
+    /// Fencing token of the last exchange.
     pub fn fence(&self) -> u64 {
         self.fence
     }
 
     /// Adds a call to the next exchange.
     pub fn push(&mut self, action: action::Action) {
-        if let Some(target) = target(&action) {
-            self.fence = self.fence.max(target.fence);
-        }
         self.queue.push(action);
     }
 
@@ -191,8 +188,9 @@
         self.last_exchange += 1;
         self.open_orders = Some(self.last_exchange);
         let mut payloads = Payloads::default();
-        let mut calls = Vec::with_capacity(self.queue.len());
-        for action in std::mem::take(&mut self.queue) {
+        let batch = self.take_batch();
+        let mut calls = Vec::with_capacity(batch.len());
+        for action in batch {
             let Some(call) = encode(&action, self.last_call + 1, &mut payloads) else {
                 continue;
             };
@@ -208,6 +206,20 @@
         self.sending(Lane::Orders, payloads.texts, calls)
     }
 
+    /// Takes the first calls of the queue that have the same fencing token. A call that reached its
+    /// worker with a higher one would not be refused there when the scheduler relies on it.
+    fn take_batch(&mut self) -> Vec<action::Action> {
+        let fence_of = |action: &action::Action| target(action).map_or(0, |target| target.fence);
+        if let Some(first) = self.queue.first() {
+            self.fence = self.fence.max(fence_of(first));
+        }
+        let fence = self.fence;
+        let higher = self.queue.iter().position(|call| fence_of(call) > fence);
+        self.queue
+            .drain(..higher.unwrap_or(self.queue.len()))
+            .collect()
+    }
+
     fn send_collect(&mut self) -> Sending {
         self.last_exchange += 1;
         self.open_collect = Some(self.last_exchange);
