--- a/crates/daisymast_http/src/client/pool.rs
+++ b/crates/daisymast_http/src/client/pool.rs
@@ -3,24 +3,28 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use daisymast_types::collections::FastMap;
 use http_body_util::Full;
 use hyper::client::conn::http1;
+use rustix::net::sockopt;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
 use super::Settings;
+use super::stream::{LimitedStream, SendLimit};
 use crate::executor;
 
-/// An open connection. Dropping it cancels its driver, which closes the socket.
+/// An open connection. Dropping it cancels its driver, which resets the connection: bytes that the
+/// kernel has not delivered are lost.
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) sender: http1::SendRequest<Full<Bytes>>,
     /// Whether an exchange was completed on this connection.
     pub(super) used: bool,
+    pub(super) limit: SendLimit,
     _driver: smol::Task<()>,
 }
 
@@ -125,6 +129,19 @@
     async fn connect(&self, address: SocketAddr) -> io::Result<Connection> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        // Closing resets the connection. After a graceful close, the kernel would go on delivering the
+        // rest of a request whose call has ended. A system without one of the options is no reason to
+        // make no calls.
+        let _ = sockopt::set_socket_linger(&stream, Some(Duration::ZERO));
+        if let Some(timeout) = self.settings.delivery_timeout {
+            let millis = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
+            let _ = sockopt::set_tcp_user_timeout(&stream, millis);
+        }
+        let limit = SendLimit::new(self.settings.clock);
+        let stream = LimitedStream {
+            stream,
+            limit: limit.clone(),
+        };
         let (sender, driver) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -133,6 +150,7 @@
         Ok(Connection {
             sender,
             used: false,
+            limit,
             _driver: driver,
         })
     }
