Tell late reports of a former process by the time of their poll

What callers saw: a task ran again after its completion was acknowledged. Its worker had restarted twice within some seconds, and answers took up to 0.87 s.

Cause: the scheduler inferred a restart from the clock in the answer to a start. A report that the former process had made before then arrived. It was taken for one of the new process, as its reading was less than 2 s ahead: both had been up for a second. The run that the new process had accepted was not listed and released, its end was not counted when it was reported, and it was acknowledged.

Change: a report that names the former process is late if its poll was sent before the restart was inferred. Polls sent later reach the new process.

--- a/crates/daisymast_scheduler/src/scheduler/reports.rs
+++ b/crates/daisymast_scheduler/src/scheduler/reports.rs
@@ -24,7 +24,8 @@
         let worker_index = target.index;
         let max_lease = self.max_lease;
         let worker = self.fleet.at_mut(worker_index);
-        let Some(restarted) = worker.on_process_reported(report, max_lease, now) else {
+        let Some(restarted) = worker.on_process_reported(report, target.sent_at, max_lease, now)
+        else {
             worker.next_poll = now + constants::POLL_RETRY_DELAY;
             return;
         };
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -81,8 +81,8 @@
     pub fenced: bool,
     /// Ended runs whose acknowledgement is withheld, by number, and until when.
     withheld_ends: Vec<(u64, time::Monotonic)>,
-    /// Whether an answer has shown that another process uses the ID, which has not reported yet.
-    awaits_report: bool,
+    /// When an answer has shown that another process uses the ID, which has not reported yet.
+    awaits_report: Option<time::Monotonic>,
     /// Whether the assigned runs were compared with a report of the worker.
     pub reconciled: bool,
     /// Whether a poll is open.
@@ -127,7 +127,7 @@
             min_fence: 0,
             fenced: false,
             withheld_ends: Vec::new(),
-            awaits_report: false,
+            awaits_report: None,
             reconciled: false,
             polling: false,
             poll_now: false,
--- a/crates/daisymast_scheduler/src/worker/processes.rs
+++ b/crates/daisymast_scheduler/src/worker/processes.rs
@@ -86,7 +86,7 @@
         let is_past = |clock: lease::WorkerClock| reading_ms < clock.earliest_reading(order.at);
         if self.clock.is_some_and(is_past) {
             self.begin_incarnation(max_lease);
-            self.awaits_report = true;
+            self.awaits_report = Some(now);
             // The poll that is open may have been sent to the former process.
             self.polling = false;
             self.next_poll = now;
@@ -95,23 +95,21 @@
         true
     }
 
-    /// Handles what a report says of its process. Returns `None` if the report is one of a former
-    /// process, which a later answer has overtaken, and otherwise whether it is the first of its
-    /// process.
+    /// Handles what the answer to a poll of a given time says of its process. Returns `None` if the
+    /// report is one of a former process, which a later answer has overtaken, and otherwise whether it
+    /// is the first of its process.
     pub fn on_process_reported(
         &mut self,
         report: &report::Report,
+        polled_at: time::Monotonic,
         max_lease: Duration,
         now: time::Monotonic,
     ) -> Option<bool> {
         if self.incarnation > 0 && self.started_at == report.started_at {
-            // The process whose restart was inferred from its clock reports as the former one: either
-            // this is a late report of that one, or its clock had stood still.
-            let is_late = self.awaits_report
-                && self
-                    .clock
-                    .is_some_and(|clock| report.clock_ms > clock.latest_reading(now));
-            return (!is_late).then(|| std::mem::take(&mut self.awaits_report));
+            // The process whose restart was inferred from its clock reports as the former one. This is a
+            // late report of that one if the poll was sent before. Otherwise its clock had stood still.
+            let is_late = self.awaits_report.is_some_and(|since| polled_at < since);
+            return (!is_late).then(|| self.awaits_report.take().is_some());
         }
         // Processes start one after another, but their clocks may be set back. The present process
         // answers again before a late report of an earlier one can arrive.
@@ -120,7 +118,7 @@
             return None;
         }
         self.started_at = report.started_at;
-        if !std::mem::take(&mut self.awaits_report) {
+        if self.awaits_report.take().is_none() {
             self.begin_incarnation(max_lease);
         }
         self.health.on_success();
