Test a late acknowledgement before the first report of a new process

The end is forgotten unread, and the task starts again. The fencing token of the poll is not below that of the start.

--- a/crates/daisymast_scheduler/tests/review_35.rs
+++ b/crates/daisymast_scheduler/tests/review_35.rs
@@ -330,3 +330,26 @@
     let run = &rig.scheduler.fleet().at(0).runs[&start.task];
     assert!(run.may_start_late(mono(rig.now)));
 }
+
+/// Guards against a completed task that starts again: a late acknowledgement that was meant for the former
+/// process has made a new one forget its end before the scheduler has heard of that process.
+#[test]
+fn a_late_acknowledgement_before_the_first_report_loses_no_completion() {
+    let mut rig = cell();
+    rig.submit(1, BATCH, job(vec![step(1, 4, 300)]));
+    assert!(rig.run_until(1, State::Completed, 2_000).is_some());
+    rig.workers[0].poll_delay_ms = 9_000;
+    rig.run_ms(100);
+    rig.workers[0].poll_delay_ms = 0;
+    assert_eq!(rig.workers[0].ended.len(), 1, "acknowledgement under way");
+    rig.run_ms(2_000);
+    rig.workers[0].order_delay_ms = 4_000;
+    rig.submit(2, BATCH, job(vec![step(1, 4, 200)]));
+    rig.run_ms(START_MS);
+    rig.workers[0].order_delay_ms = 0;
+    restart_cut_off(&mut rig);
+    rig.run_ms(8_000);
+    rig.workers[0].is_disconnected = false;
+    rig.register(0);
+    assert_completed(&mut rig, 2, "after the cut");
+}
