--- a/crates/daisymast_node/src/leadership/commit.rs
+++ b/crates/daisymast_node/src/leadership/commit.rs
@@ -69,6 +69,10 @@
                         .any(|item| item.key == key && item.value == bytes)
                 });
                 if leads && stored {
+                    let revisions = items.iter().map(|item| item.revision);
+                    if let Some(revision) = revisions.max() {
+                        lock(&leadership.scheduler).on_revision(revision);
+                    }
                     lock(&leadership.leader_lease).renew(sent);
                     log_recovery(failures, started);
                     leadership.on_commit_succeeded();
@@ -100,8 +104,9 @@
                 log_first_failure(failures, &error.reason);
                 unknown = true;
                 if let Some((key, bytes)) = written_item
-                    && is_stored(context, key, bytes, timeout).await
+                    && let Some(revision) = stored_revision(context, key, bytes, timeout).await
                 {
+                    lock(&leadership.scheduler).on_revision(revision);
                     log_recovery(failures + 1, started);
                     leadership.on_commit_succeeded();
                     return WriteOutcome::Stored;
@@ -120,14 +125,21 @@
     WriteOutcome::TermEnded
 }
 
-/// Reads back a batch whose commit was not answered. Where responses to writes are lost but reads
-/// are answered, this is faster than sending the commit again.
-async fn is_stored(context: &context::Context, key: &str, bytes: &[u8], timeout: Duration) -> bool {
+/// Reads back a batch whose commit was not answered, and returns its revision if it is stored. Where
+/// responses to writes are lost but reads are answered, this is faster than sending the commit again.
+async fn stored_revision(
+    context: &context::Context,
+    key: &str,
+    bytes: &[u8],
+    timeout: Duration,
+) -> Option<u64> {
     match context.store.read(key, timeout).await {
-        Ok(item) => item.is_some_and(|item| item.value == bytes),
+        Ok(item) => item
+            .filter(|item| item.value == bytes)
+            .map(|item| item.revision),
         Err(error) => {
             log::debug!("failed to read back batch {key}: {error}");
-            false
+            None
         }
     }
 }
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -260,6 +260,7 @@
     /// has restarted numbers its run ends anew, and would forget those that were never read. It has
     /// none while no start waits for its answer.
     pub fn take_ack(&mut self, now: time::Monotonic) -> u64 {
+        self.withheld_ends.retain(|&(_, until)| now < until);
         let has_open_start = self.runs.values().any(run::Run::has_open_start);
         let ackable_end = self.ackable_end(now);
         if self.acked_end >= ackable_end || has_open_start || !self.is_same_process(now) {
