Play restarts under the same ID and cuts in the soak

The soak had short tasks, links without delay, restarts and cuts that seldom met, and no call that reached the next process late.

Sequences aim at the worker that started a run last, or at one that has not for a while, as the fault needs an order that is the first call to reach the new process. Half of the restarts reset connections that were open before, as a machine does that has restarted. `--node` takes another build of the node. `trace.log` holds the calls, events and faults of the workers.

--- a/crates/daisymast_soak/src/cell.rs
+++ b/crates/daisymast_soak/src/cell.rs
@@ -1,11 +1,12 @@
 //! Cell of node processes with stand-ins for the store and the workers.
 
-use std::path::Path;
-use std::sync::Arc;
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use daisymast_cluster::process;
+use daisymast_cluster::{process, programs};
 use daisymast_http::{client, executor};
 use daisymast_stand_in::{fixtures as platform, store, worker};
 use smol::Timer;
@@ -15,7 +16,7 @@
 /// Availability zones, assigned to nodes and workers in rotation.
 const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Time after which the registration of a crashed worker is removed: three heartbeat intervals.
-const DEREGISTRATION_DELAY: Duration = Duration::from_millis(1_500);
+pub(crate) const DEREGISTRATION_DELAY: Duration = Duration::from_millis(1_500);
 /// Time limit for the first job to be accepted. No requirement bounds this time.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time limit for a node to exit after SIGTERM, after which it is killed.
@@ -23,6 +24,23 @@
 /// Interval between checks for the exit of a node or the acceptance of the first job.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Zone of the node or worker at a position.
+pub(crate) fn zone(position: usize) -> &'static str {
+    ZONES[position % ZONES.len()]
+}
+
+/// Size and links of a cell, and the program of its nodes.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// Number of workers; [`plan::WORKERS`] if zero.
+    pub workers: usize,
+    /// Upper bound of the delays of links to workers. Each link has a fixed delay between a quarter
+    /// of it and all of it.
+    pub worker_link_delay: Duration,
+    /// Program of the nodes; the one that was built from this source if `None`.
+    pub program: Option<PathBuf>,
+}
+
 /// Node processes, the stand-ins that they use, and the links between them.
 #[derive(Debug)]
 pub struct Cell {
@@ -32,10 +50,12 @@
     /// Nodes in the order of their numbers.
     pub nodes: Vec<node::Node>,
     pub(crate) workers: Vec<worker::Worker>,
-    worker_links: Vec<relay::Relay>,
+    pub(crate) worker_links: Vec<relay::Relay>,
     /// Callers, which send requests to all nodes.
     pub clients: clients::Clients,
     pub(crate) shared: worker::Shared,
+    /// Positions of the workers that a sequence of restarts and cuts disturbs.
+    pub(crate) disturbed: Mutex<BTreeSet<usize>>,
     version: AtomicU64,
 }
 
@@ -45,24 +65,50 @@
     /// # Errors
     /// No port can be bound.
     pub async fn open(executor: &executor::Executor, folder: &Path) -> std::io::Result<Self> {
+        Self::open_with(executor, &Options::default(), folder).await
+    }
+
+    /// As [`Cell::open`], with other options than the default ones.
+    ///
+    /// # Errors
+    /// No port can be bound.
+    pub async fn open_with(
+        executor: &executor::Executor,
+        options: &Options,
+        folder: &Path,
+    ) -> std::io::Result<Self> {
         let store = store::Store::start(executor).await?;
         let shared = worker::Shared::default();
         let mut workers = Vec::new();
         let mut worker_links = Vec::new();
-        for position in 0..plan::WORKERS {
+        let worker_count = match options.workers {
+            0 => plan::WORKERS,
+            count => count,
+        };
+        for position in 0..worker_count {
             let worker = worker::Worker::start(executor, position, shared.clone()).await?;
             let link = relay::Relay::open(executor, worker.address()).await?;
-            let zone = ZONES[position % ZONES.len()];
+            let link = match options.worker_link_delay {
+                Duration::ZERO => link,
+                delay => link.with_normal_mode(relay::Mode::Delayed(
+                    delay.mul_f64(fastrand::f64() * 0.75 + 0.25),
+                )),
+            };
+            let zone = zone(position);
             platform::register_worker(&store, &worker, link.address(), zone, false);
             workers.push(worker);
             worker_links.push(link);
         }
         platform::write_configuration(&store, 1, &plan::QUEUES);
+        let program = match &options.program {
+            Some(program) => program.clone(),
+            None => programs::folder().join("daisymast-node"),
+        };
         let mut nodes = Vec::new();
         for number in 0..plan::NODES {
-            let zone = ZONES[number % ZONES.len()];
+            let zone = zone(number);
             let number = u8::try_from(number).unwrap_or(u8::MAX);
-            let node = node::Node::new(executor, number, zone, store.address(), folder);
+            let node = node::Node::new(executor, number, zone, store.address(), folder, &program);
             nodes.push(node.await?);
         }
         let client = client::Client::new(Arc::clone(executor), client::Settings::default());
@@ -75,6 +121,7 @@
             worker_links,
             clients: clients::Clients::new(client, addresses),
             shared,
+            disturbed: Mutex::default(),
             version: AtomicU64::new(1),
         })
     }
@@ -192,6 +239,7 @@
                 };
                 self.inject_worker_faults(worker, faults, duration).await;
             }
+            plan::Fault::Recut(disturbance) => self.recut(disturbance, duration).await,
             plan::Fault::FailingRuns(worker) => {
                 let faults = worker::Faults {
                     fail_runs: true,
@@ -238,7 +286,7 @@
             Timer::after(duration - DEREGISTRATION_DELAY).await;
         }
         worker.reboot();
-        let zone = ZONES[position % ZONES.len()];
+        let zone = zone(position);
         let address = self.worker_links[position].address();
         platform::register_worker(&self.store, worker, address, zone, false);
     }
@@ -247,11 +295,11 @@
     pub(crate) fn clear_faults(&self) -> std::io::Result<()> {
         self.store.set_faults(store::Faults::default());
         for link in &self.worker_links {
-            link.set_mode(relay::Mode::Open);
+            link.restore();
         }
         for node in &self.nodes {
-            node.store.set_mode(relay::Mode::Open);
-            node.peers.set_mode(relay::Mode::Open);
+            node.store.restore();
+            node.peers.restore();
             node.signal(process::Signal::Continue);
             node.has_exited();
         }
@@ -259,8 +307,8 @@
     }
 }
 
-async fn inject_link_mode(link: &relay::Relay, mode: relay::Mode, duration: Duration) {
+pub(crate) async fn inject_link_mode(link: &relay::Relay, mode: relay::Mode, duration: Duration) {
     link.set_mode(mode);
     Timer::after(duration).await;
-    link.set_mode(relay::Mode::Open);
+    link.restore();
 }
--- a/crates/daisymast_soak/src/lib.rs
+++ b/crates/daisymast_soak/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod clients;
 pub mod node;
 pub mod plan;
+pub mod recut;
 pub mod relay;
 pub mod run;
--- a/crates/daisymast_soak/src/node.rs
+++ b/crates/daisymast_soak/src/node.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use daisymast_cluster::{process, programs};
+use daisymast_cluster::process;
 use daisymast_http::executor;
 use daisymast_stand_in::fixtures;
 
@@ -28,6 +28,7 @@
     listen_peers: SocketAddr,
     readiness: SocketAddr,
     folder: PathBuf,
+    program: PathBuf,
     child: Mutex<Option<Child>>,
 }
 
@@ -48,6 +49,7 @@
         zone: &'static str,
         store: SocketAddr,
         folder: &Path,
+        program: &Path,
     ) -> std::io::Result<Self> {
         let host = [127, 81, fastrand::u8(1..255), number + 1];
         let listen_peers = free_address(host)?;
@@ -60,6 +62,7 @@
             listen_peers,
             readiness: free_address(host)?,
             folder: folder.to_owned(),
+            program: program.to_owned(),
             child: Mutex::new(None),
         })
     }
@@ -92,7 +95,7 @@
             .create(true)
             .append(true)
             .open(self.folder.join(format!("{}.log", self.name)))?;
-        let started = Command::new(programs::folder().join("daisymast-node"))
+        let started = Command::new(&self.program)
             .arg("--settings")
             .arg(&settings)
             .arg("--listen-peers")
--- a/crates/daisymast_soak/src/plan.rs
+++ b/crates/daisymast_soak/src/plan.rs
@@ -5,7 +5,7 @@
 use daisymast_jobs::spec;
 use daisymast_stand_in::{fixtures, store};
 
-use crate::relay;
+use crate::{recut, relay};
 
 /// Number of nodes of a cell.
 pub const NODES: usize = 5;
@@ -60,6 +60,8 @@
     DelayedOrders(usize),
     /// Every run on a worker fails.
     FailingRuns(usize),
+    /// A disturbance around restarts under the same ID.
+    Recut(recut::Disturbance),
     /// A new configuration version is written.
     ConfigurationChange,
 }
--- a/crates/daisymast_soak/src/run.rs
+++ b/crates/daisymast_soak/src/run.rs
@@ -1,9 +1,12 @@
 //! Execution of a soak run and its report.
 
-use std::path::{Path, PathBuf};
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::Path;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
+use daisymast_adapter::names;
 use daisymast_http::executor;
 use daisymast_jobs::spec;
 use daisymast_stand_in::worker;
@@ -61,20 +64,39 @@
 /// # Errors
 /// Same as [`run`].
 pub fn run_plan(plan: plan::Plan, folder: &Path) -> std::io::Result<Report> {
+    let options = cell::Options::default();
+    run_plan_with(plan, options, COMPLETION_TIMEOUT, folder)
+}
+
+/// As [`run_plan`], with a cell of other options and another time limit, after the last fault, for
+/// all accepted jobs to end. Also writes the calls, events and faults of workers to `trace.log`.
+///
+/// # Errors
+/// Same as [`run`].
+pub fn run_plan_with(
+    plan: plan::Plan,
+    options: cell::Options,
+    completion_timeout: Duration,
+    folder: &Path,
+) -> std::io::Result<Report> {
     match std::fs::remove_dir_all(folder) {
         Err(error) if error.kind() != std::io::ErrorKind::NotFound => return Err(error),
         _ => std::fs::create_dir_all(folder)?,
     }
     let folder = folder.to_owned();
-    executor::run(2, async |executor| execute(executor, plan, folder).await)
+    executor::run(2, async |executor| {
+        let cell = Arc::new(cell::Cell::open_with(&executor, &options, &folder).await?);
+        execute(cell, plan, completion_timeout, &folder).await
+    })
 }
 
 async fn execute(
-    executor: executor::Executor,
+    cell: Arc<cell::Cell>,
     plan: plan::Plan,
-    folder: PathBuf,
+    completion_timeout: Duration,
+    folder: &Path,
 ) -> std::io::Result<Report> {
-    let cell = Arc::new(cell::Cell::open(&executor, &folder).await?);
+    let executor = Arc::clone(&cell.executor);
     for job in &plan.jobs {
         for (number, step) in (0_u16..).zip(&job.steps) {
             let profile = worker::TaskProfile {
@@ -111,15 +133,46 @@
     }
     cell.clear_faults()?;
     let faults_ended = Instant::now();
-    while !cell.clients.unfinished_jobs().is_empty() && faults_ended.elapsed() < COMPLETION_TIMEOUT
+    while !cell.clients.unfinished_jobs().is_empty() && faults_ended.elapsed() < completion_timeout
     {
         Timer::after(QUERY_INTERVAL).await;
     }
     querying.cancel().await;
     advancing.cancel().await;
+    write_trace(&cell, started, folder)?;
     Ok(report(&cell, &plan, faults_ended))
 }
 
+/// Writes the calls, events and faults of workers in order, with milliseconds since the start of the
+/// traffic and since the Unix epoch, as in the logs of the nodes.
+fn write_trace(cell: &cell::Cell, started: Instant, folder: &Path) -> std::io::Result<()> {
+    let mut lines = worker::lock(&cell.shared.trace).clone();
+    let events = worker::lock(&cell.shared.log).clone();
+    lines.extend(events.iter().map(|event| {
+        let line = format!(
+            "worker {} incarnation {} {:?} {} run {}",
+            event.worker,
+            event.incarnation,
+            event.kind,
+            names::task(event.task),
+            event.run
+        );
+        (event.at, line)
+    }));
+    lines.sort_by_key(|(at, _)| *at);
+    let now = Instant::now();
+    let unix_now = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    let mut file = BufWriter::new(File::create(folder.join("trace.log"))?);
+    for (at, line) in lines {
+        let unix = unix_now.saturating_sub(now.saturating_duration_since(at));
+        let offset = at.saturating_duration_since(started);
+        writeln!(file, "{} {} {line}", offset.as_millis(), unix.as_millis())?;
+    }
+    file.flush()
+}
+
 async fn advance_workers(cell: Arc<cell::Cell>) {
     loop {
         cell.workers.iter().for_each(worker::Worker::advance);
