--- a/crates/daisymast_relay/src/direct.rs
+++ b/crates/daisymast_relay/src/direct.rs
@@ -4,6 +4,7 @@
 use daisymast_types::time;
 
 use crate::constants;
+use crate::encoding;
 use crate::link;
 
 /// A call that the leader makes itself.
@@ -20,7 +21,7 @@
 impl DirectCall {
     /// Creates a call that the scheduler has requested and that was given to no relay.
     pub fn requested(action: action::Action) -> Self {
-        let target = link::target(&action);
+        let target = action.target();
         Self {
             expires: target.map(|target| target.sent_at + limits::MAX_DELIVERY_TIME),
             may_have_been_sent: false,
@@ -34,8 +35,11 @@
     /// that is older by then has waited in a process that was paused.
     pub fn passed_on(call: link::Undelivered, now: time::Monotonic) -> Self {
         let longest_wait =
-            constants::MAX_CALL_AGE + link::timeout(&call.action) + constants::OUTCOME_MARGIN;
-        let oldest = link::target(&call.action).map(|target| target.sent_at + longest_wait);
+            constants::MAX_CALL_AGE + encoding::timeout(&call.action) + constants::OUTCOME_MARGIN;
+        let oldest = call
+            .action
+            .target()
+            .map(|target| target.sent_at + longest_wait);
         Self {
             expires: oldest.map(|oldest| oldest.min(now + limits::MAX_DELIVERY_TIME)),
             may_have_been_sent: call.may_have_been_sent,
--- a/crates/daisymast_relay/src/lib.rs
+++ b/crates/daisymast_relay/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod constants;
 pub mod direct;
+mod encoding;
 pub mod link;
 pub mod relays;
 pub mod session;
--- a/crates/daisymast_relay/src/link.rs
+++ b/crates/daisymast_relay/src/link.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisymast_jobs::spec;
 use daisymast_scheduler::{action, constants as limits, lease};
 use daisymast_types::collections;
 use daisymast_types::time;
 
 use crate::constants;
 use crate::direct;
+use crate::encoding;
 use crate::wire;
 
 /// Kind of an exchange. One of each kind may be open at a time.
@@ -165,7 +165,9 @@
     /// process was probably paused.
     pub fn take_expired(&mut self, now: time::Monotonic) -> Vec<direct::DirectCall> {
         let is_expired = |action: &mut action::Action| {
-            target(action).is_some_and(|target| now - target.sent_at > limits::MAX_DELIVERY_TIME)
+            action
+                .target()
+                .is_some_and(|target| now - target.sent_at > limits::MAX_DELIVERY_TIME)
         };
         let expired = self.queue.extract_if(.., is_expired);
         expired.map(direct::DirectCall::requested).collect()
@@ -200,17 +202,17 @@
         self.orders_sent = Some(now);
         self.last_exchange += 1;
         self.open_orders = Some(self.last_exchange);
-        let mut payloads = Payloads::default();
+        let mut payloads = encoding::Payloads::default();
         let batch = self.take_batch();
         let mut calls = Vec::with_capacity(batch.len());
         for action in batch {
-            let Some(call) = encode(&action, self.last_call + 1, &mut payloads) else {
+            let Some(call) = encoding::encode(&action, self.last_call + 1, &mut payloads) else {
                 continue;
             };
             self.last_call += 1;
             calls.push(call);
             let open = OpenCall {
-                due: now + timeout(&action) + constants::OUTCOME_MARGIN,
+                due: now + encoding::timeout(&action) + constants::OUTCOME_MARGIN,
                 action,
                 exchange: self.last_exchange,
             };
@@ -249,7 +251,7 @@
     /// Takes the first calls of the queue that have the same fencing token. A call that reached its
     /// worker with a higher one would not be refused there when the scheduler relies on it.
     fn take_batch(&mut self) -> Vec<action::Action> {
-        let fence_of = |action: &action::Action| target(action).map_or(0, |target| target.fence);
+        let fence_of = |action: &action::Action| action.target().map_or(0, |target| target.fence);
         if let Some(first) = self.queue.first() {
             self.fence = self.fence.max(fence_of(first));
         }
@@ -401,95 +403,3 @@
             .collect()
     }
 }
-
-/// Payloads of one exchange, each listed once.
-#[derive(Default)]
-struct Payloads {
-    specs: Vec<Arc<spec::JobSpec>>,
-    texts: Vec<Arc<str>>,
-}
-
-impl Payloads {
-    /// Returns the position of a job's payload. Tasks of a step are started one after another, so
-    /// only the last job is compared.
-    fn position(&mut self, spec: &Arc<spec::JobSpec>) -> usize {
-        if self
-            .specs
-            .last()
-            .is_none_or(|last| !Arc::ptr_eq(last, spec))
-        {
-            self.specs.push(Arc::clone(spec));
-            self.texts.push(Arc::from(spec.payload.as_str()));
-        }
-        self.texts.len() - 1
-    }
-}
-
-/// Encodes a call to a worker, `None` if the action is none.
-fn encode(action: &action::Action, number: u64, payloads: &mut Payloads) -> Option<wire::Call> {
-    let (target, operation) = match action {
-        action::Action::PollWorker {
-            target,
-            deadline_ms,
-            acked_end,
-            wait,
-        } => {
-            let operation = wire::Operation::Poll {
-                deadline_ms: *deadline_ms,
-                acked_end: *acked_end,
-                wait_ms: lease::millis(*wait),
-            };
-            (target, operation)
-        }
-        action::Action::Start(start) => {
-            let operation = wire::Operation::Start {
-                task: start.task.into(),
-                run: start.run,
-                payload: payloads.position(&start.spec),
-                deadline_ms: start.deadline_ms,
-                checkpoint: start.checkpoint.clone(),
-                ticket: start.ticket.clone(),
-            };
-            (&start.target, operation)
-        }
-        action::Action::Stop { target, task, run } => {
-            let operation = wire::Operation::Stop {
-                task: (*task).into(),
-                run: *run,
-            };
-            (target, operation)
-        }
-        action::Action::RequestAdvice { .. }
-        | action::Action::Answer { .. }
-        | action::Action::Deposed
-        | action::Action::Log(_) => return None,
-    };
-    Some(wire::Call(
-        number,
-        target.id.clone(),
-        target.address,
-        operation,
-    ))
-}
-
-/// Returns the worker that a call is made to, `None` if the action is no such call.
-pub(crate) fn target(action: &action::Action) -> Option<&action::Target> {
-    match action {
-        action::Action::PollWorker { target, .. } | action::Action::Stop { target, .. } => {
-            Some(target)
-        }
-        action::Action::Start(start) => Some(&start.target),
-        action::Action::RequestAdvice { .. }
-        | action::Action::Answer { .. }
-        | action::Action::Deposed
-        | action::Action::Log(_) => None,
-    }
-}
-
-/// Timeout of a call at the relay.
-pub(crate) fn timeout(action: &action::Action) -> Duration {
-    match action {
-        action::Action::PollWorker { wait, .. } => *wait + constants::POLL_TIMEOUT_MARGIN,
-        _ => constants::ORDER_TIMEOUT,
-    }
-}
--- a/crates/daisymast_relay/src/relays.rs
+++ b/crates/daisymast_relay/src/relays.rs
@@ -133,7 +133,7 @@
     /// Returns the relay that serves the worker of a call, or `None` if the leader has to make the
     /// call itself.
     pub fn relay_of(&self, call: &action::Action) -> Option<&ids::InstanceId> {
-        let index = link::target(call)?.index;
+        let index = call.target()?.index;
         let relay = self.by_worker.get(index)?.as_ref()?;
         self.links.contains_key(relay).then_some(relay)
     }
--- a/crates/daisymast_scheduler/src/action.rs
+++ b/crates/daisymast_scheduler/src/action.rs
@@ -111,3 +111,14 @@
     /// Write a decision to the structured log.
     Log(decision::Decision),
 }
+
+impl Action {
+    /// Returns the worker that a call is made to, `None` if the action is no such call.
+    pub fn target(&self) -> Option<&Target> {
+        match self {
+            Self::PollWorker { target, .. } | Self::Stop { target, .. } => Some(target),
+            Self::Start(start) => Some(&start.target),
+            Self::RequestAdvice { .. } | Self::Answer { .. } | Self::Deposed | Self::Log(_) => None,
+        }
+    }
+}
--- a/crates/daisymast_scheduler/src/run.rs
+++ b/crates/daisymast_scheduler/src/run.rs
@@ -143,7 +143,7 @@
     pub fn on_start_unanswered(&mut self, now: time::Monotonic) {
         self.start_unknown = true;
         self.unknown_at = now;
-        self.on_start_repeated(now);
+        self.add_open_start(now);
     }
 
     /// Records that the run is to be stopped while the last start is open: it counts as unanswered until
@@ -164,12 +164,12 @@
             self.start_unknown = false;
         } else if !is_answered && !was_stopped && self.send_count > 1 {
             // One of several starts has taken effect before this one was given up.
-            self.on_start_repeated(now);
+            self.add_open_start(now);
         }
     }
 
-    /// Records that a start may have been sent that gets no answer, beside the one that is open.
-    pub fn on_start_repeated(&mut self, now: time::Monotonic) {
+    /// Adds a start that gets no answer, and may be carried out for as long as any call.
+    pub fn add_open_start(&mut self, now: time::Monotonic) {
         if self.ticket.is_none() {
             self.unanswered_starts = self.unanswered_starts.saturating_add(1);
             self.late_until = now + constants::MAX_ORDER_AGE;
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -41,6 +41,7 @@
 mod run_ends;
 mod stalls;
 mod startup;
+mod stops;
 mod timers;
 mod workers;
 
--- a/crates/daisymast_scheduler/src/scheduler/late_starts.rs
+++ b/crates/daisymast_scheduler/src/scheduler/late_starts.rs
@@ -34,7 +34,7 @@
             && assigned_run.state != run::RunState::Journaling
         {
             assigned_run.send_count = assigned_run.send_count.saturating_add(1);
-            assigned_run.on_start_repeated(now + constants::MAX_DELIVERY_TIME);
+            assigned_run.add_open_start(now + constants::MAX_DELIVERY_TIME);
             self.record_open_start(target.index, task);
         }
     }
