Let an own start not shorten the wait for those of a former scheduler

A start that got no answer set the end of the wait to 12 s from then, also if a start of the former scheduler could be carried out later, as that one may act for 7 s more. The later of the two counts.

tests/former_calls.rs: an_own_start_does_not_shorten_the_wait_for_those_of_a_former_scheduler failed before.

--- a/crates/daisymast_scheduler/src/run.rs
+++ b/crates/daisymast_scheduler/src/run.rs
@@ -172,7 +172,7 @@
     pub fn add_open_start(&mut self, now: time::Monotonic) {
         if self.ticket.is_none() {
             self.unanswered_starts = self.unanswered_starts.saturating_add(1);
-            self.late_until = now + constants::MAX_ORDER_AGE;
+            self.late_until = self.late_until.max(now + constants::MAX_ORDER_AGE);
         }
     }
 
--- a/crates/daisymast_scheduler/tests/former_calls.rs
+++ b/crates/daisymast_scheduler/tests/former_calls.rs
@@ -6,8 +6,9 @@
 mod common;
 
 use common::{BATCH, Rig, gang, job, mono, step};
-use daisymast_jobs::job::State;
+use daisymast_jobs::job::{OpenStart, State};
 use daisymast_jobs::spec;
+use daisymast_scheduler::run;
 use daisymast_types::quantities;
 
 /// Time within which a job of one task is completed, in milliseconds: a lost run that is known as late
@@ -319,6 +320,17 @@
     }
 }
 
+/// Guards against a wait that an own start shortens: a start of a former scheduler, which may act for some
+/// seconds more, can be carried out later than that.
+#[test]
+fn an_own_start_does_not_shorten_the_wait_for_those_of_a_former_scheduler() {
+    let mut run = run::Run::new(1, quantities::Resources::ZERO, mono(1_000));
+    run.inherit_open_start(OpenStart::Single, mono(20_000));
+    run.begin_again();
+    run.on_start_unanswered(mono(2_000));
+    assert!(run.may_start_late(mono(19_999)));
+}
+
 /// Guards against room that is kept free on workers, and completions that are not acknowledged, for starts
 /// that have taken effect: the task ended before the worker reported it in progress.
 #[test]
