--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -14,8 +14,8 @@
 /// so one may be overtaken by others within this time. The calls of orders and polls end earlier,
 /// also when other nodes make them.
 pub const MAX_ANSWER_AGE: Duration = Duration::from_millis(2_000);
-/// Longest time from the decision to send an order until it reaches its worker. An order that takes
-/// longer was given up by its sender.
+/// Longest time from the decision to send an order until it leaves the process. One that takes longer
+/// is given up.
 pub const MAX_DELIVERY_TIME: Duration = Duration::from_millis(400);
 /// Maximum age of the reading of an idle worker's clock. After that the worker is polled: the
 /// reading of a clock that runs 2% slow is 0.4 s off by then, and an order with a deadline that is
