Give jobs and configurations an organisation

Cause: on the users' platform no part of the code knows to which organisation a job belongs, so neither keys, caps nor shares can be decided.

Records and messages without one have the same bytes as before. Nothing decides by it yet.

--- a/crates/daisymast_jobs/src/job.rs
+++ b/crates/daisymast_jobs/src/job.rs
@@ -125,6 +125,10 @@
     /// State that committed journal records support, and so the only one that callers are told.
     #[serde(rename = "shown")]
     pub committed_state: State,
+    /// Organisation that the job belongs to; `None` for a job of a public queue, and where no
+    /// organisations are configured.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<ids::Organisation>,
     /// Since when the job has only been kept because a start may be carried out late.
     #[serde(skip)]
     pub kept_since: Option<time::UnixMillis>,
@@ -143,6 +147,7 @@
             started: false,
             start_confirmed: false,
             committed_state: State::Queued,
+            organisation: None,
             kept_since: None,
         };
         if job.spec.schedule.is_none() {
@@ -151,6 +156,13 @@
         job
     }
 
+    /// Sets the organisation that the job belongs to.
+    #[must_use]
+    pub fn owned_by(mut self, organisation: Option<ids::Organisation>) -> Self {
+        self.organisation = organisation;
+        self
+    }
+
     /// Starts occurrence `number` and all those before it that have not started.
     pub fn start_occurrence(&mut self, number: u32) {
         while self.occurrences.len() <= number as usize {
--- a/crates/daisymast_jobs/src/job_table.rs
+++ b/crates/daisymast_jobs/src/job_table.rs
@@ -154,9 +154,11 @@
                 queue,
                 spec,
                 at,
+                organisation,
             } => {
                 if !self.ended.contains_key(&job) {
-                    self.insert(job, job::Job::new(queue, spec, at));
+                    let content = job::Job::new(queue, spec, at).owned_by(organisation);
+                    self.insert(job, content);
                 }
             }
             record::Record::Placed { step, run, tasks } => self.place(step, run, tasks),
--- a/crates/daisymast_jobs/src/queue.rs
+++ b/crates/daisymast_jobs/src/queue.rs
@@ -24,6 +24,9 @@
     pub latency_ms: f64,
     /// Timing of the advice service, if the queue's tasks need its permission to start.
     pub advice: Option<Advice>,
+    /// Whether callers need no API key.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 /// Timing of the advice service for a queue.
--- a/crates/daisymast_jobs/src/record.rs
+++ b/crates/daisymast_jobs/src/record.rs
@@ -43,6 +43,9 @@
         spec: spec::JobSpec,
         /// Time of acceptance.
         at: time::UnixMillis,
+        /// Organisation that the job belongs to.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        organisation: Option<ids::Organisation>,
     },
     /// Tasks of a step were placed on workers. The start orders are sent after this record is
     /// committed.
--- a/crates/daisymast_jobs/tests/checkpoint.rs
+++ b/crates/daisymast_jobs/tests/checkpoint.rs
@@ -34,6 +34,7 @@
             schedule: None,
         },
         at: UnixMillis(5),
+        organisation: None,
     }
 }
 
--- a/crates/daisymast_jobs/tests/replay.rs
+++ b/crates/daisymast_jobs/tests/replay.rs
@@ -17,6 +17,7 @@
             schedule,
         },
         at: UnixMillis(5),
+        organisation: None,
     }
 }
 
--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -162,6 +162,7 @@
         queue: queue.name.clone(),
         spec,
         terms: None,
+        organisation: None,
     };
     let started = Instant::now();
     let forwarded = forward(context, &request, Some(queue), leader_wait(context)).await;
@@ -278,13 +279,11 @@
     queue: Option<&queue::Queue>,
 ) -> ForwardOutcome {
     match (send_to_leader(context, request).await, request, queue) {
-        (ForwardOutcome::UnknownQueue, peers::Request::Submit { job, spec, .. }, Some(queue)) => {
-            let with_terms = peers::Request::Submit {
-                job: *job,
-                queue: queue.name.clone(),
-                spec: spec.clone(),
-                terms: Some(queue.clone()),
-            };
+        (ForwardOutcome::UnknownQueue, request @ peers::Request::Submit { .. }, Some(queue)) => {
+            let mut with_terms = request.clone();
+            if let peers::Request::Submit { terms, .. } = &mut with_terms {
+                *terms = Some(queue.clone());
+            }
             send_to_leader(context, &with_terms).await
         }
         (outcome, ..) => outcome,
--- a/crates/daisymast_node/src/leadership/requests.rs
+++ b/crates/daisymast_node/src/leadership/requests.rs
@@ -20,17 +20,12 @@
     }
 
     /// Accepts a job and waits until it is committed.
-    pub async fn submit(
-        &self,
-        job: spec::JobId,
-        queue: ids::QueueName,
-        spec: spec::JobSpec,
-    ) -> peers::Reply {
+    pub async fn submit(&self, submission: scheduler::Submission) -> peers::Reply {
         if self.store_unavailable.load(Ordering::Relaxed) {
             return peers::Reply::Unavailable;
         }
         let now = clock::timestamp();
-        self.await_answer(|scheduler, token| scheduler.submit(token, job, queue, spec, now))
+        self.await_answer(|scheduler, token| scheduler.submit(token, submission, now))
             .await
     }
 
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -10,7 +10,7 @@
 use daisymast_jobs::{job, queue, spec};
 use daisymast_protocol::outcome;
 use daisymast_relay::wire;
-use daisymast_scheduler::config;
+use daisymast_scheduler::{config, scheduler};
 use daisymast_types::{ids, time};
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +45,9 @@
         /// Settings of the queue, if the leader said that it does not know it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         terms: Option<queue::Queue>,
+        /// Organisation of the caller.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        organisation: Option<ids::Organisation>,
     },
     /// Asks the leader for the state of a job.
     State {
@@ -242,11 +245,18 @@
             queue,
             spec,
             terms,
+            organisation,
         } => {
             if let Some(terms) = terms {
                 leadership.add_queue(terms);
             }
-            leadership.submit(job, queue, spec).await
+            let submission = scheduler::Submission {
+                job,
+                queue,
+                organisation,
+                spec,
+            };
+            leadership.submit(submission).await
         }
         Request::Cancel { job } => leadership.cancel(job).await,
         Request::State { job } => leadership.state(job).await,
--- a/crates/daisymast_node/tests/batches.rs
+++ b/crates/daisymast_node/tests/batches.rs
@@ -12,7 +12,7 @@
 use daisymast_node::batch::{self, Batch};
 use daisymast_node::constants;
 use daisymast_scheduler::config::Configuration;
-use daisymast_scheduler::scheduler::{Scheduler, Term};
+use daisymast_scheduler::scheduler::{Scheduler, Submission, Term};
 use daisymast_types::time::{Monotonic, Timestamp, UnixMillis};
 
 const NOW: Timestamp = Timestamp {
@@ -48,6 +48,7 @@
         stretch: 2.0,
         latency_ms: 500.0,
         advice: None,
+        public: false,
     }
 }
 
@@ -61,6 +62,7 @@
         version: 1,
         queues: vec![queue()],
         services: Vec::new(),
+        organisations: None,
     };
     let max_lease = Duration::from_secs(6);
     let term = Term {
@@ -82,7 +84,8 @@
 
 /// Accepts a further job and takes the batch that stores it.
 fn next(scheduler: &mut Scheduler, batches: &mut BatchIndex, job: u64) -> Batch {
-    scheduler.submit(job, JobId(job), "q".into(), spec(), NOW);
+    let submission = Submission::new(JobId(job), "q".into(), spec());
+    scheduler.submit(job, submission, NOW);
     batch::next_batch(scheduler, batches).expect("records to write")
 }
 
--- /dev/null
+++ b/crates/daisymast_organisations/src/lib.rs
@@ -0,0 +1,8 @@
+//! Organisations that share a cell: their API keys, caps, rates and shares.
+//!
+//! The crate holds decisions only: it does no I/O and reads no clock. The node checks the keys of
+//! callers with it, and the scheduler the caps and shares.
+
+pub mod api_key;
+pub mod directory;
+pub mod organisation;
--- a/crates/daisymast_scheduler/examples/fleet_model/jobs.rs
+++ b/crates/daisymast_scheduler/examples/fleet_model/jobs.rs
@@ -46,6 +46,7 @@
             per_worker_ms,
             valid_ms: 2_500.0,
         }),
+        public: false,
     }
 }
 
--- a/crates/daisymast_scheduler/examples/fleet_model/mod.rs
+++ b/crates/daisymast_scheduler/examples/fleet_model/mod.rs
@@ -106,6 +106,7 @@
             version: 1,
             queues: kinds.iter().map(|kind| kind.terms.clone()).collect(),
             services: Vec::new(),
+            organisations: None,
         });
         let mut scheduler = scheduler::Scheduler::resume(
             config,
@@ -234,8 +235,11 @@
         let id = self.jobs.len() as u64;
         let queue = kind.name.into();
         let now = timestamp(self.now);
-        self.scheduler
-            .submit(id, spec::JobId(id), queue, job_spec, now);
+        self.scheduler.submit(
+            id,
+            scheduler::Submission::new(spec::JobId(id), queue, job_spec),
+            now,
+        );
     }
 
     fn job(&self, task: spec::TaskId) -> &Job {
--- a/crates/daisymast_scheduler/examples/load.rs
+++ b/crates/daisymast_scheduler/examples/load.rs
@@ -71,6 +71,7 @@
                 per_worker_ms,
                 valid_ms: 2_500.0,
             }),
+            public: false,
         },
     }
 }
@@ -134,6 +135,7 @@
             version: 1,
             queues: kinds.iter().map(|kind| kind.terms.clone()).collect(),
             services: Vec::new(),
+            organisations: None,
         });
         let now = START_MS;
         let mut scheduler = scheduler::Scheduler::resume(
@@ -219,7 +221,8 @@
         self.work_ms_by_job.insert(job, u64::from(kind.work_ms));
         let queue = kind.name.into();
         let (token, now) = (self.jobs, timestamp(self.now));
-        self.timed(|scheduler| scheduler.submit(token, job, queue, job_spec, now));
+        let submission = scheduler::Submission::new(job, queue, job_spec);
+        self.timed(|scheduler| scheduler.submit(token, submission, now));
     }
 
     fn handle(&mut self, event: Event) {
--- a/crates/daisymast_scheduler/src/config.rs
+++ b/crates/daisymast_scheduler/src/config.rs
@@ -1,6 +1,7 @@
 //! The part of the operator's configuration that the scheduler uses.
 
 use daisymast_jobs::queue;
+use daisymast_organisations::directory;
 use daisymast_types::ids;
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +14,10 @@
     pub queues: Vec<queue::Queue>,
     /// Services that the queues refer to.
     pub services: Vec<Service>,
+    /// Organisations that share the cell. `None` if the configuration knows no organisations, so
+    /// that callers need no API keys.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisations: Option<directory::Directory>,
 }
 
 /// A service: a pool of workers.
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -45,6 +45,8 @@
 mod timers;
 mod workers;
 
+pub use caller_requests::Submission;
+
 /// A request to the advice service that is not answered yet.
 #[derive(Clone, Debug)]
 struct AdviceRequest {
@@ -228,6 +230,7 @@
             not_before: now,
             progress: progress::StepProgress::default(),
             deadlines,
+            organisation: job.organisation.clone(),
         };
         self.steps.insert(id, step);
         self.dirty = true;
--- a/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
@@ -12,17 +12,48 @@
 use crate::journal;
 use crate::steps;
 
+/// A job as a caller submits it.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// ID of the job.
+    pub job: spec::JobId,
+    /// Queue of the job.
+    pub queue: ids::QueueName,
+    /// Organisation of the caller, if its queue is not public.
+    pub organisation: Option<ids::Organisation>,
+    /// Content of the job.
+    pub spec: spec::JobSpec,
+}
+
+impl Submission {
+    /// Creates a submission that belongs to no organisation.
+    pub fn new(job: spec::JobId, queue: ids::QueueName, spec: spec::JobSpec) -> Self {
+        Self {
+            job,
+            queue,
+            organisation: None,
+            spec,
+        }
+    }
+
+    /// Sets the organisation of the caller.
+    #[must_use]
+    pub fn owned_by(mut self, organisation: Option<ids::Organisation>) -> Self {
+        self.organisation = organisation;
+        self
+    }
+}
+
 impl Scheduler {
     /// Accepts a job, and answers once it is stored. A repeated ID names the same job. A job on an
     /// unknown queue is not accepted; see [`add_queue`](Self::add_queue).
-    pub fn submit(
-        &mut self,
-        token: u64,
-        id: spec::JobId,
-        queue: ids::QueueName,
-        spec: spec::JobSpec,
-        now: time::Timestamp,
-    ) {
+    pub fn submit(&mut self, token: u64, submission: Submission, now: time::Timestamp) {
+        let Submission {
+            job: id,
+            queue,
+            organisation,
+            spec,
+        } = submission;
         self.wall = now.wall;
         if self.job_table.committed_state(id).is_none() {
             if self.queue(&queue).is_none() {
@@ -36,6 +67,7 @@
                 queue: queue.clone(),
                 spec: spec.clone(),
                 at: now.wall,
+                organisation: organisation.clone(),
             });
             let allowance_ms = self
                 .queue(&queue)
@@ -46,7 +78,7 @@
                 version: self.config.version,
                 allowance_ms,
             });
-            let job = job::Job::new(queue, spec, now.wall);
+            let job = job::Job::new(queue, spec, now.wall).owned_by(organisation);
             if job.spec.schedule.is_some() {
                 self.recurring.push(id);
             }
--- a/crates/daisymast_scheduler/src/scheduler/order/tests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/order/tests.rs
@@ -50,6 +50,7 @@
             due_at: latest_start + Duration::from_secs(4),
             allowance: Duration::from_secs(10),
         },
+        organisation: None,
     }
 }
 
--- a/crates/daisymast_scheduler/src/steps.rs
+++ b/crates/daisymast_scheduler/src/steps.rs
@@ -74,6 +74,8 @@
     pub progress: progress::StepProgress,
     /// Deadlines that follow from the job's time objective.
     pub deadlines: Deadlines,
+    /// Organisation that the job belongs to.
+    pub organisation: Option<ids::Organisation>,
 }
 
 /// Deadlines of a step that follow from the time objective of its job.
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -223,6 +223,7 @@
             per_worker_ms: 6.0,
             valid_ms: 1_200.0,
         }),
+        public: false,
     }
 }
 
@@ -235,6 +236,7 @@
             queue(BATCH, 2, false),
         ],
         services: Vec::new(),
+        organisations: None,
     })
 }
 
@@ -385,8 +387,11 @@
             self.work_ms
                 .insert((job, number), u64::from(step.estimate_ms));
         }
-        self.scheduler
-            .submit(id, job, queue.into(), spec, timestamp(self.now));
+        self.scheduler.submit(
+            id,
+            scheduler::Submission::new(job, queue.into(), spec),
+            timestamp(self.now),
+        );
     }
 
     pub(crate) fn state(&self, id: u64) -> Option<job::State> {
--- a/crates/daisymast_scheduler/tests/journal.rs
+++ b/crates/daisymast_scheduler/tests/journal.rs
@@ -12,6 +12,7 @@
         queue: "q".into(),
         spec: JobSpec::default(),
         at: UnixMillis(0),
+        organisation: None,
     }
 }
 
--- a/crates/daisymast_scheduler/tests/pacing.rs
+++ b/crates/daisymast_scheduler/tests/pacing.rs
@@ -8,6 +8,7 @@
 use daisymast_jobs::job::State;
 use daisymast_scheduler::action::Action;
 use daisymast_scheduler::constants;
+use daisymast_scheduler::scheduler::Submission;
 
 /// Guards against a scheduler that spends its processor time on passes over a backlog. At twice the
 /// load of 350 workers each run end caused a pass over 170 waiting steps, which took 1.3 s of
@@ -25,9 +26,11 @@
         let now = common::timestamp(pass_at + after);
         rig.scheduler.submit(
             100 + after,
-            daisymast_jobs::spec::JobId(100 + after),
-            BATCH.into(),
-            job(vec![step(1, 20, 100)]),
+            Submission::new(
+                daisymast_jobs::spec::JobId(100 + after),
+                BATCH.into(),
+                job(vec![step(1, 20, 100)]),
+            ),
             now,
         );
         rig.scheduler.run_pass(now.mono);
--- a/crates/daisymast_scheduler/tests/queues.rs
+++ b/crates/daisymast_scheduler/tests/queues.rs
@@ -81,6 +81,7 @@
         queue: SURVEYS.into(),
         spec: job(steps),
         at: timestamp(rig.now).wall,
+        organisation: None,
     });
     rig.take_over();
     rig.run_ms(1_000);
--- a/crates/daisymast_soak/tests/refused_checkpoint.rs
+++ b/crates/daisymast_soak/tests/refused_checkpoint.rs
@@ -35,6 +35,7 @@
         stretch: 1.0,
         latency_ms: 1.0,
         advice: None,
+        public: false,
     };
     (0..QUEUES)
         .map(|number| record::Record::Queue {
--- a/crates/daisymast_types/src/ids.rs
+++ b/crates/daisymast_types/src/ids.rs
@@ -107,6 +107,10 @@
     /// Name of a rack of workers, unique across availability zones.
     Rack
 );
+name_type!(
+    /// Name of an organisation whose callers share the cell with those of others.
+    Organisation
+);
 name_type!(
     /// Name of a team, the unit to which quotas apply.
     Team
