Wait for places near the data of a task or on one rack for a gang

Cause: `affinity` and `same_rack` were preferences only: a task that found no near place started far away at once and took `far_factor` times as long, even if a near place would have been free a moment later. `far_factor` was decoded and not used. Runs far from their data also made their workers count as slow.

Change: a step that would start tasks far away weighs the wait for near places against the time that they save (`locality`). The wait is bounded by the saving, the slack and 2 s, and happens once a step; a gang weighs it for all its members. Other steps use the far workers meanwhile. The near workers come first in advice requests. Decisions are logged and counted.

The model of the example now reports real progress and draws the outcomes of runs apart from the arrivals.

--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -6,7 +6,7 @@
 
 use daisymast_election::{candidate, former_leases, leader_lease, record};
 use daisymast_relay::relays;
-use daisymast_scheduler::{action, config, constants as limits, lease, scheduler};
+use daisymast_scheduler::{action, config, constants as limits, lease, locality, scheduler};
 use daisymast_types::{collections, ids, time};
 use futures_lite::future;
 use smol::Timer;
@@ -249,7 +249,8 @@
         orders_end,
         max_lease,
     };
-    let scheduler = scheduler::Scheduler::resume(config, job_table, scheduler_term, now);
+    let scheduler = scheduler::Scheduler::resume(config, job_table, scheduler_term, now)
+        .with_locality(locality::Locality::new(context.settings.far_factor));
     let leadership = Arc::new(Leadership::new(
         term,
         scheduler,
--- a/crates/daisymast_node/src/leadership/calls.rs
+++ b/crates/daisymast_node/src/leadership/calls.rs
@@ -25,7 +25,10 @@
     match action {
         action::Action::Answer { .. } => leadership.deliver(action),
         action::Action::Deposed => leadership.depose(),
-        action::Action::Log(decision) => context.decisions.record(leadership.term, &decision),
+        action::Action::Log(decision) => {
+            context.metrics.count_decision(&decision);
+            context.decisions.record(leadership.term, &decision);
+        }
         action => relaying::dispatch(context, leadership, action),
     }
 }
--- a/crates/daisymast_node/src/metrics.rs
+++ b/crates/daisymast_node/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use daisymast_scheduler::{decision, locality};
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -28,6 +29,8 @@
     invalid: Family<[(&'static str, &'static str); 1], Counter>,
     submission: Histogram,
     commit: Histogram,
+    place_waits: Family<[(&'static str, &'static str); 1], Counter>,
+    place_wait: Histogram,
     term: Gauge,
 }
 
@@ -39,6 +42,8 @@
             invalid: Family::default(),
             submission: histogram(),
             commit: histogram(),
+            place_waits: Family::default(),
+            place_wait: histogram(),
             term: Gauge::default(),
         }
     }
@@ -72,6 +77,28 @@
         self.commit.observe(took.as_secs_f64());
     }
 
+    /// Counts the decisions that have metrics.
+    pub fn count_decision(&self, decision: &decision::Decision) {
+        let outcome = match decision {
+            decision::Decision::PlaceWaitOpened { .. } => "started",
+            decision::Decision::PlaceWaitClosed {
+                outcome, waited_ms, ..
+            } => {
+                let waited = Duration::from_millis(*waited_ms);
+                self.place_wait.observe(waited.as_secs_f64());
+                match outcome {
+                    locality::Outcome::Paid => "paid",
+                    locality::Outcome::Lost => "lost",
+                    locality::Outcome::Dropped => "dropped",
+                }
+            }
+            _ => return,
+        };
+        self.place_waits
+            .get_or_create(&[("outcome", outcome)])
+            .inc();
+    }
+
     /// Sets the term in which this node leads, 0 for none.
     pub fn set_term(&self, term: u64) {
         self.term.set(i64::try_from(term).unwrap_or(i64::MAX));
@@ -95,6 +122,10 @@
         registry.register("submission_seconds", submission, self.submission.clone());
         let commit = "Time of a commit to the journal in seconds";
         registry.register("commit_seconds", commit, self.commit.clone());
+        let place_waits = "Waits of steps for places near their data or on one rack";
+        registry.register("place_waits", place_waits, self.place_waits.clone());
+        let place_wait = "Duration of such waits in seconds";
+        registry.register("place_wait_seconds", place_wait, self.place_wait.clone());
         registry.register(
             "term",
             "Term in which this node schedules",
--- a/crates/daisymast_scheduler/examples/fleet_model/jobs.rs
+++ b/crates/daisymast_scheduler/examples/fleet_model/jobs.rs
@@ -138,6 +138,10 @@
     pub(crate) arrived: u64,
     pub(crate) work_ms: u64,
     pub(crate) gang: bool,
+    /// Rack of the job's data.
+    pub(crate) rack: Option<usize>,
+    /// Whether the gang is slower on several racks.
+    pub(crate) same_rack: bool,
     pub(crate) tasks: u32,
     pub(crate) worth: f64,
     /// Processor time of all tasks, in core-seconds.
--- a/crates/daisymast_scheduler/examples/fleet_model/mod.rs
+++ b/crates/daisymast_scheduler/examples/fleet_model/mod.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use daisymast_jobs::{job, job_table, spec};
-use daisymast_scheduler::{action, config, report, scheduler, worker};
-use daisymast_types::{collections, quantities, time};
+use daisymast_scheduler::{action, config, locality, report, scheduler, worker};
+use daisymast_types::{collections, ids, quantities, time};
 
 mod jobs;
 mod summary;
@@ -35,6 +35,10 @@
 const TICK_MS: u64 = 50;
 /// Number of nodes that send advice requests.
 const NODES: usize = 97;
+/// Difference between the seeds of arrivals and of the outcomes of runs.
+const OUTCOME_SEED: u64 = 1_000;
+/// Number of workers in a rack.
+const WORKERS_PER_RACK: usize = 12;
 /// Speeds of the workers, in percent, in rotation.
 const SPEEDS: [u64; 3] = [70, 70, 170];
 /// Standard deviation of the logarithm of a declared run time around the real one.
@@ -48,6 +52,13 @@
     pub(crate) load_percent: u64,
     /// Arrivals of the least urgent kind during the burst, in percent of the usual ones.
     pub(crate) burst_percent: u64,
+    /// Share of the jobs that name the rack of their data, and of the gangs that are faster on one
+    /// rack, in percent.
+    pub(crate) near_percent: u64,
+    /// Factor by which other places make them slower.
+    pub(crate) far_factor: f64,
+    /// How it is decided whether they wait for a near place.
+    pub(crate) policy: locality::Policy,
 }
 
 impl Default for Scenario {
@@ -56,6 +67,9 @@
             workers: 540,
             load_percent: 100,
             burst_percent: 250,
+            near_percent: 0,
+            far_factor: 1.0,
+            policy: locality::Policy::Weighed,
         }
     }
 }
@@ -75,6 +89,8 @@
     now: u64,
     kinds: Vec<Kind>,
     random: Random,
+    /// Numbers for the outcomes of runs, so that the arrivals do not depend on the order of work.
+    outcomes: Random,
     next_arrival: Vec<f64>,
     scheduler: scheduler::Scheduler,
     workers: Vec<Worker>,
@@ -83,6 +99,12 @@
     sequence: u64,
     jobs: Vec<Job>,
     gangs: collections::FastMap<(spec::StepId, u32), Vec<(usize, spec::TaskId)>>,
+    /// Runs of tasks that name a rack, and how many of them run there.
+    named_runs: u64,
+    near_runs: u64,
+    /// Gangs that are faster on one rack, and how many of them run on one.
+    named_gangs: u64,
+    near_gangs: u64,
     /// Processor time that running tasks occupied while jobs arrived, in core-milliseconds.
     occupied: f64,
 }
@@ -95,6 +117,10 @@
     time::Timestamp::new(now, now)
 }
 
+fn rack_name(rack: usize) -> ids::WorkerLabel {
+    format!("r{rack}").as_str().into()
+}
+
 fn worker_id(index: usize) -> String {
     format!("i-{index:010x}")
 }
@@ -118,6 +144,8 @@
             },
             timestamp(START_MS),
         );
+        let locality = locality::Locality::new(scenario.far_factor);
+        scheduler = scheduler.with_locality(locality.with_policy(scenario.policy));
         let nodes: Vec<_> = (0..NODES)
             .map(|node| format!("n{node:02}").into())
             .collect();
@@ -129,7 +157,7 @@
                 address: ([127, 0, 0, 1], 1).into(),
                 zone: ["a", "b", "c", "d", "e"][index % 5].into(),
                 capacity: quantities::Resources::new(32_000, 131_072, 0),
-                rack: None,
+                rack: Some(rack_name(index / WORKERS_PER_RACK)),
                 labels: Vec::new(),
                 draining: false,
                 started_at: Some(1),
@@ -142,6 +170,7 @@
             next_arrival: vec![0.0; kinds.len()],
             kinds,
             random: Random::new(seed),
+            outcomes: Random::new(seed + OUTCOME_SEED),
             scheduler,
             workers: (0..scenario.workers).map(|_| Worker::default()).collect(),
             names: (0..scenario.workers)
@@ -151,6 +180,10 @@
             sequence: 0,
             jobs: Vec::new(),
             gangs: collections::FastMap::default(),
+            named_runs: 0,
+            near_runs: 0,
+            named_gangs: 0,
+            near_gangs: 0,
             occupied: 0.0,
         }
     }
@@ -209,7 +242,16 @@
             .advice
             .map_or(0.0, |advice| advice.decide_ms + advice.per_worker_ms * 30.0);
         let objective = kind.terms.stretch * (work_ms + advice) + kind.terms.latency_ms;
+        // Nothing is drawn where no job names its data, so that the other draws stay the same.
+        let near_percent = self.scenario.near_percent as f64;
+        let is_near = near_percent > 0.0 && random.unit() * 100.0 < near_percent;
+        // Data is skewed: a quarter of the racks holds half of what jobs ask for.
+        let racks = (self.scenario.workers / WORKERS_PER_RACK).max(1) as f64;
+        let position = if is_near { random.unit().powi(2) } else { 0.0 };
+        let rack = whole(position * racks) as usize;
         let step = spec::Step {
+            rack: (is_near && !gang).then(|| rack_name(rack)),
+            same_rack: is_near && gang,
             tasks,
             size: quantities::Resources::new(millicores, 4_096, 0),
             estimate_ms: whole(estimate_ms),
@@ -226,6 +268,8 @@
             arrived: self.now,
             work_ms: u64::from(whole(work_ms)),
             gang,
+            rack: (is_near && !gang).then_some(rack),
+            same_rack: is_near && gang,
             tasks,
             worth: kind.worth * (0.3 + 0.7 * core_seconds / mean).min(4.0),
             core_seconds,
@@ -295,16 +339,24 @@
             let job = self.job(task);
             (job.gang, job.tasks, job.kind)
         };
-        let failed = self.random.unit() < self.kinds[kind].errors;
+        let failed = self.outcomes.unit() < self.kinds[kind].errors;
         let end = if failed {
             report::End::Failed
         } else {
             report::End::Done
         };
         let ends_at = (!gang).then(|| self.now + self.duration(index, task));
-        let started = Run { run, ends_at, end };
+        let started = Run {
+            run,
+            started_at: self.now,
+            ends_at,
+            end,
+        };
         self.workers[index].running.insert(task, started);
         if !gang {
+            let rack = self.job(task).rack;
+            self.near_runs += u64::from(rack == Some(index / WORKERS_PER_RACK));
+            self.named_runs += u64::from(rack.is_some());
             return;
         }
         let members = self.gangs.entry((task.step, run)).or_default();
@@ -314,9 +366,21 @@
         }
         let members = members.clone();
         let slowest = members.iter().map(|&(index, _)| self.duration(index, task));
-        let ends_at = self.now + slowest.max().unwrap_or(0);
+        let mut took = slowest.max().unwrap_or(0);
+        let mut racks = members.iter().map(|&(index, _)| index / WORKERS_PER_RACK);
+        let first = racks.next();
+        if self.job(task).same_rack {
+            let is_together = racks.all(|rack| Some(rack) == first);
+            self.named_gangs += 1;
+            self.near_gangs += u64::from(is_together);
+            if !is_together {
+                took = self.far(took);
+            }
+        }
+        let ends_at = self.now + took;
         for (index, member) in members {
             if let Some(at) = self.workers[index].running.get_mut(&member) {
+                at.started_at = self.now;
                 at.ends_at = Some(ends_at);
                 at.end = end;
             }
@@ -324,7 +388,35 @@
     }
 
     fn duration(&self, index: usize, task: spec::TaskId) -> u64 {
-        self.job(task).work_ms * 100 / SPEEDS[index % SPEEDS.len()]
+        let job = self.job(task);
+        let took = job.work_ms * 100 / SPEEDS[index % SPEEDS.len()];
+        if job.rack.is_none_or(|rack| rack == index / WORKERS_PER_RACK) {
+            took
+        } else {
+            self.far(took)
+        }
+    }
+
+    /// Returns the run time of a task far from its data or its gang.
+    fn far(&self, took: u64) -> u64 {
+        u64::from(whole(took as f64 * self.scenario.far_factor))
+    }
+
+    /// Returns what came of the waits for near places.
+    pub(crate) fn waits(&self) -> String {
+        let counts = self.scheduler.locality().counts();
+        let share = |near: u64, named: u64| near as f64 / named.max(1) as f64;
+        format!(
+            "near {:.2} of {} runs and {:.2} of {} gangs; {} waits of {:.1} s in all, {} paid, {} lost",
+            share(self.near_runs, self.named_runs),
+            self.named_runs,
+            share(self.near_gangs, self.named_gangs),
+            self.named_gangs,
+            counts.started,
+            counts.waited.as_secs_f64(),
+            counts.paid,
+            counts.lost,
+        )
     }
 
     fn end_runs(&mut self) {
@@ -352,13 +444,11 @@
         let clock = self.now;
         let worker = &mut self.workers[target.index];
         worker.open_poll = None;
-        // Progress is modelled as steady, so that no run counts as hung.
-        let percent = u8::try_from(clock / 500 % 90).unwrap_or(0);
         let running = worker.running.iter().map(|(&task, run)| report::Running {
             task,
             run: run.run,
             checkpoint: None,
-            percent,
+            percent: run.percent(clock),
         });
         let report = report::Report {
             clock_ms: clock,
--- a/crates/daisymast_scheduler/src/decision.rs
+++ b/crates/daisymast_scheduler/src/decision.rs
@@ -4,6 +4,7 @@
 use daisymast_types::ids;
 use serde::{Serialize, Serializer};
 
+use crate::locality;
 use crate::report;
 
 /// Why a run is being stopped.
@@ -57,6 +58,38 @@
         /// Worker of the first placed task.
         worker: ids::WorkerId,
     },
+    /// Tasks of a step wait for near places instead of starting far away.
+    PlaceWaitOpened {
+        /// Job ID.
+        #[serde(serialize_with = "text")]
+        job: spec::JobId,
+        /// Position of the step in the job.
+        step: u16,
+        /// Rack with the places.
+        rack: ids::WorkerLabel,
+        /// Number of tasks that wait.
+        tasks: u32,
+        /// Expected time until the last of them has a place, in milliseconds.
+        expected_ms: u64,
+        /// Time that a near place saves a task, in milliseconds.
+        saving_ms: u64,
+        /// Time after which the tasks start far away, in milliseconds.
+        limit_ms: u64,
+    },
+    /// The wait of a step for near places ended.
+    PlaceWaitClosed {
+        /// Job ID.
+        #[serde(serialize_with = "text")]
+        job: spec::JobId,
+        /// Position of the step in the job.
+        step: u16,
+        /// Rack with the places.
+        rack: ids::WorkerLabel,
+        /// What came of the wait.
+        outcome: locality::Outcome,
+        /// Duration of the wait, in milliseconds.
+        waited_ms: u64,
+    },
     /// A run ended without completing its task.
     Ended {
         /// Job ID.
--- a/crates/daisymast_scheduler/src/lib.rs
+++ b/crates/daisymast_scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod health;
 pub mod journal;
 pub mod lease;
+pub mod locality;
 pub mod progress;
 pub mod report;
 pub mod run;
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::fencing;
 use crate::fleet;
 use crate::journal;
+use crate::locality;
 use crate::progress;
 use crate::steps;
 
@@ -34,6 +35,7 @@
 mod late_starts;
 mod order;
 mod orders;
+mod place_waits;
 mod placement;
 mod polls;
 mod queues;
@@ -95,6 +97,8 @@
     dirty: bool,
     /// Earliest time of the next pass over the waiting steps.
     next_pass: time::Monotonic,
+    /// Decides which steps wait for near places.
+    locality: locality::Locality,
     /// Number of steps beyond the most urgent ones at which the next pass continues.
     further_steps: usize,
     /// Wall-clock time of the last event.
@@ -229,6 +233,7 @@
             next_request: now,
             not_before: now,
             progress: progress::StepProgress::default(),
+            has_waited: false,
             deadlines,
             organisation: job.organisation.clone(),
         };
--- a/crates/daisymast_scheduler/src/scheduler/advice.rs
+++ b/crates/daisymast_scheduler/src/scheduler/advice.rs
@@ -11,6 +11,7 @@
 use daisymast_types::time;
 
 use super::dispatch;
+use super::place_waits;
 use super::placement;
 use super::{AdviceRequest, Scheduler};
 use crate::action;
@@ -131,15 +132,21 @@
         let mut candidates = candidates.to_vec();
         let mut min_workers = MIN_UNKNOWN_WORKERS;
         if !step.permissions.is_empty() {
-            candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.free_millicores));
+            candidates.sort_by_key(|candidate| {
+                std::cmp::Reverse((candidate.on_preferred_rack, candidate.free_millicores))
+            });
             min_workers = min_workers.max(repeated_request_workers(step));
         }
         let mut expected = 0.0;
-        let mut workers = Vec::new();
+        let mut workers = self.awaited_without_ticket(step, now);
+        workers.truncate(constants::MAX_WORKERS_PER_REQUEST);
         for candidate in &candidates {
             if workers.len() >= constants::MAX_WORKERS_PER_REQUEST {
                 break;
             }
+            if workers.contains(&candidate.worker_index) {
+                continue;
+            }
             let is_known = step.is_allowed(candidate.worker_index);
             let enough = expected >= needed && (is_known || workers.len() >= min_workers);
             if enough || step.has_ticket(candidate.worker_index, now) {
@@ -151,6 +158,22 @@
         workers
     }
 
+    /// Returns the workers whose places the step waits for and for which it holds no ticket, so that
+    /// the tickets are there when the places are free.
+    fn awaited_without_ticket(&self, step: &steps::ReadyStep, now: time::Monotonic) -> Vec<usize> {
+        let Some(wait) = self.locality.open_wait(step.id) else {
+            return Vec::new();
+        };
+        let awaited = wait.workers.iter().copied();
+        let mut workers: Vec<usize> = awaited
+            .filter(|&worker_index| !step.is_denied(worker_index))
+            .filter(|&worker_index| !step.has_ticket(worker_index, now))
+            .collect();
+        workers.sort_unstable();
+        workers.dedup();
+        workers
+    }
+
     /// Returns the workers to ask about for a gang: allowed workers with an expired ticket, if the
     /// allowed workers have enough free capacity together, and otherwise workers of unknown
     /// permission, whether or not they have free capacity.
@@ -222,7 +245,8 @@
             .map(|candidate| (candidate.worker_index, candidate.fits))
             .collect();
         let mut known_tasks = 0.0;
-        let mut unknown: Vec<(u32, u64, usize, u32)> = Vec::new();
+        let mut unknown: Vec<(bool, u32, u64, usize, u32)> = Vec::new();
+        let awaited = self.awaited_without_ticket(step, pass.now);
         for row in &pass.snapshot.rows {
             let worker_index = row.worker_index;
             if !placement::may_run(self.fleet.at(worker_index), step) {
@@ -241,7 +265,11 @@
                     known_tasks += f64::from(slots);
                 }
             } else if slots > 0 {
-                unknown.push((fits, tie_break(step.id, worker_index), worker_index, slots));
+                let rack = self.fleet.at(worker_index).rack();
+                let is_near = awaited.contains(&worker_index)
+                    || (awaited.is_empty() && place_waits::is_near(rack, step.step_spec()));
+                let tie_break = tie_break(step.id, worker_index);
+                unknown.push((is_near, fits, tie_break, worker_index, slots));
             }
         }
         let choice_factor = if pass.snapshot.high_utilisation {
@@ -256,7 +284,7 @@
         unknown.sort_unstable_by(|a, b| b.cmp(a));
         let share = self.expected_share(step);
         let mut workers = Vec::new();
-        for (_, _, worker_index, slots) in unknown
+        for (_, _, _, worker_index, slots) in unknown
             .into_iter()
             .take(constants::MAX_WORKERS_PER_GANG_REQUEST)
         {
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -4,6 +4,7 @@
 use daisymast_jobs::record;
 use daisymast_jobs::spec;
 use daisymast_types::collections;
+use daisymast_types::quantities;
 use daisymast_types::time;
 
 use super::Scheduler;
@@ -24,6 +25,8 @@
     pub(super) reserving_gangs: usize,
     /// Number of open advice requests by queue.
     pub(super) open_requests: collections::FastMap<daisymast_types::ids::QueueName, usize>,
+    /// Resources that steps tried earlier in this pass wait for, by worker index.
+    pub(super) awaited: collections::FastMap<usize, quantities::Resources>,
 }
 
 impl Scheduler {
@@ -35,6 +38,7 @@
             snapshot: self.snapshot(now),
             reserving_gangs: 0,
             open_requests: collections::FastMap::default(),
+            awaited: collections::FastMap::default(),
         };
         let order = order::waiting_steps(&self.steps, pass.snapshot.rows.len(), now);
         let steps = order.len();
@@ -46,6 +50,7 @@
         for position in (0..urgent).chain(further) {
             self.place_step(order[position], &mut pass);
         }
+        self.close_ended_waits(now);
         steps
     }
 
@@ -76,12 +81,13 @@
         if step_spec.gang && needed < step_spec.tasks {
             return;
         }
+        let is_gang = step_spec.gang;
         let mut chosen = self.choose_workers(step, &candidates, needed, pass.now);
+        self.hold_for_places(id, &mut chosen, needed, pass);
         let placed = u32::try_from(chosen.len()).unwrap_or(u32::MAX);
-        if step_spec.gang && placed < needed {
+        if is_gang && placed < needed {
             chosen.clear();
         }
-        let is_gang = step_spec.gang;
         let is_complete = placed >= needed;
         if !chosen.is_empty() {
             self.place_tasks(id, chosen, pass);
@@ -89,7 +95,7 @@
         if is_complete {
             return;
         }
-        if is_gang {
+        if is_gang && !self.reserve_awaited(id, pass) {
             self.reserve_for_gang(id, pass);
         }
         if may_request {
@@ -110,11 +116,10 @@
             step.advice.is_none() || step.has_ticket(candidate.worker_index, now)
         };
         let mut chosen = Vec::new();
-        let rack_of = |worker_index: usize| {
-            let registration = self.fleet.at(worker_index).registration.as_ref();
-            registration.and_then(|registration| registration.rack.clone())
-        };
-        if step.step_spec().same_rack {
+        let rack_of = |worker_index: usize| self.fleet.at(worker_index).rack();
+        let step_spec = step.step_spec();
+        let wanted = step_spec.rack.as_ref();
+        if step_spec.same_rack || (step_spec.gang && wanted.is_some()) {
             let mut by_rack: collections::FastMap<_, u32> = collections::FastMap::default();
             for candidate in candidates.iter().filter(usable) {
                 *by_rack.entry(rack_of(candidate.worker_index)).or_default() += candidate.fits;
@@ -122,8 +127,9 @@
             let rack = by_rack
                 .into_iter()
                 .filter(|(_, fits)| *fits >= needed)
-                .min();
-            if let Some((rack, _)) = rack {
+                .map(|(rack, _)| rack)
+                .min_by_key(|&rack| (rack != wanted, rack));
+            if let Some(rack) = rack {
                 let usable_candidates = candidates.iter().filter(usable);
                 take_fitting(
                     usable_candidates.filter(|candidate| rack_of(candidate.worker_index) == rack),
--- a/crates/daisymast_scheduler/src/scheduler/order/tests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/order/tests.rs
@@ -45,6 +45,7 @@
         next_request: NOW,
         not_before: NOW,
         progress: progress::StepProgress::default(),
+        has_waited: false,
         deadlines: steps::Deadlines {
             latest_start,
             due_at: latest_start + Duration::from_secs(4),
--- a/crates/daisymast_scheduler/src/scheduler/placement.rs
+++ b/crates/daisymast_scheduler/src/scheduler/placement.rs
@@ -8,6 +8,7 @@
 
 use super::Scheduler;
 use super::availability;
+use super::place_waits;
 use crate::constants;
 use crate::steps;
 use crate::worker;
@@ -48,6 +49,11 @@
         }
     }
 
+    /// Whether the worker takes tasks of only one step at a time, after repeated failures.
+    pub(super) fn is_on_probation(&self) -> bool {
+        self.on_probation
+    }
+
     /// Free processors that are not kept for urgent steps, in thousandths of a core.
     fn unreserved_millicores(&self) -> u32 {
         self.available
@@ -123,7 +129,7 @@
     pub(super) fits: u32,
     band: i32,
     pub(super) is_fast: bool,
-    on_preferred_rack: bool,
+    pub(super) on_preferred_rack: bool,
     pub(super) free_millicores: u32,
 }
 
@@ -250,7 +256,7 @@
                     fits,
                     band: row.band,
                     is_fast: row.is_fast,
-                    on_preferred_rack: is_on_preferred_rack(worker, step),
+                    on_preferred_rack: place_waits::is_near(worker.rack(), step.step_spec()),
                     free_millicores: available.millicores,
                 })
             })
@@ -292,17 +298,6 @@
     step.step_spec().lasting && worker.health.is_excluded(step.id.job, now)
 }
 
-fn is_on_preferred_rack(worker: &worker::Worker, step: &steps::ReadyStep) -> bool {
-    let rack = worker
-        .registration
-        .as_ref()
-        .and_then(|registration| registration.rack.as_ref());
-    match &step.step_spec().rack {
-        Some(wanted) => rack == Some(wanted),
-        None => true,
-    }
-}
-
 /// Returns the number of tasks of a size that fit into the available resources.
 pub(super) fn fits(available: quantities::Resources, size: quantities::Resources) -> u32 {
     let quotient = |available: u32, size: u32| available.checked_div(size).unwrap_or(u32::MAX);
@@ -316,7 +311,7 @@
 }
 
 /// Returns how many more tasks the step's spread limit allows on a worker.
-fn remaining_spread(step: &steps::ReadyStep, worker_index: usize) -> u32 {
+pub(super) fn remaining_spread(step: &steps::ReadyStep, worker_index: usize) -> u32 {
     match step.step_spec().spread {
         0 => u32::MAX,
         limit => limit.saturating_sub(step.placed.get(&worker_index).copied().unwrap_or(0)),
--- a/crates/daisymast_scheduler/src/scheduler/run_ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/run_ends.rs
@@ -8,6 +8,7 @@
 use daisymast_types::time;
 
 use super::Scheduler;
+use super::place_waits;
 use crate::constants;
 use crate::decision;
 use crate::journal;
@@ -113,7 +114,11 @@
             self.requeue(worker_index, task, run, now);
             return;
         }
-        let declared = f64::from(step.estimate_ms);
+        let mut declared = f64::from(step.estimate_ms);
+        if !place_waits::is_near(worker.rack(), step) {
+            // Distance makes the run slow, not the worker.
+            declared *= self.locality.far_factor();
+        }
         let mut speed_change = None;
         if !is_gang && job.task(task).is_some_and(|task| task.checkpoint.is_none()) {
             let took = (now - run.placed_at).as_secs_f64() * 1_000.0;
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -17,6 +17,7 @@
 use crate::fleet;
 use crate::journal;
 use crate::lease;
+use crate::locality;
 use crate::run;
 use crate::steps;
 
@@ -61,6 +62,7 @@
             actions: Vec::new(),
             dirty: true,
             next_pass: now.mono,
+            locality: locality::Locality::default(),
             further_steps: 0,
             wall: now.wall,
         };
@@ -144,6 +146,10 @@
             }
             self.activate_started(id, now);
         }
+        // They may have waited for near places under the former scheduler.
+        for step in self.steps.values_mut() {
+            step.has_waited = true;
+        }
         let placed: Vec<(usize, spec::TaskId)> = (0..self.fleet.len())
             .flat_map(|worker_index| {
                 let runs = self.fleet.at(worker_index).runs.keys();
--- a/crates/daisymast_scheduler/src/scheduler/timers.rs
+++ b/crates/daisymast_scheduler/src/scheduler/timers.rs
@@ -24,7 +24,8 @@
     /// Runs a placement pass if something changed and the minimum interval has passed, and polls
     /// workers.
     pub fn run_pass(&mut self, now: time::Monotonic) {
-        if self.dirty && now >= self.next_pass {
+        let wait_is_over = self.locality.next_end().is_some_and(|end| now >= end);
+        if (self.dirty || wait_is_over) && now >= self.next_pass {
             self.dirty = false;
             let steps = self.dispatch(now);
             self.next_pass = if steps >= constants::PACING_THRESHOLD_STEPS {
@@ -37,9 +38,14 @@
     }
 
     /// Returns when [`run_pass`](Self::run_pass) should be called next even if no event arrives;
-    /// `None` if no pass is pending.
+    /// `None` if no pass is pending. A pass is pending when something changed, and when a wait for
+    /// near places ends.
     pub fn next_pass_at(&self) -> Option<time::Monotonic> {
-        self.dirty.then_some(self.next_pass)
+        if self.dirty {
+            return Some(self.next_pass);
+        }
+        let wait_end = self.locality.next_end()?;
+        Some(wait_end.max(self.next_pass))
     }
 
     fn resend_stops(&mut self, now: time::Monotonic) {
--- a/crates/daisymast_scheduler/src/steps.rs
+++ b/crates/daisymast_scheduler/src/steps.rs
@@ -72,6 +72,9 @@
     pub not_before: time::Monotonic,
     /// Progress of the step's runs.
     pub progress: progress::StepProgress,
+    /// Whether the step has waited for near places. It does so once, as a job must not have nothing
+    /// running for long.
+    pub has_waited: bool,
     /// Deadlines that follow from the job's time objective.
     pub deadlines: Deadlines,
     /// Organisation that the job belongs to.
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -201,6 +201,11 @@
             })
     }
 
+    /// Rack, if the worker names one.
+    pub fn rack(&self) -> Option<&ids::WorkerLabel> {
+        self.registration.as_ref()?.rack.as_ref()
+    }
+
     /// Assigns a run to the worker, in place of an earlier run of the same task.
     pub fn insert(&mut self, task: spec::TaskId, run: run::Run) {
         self.used += run.size;
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use daisymast_jobs::{job, job_table, queue, record, spec};
-use daisymast_scheduler::{action, config, report, scheduler, worker};
+use daisymast_scheduler::{action, config, locality, report, scheduler, worker};
 use daisymast_types::{quantities, time};
 
 mod checks;
@@ -103,6 +103,7 @@
     /// Rate of the clock in percent.
     pub(crate) clock_rate: u64,
     pub(crate) draining: bool,
+    pub(crate) rack: &'static str,
 }
 
 /// A poll of a worker.
@@ -194,6 +195,8 @@
     sequence: u64,
     pub(crate) work_ms: BTreeMap<(spec::JobId, u16), u64>,
     next_tick: u64,
+    /// Terms for waiting for near places.
+    pub(crate) locality: locality::Locality,
     /// Jobs whose runs all fail.
     pub(crate) failing_jobs: BTreeSet<spec::JobId>,
     /// Source of the choice of late calls and of their lateness.
@@ -298,6 +301,7 @@
                 speed: 100,
                 clock_rate,
                 draining: false,
+                rack: "r1",
             })
             .collect();
         let worker_numbers = workers
@@ -338,6 +342,7 @@
             sequence: 0,
             work_ms: BTreeMap::new(),
             next_tick: 0,
+            locality: locality::Locality::default(),
             failing_jobs: BTreeSet::new(),
             late_calls: fastrand::Rng::with_seed(0),
             answer_delays: None,
@@ -366,7 +371,7 @@
             address: "127.0.0.1:1".parse().expect("an address"),
             zone: worker.zone.into(),
             capacity: capacity(),
-            rack: Some("r1".into()),
+            rack: Some(worker.rack.into()),
             labels: Vec::new(),
             draining: worker.draining,
             started_at: Some(worker.started_at),
@@ -464,7 +469,8 @@
                 max_lease: MAX_LEASE,
             },
             timestamp(self.now),
-        );
+        )
+        .with_locality(self.locality.clone());
         self.register_all();
     }
 
--- a/crates/daisymast_scheduler/tests/common/workers.rs
+++ b/crates/daisymast_scheduler/tests/common/workers.rs
@@ -1,5 +1,7 @@
 //! Behaviour of the simulated workers.
 
+use std::time::Duration;
+
 use daisymast_jobs::spec;
 use daisymast_scheduler::{action, lease, report};
 
@@ -192,8 +194,17 @@
     fn begin(&mut self, number: usize, start: &action::Start) {
         let task = start.task;
         let size = start.spec.steps[usize::from(task.step.step)].size;
-        let work =
-            self.work_ms[&(task.step.job, task.step.step)] * 100 / self.workers[number].speed;
+        let step_spec = &start.spec.steps[usize::from(task.step.step)];
+        let rack = self.workers[number].rack;
+        let is_near = step_spec.rack.as_ref().is_none_or(|at| at.as_str() == rack);
+        let factor = if is_near {
+            1.0
+        } else {
+            self.locality.far_factor()
+        };
+        let work = Duration::from_millis(self.work_ms[&(task.step.job, task.step.step)])
+            .mul_f64(factor * 100.0 / self.workers[number].speed as f64);
+        let work = lease::millis(work);
         let fails = self.failing_jobs.contains(&task.step.job);
         self.check_start(number, task, &start.spec);
         let worker = &mut self.workers[number];
