Split the observation and the worker groups from the module cell

Change: reading a running cell and the workers of one availability zone are modules of their own. No line of a test changes.

--- a/crates/daisymast_cluster/src/cell.rs
+++ b/crates/daisymast_cluster/src/cell.rs
@@ -9,15 +9,12 @@
 use daisymast_http::executor::{self, Executor};
 use daisymast_platform::daemon::{FAULTS_PATH, FaultRequest, MEMBERS_PATH, MemberRequest};
 use daisymast_platform::model::Faults as PlatformFaults;
-use daisymast_protocol::operator::{OperatorReply, OperatorRequest, Status};
+use daisymast_protocol::operator::{OperatorReply, OperatorRequest};
 use daisymast_protocol::store::{Member, MemberId};
-use daisymast_protocol::timeline::TimelineEvent;
 use daisymast_types::ids::{Generation, WorkerId};
-use daisymast_worker::daemon::Listening;
 use daisymast_worker::settings::Faults;
 use serde_json::{Value, json};
 
-use crate::checks::{self, WorkerLog};
 use crate::clients::Clients;
 use crate::load::{Balancer, Load, RequestRecord, RunningLoad};
 use crate::process::Process;
@@ -26,6 +23,11 @@
 use crate::{settings, wait};
 
 pub use crate::settings::manifest;
+pub use observation::running_tasks;
+use worker_group::WorkerGroup;
+
+mod observation;
+mod worker_group;
 
 /// Availability zones that every cell has.
 pub const ZONES: [&str; 3] = ["Austin", "Waco", "Temple"];
@@ -82,14 +84,6 @@
     _relay: Option<Relay>,
 }
 
-/// The workers of one zone, which share one process.
-#[derive(Debug)]
-struct WorkerGroup {
-    zone: &'static str,
-    process: Process,
-    workers: Vec<Listening>,
-}
-
 /// A running cell. Fields are dropped in declaration order, so processes end before the test lock
 /// is released.
 #[derive(Debug)]
@@ -321,22 +315,6 @@
         true
     }
 
-    /// Statuses by name of the instances that answer within 1 s.
-    pub async fn statuses(&self) -> BTreeMap<String, Status> {
-        let mut statuses = BTreeMap::new();
-        for (name, instance) in &self.instances {
-            let request = OperatorRequest::Status;
-            let reply = self
-                .clients
-                .operator(instance.operators, &request, STATUS_TIMEOUT)
-                .await;
-            if let Some(OperatorReply::Status(status)) = reply.done() {
-                statuses.insert(name.clone(), status);
-            }
-        }
-        statuses
-    }
-
     /// Submits a manifest to the instance `through`, to replace the generation `expected`.
     ///
     /// # Panics
@@ -356,44 +334,11 @@
         reply.done().expect("reply to the submission")
     }
 
-    /// Timeline events of all instances, ordered by wall-clock time. Instances that do not answer
-    /// within 1 s are left out.
-    pub async fn timeline(&self) -> Vec<TimelineEvent> {
-        let mut all = Vec::new();
-        for instance in self.instances.values() {
-            let request = OperatorRequest::Timeline { after: 0 };
-            let reply = self
-                .clients
-                .operator(instance.operators, &request, STATUS_TIMEOUT)
-                .await;
-            if let Some(OperatorReply::Timeline { events }) = reply.done() {
-                all.extend(events.into_iter().map(|(_, event)| event));
-            }
-        }
-        all.sort_by_key(|event| event.at);
-        all
-    }
-
     /// Starts to send requests through the balancer, without waiting for them.
     pub fn send(&self, load: Load) -> RunningLoad {
         load.start(&self.executor, &self.clients, &self.balancer)
     }
 
-    /// Fetches the logs of all workers, always in the same order.
-    pub async fn logs(&self) -> Vec<WorkerLog> {
-        let mut logs = Vec::new();
-        for group in &self.worker_groups {
-            for worker in &group.workers {
-                logs.push(WorkerLog {
-                    worker: worker.worker.clone(),
-                    started: group.process.started,
-                    log: self.clients.log(worker.address).await,
-                });
-            }
-        }
-        logs
-    }
-
     /// Injects faults into the workers that `selects` accepts by zone and worker ID.
     pub async fn set_worker_faults(
         &self,
@@ -419,22 +364,6 @@
             .post(self.platform_address, FAULTS_PATH, &request)
             .await;
     }
-
-    /// Checks the worker logs and `records` against the rules of the fault matrix.
-    ///
-    /// # Panics
-    /// A rule is violated. The message lists the violations and the last 60 timeline events.
-    pub async fn assert_no_violations(&self, records: &[RequestRecord]) {
-        let violations = checks::violations(self.started_at, &self.logs().await, records);
-        if violations.is_empty() {
-            return;
-        }
-        let violations: Vec<String> = violations.iter().map(ToString::to_string).collect();
-        let timeline = self.timeline().await;
-        let last = &timeline[timeline.len().saturating_sub(60)..];
-        let last: Vec<String> = last.iter().map(|event| format!("{event:?}")).collect();
-        panic!("{}\ntimeline:\n{}", violations.join("\n"), last.join("\n"));
-    }
 }
 
 /// Prints a measurement; visible with `cargo test -- --nocapture`.
@@ -443,54 +372,6 @@
     println!("{text}");
 }
 
-/// Number of running tasks of a job, summed over the statuses of all instances.
-pub fn running_tasks(statuses: &BTreeMap<String, Status>, job: &str) -> u32 {
-    let all = statuses.values().flat_map(|status| &status.running);
-    let own = all.filter(|(name, _)| name.as_str() == job);
-    own.map(|(_, tasks)| tasks).sum()
-}
-
-impl WorkerGroup {
-    async fn start(folder: &std::path::Path, zone: &'static str, config: CellConfig) -> Self {
-        let name = zone.to_lowercase();
-        let settings = json!({
-            "name": name, "count": config.workers, "worker": {"service_ms": config.service_ms},
-        });
-        let file = format!("workers-{name}");
-        let (process, printed) = Process::start("daisymast-worker", folder, &file, &settings).await;
-        let workers = serde_json::from_value(printed["listening"].clone());
-        Self {
-            zone,
-            process,
-            workers: workers.expect("worker addresses in the start line"),
-        }
-    }
-
-    fn rack(&self) -> String {
-        format!("{}-rack-1", self.zone.to_lowercase())
-    }
-
-    fn members(&self) -> Vec<Member> {
-        let members = self.workers.iter().map(|worker| Member {
-            who: MemberId::Worker(worker.worker.clone(), self.rack().as_str().into()),
-            zone: self.zone.into(),
-            address: worker.address.to_string(),
-            leaving: false,
-        });
-        members.collect()
-    }
-
-    fn seeds(&self) -> Vec<Value> {
-        let seeds = self.workers.iter().map(|worker| {
-            json!({
-                "worker": worker.worker, "zone": self.zone, "rack": self.rack(),
-                "address": worker.address,
-            })
-        });
-        seeds.collect()
-    }
-}
-
 fn parse_address(printed: &Value, field: &str) -> SocketAddr {
     let text = printed[field].as_str().expect("address in the start line");
     text.parse().expect("valid socket address")
