Decode organisations and ask callers for their API keys

Cause: the node read no organisations from the configuration, so every call was run, whatever key it carried, and jobs belonged to no organisation.

Change: the adapter decodes the organisations part by part, and daisymast_organisations::declaration decides what holds: a malformed, missing, repeated or shared part is logged and counted without the key, a cap with a fault keeps its last good value or allows nothing, and the rest of the version holds. Calls to queues that are not public need a valid key or get 401; submissions carry the organisation of the key.

--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use smol::Timer;
 
+use crate::authentication;
 use crate::clock;
 use crate::constants;
 use crate::context;
@@ -26,6 +27,10 @@
     };
     let host = request.header("host").unwrap_or_default();
     let queue = config.route(host, &request.path);
+    let caller = match authentication::check(&context, &config, queue, &request) {
+        Ok(caller) => caller,
+        Err(refusal) => return refusal,
+    };
     let rest = queue.map(|queue| &request.path[queue.prefix.len()..]);
     match (request.method.as_str(), queue, rest) {
         ("POST", Some(queue), Some(id)) => {
@@ -33,7 +38,7 @@
                 return server::Response::text(400, "the job id needs 16 hexadecimal digits");
             };
             match callers::parse_submission(&request.body) {
-                Ok(spec) => submit(&context, job, queue, spec).await,
+                Ok(spec) => submit(&context, job, queue, spec, caller).await,
                 Err(error) => server::Response::text(400, error.to_string()),
             }
         }
@@ -156,13 +161,14 @@
     job: spec::JobId,
     queue: &queue::Queue,
     spec: spec::JobSpec,
+    organisation: Option<ids::Organisation>,
 ) -> server::Response {
     let request = peers::Request::Submit {
         job,
         queue: queue.name.clone(),
         spec,
         terms: None,
-        organisation: None,
+        organisation,
     };
     let started = Instant::now();
     let forwarded = forward(context, &request, Some(queue), leader_wait(context)).await;
--- a/crates/daisymast_node/src/configuration.rs
+++ b/crates/daisymast_node/src/configuration.rs
@@ -3,12 +3,16 @@
 use std::sync::Arc;
 
 use daisymast_adapter::{configuration, keys, store};
+use daisymast_organisations::declaration;
 use smol::Timer;
 
 use crate::clock;
 use crate::constants;
 use crate::context;
 
+/// Maximum number of faults of one version that are logged.
+const MAX_LOGGED_FAULTS: usize = 32;
+
 /// Reads the configuration and watches it for changes, for as long as the process runs.
 pub async fn sync(context: Arc<context::Context>) {
     loop {
@@ -69,9 +73,17 @@
     if item.key != keys::CONFIGURATION {
         return;
     }
-    match configuration::decode(&item.value) {
-        Ok(config) => {
-            context.configure(config);
+    let known = context.config();
+    let last = known
+        .as_ref()
+        .and_then(|known| known.organisations.as_ref());
+    match configuration::decode(&item.value, last) {
+        Ok(decoded) => {
+            let version = decoded.config.version;
+            // The store delivers a version more than once; its faults are reported once.
+            if context.configure(decoded.config) {
+                report_faults(context, version, &decoded.faults);
+            }
         }
         Err(error) => {
             context.metrics.count_invalid("configuration");
@@ -82,3 +94,16 @@
         }
     }
 }
+
+/// Names the faults of a version in the log, and counts them.
+fn report_faults(context: &context::Context, version: u64, faults: &[declaration::Fault]) {
+    for fault in faults {
+        context.metrics.count_invalid(fault.part.name());
+    }
+    for fault in faults.iter().take(MAX_LOGGED_FAULTS) {
+        log::warn!("configuration version {version}: ignoring {fault}");
+    }
+    if let Some(more) = faults.len().checked_sub(MAX_LOGGED_FAULTS + 1) {
+        log::warn!("configuration version {version}: {} more faults", more + 1);
+    }
+}
--- a/crates/daisymast_node/src/lib.rs
+++ b/crates/daisymast_node/src/lib.rs
@@ -1,6 +1,7 @@
 //! Node daemon: accepts requests of callers and, if elected, runs the scheduler.
 
 pub mod api;
+pub mod authentication;
 pub mod batch;
 pub mod clock;
 pub mod commit_timeout;
--- a/crates/daisymast_organisations/src/organisation.rs
+++ b/crates/daisymast_organisations/src/organisation.rs
@@ -32,6 +32,13 @@
 }
 
 impl Cap {
+    /// The cap that allows no task to run.
+    pub const NOTHING: Self = Self {
+        millicores: Some(0),
+        memory_mib: Some(0),
+        accelerators: Some(0),
+    };
+
     /// Whether use is within the limit.
     ///
     /// ```
