Refuse calls with keys on nodes that may have missed their withdrawal

Cause: a node that is cut off, suspended or just restarted went on honouring keys that a later configuration had withdrawn.

Change: daisymast_organisations::freshness tracks until when the node's configuration was confirmed as the newest, on the clock that counts suspension. The leader confirms by a linearizable read every 450 ms, each pong carries the age of the confirmation, and a node whose confirmation is older than 1.4 s reads the key itself. A keyed call received more than the bound less 250 ms after the confirmation gets 503; an unknown key gets 401 only from a configuration confirmed within 1.5 s.

--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -22,15 +22,13 @@
 
 /// Handles one request of a caller.
 pub async fn serve(context: Arc<context::Context>, request: server::Request) -> server::Response {
-    let Some(config) = context.config() else {
-        return refuse("no configuration yet");
-    };
-    let host = request.header("host").unwrap_or_default();
-    let queue = config.route(host, &request.path);
-    let caller = match authentication::check(&context, &config, queue, &request) {
-        Ok(caller) => caller,
+    let checked = match authentication::check(&context, &request).await {
+        Ok(checked) => checked,
         Err(refusal) => return refusal,
     };
+    let organisation = checked.organisation;
+    let host = request.header("host").unwrap_or_default();
+    let queue = checked.config.route(host, &request.path);
     let rest = queue.map(|queue| &request.path[queue.prefix.len()..]);
     match (request.method.as_str(), queue, rest) {
         ("POST", Some(queue), Some(id)) => {
@@ -38,7 +36,7 @@
                 return server::Response::text(400, "the job id needs 16 hexadecimal digits");
             };
             match callers::parse_submission(&request.body) {
-                Ok(spec) => submit(&context, job, queue, spec, caller).await,
+                Ok(spec) => submit(&context, job, queue, spec, organisation).await,
                 Err(error) => server::Response::text(400, error.to_string()),
             }
         }
--- a/crates/daisymast_node/src/configuration.rs
+++ b/crates/daisymast_node/src/configuration.rs
@@ -28,15 +28,18 @@
 }
 
 async fn read(context: &context::Context) -> Result<u64, store::Failure> {
+    let held = context.config_version();
+    let begun = context.freshness().begin_read(held, clock::now());
     let item = context
         .store
         .read(keys::CONFIGURATION, constants::STORE_TIMEOUT)
-        .await?;
-    let Some(item) = item else {
-        return Ok(0);
+        .await;
+    let version = match &item {
+        Ok(Some(item)) => apply(context, item),
+        Ok(None) | Err(_) => None,
     };
-    apply(context, &item);
-    Ok(item.revision)
+    context.freshness().end_read(begun, version, clock::now());
+    Ok(item?.map_or(0, |item| item.revision))
 }
 
 /// Applies changes until the store has compacted the revisions to watch or does not answer.
@@ -69,9 +72,11 @@
     }
 }
 
-fn apply(context: &context::Context, item: &store::Item) {
+/// Applies the configuration in an item unless a later one is in force. Returns the version that
+/// the item contains.
+pub(crate) fn apply(context: &context::Context, item: &store::Item) -> Option<u64> {
     if item.key != keys::CONFIGURATION {
-        return;
+        return None;
     }
     let known = context.config();
     let last = known
@@ -84,6 +89,7 @@
             if context.configure(decoded.config) {
                 report_faults(context, version, &decoded.faults);
             }
+            Some(version)
         }
         Err(error) => {
             context.metrics.count_invalid("configuration");
@@ -91,6 +97,7 @@
                 "ignoring invalid configuration at revision {}: {error}",
                 item.revision
             );
+            None
         }
     }
 }
--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -7,6 +7,7 @@
 use daisymast_adapter::{settings, store};
 use daisymast_election::{candidate, record};
 use daisymast_http::{client, executor};
+use daisymast_organisations::freshness;
 use daisymast_scheduler::{config, lease};
 use daisymast_telemetry::decisions;
 use daisymast_types::time;
@@ -43,6 +44,7 @@
     pub relay: relay::Relay,
     candidate: Mutex<candidate::Candidate>,
     config: Mutex<Option<Arc<config::Configuration>>>,
+    freshness: Mutex<freshness::Freshness>,
     /// Time at which another node first reported a later configuration version than this node has.
     config_behind_since: Mutex<Option<time::Monotonic>>,
     leadership: Mutex<Option<Arc<leadership::Leadership>>>,
@@ -66,6 +68,7 @@
         let bounded_client = || client::Client::new(Arc::clone(&executor), bounded);
         let me = member(&settings);
         let incarnation = fastrand::u64(1..);
+        let revocation = settings.revocation_ms.map(Duration::from_millis);
         Self {
             incarnation,
             store: store::Store::new(client(), settings.store),
@@ -77,6 +80,7 @@
             relay: relay::Relay::new(incarnation),
             candidate: Mutex::new(candidate::Candidate::new(me, clock::now())),
             config: Mutex::new(None),
+            freshness: Mutex::new(freshness::Freshness::new(revocation)),
             config_behind_since: Mutex::new(None),
             leadership: Mutex::new(None),
             draining: AtomicBool::new(false),
@@ -137,6 +141,17 @@
         true
     }
 
+    /// Locks and returns what this node knows of the age of its configuration.
+    pub fn freshness(&self) -> MutexGuard<'_, freshness::Freshness> {
+        lock(&self.freshness)
+    }
+
+    /// Whether callers need keys, so that this node has to know the age of its configuration.
+    pub fn checks_keys(&self) -> bool {
+        let config = self.config();
+        self.freshness().is_bounded() || config.is_some_and(|config| config.organisations.is_some())
+    }
+
     /// Records the configuration version that another node reported.
     pub fn on_peer_config_version(&self, version: u64, now: time::Monotonic) {
         let mut config_behind_since = lock(&self.config_behind_since);
@@ -197,7 +212,15 @@
     /// Whether this node passes readiness checks and should receive requests.
     pub fn is_ready(&self) -> bool {
         let connected = self.term().is_some() || self.candidate().is_connected(clock::now());
-        connected && !self.is_draining() && self.config().is_some()
+        connected && !self.is_draining() && self.has_fresh_config()
+    }
+
+    /// Whether there is a configuration whose keys stay valid for the next seconds.
+    fn has_fresh_config(&self) -> bool {
+        let Some(config) = self.config() else {
+            return false;
+        };
+        self.freshness().is_ready(config.version, clock::now())
     }
 }
 
--- a/crates/daisymast_node/src/follower.rs
+++ b/crates/daisymast_node/src/follower.rs
@@ -133,6 +133,7 @@
     term: Option<u64>,
 ) {
     let request = context.ping();
+    let sent = clock::now();
     let answer = peers::call(context, address, &request, constants::PING_TIMEOUT).await;
     let pong = match answer {
         outcome::Outcome::Done(peers::Reply::Pong(pong)) => pong,
@@ -149,6 +150,9 @@
         context.configure(config);
     }
     context.on_peer_config_version(pong.version, now);
+    if let Some(report) = pong.confirmed {
+        context.freshness().on_report(report, sent);
+    }
     let mut candidate = context.candidate();
     if let Some(known) = pong.known {
         let elected = record::Elected {
@@ -215,9 +219,15 @@
             let executor = Arc::clone(&context.executor);
             executor.spawn(async move {
                 let request = context.ping();
+                let sent = clock::now();
                 let call = peers::call(&context, member.address, &request, constants::PING_TIMEOUT);
                 match call.await {
-                    outcome::Outcome::Done(peers::Reply::Pong(pong)) => !pong.content,
+                    outcome::Outcome::Done(peers::Reply::Pong(pong)) => {
+                        if let Some(report) = pong.confirmed {
+                            context.freshness().on_report(report, sent);
+                        }
+                        !pong.content
+                    }
                     _ => false,
                 }
             })
--- a/crates/daisymast_node/src/lib.rs
+++ b/crates/daisymast_node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod commit_timeout;
 pub mod configuration;
+pub mod confirmation;
 pub mod constants;
 pub mod context;
 pub mod follower;
--- a/crates/daisymast_node/src/metrics.rs
+++ b/crates/daisymast_node/src/metrics.rs
@@ -29,6 +29,7 @@
     submission: Histogram,
     commit: Histogram,
     term: Gauge,
+    confirmation_age: Gauge,
 }
 
 impl Default for Metrics {
@@ -40,6 +41,7 @@
             submission: histogram(),
             commit: histogram(),
             term: Gauge::default(),
+            confirmation_age: Gauge::default(),
         }
     }
 }
@@ -77,6 +79,12 @@
         self.term.set(i64::try_from(term).unwrap_or(i64::MAX));
     }
 
+    /// Sets the time since the configuration of this node was last known to be the newest.
+    pub fn set_confirmation_age(&self, age: Duration) {
+        let millis = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
+        self.confirmation_age.set(millis);
+    }
+
     /// Encodes all metrics as Prometheus text.
     ///
     /// ```
@@ -100,6 +108,12 @@
             "Term in which this node schedules",
             self.term.clone(),
         );
+        let confirmation_age = "Time since the configuration was last known to be the newest";
+        registry.register(
+            "configuration_age_milliseconds",
+            confirmation_age,
+            self.confirmation_age.clone(),
+        );
         let mut encoded = String::new();
         if let Err(error) = text::encode(&mut encoded, &registry) {
             log::error!("failed to encode metrics: {error}");
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -8,6 +8,7 @@
 use daisymast_election::record;
 use daisymast_http::{client, msgpack, server};
 use daisymast_jobs::{job, queue, spec};
+use daisymast_organisations::freshness;
 use daisymast_protocol::outcome;
 use daisymast_relay::wire;
 use daisymast_scheduler::{config, scheduler};
@@ -103,6 +104,9 @@
     pub content: bool,
     /// A later configuration than the sender's, if the sender wants one.
     pub config: Option<config::Configuration>,
+    /// When the answering node last knew the newest configuration version, if callers need keys.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub confirmed: Option<freshness::Report>,
 }
 
 /// The leader's answer to a caller's request.
@@ -220,6 +224,10 @@
             if wanted && pong.version > version {
                 pong.config = config.map(|config| (*config).clone());
             }
+            if context.checks_keys() {
+                let now = clock::now();
+                pong.confirmed = context.freshness().report(pong.version, now);
+            }
             Reply::Pong(Box::new(pong))
         }
         Request::Ask {
@@ -292,6 +300,7 @@
         content: leads.is_some() || candidate.is_leader_healthy(now),
         version: 0,
         config: None,
+        confirmed: None,
     }
 }
 
--- a/crates/daisymast_node/src/process.rs
+++ b/crates/daisymast_node/src/process.rs
@@ -19,6 +19,7 @@
 
 use crate::api;
 use crate::configuration;
+use crate::confirmation;
 use crate::constants;
 use crate::context;
 use crate::follower;
@@ -127,6 +128,7 @@
     let readiness = serve_readiness(&context).await?;
     let tasks = [
         executor.spawn(configuration::sync(Arc::clone(&context))),
+        executor.spawn(confirmation::run(Arc::clone(&context))),
         executor.spawn(follower::run(Arc::clone(&context))),
         executor.spawn(follower::ping_loop(Arc::clone(&context))),
     ];
--- a/crates/daisymast_organisations/src/lib.rs
+++ b/crates/daisymast_organisations/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod api_key;
 pub mod declaration;
 pub mod directory;
+pub mod freshness;
 pub mod organisation;
