Write recent placements again for the scheduler after the next one

Cause: the placements of the last 72 batches count as open for the next leader.

Change: a new leader writes the placements again that it takes as open. The price is a record for each placement of the last second, and room that is withheld for 12 s after a second change of the leader. Starts with a ticket of the advice service are exempt, so queues with advice pay nothing.

--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -126,6 +126,10 @@
         };
         run.inherit_open_start(placed.open_start, late_until);
         worker.insert(placed.task, run);
+        // The scheduler after this one would not know the placement as a recent one.
+        if placed.open_start == job::OpenStart::Single {
+            self.record_open_start(worker_index, placed.task);
+        }
     }
 
     fn activate_all(&mut self, now: time::Monotonic) {
