Give ready steps the class of their organisation's rate

Cause: the order of steps has to tell jobs within the rate of their organisation from those beyond it.

Change: ReadyStep::within_rate, true for all jobs so far.

--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -231,6 +231,7 @@
             progress: progress::StepProgress::default(),
             deadlines,
             organisation: job.organisation.clone(),
+            within_rate: true,
         };
         self.steps.insert(id, step);
         self.dirty = true;
--- a/crates/daisymast_scheduler/src/scheduler/order/tests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/order/tests.rs
@@ -51,6 +51,7 @@
             allowance: Duration::from_secs(10),
         },
         organisation: None,
+        within_rate: true,
     }
 }
 
--- a/crates/daisymast_scheduler/src/steps.rs
+++ b/crates/daisymast_scheduler/src/steps.rs
@@ -76,6 +76,8 @@
     pub deadlines: Deadlines,
     /// Organisation that the job belongs to.
     pub organisation: Option<ids::Organisation>,
+    /// Whether the job lies within the rate of its organisation; `true` for a job of none.
+    pub within_rate: bool,
 }
 
 /// Deadlines of a step that follow from the time objective of its job.
