Add decisions on caps and rates of organisations

Cause: the scheduler has to know how many more tasks the cap of an organisation allows, and which of its jobs lie within its rate.

Change: usage::Usage sums what organisations have running and tells the room under a cap; rate::Rates holds a token bucket per organisation and spreads the times to come back of refused callers. Nothing decides by them yet.

--- a/crates/daisymast_organisations/src/lib.rs
+++ b/crates/daisymast_organisations/src/lib.rs
@@ -6,3 +6,5 @@
 pub mod api_key;
 pub mod directory;
 pub mod organisation;
+pub mod rate;
+pub mod usage;
--- a/crates/daisymast_organisations/src/organisation.rs
+++ b/crates/daisymast_organisations/src/organisation.rs
@@ -20,6 +20,32 @@
     pub cap: Cap,
 }
 
+/// Settings of an organisation that its accepted jobs follow. They are kept after a configuration drops
+/// the organisation, and hold no keys.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Terms {
+    /// Name of the organisation.
+    pub name: ids::Organisation,
+    /// Share and rate; see [`Organisation::weight`].
+    pub weight: f64,
+    /// Limit on what its tasks occupy.
+    pub cap: Cap,
+    /// Version of the configuration that the settings come from.
+    pub version: u64,
+}
+
+impl Organisation {
+    /// Returns the settings that jobs accepted under a version of the configuration follow.
+    pub fn terms(&self, version: u64) -> Terms {
+        Terms {
+            name: self.name.clone(),
+            weight: self.weight,
+            cap: self.cap,
+            version,
+        }
+    }
+}
+
 /// Limit on resources; `None` in a field means that there is no limit on it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cap {
