Keep organisations within their caps

Change: each run carries what it counts against the cap of its organisation, and the fleet sums it with the same insertions and removals as the room on workers, so that unanswered starts, stops under way, cut-off workers and runs of a former leader count. A pass leaves out steps whose organisation is at its cap; a step that is wider runs in waves; a gang starts whole within the cap or not at all. A task or gang that the cap can never allow is refused at submission (422). The settings of organisations with jobs are stored, so that jobs of a dropped one go on within its last cap under the next leader. Jobs beyond the rate of their organisation are marked as such at acceptance.

--- a/crates/daisymast_jobs/src/job.rs
+++ b/crates/daisymast_jobs/src/job.rs
@@ -129,6 +129,10 @@
     /// organisations are configured.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub organisation: Option<ids::Organisation>,
+    /// Whether the job came beyond the rate of its organisation. Only set with an organisation, because
+    /// fields are told apart by their position.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub over_rate: bool,
     /// Since when the job has only been kept because a start may be carried out late.
     #[serde(skip)]
     pub kept_since: Option<time::UnixMillis>,
@@ -148,6 +152,7 @@
             start_confirmed: false,
             committed_state: State::Queued,
             organisation: None,
+            over_rate: false,
             kept_since: None,
         };
         if job.spec.schedule.is_none() {
@@ -163,6 +168,13 @@
         self
     }
 
+    /// Records that the job came beyond the rate of its organisation; without effect on a job of none.
+    #[must_use]
+    pub fn over_rate(mut self, over_rate: bool) -> Self {
+        self.over_rate = over_rate && self.organisation.is_some();
+        self
+    }
+
     /// Starts occurrence `number` and all those before it that have not started.
     pub fn start_occurrence(&mut self, number: u32) {
         while self.occurrences.len() <= number as usize {
--- a/crates/daisymast_jobs/src/job_table.rs
+++ b/crates/daisymast_jobs/src/job_table.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use daisymast_organisations::organisation;
 use daisymast_types::collections;
 use daisymast_types::ids;
 use daisymast_types::time;
@@ -26,6 +27,8 @@
     /// Ended jobs, of which only the final state is kept.
     ended: collections::FastMap<spec::JobId, record::Ended>,
     queues: collections::FastMap<ids::QueueName, queue::Queue>,
+    /// Settings of the organisations that jobs belong to.
+    organisations: collections::FastMap<ids::Organisation, organisation::Terms>,
     /// Measured speeds of workers, in thousandths of the speed that declared run times assume.
     speeds: collections::FastMap<ids::WorkerId, u32>,
 }
@@ -66,6 +69,21 @@
         self.queues.insert(queue.name.clone(), queue);
     }
 
+    /// Returns the stored settings of an organisation.
+    pub fn organisation(&self, name: &ids::Organisation) -> Option<&organisation::Terms> {
+        self.organisations.get(name)
+    }
+
+    /// Iterates over the stored settings of the organisations, in no particular order.
+    pub fn organisations(&self) -> impl Iterator<Item = &organisation::Terms> {
+        self.organisations.values()
+    }
+
+    /// Sets the settings of an organisation.
+    pub fn set_organisation(&mut self, terms: organisation::Terms) {
+        self.organisations.insert(terms.name.clone(), terms);
+    }
+
     /// Looks up a job that has not been compacted, for modification.
     pub fn job_mut(&mut self, id: spec::JobId) -> Option<&mut job::Job> {
         self.jobs.get_mut(&id)
@@ -93,7 +111,7 @@
     }
 
     /// Replaces settled jobs by their final state, and drops final states older than
-    /// [`ENDED_RETENTION`].
+    /// [`ENDED_RETENTION`] and the settings of organisations that have no job any more.
     pub fn compact(&mut self, now: time::UnixMillis) {
         let kept = u64::try_from(ENDED_RETENTION.as_millis()).unwrap_or(u64::MAX);
         let ended = &mut self.ended;
@@ -113,6 +131,11 @@
             ended.insert(id, record::Ended { state, at: now });
             false
         });
+        // The settings of an organisation are stored again with its next job.
+        let jobs = self.jobs.values();
+        let owners: collections::FastSet<&ids::Organisation> =
+            jobs.filter_map(|job| job.organisation.as_ref()).collect();
+        self.organisations.retain(|name, _| owners.contains(name));
     }
 
     /// Returns records from which the table can be rebuilt without any earlier record.
@@ -120,6 +143,8 @@
         let mut records = vec![record::Record::Checkpoint];
         let queues = self.queues.values().cloned();
         records.extend(queues.map(|terms| record::Record::Queue { terms }));
+        let organisations = self.organisations.values().cloned();
+        records.extend(organisations.map(|terms| record::Record::Organisation { terms }));
         let speeds = self.speeds.iter();
         records.extend(speeds.map(|(worker, &permille)| record::Record::Speed {
             worker: worker.clone(),
@@ -148,6 +173,7 @@
     pub fn apply(&mut self, record: record::Record) {
         match record {
             record::Record::Queue { terms } => self.set_queue(terms),
+            record::Record::Organisation { terms } => self.set_organisation(terms),
             record::Record::Speed { worker, permille } => self.set_speed(worker, permille),
             record::Record::Accepted {
                 job,
@@ -155,9 +181,12 @@
                 spec,
                 at,
                 organisation,
+                over_rate,
             } => {
                 if !self.ended.contains_key(&job) {
-                    let content = job::Job::new(queue, spec, at).owned_by(organisation);
+                    let content = job::Job::new(queue, spec, at)
+                        .owned_by(organisation)
+                        .over_rate(over_rate);
                     self.insert(job, content);
                 }
             }
--- a/crates/daisymast_jobs/src/record.rs
+++ b/crates/daisymast_jobs/src/record.rs
@@ -1,5 +1,6 @@
 //! Journal records. A record is committed before any action that depends on it (write-ahead log).
 
+use daisymast_organisations::organisation;
 use daisymast_types::ids;
 use daisymast_types::time;
 use serde::{Deserialize, Serialize};
@@ -46,6 +47,9 @@
         /// Organisation that the job belongs to.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         organisation: Option<ids::Organisation>,
+        /// Whether the job came beyond the rate of its organisation. Only set with an organisation.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        over_rate: bool,
     },
     /// Tasks of a step were placed on workers. The start orders are sent after this record is
     /// committed.
@@ -102,6 +106,12 @@
         /// The job and the progress of its tasks.
         content: Box<job::Job>,
     },
+    /// Settings of an organisation. They are kept after the organisation is removed from the
+    /// configuration, since its accepted jobs still have to finish.
+    Organisation {
+        /// The settings.
+        terms: organisation::Terms,
+    },
 }
 
 impl Record {
@@ -109,6 +119,7 @@
     pub fn job(&self) -> Option<spec::JobId> {
         match self {
             Self::Queue { .. }
+            | Self::Organisation { .. }
             | Self::Speed { .. }
             | Self::Checkpoint
             | Self::CheckpointPart
--- a/crates/daisymast_jobs/tests/checkpoint.rs
+++ b/crates/daisymast_jobs/tests/checkpoint.rs
@@ -35,6 +35,7 @@
         },
         at: UnixMillis(5),
         organisation: None,
+        over_rate: false,
     }
 }
 
--- a/crates/daisymast_jobs/tests/replay.rs
+++ b/crates/daisymast_jobs/tests/replay.rs
@@ -18,6 +18,7 @@
         },
         at: UnixMillis(5),
         organisation: None,
+        over_rate: false,
     }
 }
 
--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -7,7 +7,7 @@
 use daisymast_http::server;
 use daisymast_jobs::{job, queue, spec};
 use daisymast_protocol::outcome;
-use daisymast_scheduler::lease;
+use daisymast_scheduler::{action, lease};
 use daisymast_types::ids;
 use serde::Serialize;
 use smol::Timer;
@@ -69,6 +69,11 @@
         .with_retry_after(constants::STORE_RETRY_AFTER_S)
 }
 
+/// Refuses a job that the cap of its organisation can never allow.
+fn refuse_over_cap(over_cap: &action::OverCap) -> server::Response {
+    server::Response::text(422, over_cap.to_string())
+}
+
 fn refuse(reason: &'static str) -> server::Response {
     server::Response::text(503, reason).with_retry_after(constants::RETRY_AFTER_S)
 }
@@ -91,8 +96,10 @@
     Refused,
     /// The request certainly had no effect.
     NoEffect,
-    /// The leader does not know the queue, so the request certainly had no effect.
+    /// The leader does not know the queue or the organisation, so the request certainly had no effect.
     UnknownQueue,
+    /// The cap of the organisation can never allow the job, which certainly never runs.
+    OverCap(action::OverCap),
     /// The request may have taken effect.
     Unknown,
 }
@@ -104,6 +111,7 @@
             Self::Refused => "no_store",
             Self::NoEffect => "no_scheduler",
             Self::UnknownQueue => "unknown_queue",
+            Self::OverCap(_) => "over_cap",
             Self::Unknown => "unknown",
         }
     }
@@ -177,6 +185,7 @@
             refuse_unreachable(context, "no scheduler is reached; the job was not accepted")
         }
         ForwardOutcome::Refused => refuse_store_unavailable(),
+        ForwardOutcome::OverCap(over_cap) => refuse_over_cap(&over_cap),
         ForwardOutcome::Unknown => server::Response::text(504, "the outcome is not known"),
     }
 }
@@ -203,9 +212,10 @@
             server::Response::text(410, "no such job")
         }
         ForwardOutcome::Served(_) => server::Response::new(200, JSON, "{}"),
-        ForwardOutcome::NoEffect | ForwardOutcome::UnknownQueue | ForwardOutcome::Refused => {
-            refuse_unreachable(context, "no scheduler is reached")
-        }
+        ForwardOutcome::NoEffect
+        | ForwardOutcome::UnknownQueue
+        | ForwardOutcome::OverCap(_)
+        | ForwardOutcome::Refused => refuse_unreachable(context, "no scheduler is reached"),
         ForwardOutcome::Unknown => server::Response::text(504, "the outcome is not known"),
     }
 }
@@ -217,6 +227,7 @@
         ForwardOutcome::Served(served) => served,
         ForwardOutcome::NoEffect
         | ForwardOutcome::UnknownQueue
+        | ForwardOutcome::OverCap(_)
         | ForwardOutcome::Refused
         | ForwardOutcome::Unknown => {
             return refuse_unreachable(context, "no scheduler is reached");
@@ -250,8 +261,13 @@
     loop {
         match forward_once(context, request, queue).await {
             ForwardOutcome::Served(served) => return ForwardOutcome::Served(served),
-            ForwardOutcome::Refused if !unknown => return ForwardOutcome::Refused,
-            ForwardOutcome::Refused => return ForwardOutcome::Unknown,
+            refused @ (ForwardOutcome::Refused | ForwardOutcome::OverCap(_)) => {
+                return if unknown {
+                    ForwardOutcome::Unknown
+                } else {
+                    refused
+                };
+            }
             ForwardOutcome::NoEffect | ForwardOutcome::UnknownQueue => {}
             ForwardOutcome::Unknown => unknown = true,
         }
@@ -313,6 +329,7 @@
         peers::Reply::Unavailable => ForwardOutcome::Refused,
         peers::Reply::NotLeader => ForwardOutcome::NoEffect,
         peers::Reply::UnknownQueue => ForwardOutcome::UnknownQueue,
+        peers::Reply::OverCap(over_cap) => ForwardOutcome::OverCap(over_cap),
         peers::Reply::Unknown
         | peers::Reply::Pong(_)
         | peers::Reply::Advice(_)
--- a/crates/daisymast_node/src/leadership/requests.rs
+++ b/crates/daisymast_node/src/leadership/requests.rs
@@ -107,6 +107,7 @@
             Ok(action::Answer::Cancelled) => peers::Reply::Served(peers::Served::Cancelled),
             Ok(action::Answer::Refused) => peers::Reply::Unavailable,
             Ok(action::Answer::UnknownQueue) => peers::Reply::UnknownQueue,
+            Ok(action::Answer::OverCap(over_cap)) => peers::Reply::OverCap(over_cap),
             Ok(action::Answer::NoSuchJob) => peers::Reply::Served(peers::Served::NoSuchJob),
             Err(_) => peers::Reply::Unknown,
         }
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -10,7 +10,7 @@
 use daisymast_jobs::{job, queue, spec};
 use daisymast_protocol::outcome;
 use daisymast_relay::wire;
-use daisymast_scheduler::{config, scheduler};
+use daisymast_scheduler::{action, config, scheduler};
 use daisymast_types::{ids, time};
 use serde::{Deserialize, Serialize};
 
@@ -149,9 +149,11 @@
     NotLeader,
     /// The leader cannot reach the store and did nothing.
     Unavailable,
-    /// The leader does not know the queue and did nothing. The node may have a later configuration,
+    /// The leader does not know the queue or the organisation and did nothing. The node may have a later configuration,
     /// and can send the queue's settings with the job.
     UnknownQueue,
+    /// The cap of the organisation can never allow the job; the leader did nothing.
+    OverCap(action::OverCap),
     /// The node stopped leading before the outcome was known.
     Unknown,
     /// Allowed workers with their tickets, or `None` if the advice service did not answer in time.
--- a/crates/daisymast_scheduler/src/action.rs
+++ b/crates/daisymast_scheduler/src/action.rs
@@ -1,12 +1,16 @@
 //! Actions that the scheduler asks its caller to carry out.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use daisymast_jobs::spec;
+use daisymast_organisations::organisation;
 use daisymast_types::ids;
+use daisymast_types::quantities;
 use daisymast_types::time;
+use serde::{Deserialize, Serialize};
 
 use crate::decision;
 
@@ -34,10 +38,64 @@
     Cancelled,
     /// There is no job with this ID.
     NoSuchJob,
-    /// The job was not accepted and never runs, because the scheduler does not know its queue.
+    /// The job was not accepted and never runs, because the scheduler does not know its queue or
+    /// organisation.
     UnknownQueue,
     /// The job was not accepted and never runs, because the store takes no records at present.
     Refused,
+    /// The job was not accepted and never runs, because the cap of its organisation can never allow it.
+    OverCap(OverCap),
+}
+
+/// A task or gang that is larger than the cap of its organisation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OverCap {
+    /// Size of a task.
+    pub size: quantities::Resources,
+    /// Number of tasks that have to run at the same time: all of a gang, otherwise 1.
+    pub tasks: u32,
+    /// Cap of the organisation.
+    pub cap: organisation::Cap,
+}
+
+impl fmt::Display for OverCap {
+    /// States the need and the cap.
+    ///
+    /// ```
+    /// use daisymast_organisations::organisation;
+    /// use daisymast_scheduler::action;
+    /// use daisymast_types::quantities;
+    /// let over_cap = action::OverCap {
+    ///     size: quantities::Resources::new(18_000, 1_024, 0),
+    ///     tasks: 20,
+    ///     cap: organisation::Cap { millicores: Some(320_000), ..organisation::Cap::default() },
+    /// };
+    /// assert_eq!(
+    ///     over_cap.to_string(),
+    ///     "the job needs 20 x (18 cores, 1024 MB, 0 GPUs) at once, more than the organisation's cap of \
+    ///      320 cores; it was not accepted"
+    /// );
+    /// ```
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let cores = |millicores: u32| f64::from(millicores) / 1_000.0;
+        let Self { size, tasks, cap } = self;
+        let limits = [
+            cap.millicores
+                .map(|limit| format!("{} cores", cores(limit))),
+            cap.memory_mib.map(|limit| format!("{limit} MB")),
+            cap.accelerators.map(|limit| format!("{limit} GPUs")),
+        ];
+        let limits: Vec<String> = limits.into_iter().flatten().collect();
+        write!(
+            f,
+            "the job needs {tasks} x ({} cores, {} MB, {} GPUs) at once, more than the organisation's cap \
+             of {}; it was not accepted",
+            cores(size.millicores),
+            size.memory_mib,
+            size.accelerators,
+            limits.join(", ")
+        )
+    }
 }
 
 /// Request to start a task.
--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -140,3 +140,6 @@
 pub const URGENT_RESERVE_PERMILLE: u32 = 250;
 /// Time within which a live worker registers again after an outage of the store.
 pub const REREGISTRATION_TIMEOUT: Duration = Duration::from_millis(2_300);
+/// An organisation counts as at its cap until the cap has kept none of its steps from starting for this
+/// long. Shorter gaps between the ends and starts of its tasks would fill the log.
+pub const CAP_LEFT_AFTER: Duration = Duration::from_secs(5);
--- a/crates/daisymast_scheduler/src/decision.rs
+++ b/crates/daisymast_scheduler/src/decision.rs
@@ -1,7 +1,9 @@
 //! Scheduling decisions, as they are written to the structured log.
 
 use daisymast_jobs::spec;
+use daisymast_organisations::organisation;
 use daisymast_types::ids;
+use daisymast_types::quantities;
 use serde::{Serialize, Serializer};
 
 use crate::report;
@@ -171,6 +173,18 @@
         /// Number of consecutive failures.
         strikes: u32,
     },
+    /// An organisation has reached its cap, so that steps of it wait, or none has waited for it for a
+    /// while.
+    Cap {
+        /// The organisation.
+        organisation: ids::Organisation,
+        /// Whether the cap was reached, and not left.
+        reached: bool,
+        /// What its tasks occupy on all workers.
+        usage: quantities::Resources,
+        /// The cap.
+        cap: organisation::Cap,
+    },
 }
 
 fn text<S: Serializer>(job: &spec::JobId, serializer: S) -> Result<S::Ok, S::Error> {
--- a/crates/daisymast_scheduler/src/run.rs
+++ b/crates/daisymast_scheduler/src/run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use daisymast_jobs::job;
+use daisymast_types::ids;
 use daisymast_types::quantities;
 use daisymast_types::time;
 
@@ -44,6 +45,27 @@
     pub incarnation: u32,
 }
 
+/// What a run counts against the cap of an organisation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Charge {
+    /// Organisation that the job of the run belongs to.
+    pub organisation: ids::Organisation,
+    /// Declared size of the task. Tasks that only use processors left idle by others count whole: what
+    /// they use is running all the same.
+    pub size: quantities::Resources,
+}
+
+impl Charge {
+    /// Returns what a task of a step counts, `None` if its job belongs to no organisation.
+    pub fn of(job: &job::Job, step: u16) -> Option<Self> {
+        let step = job.spec.steps.get(usize::from(step))?;
+        Some(Self {
+            organisation: job.organisation.clone()?,
+            size: step.size,
+        })
+    }
+}
+
 /// A run that is assigned to a worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -51,6 +73,8 @@
     pub run: u32,
     /// Resources that the run occupies.
     pub size: quantities::Resources,
+    /// What the run counts against the cap of an organisation.
+    pub charge: Option<Charge>,
     /// State of the run.
     pub state: RunState,
     /// When the run was placed.
@@ -99,6 +123,7 @@
         Self {
             run,
             size,
+            charge: None,
             state: RunState::Journaling,
             placed_at: now,
             send_count: 0,
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -34,6 +34,7 @@
 mod late_starts;
 mod order;
 mod orders;
+mod organisations;
 mod placement;
 mod polls;
 mod queues;
@@ -83,6 +84,7 @@
     /// Jobs with occurrences that have not started yet.
     recurring: Vec<spec::JobId>,
     failing_jobs: failing_jobs::FailingJobs,
+    organisations: organisations::Organisations,
     /// Jobs with ready steps that cannot start, because their queue is unknown.
     without_queue: Vec<spec::JobId>,
     advice_nodes: advice_nodes::AdviceNodes,
@@ -231,7 +233,7 @@
             progress: progress::StepProgress::default(),
             deadlines,
             organisation: job.organisation.clone(),
-            within_rate: true,
+            within_rate: !job.over_rate,
         };
         self.steps.insert(id, step);
         self.dirty = true;
--- a/crates/daisymast_scheduler/src/scheduler/advice.rs
+++ b/crates/daisymast_scheduler/src/scheduler/advice.rs
@@ -51,6 +51,7 @@
     pub(super) fn request_advice_if_needed(
         &mut self,
         id: spec::StepId,
+        needed: u32,
         candidates: &[placement::Candidate],
         pass: &mut dispatch::Pass,
     ) {
@@ -64,7 +65,7 @@
         let workers = if step.step_spec().gang {
             self.gang_workers_to_ask_about(step, candidates, pass)
         } else {
-            self.workers_to_ask_about(step, candidates, now)
+            self.workers_to_ask_about(step, needed, candidates, now)
         };
         if workers.is_empty() {
             // The search for a gang's workers reads the whole fleet, so it is not repeated in each
@@ -123,10 +124,11 @@
     fn workers_to_ask_about(
         &self,
         step: &steps::ReadyStep,
+        needed: u32,
         candidates: &[placement::Candidate],
         now: time::Monotonic,
     ) -> Vec<usize> {
-        let needed = step.waiting.len() as f64 * REQUEST_HEADROOM_FACTOR;
+        let needed = f64::from(needed) * REQUEST_HEADROOM_FACTOR;
         let share = self.expected_share(step);
         let mut candidates = candidates.to_vec();
         let mut min_workers = MIN_UNKNOWN_WORKERS;
--- a/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
@@ -46,7 +46,8 @@
 
 impl Scheduler {
     /// Accepts a job, and answers once it is stored. A repeated ID names the same job. A job on an
-    /// unknown queue is not accepted; see [`add_queue`](Self::add_queue).
+    /// unknown queue is not accepted; see [`add_queue`](Self::add_queue). Neither is one of an unknown
+    /// organisation, whose cap is not known, or one that the cap can never allow.
     pub fn submit(&mut self, token: u64, submission: Submission, now: time::Timestamp) {
         let Submission {
             job: id,
@@ -56,18 +57,22 @@
         } = submission;
         self.wall = now.wall;
         if self.job_table.committed_state(id).is_none() {
-            if self.queue(&queue).is_none() {
-                let answer = action::Answer::UnknownQueue;
+            if let Some(answer) = self.refusal(&queue, organisation.as_ref(), &spec) {
                 self.actions.push(action::Action::Answer { token, answer });
                 return;
             }
             self.store_configured_queue(&queue);
+            if let Some(organisation) = &organisation {
+                self.store_organisation(organisation);
+            }
+            let over_rate = self.take_rate(organisation.as_ref(), now.mono);
             self.journal.append(record::Record::Accepted {
                 job: id,
                 queue: queue.clone(),
                 spec: spec.clone(),
                 at: now.wall,
                 organisation: organisation.clone(),
+                over_rate,
             });
             let allowance_ms = self
                 .queue(&queue)
@@ -78,7 +83,9 @@
                 version: self.config.version,
                 allowance_ms,
             });
-            let job = job::Job::new(queue, spec, now.wall).owned_by(organisation);
+            let job = job::Job::new(queue, spec, now.wall)
+                .owned_by(organisation)
+                .over_rate(over_rate);
             if job.spec.schedule.is_some() {
                 self.recurring.push(id);
             }
@@ -93,6 +100,20 @@
         self.after_commit(answer, now.mono);
     }
 
+    /// Returns why a job is not accepted, `None` if it is.
+    fn refusal(
+        &self,
+        queue: &ids::QueueName,
+        organisation: Option<&ids::Organisation>,
+        spec: &spec::JobSpec,
+    ) -> Option<action::Answer> {
+        let is_known = organisation.is_none_or(|name| self.terms(name).is_some());
+        if self.queue(queue).is_none() || !is_known {
+            return Some(action::Answer::UnknownQueue);
+        }
+        self.over_cap(organisation, spec)
+    }
+
     /// Handles a store that takes no records. Jobs whose acceptance was certainly not stored are
     /// removed, and their callers are told at once that they were refused. `batch_failed` says that
     /// the batch in flight had no effect, so that its records are written again.
@@ -103,7 +124,7 @@
         let (jobs, tokens) = self.journal.remove_unstored_jobs();
         for id in jobs {
             for (worker_index, task) in self.placed_tasks(id) {
-                self.fleet.at_mut(worker_index).remove(task);
+                self.fleet.unassign(worker_index, task);
             }
             self.steps.retain(|step, _| step.job != id);
             self.recurring.retain(|&job| job != id);
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -36,8 +36,9 @@
             reserving_gangs: 0,
             open_requests: collections::FastMap::default(),
         };
-        let order = order::waiting_steps(&self.steps, pass.snapshot.rows.len(), now);
+        let mut order = order::waiting_steps(&self.steps, pass.snapshot.rows.len(), now);
         let steps = order.len();
+        self.remove_over_cap(&mut order, now);
         for request in self.advice_requests.values() {
             *pass.open_requests.entry(request.queue.clone()).or_default() += 1;
         }
@@ -65,13 +66,19 @@
         let Some(step) = self.steps.get(&id) else {
             return;
         };
+        // Steps that were placed before in this pass may have used up the cap of the organisation.
+        if !self.fits_cap(step) {
+            return;
+        }
         let may_request = self.may_request_advice(step, pass);
         let candidates = if step.advice.is_some() && !may_request {
             self.candidates_with_ticket(step, &pass.snapshot, pass.now)
         } else {
             self.candidates(step, &pass.snapshot)
         };
-        let needed = u32::try_from(step.waiting.len()).unwrap_or(u32::MAX);
+        let waiting = u32::try_from(step.waiting.len()).unwrap_or(u32::MAX);
+        // A step that is wider than the cap allows runs in waves.
+        let needed = waiting.min(self.cap_room(step));
         let step_spec = step.step_spec();
         if step_spec.gang && needed < step_spec.tasks {
             return;
@@ -93,7 +100,7 @@
             self.reserve_for_gang(id, pass);
         }
         if may_request {
-            self.request_advice_if_needed(id, &candidates, pass);
+            self.request_advice_if_needed(id, needed, &candidates, pass);
         }
     }
 
@@ -165,6 +172,7 @@
             .iter()
             .filter_map(|&task_index| job.task(id.task(task_index)));
         let run = runs.map(|task| task.run).max().unwrap_or(0) + 1;
+        let charge = run::Charge::of(job, id.step);
         let is_first_placement = !job.started;
         let slack_ms = if is_late(step, now) {
             -signed(lease::millis(now - step.deadlines.latest_start))
@@ -179,7 +187,7 @@
         for (&task_index, &worker_index) in task_indexes.iter().zip(&worker_indexes) {
             let ticket = step.ticket(worker_index, now);
             *step.placed.entry(worker_index).or_default() += 1;
-            let worker = self.fleet.at_mut(worker_index);
+            let worker = self.fleet.at(worker_index);
             let repeats_failure =
                 is_lasting && (fails_everywhere || worker.health.has_failed(id.job));
             pass.snapshot.take(worker_index, size, repeats_failure);
@@ -187,7 +195,8 @@
             let mut placed = run::Run::new(run, size, now);
             placed.ticket = ticket;
             placed.repeats_failure = repeats_failure;
-            worker.insert(id.task(task_index), placed);
+            placed.charge.clone_from(&charge);
+            self.fleet.assign(worker_index, id.task(task_index), placed);
         }
         if let Some((_, worker)) = placements.first() {
             let placed = decision::Decision::Placed {
--- a/crates/daisymast_scheduler/src/scheduler/late_starts.rs
+++ b/crates/daisymast_scheduler/src/scheduler/late_starts.rs
@@ -182,7 +182,7 @@
     /// Keeps the room of a run on its worker, as a start of it may still be carried out late.
     pub(super) fn keep_room(&mut self, worker_index: usize, task: spec::TaskId, mut run: run::Run) {
         run.state = run::RunState::Unsettled;
-        self.fleet.at_mut(worker_index).insert(task, run);
+        self.fleet.assign(worker_index, task, run);
     }
 
     /// Leaves a task with the worker of its last run, of which a start may still be carried out late.
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -107,7 +107,7 @@
         task: spec::TaskId,
         now: time::Monotonic,
     ) {
-        if let Some(run) = self.fleet.at_mut(worker_index).remove(task) {
+        if let Some(run) = self.fleet.unassign(worker_index, task) {
             self.remove_placed(worker_index, task, run.run);
             self.requeue(worker_index, task, run, now);
         }
--- /dev/null
+++ b/crates/daisymast_scheduler/src/scheduler/organisations.rs
@@ -0,0 +1,189 @@
+//! Caps and rates of the organisations that jobs belong to.
+
+use daisymast_jobs::record;
+use daisymast_jobs::spec;
+use daisymast_organisations::organisation;
+use daisymast_organisations::rate;
+use daisymast_organisations::usage;
+use daisymast_types::collections;
+use daisymast_types::ids;
+use daisymast_types::quantities;
+use daisymast_types::time;
+
+use super::Scheduler;
+use crate::action;
+use crate::constants;
+use crate::decision;
+use crate::steps;
+
+/// Settings of the organisations, and what is known of them besides their running tasks.
+#[derive(Debug, Default)]
+pub(super) struct Organisations {
+    /// Settings in force, of all organisations that are configured or have jobs.
+    terms: collections::FastMap<ids::Organisation, organisation::Terms>,
+    rates: rate::Rates,
+    /// Organisations that are at their cap, and when this last kept a step from starting.
+    at_cap: collections::FastMap<ids::Organisation, time::Monotonic>,
+}
+
+impl Scheduler {
+    /// Returns what the tasks of an organisation occupy on all workers.
+    pub fn usage(&self, organisation: &ids::Organisation) -> quantities::Resources {
+        self.fleet.usage().of(organisation)
+    }
+
+    /// Returns the settings of an organisation that are in force: the configured ones, or the stored
+    /// ones if the configuration has dropped it or is older than they are.
+    pub fn terms(&self, organisation: &ids::Organisation) -> Option<&organisation::Terms> {
+        self.organisations.terms.get(organisation)
+    }
+
+    /// Puts the configured settings of the organisations in force, and stores those of organisations
+    /// that have jobs.
+    pub(super) fn update_organisations(&mut self) {
+        let stored = self.job_table.organisations();
+        let mut terms: collections::FastMap<_, organisation::Terms> = stored
+            .map(|terms| (terms.name.clone(), terms.clone()))
+            .collect();
+        let version = self.config.version;
+        for configured in self.config.organisations.iter().flatten() {
+            let is_later = |stored: &organisation::Terms| stored.version <= version;
+            if terms.get(&configured.name).is_none_or(is_later) {
+                terms.insert(configured.name.clone(), configured.terms(version));
+            }
+        }
+        let names: Vec<ids::Organisation> = terms.keys().cloned().collect();
+        self.organisations
+            .rates
+            .retain(|name| terms.contains_key(name));
+        self.organisations.terms = terms;
+        for name in names {
+            if self.job_table.organisation(&name).is_some() {
+                self.store_organisation(&name);
+            }
+        }
+    }
+
+    /// Stores the settings of an organisation that are in force, unless they are stored already. Once a
+    /// later configuration drops it, its open jobs still run within its last cap.
+    pub(super) fn store_organisation(&mut self, name: &ids::Organisation) {
+        let Some(terms) = self.organisations.terms.get(name) else {
+            return;
+        };
+        if self.job_table.organisation(name) != Some(terms) {
+            let terms = terms.clone();
+            self.job_table.set_organisation(terms.clone());
+            self.journal.append(record::Record::Organisation { terms });
+        }
+    }
+
+    /// Returns how many more tasks of a step the cap of its organisation allows. None may start while
+    /// the cap is not known.
+    pub(super) fn cap_room(&self, step: &steps::ReadyStep) -> u32 {
+        let Some(organisation) = &step.organisation else {
+            return u32::MAX;
+        };
+        let Some(terms) = self.terms(organisation) else {
+            return 0;
+        };
+        let usage = self.fleet.usage();
+        usage.room(organisation, terms.cap, step.step_spec().size)
+    }
+
+    /// Whether the cap of the step's organisation allows a task of it to start, or the whole gang.
+    pub(super) fn fits_cap(&self, step: &steps::ReadyStep) -> bool {
+        let step_spec = step.step_spec();
+        let needed = if step_spec.gang { step_spec.tasks } else { 1 };
+        self.cap_room(step) >= needed
+    }
+
+    /// Removes the steps that cannot start because their organisation is at its cap, so that they take
+    /// neither time in the pass nor room or advice from others.
+    pub(super) fn remove_over_cap(&mut self, order: &mut Vec<spec::StepId>, now: time::Monotonic) {
+        if self.organisations.terms.is_empty() {
+            return;
+        }
+        let mut over_cap: Vec<ids::Organisation> = Vec::new();
+        order.retain(|id| {
+            let Some(step) = self.steps.get(id) else {
+                return false;
+            };
+            let fits = self.fits_cap(step);
+            if let Some(organisation) = step.organisation.as_ref().filter(|_| !fits)
+                && !over_cap.contains(organisation)
+            {
+                over_cap.push(organisation.clone());
+            }
+            fits
+        });
+        self.note_caps(over_cap, now);
+    }
+
+    /// Logs which organisations have reached or left their cap.
+    fn note_caps(&mut self, over_cap: Vec<ids::Organisation>, now: time::Monotonic) {
+        for name in over_cap {
+            if self
+                .organisations
+                .at_cap
+                .insert(name.clone(), now)
+                .is_none()
+            {
+                self.log_cap(name, true);
+            }
+        }
+        let is_left = |at: time::Monotonic| now - at >= constants::CAP_LEFT_AFTER;
+        let left = self.organisations.at_cap.iter();
+        let left: Vec<ids::Organisation> = left
+            .filter(|&(_, &at)| is_left(at))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in left {
+            self.organisations.at_cap.remove(&name);
+            self.log_cap(name, false);
+        }
+    }
+
+    fn log_cap(&mut self, organisation: ids::Organisation, reached: bool) {
+        let usage = self.usage(&organisation);
+        let cap = self.terms(&organisation).map(|terms| terms.cap);
+        self.log(decision::Decision::Cap {
+            organisation,
+            reached,
+            usage,
+            cap: cap.unwrap_or_default(),
+        });
+    }
+
+    /// Returns the answer to a submission that the cap of its organisation can never allow: a task or a
+    /// gang is larger than the cap.
+    pub(super) fn over_cap(
+        &self,
+        organisation: Option<&ids::Organisation>,
+        spec: &spec::JobSpec,
+    ) -> Option<action::Answer> {
+        let cap = self.terms(organisation?)?.cap;
+        let none = quantities::Resources::ZERO;
+        let too_large = spec.steps.iter().find(|step| {
+            let needed = if step.gang { step.tasks } else { 1 };
+            usage::tasks_within(cap, none, step.size) < needed
+        })?;
+        Some(action::Answer::OverCap(action::OverCap {
+            size: too_large.size,
+            tasks: if too_large.gang { too_large.tasks } else { 1 },
+            cap,
+        }))
+    }
+
+    /// Counts a job of an organisation. Returns whether it lies beyond the organisation's rate.
+    pub(super) fn take_rate(
+        &mut self,
+        organisation: Option<&ids::Organisation>,
+        now: time::Monotonic,
+    ) -> bool {
+        let Some(terms) = organisation.and_then(|name| self.organisations.terms.get(name)) else {
+            return false;
+        };
+        let rates = &mut self.organisations.rates;
+        !rates.take(&terms.name, terms.weight, now)
+    }
+}
--- a/crates/daisymast_scheduler/src/scheduler/queues.rs
+++ b/crates/daisymast_scheduler/src/scheduler/queues.rs
@@ -21,6 +21,7 @@
         self.config = config;
         self.dirty = true;
         self.store_known_queues();
+        self.update_organisations();
         self.update_steps();
         for id in std::mem::take(&mut self.without_queue) {
             self.activate_started(id, now);
--- a/crates/daisymast_scheduler/src/scheduler/reports.rs
+++ b/crates/daisymast_scheduler/src/scheduler/reports.rs
@@ -230,15 +230,15 @@
         run: u32,
         now: time::Monotonic,
     ) {
-        let size = self
-            .job_table
-            .job(task.step.job)
+        let job = self.job_table.job(task.step.job);
+        let size = job
             .and_then(|job| job.step(task.step))
             .map_or(self.fleet.at(worker_index).capacity(), steps::task_size);
         let mut stray = run::Run::new(run, size, now);
+        stray.charge = job.and_then(|job| run::Charge::of(job, task.step.step));
         stray.state = run::RunState::Stopping { accepted_at: None };
-        let worker = self.fleet.at_mut(worker_index);
-        worker.insert(task, stray);
+        self.fleet.assign(worker_index, task, stray);
+        let worker = self.fleet.at(worker_index);
         let stopping = decision::Decision::Stopping {
             job: task.step.job,
             step: task.step.step,
--- a/crates/daisymast_scheduler/src/scheduler/run_ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/run_ends.rs
@@ -34,9 +34,10 @@
             self.withhold_former_ack(worker_index, ended.task, ended.number, now);
             return;
         }
-        let Some(mut run) = worker.remove(ended.task) else {
+        let Some(mut run) = self.fleet.unassign(worker_index, ended.task) else {
             return;
         };
+        let worker = self.fleet.at_mut(worker_index);
         run.on_reported();
         run.closed_in = Some(incarnation);
         let counts = matches!(ended.end, report::End::Done | report::End::Failed);
--- a/crates/daisymast_scheduler/src/scheduler/startup.rs
+++ b/crates/daisymast_scheduler/src/scheduler/startup.rs
@@ -9,6 +9,7 @@
 use daisymast_types::ids;
 use daisymast_types::time;
 
+use super::organisations;
 use super::{Scheduler, Term};
 use crate::advice_nodes;
 use crate::config;
@@ -28,6 +29,7 @@
     size: daisymast_types::quantities::Resources,
     is_final: bool,
     open_start: job::OpenStart,
+    charge: Option<run::Charge>,
 }
 
 impl Scheduler {
@@ -53,6 +55,7 @@
             steps: collections::FastMap::default(),
             recurring: Vec::new(),
             failing_jobs: failing_jobs::FailingJobs::default(),
+            organisations: organisations::Organisations::default(),
             without_queue: Vec::new(),
             advice_nodes: advice_nodes::AdviceNodes::default(),
             advice_requests: collections::FastMap::default(),
@@ -68,6 +71,7 @@
             scheduler.insert_inherited_run(placed, former_lease_end, now.mono);
         }
         scheduler.store_known_queues();
+        scheduler.update_organisations();
         scheduler.activate_all(now.mono);
         scheduler
     }
@@ -93,6 +97,7 @@
                                 run: task.run,
                                 worker: worker.clone(),
                                 size: steps::task_size(step_spec),
+                                charge: run::Charge::of(job, step.step),
                                 is_final: job.state().is_final(),
                                 open_start: if has_tickets {
                                     job::OpenStart::No
@@ -125,7 +130,8 @@
             run::RunState::Inherited
         };
         run.inherit_open_start(placed.open_start, late_until);
-        worker.insert(placed.task, run);
+        run.charge = placed.charge;
+        self.fleet.assign(worker_index, placed.task, run);
     }
 
     fn activate_all(&mut self, now: time::Monotonic) {
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -201,16 +201,20 @@
             })
     }
 
-    /// Assigns a run to the worker, in place of an earlier run of the same task.
-    pub fn insert(&mut self, task: spec::TaskId, run: run::Run) {
+    /// Assigns a run to the worker. Returns the earlier run of the same task that it replaces. To be
+    /// called by [`Fleet::assign`](crate::fleet::Fleet::assign), which also counts the run against the
+    /// cap of its organisation.
+    #[must_use]
+    pub(crate) fn insert_run(&mut self, task: spec::TaskId, run: run::Run) -> Option<run::Run> {
         self.used += run.size;
-        if let Some(former) = self.runs.insert(task, run) {
-            self.used = self.used.saturating_sub(former.size);
-        }
+        let former = self.runs.insert(task, run)?;
+        self.used = self.used.saturating_sub(former.size);
+        Some(former)
     }
 
-    /// Removes the run of a task and frees its resources.
-    pub fn remove(&mut self, task: spec::TaskId) -> Option<run::Run> {
+    /// Removes the run of a task and frees its resources. To be called by
+    /// [`Fleet::unassign`](crate::fleet::Fleet::unassign).
+    pub(crate) fn remove_run(&mut self, task: spec::TaskId) -> Option<run::Run> {
         let run = self.runs.remove(&task)?;
         self.used = self.used.saturating_sub(run.size);
         Some(run)
--- a/crates/daisymast_scheduler/tests/common/workers.rs
+++ b/crates/daisymast_scheduler/tests/common/workers.rs
@@ -196,6 +196,7 @@
             self.work_ms[&(task.step.job, task.step.step)] * 100 / self.workers[number].speed;
         let fails = self.failing_jobs.contains(&task.step.job);
         self.check_start(number, task, &start.spec);
+        self.check_cap(task, size);
         let worker = &mut self.workers[number];
         let fails = fails || worker.fails_all_tasks;
         let ends_at = if worker.hangs {
--- a/crates/daisymast_scheduler/tests/journal.rs
+++ b/crates/daisymast_scheduler/tests/journal.rs
@@ -13,6 +13,7 @@
         spec: JobSpec::default(),
         at: UnixMillis(0),
         organisation: None,
+        over_rate: false,
     }
 }
 
--- a/crates/daisymast_scheduler/tests/queues.rs
+++ b/crates/daisymast_scheduler/tests/queues.rs
@@ -82,6 +82,7 @@
         spec: job(steps),
         at: timestamp(rig.now).wall,
         organisation: None,
+        over_rate: false,
     });
     rig.take_over();
     rig.run_ms(1_000);
