--- a/crates/daisymast_node/src/lib.rs
+++ b/crates/daisymast_node/src/lib.rs
@@ -1,10 +1,12 @@
 //! Node daemon: accepts requests of callers and, if elected, runs the scheduler.
 
 pub mod api;
+pub mod authentication;
 pub mod batch;
 pub mod clock;
 pub mod commit_timeout;
 pub mod configuration;
+pub mod confirmation;
 pub mod constants;
 pub mod context;
 pub mod follower;
