--- a/crates/daisymast_organisations/src/lib.rs
+++ b/crates/daisymast_organisations/src/lib.rs
@@ -9,3 +9,5 @@
 pub mod directory;
 pub mod freshness;
 pub mod organisation;
+pub mod rate;
+pub mod usage;
