Show and cancel a job only for callers of its organisation

Cause: any caller with a valid key could see and cancel the jobs of all organisations, and a submission under a used ID was answered as accepted.

Change: State and Cancel carry for whom the caller acts. A job of another organisation gets the answer for an unknown job (410), and a submission under its ID gets 409 without effect. The organisation of an ended job is kept with its final state. Messages and records without organisations keep their bytes.

--- a/crates/daisymast_jobs/src/job_table.rs
+++ b/crates/daisymast_jobs/src/job_table.rs
@@ -19,12 +19,15 @@
 /// the last order of this one, which may act for 7 s more.
 pub const LATE_START_RETENTION: Duration = Duration::from_secs(20);
 
+/// What is kept of an ended job, and the organisation that it belongs to.
+type EndedJob = (record::Ended, Option<ids::Organisation>);
+
 /// Table of all known jobs, plus the queue settings and worker speeds that the journal records.
 #[derive(Clone, Debug, Default)]
 pub struct JobTable {
     jobs: collections::FastMap<spec::JobId, job::Job>,
-    /// Ended jobs, of which only the final state is kept.
-    ended: collections::FastMap<spec::JobId, record::Ended>,
+    /// Ended jobs, of which only the final state and the organisation are kept.
+    ended: collections::FastMap<spec::JobId, EndedJob>,
     queues: collections::FastMap<ids::QueueName, queue::Queue>,
     /// Measured speeds of workers, in thousandths of the speed that declared run times assume.
     speeds: collections::FastMap<ids::WorkerId, u32>,
@@ -39,13 +42,21 @@
     /// Returns the state of a job that committed journal records support and that callers may be
     /// told.
     pub fn committed_state(&self, id: spec::JobId) -> Option<job::State> {
-        let ended = || self.ended.get(&id).map(|ended| ended.state);
+        let ended = || self.ended.get(&id).map(|(ended, _)| ended.state);
         self.jobs
             .get(&id)
             .map(|job| job.committed_state)
             .or_else(ended)
     }
 
+    /// Returns the organisation that a job belongs to, `None` if it belongs to none or is unknown.
+    pub fn organisation(&self, id: spec::JobId) -> Option<&ids::Organisation> {
+        match self.jobs.get(&id) {
+            Some(job) => job.organisation.as_ref(),
+            None => self.ended.get(&id)?.1.as_ref(),
+        }
+    }
+
     /// Returns the settings of a queue as of its last accepted job.
     pub fn queue(&self, name: &ids::QueueName) -> Option<&queue::Queue> {
         self.queues.get(name)
@@ -97,7 +108,7 @@
     pub fn compact(&mut self, now: time::UnixMillis) {
         let kept = u64::try_from(ENDED_RETENTION.as_millis()).unwrap_or(u64::MAX);
         let ended = &mut self.ended;
-        ended.retain(|_, ended| now.0.saturating_sub(ended.at.0) <= kept);
+        ended.retain(|_, (ended, _)| now.0.saturating_sub(ended.at.0) <= kept);
         self.jobs.retain(|&id, job| {
             if !job.is_settled() {
                 return true;
@@ -110,7 +121,8 @@
                 }
             }
             let state = job.committed_state;
-            ended.insert(id, record::Ended { state, at: now });
+            let kept = record::Ended { state, at: now };
+            ended.insert(id, (kept, job.organisation.take()));
             false
         });
     }
@@ -125,13 +137,18 @@
             worker: worker.clone(),
             permille,
         }));
-        let mut groups: collections::FastMap<record::Ended, Vec<spec::JobId>> =
+        let mut groups: collections::FastMap<&EndedJob, Vec<spec::JobId>> =
             collections::FastMap::default();
-        for (&job, &ended) in &self.ended {
+        for (&job, ended) in &self.ended {
             groups.entry(ended).or_default().push(job);
         }
-        let groups = groups.into_iter();
-        records.extend(groups.map(|(ended, jobs)| record::Record::Ended { ended, jobs }));
+        records.extend(groups.into_iter().map(|((ended, organisation), jobs)| {
+            record::Record::Ended {
+                ended: *ended,
+                jobs,
+                organisation: organisation.clone(),
+            }
+        }));
         for (&job, content) in &self.jobs {
             let restored = record::Record::Restored {
                 job,
@@ -185,8 +202,14 @@
             }
             record::Record::Checkpoint => *self = Self::default(),
             record::Record::CheckpointPart => {}
-            record::Record::Ended { ended, jobs } => {
-                self.ended.extend(jobs.into_iter().map(|job| (job, ended)));
+            record::Record::Ended {
+                ended,
+                jobs,
+                organisation,
+            } => {
+                let ended = (ended, organisation);
+                self.ended
+                    .extend(jobs.into_iter().map(|job| (job, ended.clone())));
             }
             record::Record::Restored { job, content } => {
                 self.jobs.insert(job, *content);
--- a/crates/daisymast_jobs/src/record.rs
+++ b/crates/daisymast_jobs/src/record.rs
@@ -94,6 +94,9 @@
         ended: Ended,
         /// Ids of the jobs.
         jobs: Vec<spec::JobId>,
+        /// Organisation that the jobs belong to.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        organisation: Option<ids::Organisation>,
     },
     /// Complete state of a job at a checkpoint.
     Restored {
--- a/crates/daisymast_jobs/tests/checkpoint.rs
+++ b/crates/daisymast_jobs/tests/checkpoint.rs
@@ -124,6 +124,30 @@
     assert_eq!(gone.committed_state(job), None);
 }
 
+/// Guards against another organisation that learns of an ended job after a checkpoint, and against
+/// records of jobs without organisation that an earlier release cannot read.
+#[test]
+fn the_organisation_of_an_ended_job_is_kept() {
+    let ended = |organisation: Option<&str>| {
+        let mut record = accepted(JobId(1), 1);
+        if let Record::Accepted {
+            organisation: owner,
+            ..
+        } = &mut record
+        {
+            *owner = organisation.map(Into::into);
+        }
+        let mut job_table = job_table(vec![record, Record::Cancelled { job: JobId(1) }]);
+        let replayed = replay_checkpoint(&mut job_table, NOW);
+        assert!(replayed.job(JobId(1)).is_none(), "only its end is kept");
+        let bytes = record::encode(&job_table.checkpoint()).expect("valid checkpoint");
+        (replayed.organisation(JobId(1)).cloned(), bytes.len())
+    };
+    let (owner, bytes) = ended(Some("parts"));
+    assert_eq!(owner, Some("parts".into()));
+    assert_eq!(ended(None), (None, bytes - "parts".len() - 1));
+}
+
 /// Guards against losing track of a run that may still occupy resources on a worker.
 #[test]
 fn ended_job_with_a_placed_task_is_not_compacted() {
--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -6,6 +6,7 @@
 use daisymast_adapter::callers;
 use daisymast_http::server;
 use daisymast_jobs::{job, queue, spec};
+use daisymast_organisations::access;
 use daisymast_protocol::outcome;
 use daisymast_scheduler::lease;
 use daisymast_types::ids;
@@ -26,7 +27,7 @@
         Ok(checked) => checked,
         Err(refusal) => return refusal,
     };
-    let organisation = checked.organisation;
+    let caller = checked.caller;
     let host = request.header("host").unwrap_or_default();
     let queue = checked.config.route(host, &request.path);
     let rest = queue.map(|queue| &request.path[queue.prefix.len()..]);
@@ -36,7 +37,7 @@
                 return server::Response::text(400, "the job id needs 16 hexadecimal digits");
             };
             match callers::parse_submission(&request.body) {
-                Ok(spec) => submit(&context, job, queue, spec, organisation).await,
+                Ok(spec) => submit(&context, job, queue, spec, &caller).await,
                 Err(error) => server::Response::text(400, error.to_string()),
             }
         }
@@ -47,11 +48,11 @@
         // Jobs of a queue that was removed from the configuration remain readable under their old
         // path.
         ("GET", ..) => match job_id_of_path(&request.path) {
-            Some(job) => read(&context, peers::Request::State { job }).await,
+            Some(job) => read(&context, peers::Request::State { job, caller }).await,
             None => not_found(),
         },
         ("DELETE", ..) => match job_id_of_path(&request.path) {
-            Some(job) => cancel(&context, job).await,
+            Some(job) => cancel(&context, job, caller).await,
             None => not_found(),
         },
         (_, None, _) => not_found(),
@@ -159,14 +160,14 @@
     job: spec::JobId,
     queue: &queue::Queue,
     spec: spec::JobSpec,
-    organisation: Option<ids::Organisation>,
+    caller: &access::Caller,
 ) -> server::Response {
     let request = peers::Request::Submit {
         job,
         queue: queue.name.clone(),
         spec,
         terms: None,
-        organisation,
+        organisation: caller.organisation().cloned(),
     };
     let started = Instant::now();
     let forwarded = forward(context, &request, Some(queue), leader_wait(context)).await;
@@ -176,6 +177,9 @@
         log_unserved(context, "submit", job, &forwarded, started.elapsed());
     }
     match forwarded {
+        ForwardOutcome::Served(peers::Served::IdTaken) => {
+            server::Response::text(409, "the job id is not available")
+        }
         ForwardOutcome::Served(_) => server::Response::new(200, JSON, "{}"),
         ForwardOutcome::NoEffect | ForwardOutcome::UnknownQueue => {
             refuse_unreachable(context, "no scheduler is reached; the job was not accepted")
@@ -194,8 +198,12 @@
     constants::LEADER_WAIT.saturating_sub(time_since_contact)
 }
 
-async fn cancel(context: &Arc<context::Context>, job: spec::JobId) -> server::Response {
-    let request = peers::Request::Cancel { job };
+async fn cancel(
+    context: &Arc<context::Context>,
+    job: spec::JobId,
+    caller: access::Caller,
+) -> server::Response {
+    let request = peers::Request::Cancel { job, caller };
     let started = Instant::now();
     let forwarded = forward(context, &request, None, constants::FORWARD_DEADLINE).await;
     context.metrics.count_request("cancel", forwarded.name());
@@ -227,7 +235,9 @@
         }
     };
     let state = match served {
-        peers::Served::NoSuchJob => return server::Response::text(410, "no such job"),
+        peers::Served::NoSuchJob | peers::Served::IdTaken => {
+            return server::Response::text(410, "no such job");
+        }
         peers::Served::Pending(count) => {
             return server::Response::new(200, JSON, callers::pending_body(count));
         }
--- a/crates/daisymast_node/src/authentication.rs
+++ b/crates/daisymast_node/src/authentication.rs
@@ -6,7 +6,7 @@
 use daisymast_http::server;
 use daisymast_organisations::{access, api_key};
 use daisymast_scheduler::config;
-use daisymast_types::{ids, time};
+use daisymast_types::time;
 
 use crate::clock;
 use crate::confirmation;
@@ -18,8 +18,8 @@
 pub struct Checked {
     /// Configuration by which the request was checked, and by which it has to be handled.
     pub config: Arc<config::Configuration>,
-    /// Organisation for which the caller acts, `None` if the call needs no key.
-    pub organisation: Option<ids::Organisation>,
+    /// For whom the caller acts.
+    pub caller: access::Caller,
 }
 
 /// A call whose key is to be checked.
@@ -87,24 +87,15 @@
     let config = context.config()?;
     let queue = config.route(call.host, call.path);
     let public = queue.is_some_and(|queue| queue.public);
-    let access = access::decide(config.organisations.as_ref(), public, call.key);
+    let caller = access::decide(config.organisations.as_ref(), public, call.key);
     let freshness = context.freshness();
     let may_honour = public || freshness.may_honour(config.version, call.received);
     let may_deny = freshness.may_deny(config.version, call.received);
     drop(freshness);
-    Some(match access {
-        access::Access::Denied if may_deny => Verdict::Unauthorized,
-        access::Access::Open if may_honour => Verdict::Allowed(Checked {
-            config,
-            organisation: None,
-        }),
-        access::Access::Organisation(organisation) if may_honour => Verdict::Allowed(Checked {
-            config,
-            organisation: Some(organisation),
-        }),
-        access::Access::Denied | access::Access::Open | access::Access::Organisation(_) => {
-            Verdict::Unconfirmed
-        }
+    Some(match caller {
+        Some(caller) if may_honour => Verdict::Allowed(Checked { config, caller }),
+        None if may_deny => Verdict::Unauthorized,
+        Some(_) | None => Verdict::Unconfirmed,
     })
 }
 
--- a/crates/daisymast_node/src/leadership/requests.rs
+++ b/crates/daisymast_node/src/leadership/requests.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::Ordering;
 
 use daisymast_jobs::{queue, spec};
+use daisymast_organisations::access;
 use daisymast_scheduler::{action, scheduler};
 use daisymast_types::{ids, time};
 use smol::Timer;
@@ -29,9 +30,15 @@
             .await
     }
 
-    /// Cancels a job and waits until the cancellation is committed.
-    pub async fn cancel(&self, job: spec::JobId) -> peers::Reply {
+    /// Cancels a job and waits until the cancellation is committed. A job that the caller may not
+    /// use does not exist for the caller.
+    pub async fn cancel(&self, job: spec::JobId, caller: &access::Caller) -> peers::Reply {
         let now = clock::now();
+        if !lock(&self.scheduler).may_use(job, caller) {
+            return self
+                .reply_when_confirmed(now, peers::Served::NoSuchJob)
+                .await;
+        }
         let reply = self
             .await_answer(|scheduler, token| scheduler.cancel(token, job, now))
             .await;
@@ -43,9 +50,14 @@
         reply
     }
 
-    /// Returns the state of a job.
-    pub async fn state(&self, job: spec::JobId) -> peers::Reply {
-        let state = lock(&self.scheduler).state(job);
+    /// Returns the state of a job. A job that the caller may not use does not exist for the caller.
+    pub async fn state(&self, job: spec::JobId, caller: &access::Caller) -> peers::Reply {
+        let state = {
+            let scheduler = lock(&self.scheduler);
+            scheduler
+                .state(job)
+                .filter(|_| scheduler.may_use(job, caller))
+        };
         match state {
             // A final state never changes, whichever node leads.
             Some(state) if state.is_final() => peers::Reply::Served(state.into()),
@@ -106,6 +118,7 @@
             Ok(action::Answer::Accepted) => peers::Reply::Served(peers::Served::Accepted),
             Ok(action::Answer::Cancelled) => peers::Reply::Served(peers::Served::Cancelled),
             Ok(action::Answer::Refused) => peers::Reply::Unavailable,
+            Ok(action::Answer::IdTaken) => peers::Reply::Served(peers::Served::IdTaken),
             Ok(action::Answer::UnknownQueue) => peers::Reply::UnknownQueue,
             Ok(action::Answer::NoSuchJob) => peers::Reply::Served(peers::Served::NoSuchJob),
             Err(_) => peers::Reply::Unknown,
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -8,7 +8,7 @@
 use daisymast_election::record;
 use daisymast_http::{client, msgpack, server};
 use daisymast_jobs::{job, queue, spec};
-use daisymast_organisations::freshness;
+use daisymast_organisations::{access, freshness};
 use daisymast_protocol::outcome;
 use daisymast_relay::wire;
 use daisymast_scheduler::{config, scheduler};
@@ -54,11 +54,17 @@
     State {
         /// Id of the job.
         job: spec::JobId,
+        /// For whom the caller acts.
+        #[serde(default, skip_serializing_if = "access::Caller::is_unchecked")]
+        caller: access::Caller,
     },
     /// Asks the leader to cancel a job.
     Cancel {
         /// Id of the job.
         job: spec::JobId,
+        /// For whom the caller acts.
+        #[serde(default, skip_serializing_if = "access::Caller::is_unchecked")]
+        caller: access::Caller,
     },
     /// Asks the leader for the number of jobs in a queue that have not started.
     Pending {
@@ -128,6 +134,8 @@
     NoSuchJob,
     /// Number of jobs that have not started.
     Pending(u64),
+    /// The job was not accepted, since its id names a job of another organisation.
+    IdTaken,
 }
 
 impl From<job::State> for Served {
@@ -266,8 +274,8 @@
             };
             leadership.submit(submission).await
         }
-        Request::Cancel { job } => leadership.cancel(job).await,
-        Request::State { job } => leadership.state(job).await,
+        Request::Cancel { job, caller } => leadership.cancel(job, &caller).await,
+        Request::State { job, caller } => leadership.state(job, &caller).await,
         Request::Pending { queue } => leadership.pending(&queue).await,
         Request::Ping { .. } | Request::Ask { .. } | Request::Relay(_) => Reply::NotLeader,
     }
--- a/crates/daisymast_node/tests/messages.rs
+++ b/crates/daisymast_node/tests/messages.rs
@@ -4,6 +4,7 @@
 use daisymast_http::msgpack;
 use daisymast_jobs::spec;
 use daisymast_node::peers;
+use daisymast_organisations::access;
 use daisymast_relay::wire;
 use proptest::collection::vec;
 use proptest::prelude::any;
@@ -32,7 +33,10 @@
             wanted: true,
             roster: 9,
         },
-        peers::Request::State { job: step.job },
+        peers::Request::State {
+            job: step.job,
+            caller: access::Caller::Organisation("o-1".into()),
+        },
         peers::Request::Ask {
             step,
             workers: vec!["w-1".to_owned()],
@@ -76,6 +80,28 @@
     assert_eq!(member.zone.as_str(), "");
 }
 
+/// Guards against messages of cells without organisations that differ from those of an earlier
+/// release, and against its messages that are no longer read.
+#[test]
+fn messages_without_a_checked_caller_are_those_of_earlier_releases() {
+    let request = peers::Request::State {
+        job: spec::JobId(7),
+        caller: access::Caller::Unchecked,
+    };
+    let bytes = msgpack::encode_response(&request).body;
+    // {"State": {"job": 7}}
+    let earlier = [b"\x81\xa5State\x81\xa3job".as_slice(), &[7]].concat();
+    assert_eq!(bytes, earlier);
+    let decoded = msgpack::decode_request::<peers::Request>(&earlier);
+    assert!(matches!(
+        decoded,
+        Ok(peers::Request::State {
+            caller: access::Caller::Unchecked,
+            ..
+        })
+    ));
+}
+
 proptest! {
     /// Guards against a message of another node, cut or changed on its way, that ends the process.
     #[test]
--- a/crates/daisymast_scheduler/src/action.rs
+++ b/crates/daisymast_scheduler/src/action.rs
@@ -36,6 +36,8 @@
     NoSuchJob,
     /// The job was not accepted and never runs, because the scheduler does not know its queue.
     UnknownQueue,
+    /// The submission had no effect, because a job of another organisation has this ID.
+    IdTaken,
     /// The job was not accepted and never runs, because the store takes no records at present.
     Refused,
 }
--- a/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
@@ -3,6 +3,7 @@
 use daisymast_jobs::job;
 use daisymast_jobs::record;
 use daisymast_jobs::spec;
+use daisymast_organisations::access;
 use daisymast_types::ids;
 use daisymast_types::time;
 
@@ -45,7 +46,8 @@
 }
 
 impl Scheduler {
-    /// Accepts a job, and answers once it is stored. A repeated ID names the same job. A job on an
+    /// Accepts a job, and answers once it is stored. A repeated ID names the same job, if that belongs
+    /// to the same organisation or to none; otherwise the submission has no effect. A job on an
     /// unknown queue is not accepted; see [`add_queue`](Self::add_queue).
     pub fn submit(&mut self, token: u64, submission: Submission, now: time::Timestamp) {
         let Submission {
@@ -55,6 +57,12 @@
             spec,
         } = submission;
         self.wall = now.wall;
+        let owner = self.job_table.organisation(id);
+        if owner.is_some() && owner != organisation.as_ref() {
+            let answer = action::Answer::IdTaken;
+            self.actions.push(action::Action::Answer { token, answer });
+            return;
+        }
         if self.job_table.committed_state(id).is_none() {
             if self.queue(&queue).is_none() {
                 let answer = action::Answer::UnknownQueue;
@@ -144,6 +152,11 @@
         self.job_table.committed_state(id)
     }
 
+    /// Whether a caller may see and cancel a job. An unknown job is open to all callers.
+    pub fn may_use(&self, id: spec::JobId, caller: &access::Caller) -> bool {
+        caller.may_use(self.job_table.organisation(id))
+    }
+
     /// Number of jobs of a queue of which no worker has accepted a task yet. A task that is only
     /// placed does not count, as its worker may never answer.
     pub fn pending(&self, queue: &ids::QueueName) -> u64 {
