--- a/crates/daisymast_scheduler/tests/job_owners.rs
+++ b/crates/daisymast_scheduler/tests/job_owners.rs
@@ -29,7 +29,7 @@
 /// the other key of the same organisation that is refused.
 #[test]
 fn a_job_is_open_to_its_organisation_only() {
-    let mut rig = Rig::new(3);
+    let mut rig = Rig::with_organisations(3, &[("parts", 10.0, 100), ("saws", 10.0, 100)]);
     assert_eq!(submit(&mut rig, 1, Some("parts")), Some(Answer::Accepted));
     let check = |rig: &mut Rig, token| {
         assert!(rig.scheduler.may_use(JobId(1), &caller("parts")));
@@ -58,7 +58,7 @@
 /// see.
 #[test]
 fn a_job_of_no_organisation_is_open_to_all() {
-    let mut rig = Rig::new(3);
+    let mut rig = Rig::with_organisations(3, &[("parts", 10.0, 100), ("saws", 10.0, 100)]);
     assert_eq!(submit(&mut rig, 1, None), Some(Answer::Accepted));
     assert!(rig.scheduler.may_use(JobId(1), &caller("saws")));
     assert!(rig.scheduler.may_use(JobId(1), &Caller::Public));
