Count and log caps and rates of organisations

Cause: an operator has to see which organisations wait for their cap, and how many jobs come beyond a rate.

--- a/crates/daisymast_node/src/leadership/calls.rs
+++ b/crates/daisymast_node/src/leadership/calls.rs
@@ -25,7 +25,12 @@
     match action {
         action::Action::Answer { .. } => leadership.deliver(action),
         action::Action::Deposed => leadership.depose(),
-        action::Action::Log(decision) => context.decisions.record(leadership.term, &decision),
+        action::Action::Log(decision) => {
+            if let Some(event) = decision.organisation_event() {
+                context.metrics.count_organisation(event);
+            }
+            context.decisions.record(leadership.term, &decision);
+        }
         action => relaying::dispatch(context, leadership, action),
     }
 }
--- a/crates/daisymast_node/src/metrics.rs
+++ b/crates/daisymast_node/src/metrics.rs
@@ -26,6 +26,7 @@
     requests: Family<Labels, Counter>,
     calls: Family<Labels, Counter>,
     invalid: Family<[(&'static str, &'static str); 1], Counter>,
+    organisations: Family<[(&'static str, &'static str); 1], Counter>,
     submission: Histogram,
     commit: Histogram,
     term: Gauge,
@@ -38,6 +39,7 @@
             requests: Family::default(),
             calls: Family::default(),
             invalid: Family::default(),
+            organisations: Family::default(),
             submission: histogram(),
             commit: histogram(),
             term: Gauge::default(),
@@ -64,6 +66,11 @@
         self.invalid.get_or_create(&[("kind", kind)]).inc();
     }
 
+    /// Counts an event about any organisation: `cap_reached`, `cap_left` or `over_rate`.
+    pub fn count_organisation(&self, event: &'static str) {
+        self.organisations.get_or_create(&[("event", event)]).inc();
+    }
+
     /// Observes the duration of a submission.
     pub fn observe_submission(&self, took: Duration) {
         self.submission.observe(took.as_secs_f64());
@@ -99,6 +106,12 @@
         registry.register("calls", "Calls to dependencies", self.calls.clone());
         let invalid = "Inputs from outside that cannot be decoded";
         registry.register("invalid_inputs", invalid, self.invalid.clone());
+        let organisations = "Events about caps and rates of organisations";
+        registry.register(
+            "organisation_events",
+            organisations,
+            self.organisations.clone(),
+        );
         let submission = "Time of a submission in seconds";
         registry.register("submission_seconds", submission, self.submission.clone());
         let commit = "Time of a commit to the journal in seconds";
--- a/crates/daisymast_scheduler/src/decision.rs
+++ b/crates/daisymast_scheduler/src/decision.rs
@@ -39,6 +39,9 @@
         version: u64,
         /// Time objective, counted from acceptance, in milliseconds.
         allowance_ms: u64,
+        /// Whether the job came beyond the rate of its organisation.
+        #[serde(skip_serializing_if = "std::ops::Not::not")]
+        over_rate: bool,
     },
     /// Tasks of a step were assigned to workers.
     Placed {
@@ -187,6 +190,20 @@
     },
 }
 
+impl Decision {
+    /// Returns the name of the event about an organisation, as it is counted; `None` for all others.
+    pub fn organisation_event(&self) -> Option<&'static str> {
+        match self {
+            Self::Cap { reached: true, .. } => Some("cap_reached"),
+            Self::Cap { reached: false, .. } => Some("cap_left"),
+            Self::Submitted {
+                over_rate: true, ..
+            } => Some("over_rate"),
+            _ => None,
+        }
+    }
+}
+
 fn text<S: Serializer>(job: &spec::JobId, serializer: S) -> Result<S::Ok, S::Error> {
     serializer.collect_str(job)
 }
--- a/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
@@ -82,6 +82,7 @@
                 queue: queue.clone(),
                 version: self.config.version,
                 allowance_ms,
+                over_rate,
             });
             let job = job::Job::new(queue, spec, now.wall)
                 .owned_by(organisation)
