--- a/crates/daisymast_scheduler/src/action.rs
+++ b/crates/daisymast_scheduler/src/action.rs
@@ -41,6 +41,8 @@
     /// The job was not accepted and never runs, because the scheduler does not know its queue or
     /// organisation.
     UnknownQueue,
+    /// The submission had no effect, because a job of another organisation has this ID.
+    IdTaken,
     /// The job was not accepted and never runs, because the store takes no records at present.
     Refused,
     /// The job was not accepted and never runs, because the cap of its organisation can never allow it.
