--- a/crates/daisymast_node/src/metrics.rs
+++ b/crates/daisymast_node/src/metrics.rs
@@ -27,6 +27,7 @@
     requests: Family<Labels, Counter>,
     calls: Family<Labels, Counter>,
     invalid: Family<[(&'static str, &'static str); 1], Counter>,
+    organisations: Family<[(&'static str, &'static str); 1], Counter>,
     submission: Histogram,
     commit: Histogram,
     place_waits: Family<[(&'static str, &'static str); 1], Counter>,
@@ -41,6 +42,7 @@
             requests: Family::default(),
             calls: Family::default(),
             invalid: Family::default(),
+            organisations: Family::default(),
             submission: histogram(),
             commit: histogram(),
             place_waits: Family::default(),
@@ -69,6 +71,11 @@
         self.invalid.get_or_create(&[("kind", kind)]).inc();
     }
 
+    /// Counts an event about any organisation: `cap_reached`, `cap_left` or `over_rate`.
+    pub fn count_organisation(&self, event: &'static str) {
+        self.organisations.get_or_create(&[("event", event)]).inc();
+    }
+
     /// Observes the duration of a submission.
     pub fn observe_submission(&self, took: Duration) {
         self.submission.observe(took.as_secs_f64());
@@ -79,8 +86,8 @@
         self.commit.observe(took.as_secs_f64());
     }
 
-    /// Counts the decisions that have metrics.
-    pub fn count_decision(&self, decision: &decision::Decision) {
+    /// Counts a decision about a wait for a place near the data; others are ignored.
+    pub fn count_place_wait(&self, decision: &decision::Decision) {
         let outcome = match decision {
             decision::Decision::PlaceWaitOpened { .. } => "started",
             decision::Decision::PlaceWaitClosed {
@@ -126,6 +133,12 @@
         registry.register("calls", "Calls to dependencies", self.calls.clone());
         let invalid = "Inputs from outside that cannot be decoded";
         registry.register("invalid_inputs", invalid, self.invalid.clone());
+        let organisations = "Events about caps and rates of organisations";
+        registry.register(
+            "organisation_events",
+            organisations,
+            self.organisations.clone(),
+        );
         let submission = "Time of a submission in seconds";
         registry.register("submission_seconds", submission, self.submission.clone());
         let commit = "Time of a commit to the journal in seconds";
