Start no run in place while its organisation is above its cap

The former one may have known that some of these runs had ended with the process of their worker, and started others within the cap.

Change: a run starts in place only if its organisation is within its cap with it; otherwise its task waits, as for a worker that is too full.

--- a/crates/daisymast_scheduler/src/scheduler/late_starts.rs
+++ b/crates/daisymast_scheduler/src/scheduler/late_starts.rs
@@ -125,6 +125,8 @@
             && worker.takes_tasks(now)
             && !worker.health.is_quarantined(now)
             && worker.used.fits_in(worker.capacity())
+            // A former scheduler may have known that the run had ended, and started others instead.
+            && self.keeps_cap(worker_index, task)
     }
 
     /// Sends a start again. If an earlier one may be carried out late, the journal has to say so first,
--- a/crates/daisymast_scheduler/src/scheduler/organisations.rs
+++ b/crates/daisymast_scheduler/src/scheduler/organisations.rs
@@ -90,6 +90,17 @@
         usage.room(organisation, terms.cap, step.step_spec().size)
     }
 
+    /// Whether the organisation of an assigned run is within its cap with that run.
+    pub(super) fn keeps_cap(&self, worker_index: usize, task: spec::TaskId) -> bool {
+        let run = self.fleet.at(worker_index).runs.get(&task);
+        let Some(charge) = run.and_then(|run| run.charge.as_ref()) else {
+            return true;
+        };
+        let used = self.fleet.usage().of(&charge.organisation);
+        self.terms(&charge.organisation)
+            .is_some_and(|terms| terms.cap.allows(used))
+    }
+
     /// Whether the cap of the step's organisation allows a task of it to start, or the whole gang.
     pub(super) fn fits_cap(&self, step: &steps::ReadyStep) -> bool {
         let step_spec = step.step_spec();
