--- a/crates/daisymast_http/src/client.rs
+++ b/crates/daisymast_http/src/client.rs
@@ -20,6 +20,9 @@
 mod pool;
 mod stream;
 
+/// Maximum number of additional headers of a call: the name of the host and a credential.
+pub const MAX_HEADERS: usize = 2;
+
 /// Destination and options of a request, and the operation and peer that its errors name.
 #[derive(Clone, Copy, Debug)]
 pub struct Call<'a> {
@@ -38,8 +41,8 @@
     pub peer: &'a str,
     /// Key that signs the request; `None` if the peer does not require authentication.
     pub key: Option<&'a auth::Key>,
-    /// Name and value of an additional header. A `Host` header replaces the default, the address.
-    pub header: Option<(&'a str, &'a str)>,
+    /// Names and values of additional headers. A `Host` header replaces the default, the address.
+    pub headers: [Option<(&'a str, &'a str)>; MAX_HEADERS],
 }
 
 impl<'a> Call<'a> {
@@ -53,14 +56,15 @@
             step: "call",
             peer: "peer",
             key: None,
-            header: None,
+            headers: [None; MAX_HEADERS],
         }
     }
 
-    /// Sets the additional header. A call has at most one.
+    /// Adds a header. A call has at most [`MAX_HEADERS`]; further ones replace the last.
     #[must_use]
     pub fn with_header(mut self, name: &'a str, value: &'a str) -> Self {
-        self.header = Some((name, value));
+        let free = self.headers.iter().position(Option::is_none);
+        self.headers[free.unwrap_or(MAX_HEADERS - 1)] = Some((name, value));
         self
     }
 
@@ -304,10 +308,10 @@
 ) -> Result<http::Request<Full<Bytes>>, String> {
     let mut builder = http::Request::builder().uri(call.path);
     let sets_host = |(name, _): (&str, &str)| name.eq_ignore_ascii_case(header::HOST.as_str());
-    if !call.header.is_some_and(sets_host) {
+    if !call.headers.into_iter().flatten().any(sets_host) {
         builder = builder.header(header::HOST, call.address.to_string());
     }
-    if let Some((name, value)) = call.header {
+    for (name, value) in call.headers.into_iter().flatten() {
         builder = builder.header(name, value);
     }
     if !content_type.is_empty() {
--- a/crates/daisymast_soak/src/clients.rs
+++ b/crates/daisymast_soak/src/clients.rs
@@ -83,8 +83,10 @@
     }
 
     async fn send_to(&self, node: SocketAddr, method: &str, path: &str, body: Vec<u8>) -> Response {
-        let call =
-            client::Call::new(node, path, RESPONSE_TIMEOUT).with_header("Host", fixtures::HOST);
+        let key = fixtures::authorization(path);
+        let call = client::Call::new(node, path, RESPONSE_TIMEOUT)
+            .with_header("Host", fixtures::HOST)
+            .with_header("Authorization", &key);
         let outcome = match method {
             "POST" => {
                 self.client
