--- a/crates/daisymast_jobs/tests/checkpoint.rs
+++ b/crates/daisymast_jobs/tests/checkpoint.rs
@@ -35,6 +35,7 @@
         },
         at: UnixMillis(5),
         organisation: None,
+        over_rate: false,
     }
 }
 
@@ -141,7 +142,7 @@
         let replayed = replay_checkpoint(&mut job_table, NOW);
         assert!(replayed.job(JobId(1)).is_none(), "only its end is kept");
         let bytes = record::encode(&job_table.checkpoint()).expect("valid checkpoint");
-        (replayed.organisation(JobId(1)).cloned(), bytes.len())
+        (replayed.owner(JobId(1)).cloned(), bytes.len())
     };
     let (owner, bytes) = ended(Some("parts"));
     assert_eq!(owner, Some("parts".into()));
--- a/crates/daisymast_node/src/metrics.rs
+++ b/crates/daisymast_node/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use daisymast_scheduler::{decision, locality};
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -26,8 +27,11 @@
     requests: Family<Labels, Counter>,
     calls: Family<Labels, Counter>,
     invalid: Family<[(&'static str, &'static str); 1], Counter>,
+    organisations: Family<[(&'static str, &'static str); 1], Counter>,
     submission: Histogram,
     commit: Histogram,
+    place_waits: Family<[(&'static str, &'static str); 1], Counter>,
+    place_wait: Histogram,
     term: Gauge,
     confirmation_age: Gauge,
 }
@@ -38,8 +42,11 @@
             requests: Family::default(),
             calls: Family::default(),
             invalid: Family::default(),
+            organisations: Family::default(),
             submission: histogram(),
             commit: histogram(),
+            place_waits: Family::default(),
+            place_wait: histogram(),
             term: Gauge::default(),
             confirmation_age: Gauge::default(),
         }
@@ -64,6 +71,11 @@
         self.invalid.get_or_create(&[("kind", kind)]).inc();
     }
 
+    /// Counts an event about any organisation: `cap_reached`, `cap_left` or `over_rate`.
+    pub fn count_organisation(&self, event: &'static str) {
+        self.organisations.get_or_create(&[("event", event)]).inc();
+    }
+
     /// Observes the duration of a submission.
     pub fn observe_submission(&self, took: Duration) {
         self.submission.observe(took.as_secs_f64());
@@ -74,6 +86,28 @@
         self.commit.observe(took.as_secs_f64());
     }
 
+    /// Counts a decision about a wait for a place near the data; others are ignored.
+    pub fn count_place_wait(&self, decision: &decision::Decision) {
+        let outcome = match decision {
+            decision::Decision::PlaceWaitOpened { .. } => "started",
+            decision::Decision::PlaceWaitClosed {
+                outcome, waited_ms, ..
+            } => {
+                let waited = Duration::from_millis(*waited_ms);
+                self.place_wait.observe(waited.as_secs_f64());
+                match outcome {
+                    locality::Outcome::Paid => "paid",
+                    locality::Outcome::Lost => "lost",
+                    locality::Outcome::Dropped => "dropped",
+                }
+            }
+            _ => return,
+        };
+        self.place_waits
+            .get_or_create(&[("outcome", outcome)])
+            .inc();
+    }
+
     /// Sets the term in which this node leads, 0 for none.
     pub fn set_term(&self, term: u64) {
         self.term.set(i64::try_from(term).unwrap_or(i64::MAX));
@@ -99,10 +133,20 @@
         registry.register("calls", "Calls to dependencies", self.calls.clone());
         let invalid = "Inputs from outside that cannot be decoded";
         registry.register("invalid_inputs", invalid, self.invalid.clone());
+        let organisations = "Events about caps and rates of organisations";
+        registry.register(
+            "organisation_events",
+            organisations,
+            self.organisations.clone(),
+        );
         let submission = "Time of a submission in seconds";
         registry.register("submission_seconds", submission, self.submission.clone());
         let commit = "Time of a commit to the journal in seconds";
         registry.register("commit_seconds", commit, self.commit.clone());
+        let place_waits = "Waits of steps for places near their data or on one rack";
+        registry.register("place_waits", place_waits, self.place_waits.clone());
+        let place_wait = "Duration of such waits in seconds";
+        registry.register("place_wait_seconds", place_wait, self.place_wait.clone());
         registry.register(
             "term",
             "Term in which this node schedules",
--- a/crates/daisymast_scheduler/src/decision.rs
+++ b/crates/daisymast_scheduler/src/decision.rs
@@ -1,9 +1,12 @@
 //! Scheduling decisions, as they are written to the structured log.
 
 use daisymast_jobs::spec;
+use daisymast_organisations::organisation;
 use daisymast_types::ids;
+use daisymast_types::quantities;
 use serde::{Serialize, Serializer};
 
+use crate::locality;
 use crate::report;
 
 /// Why a run is being stopped.
@@ -37,6 +40,9 @@
         version: u64,
         /// Time objective, counted from acceptance, in milliseconds.
         allowance_ms: u64,
+        /// Whether the job came beyond the rate of its organisation.
+        #[serde(skip_serializing_if = "std::ops::Not::not")]
+        over_rate: bool,
     },
     /// Tasks of a step were assigned to workers.
     Placed {
@@ -57,6 +63,38 @@
         /// Worker of the first placed task.
         worker: ids::WorkerId,
     },
+    /// Tasks of a step wait for near places instead of starting far away.
+    PlaceWaitOpened {
+        /// Job ID.
+        #[serde(serialize_with = "text")]
+        job: spec::JobId,
+        /// Position of the step in the job.
+        step: u16,
+        /// Rack with the places.
+        rack: ids::WorkerLabel,
+        /// Number of tasks that wait.
+        tasks: u32,
+        /// Expected time until the last of them has a place, in milliseconds.
+        expected_ms: u64,
+        /// Time that a near place saves a task, in milliseconds.
+        saving_ms: u64,
+        /// Time after which the tasks start far away, in milliseconds.
+        limit_ms: u64,
+    },
+    /// The wait of a step for near places ended.
+    PlaceWaitClosed {
+        /// Job ID.
+        #[serde(serialize_with = "text")]
+        job: spec::JobId,
+        /// Position of the step in the job.
+        step: u16,
+        /// Rack with the places.
+        rack: ids::WorkerLabel,
+        /// What came of the wait.
+        outcome: locality::Outcome,
+        /// Duration of the wait, in milliseconds.
+        waited_ms: u64,
+    },
     /// A run ended without completing its task.
     Ended {
         /// Job ID.
@@ -171,6 +209,32 @@
         /// Number of consecutive failures.
         strikes: u32,
     },
+    /// An organisation has reached its cap, so that steps of it wait, or none has waited for it for a
+    /// while.
+    Cap {
+        /// The organisation.
+        organisation: ids::Organisation,
+        /// Whether the cap was reached, and not left.
+        reached: bool,
+        /// What its tasks occupy on all workers.
+        usage: quantities::Resources,
+        /// The cap.
+        cap: organisation::Cap,
+    },
+}
+
+impl Decision {
+    /// Returns the name of the event about an organisation, as it is counted; `None` for all others.
+    pub fn organisation_event(&self) -> Option<&'static str> {
+        match self {
+            Self::Cap { reached: true, .. } => Some("cap_reached"),
+            Self::Cap { reached: false, .. } => Some("cap_left"),
+            Self::Submitted {
+                over_rate: true, ..
+            } => Some("over_rate"),
+            _ => None,
+        }
+    }
 }
 
 fn text<S: Serializer>(job: &spec::JobId, serializer: S) -> Result<S::Ok, S::Error> {
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::fencing;
 use crate::fleet;
 use crate::journal;
+use crate::locality;
 use crate::progress;
 use crate::steps;
 
@@ -34,6 +35,8 @@
 mod late_starts;
 mod order;
 mod orders;
+mod organisations;
+mod place_waits;
 mod placement;
 mod polls;
 mod queues;
@@ -83,6 +86,7 @@
     /// Jobs with occurrences that have not started yet.
     recurring: Vec<spec::JobId>,
     failing_jobs: failing_jobs::FailingJobs,
+    organisations: organisations::Organisations,
     /// Jobs with ready steps that cannot start, because their queue is unknown.
     without_queue: Vec<spec::JobId>,
     advice_nodes: advice_nodes::AdviceNodes,
@@ -95,6 +99,8 @@
     dirty: bool,
     /// Earliest time of the next pass over the waiting steps.
     next_pass: time::Monotonic,
+    /// Decides which steps wait for near places.
+    locality: locality::Locality,
     /// Number of steps beyond the most urgent ones at which the next pass continues.
     further_steps: usize,
     /// Wall-clock time of the last event.
@@ -229,8 +235,10 @@
             next_request: now,
             not_before: now,
             progress: progress::StepProgress::default(),
+            has_waited: false,
             deadlines,
             organisation: job.organisation.clone(),
+            within_rate: !job.over_rate,
         };
         self.steps.insert(id, step);
         self.dirty = true;
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -4,6 +4,7 @@
 use daisymast_jobs::record;
 use daisymast_jobs::spec;
 use daisymast_types::collections;
+use daisymast_types::quantities;
 use daisymast_types::time;
 
 use super::Scheduler;
@@ -24,6 +25,8 @@
     pub(super) reserving_gangs: usize,
     /// Number of open advice requests by queue.
     pub(super) open_requests: collections::FastMap<daisymast_types::ids::QueueName, usize>,
+    /// Resources that steps tried earlier in this pass wait for, by worker index.
+    pub(super) awaited: collections::FastMap<usize, quantities::Resources>,
 }
 
 impl Scheduler {
@@ -35,9 +38,11 @@
             snapshot: self.snapshot(now),
             reserving_gangs: 0,
             open_requests: collections::FastMap::default(),
+            awaited: collections::FastMap::default(),
         };
-        let order = order::waiting_steps(&self.steps, pass.snapshot.rows.len(), now);
+        let mut order = order::waiting_steps(&self.steps, pass.snapshot.rows.len(), now);
         let steps = order.len();
+        self.remove_over_cap(&mut order, now);
         for request in self.advice_requests.values() {
             *pass.open_requests.entry(request.queue.clone()).or_default() += 1;
         }
@@ -46,6 +51,7 @@
         for position in (0..urgent).chain(further) {
             self.place_step(order[position], &mut pass);
         }
+        self.close_ended_waits(now);
         steps
     }
 
@@ -65,23 +71,30 @@
         let Some(step) = self.steps.get(&id) else {
             return;
         };
+        // Steps that were placed before in this pass may have used up the cap of the organisation.
+        if !self.fits_cap(step) {
+            return;
+        }
         let may_request = self.may_request_advice(step, pass);
         let candidates = if step.advice.is_some() && !may_request {
             self.candidates_with_ticket(step, &pass.snapshot, pass.now)
         } else {
             self.candidates(step, &pass.snapshot)
         };
-        let needed = u32::try_from(step.waiting.len()).unwrap_or(u32::MAX);
+        let waiting = u32::try_from(step.waiting.len()).unwrap_or(u32::MAX);
+        // A step that is wider than the cap allows runs in waves.
+        let needed = waiting.min(self.cap_room(step));
         let step_spec = step.step_spec();
         if step_spec.gang && needed < step_spec.tasks {
             return;
         }
+        let is_gang = step_spec.gang;
         let mut chosen = self.choose_workers(step, &candidates, needed, pass.now);
+        self.hold_for_places(id, &mut chosen, needed, pass);
         let placed = u32::try_from(chosen.len()).unwrap_or(u32::MAX);
-        if step_spec.gang && placed < needed {
+        if is_gang && placed < needed {
             chosen.clear();
         }
-        let is_gang = step_spec.gang;
         let is_complete = placed >= needed;
         if !chosen.is_empty() {
             self.place_tasks(id, chosen, pass);
@@ -89,11 +102,11 @@
         if is_complete {
             return;
         }
-        if is_gang {
+        if is_gang && !self.reserve_awaited(id, pass) {
             self.reserve_for_gang(id, pass);
         }
         if may_request {
-            self.request_advice_if_needed(id, &candidates, pass);
+            self.request_advice_if_needed(id, needed, &candidates, pass);
         }
     }
 
@@ -110,11 +123,10 @@
             step.advice.is_none() || step.has_ticket(candidate.worker_index, now)
         };
         let mut chosen = Vec::new();
-        let rack_of = |worker_index: usize| {
-            let registration = self.fleet.at(worker_index).registration.as_ref();
-            registration.and_then(|registration| registration.rack.clone())
-        };
-        if step.step_spec().same_rack {
+        let rack_of = |worker_index: usize| self.fleet.at(worker_index).rack();
+        let step_spec = step.step_spec();
+        let wanted = step_spec.rack.as_ref();
+        if step_spec.same_rack || (step_spec.gang && wanted.is_some()) {
             let mut by_rack: collections::FastMap<_, u32> = collections::FastMap::default();
             for candidate in candidates.iter().filter(usable) {
                 *by_rack.entry(rack_of(candidate.worker_index)).or_default() += candidate.fits;
@@ -122,8 +134,9 @@
             let rack = by_rack
                 .into_iter()
                 .filter(|(_, fits)| *fits >= needed)
-                .min();
-            if let Some((rack, _)) = rack {
+                .map(|(rack, _)| rack)
+                .min_by_key(|&rack| (rack != wanted, rack));
+            if let Some(rack) = rack {
                 let usable_candidates = candidates.iter().filter(usable);
                 take_fitting(
                     usable_candidates.filter(|candidate| rack_of(candidate.worker_index) == rack),
@@ -165,6 +178,7 @@
             .iter()
             .filter_map(|&task_index| job.task(id.task(task_index)));
         let run = runs.map(|task| task.run).max().unwrap_or(0) + 1;
+        let charge = run::Charge::of(job, id.step);
         let is_first_placement = !job.started;
         let slack_ms = if is_late(step, now) {
             -signed(lease::millis(now - step.deadlines.latest_start))
@@ -179,7 +193,7 @@
         for (&task_index, &worker_index) in task_indexes.iter().zip(&worker_indexes) {
             let ticket = step.ticket(worker_index, now);
             *step.placed.entry(worker_index).or_default() += 1;
-            let worker = self.fleet.at_mut(worker_index);
+            let worker = self.fleet.at(worker_index);
             let repeats_failure =
                 is_lasting && (fails_everywhere || worker.health.has_failed(id.job));
             pass.snapshot.take(worker_index, size, repeats_failure);
@@ -187,7 +201,8 @@
             let mut placed = run::Run::new(run, size, now);
             placed.ticket = ticket;
             placed.repeats_failure = repeats_failure;
-            worker.insert(id.task(task_index), placed);
+            placed.charge.clone_from(&charge);
+            self.fleet.assign(worker_index, id.task(task_index), placed);
         }
         if let Some((_, worker)) = placements.first() {
             let placed = decision::Decision::Placed {
--- a/crates/daisymast_scheduler/src/scheduler/run_ends.rs
+++ b/crates/daisymast_scheduler/src/scheduler/run_ends.rs
@@ -8,6 +8,7 @@
 use daisymast_types::time;
 
 use super::Scheduler;
+use super::place_waits;
 use crate::constants;
 use crate::decision;
 use crate::journal;
@@ -34,9 +35,10 @@
             self.withhold_former_ack(worker_index, ended.task, ended.number, now);
             return;
         }
-        let Some(mut run) = worker.remove(ended.task) else {
+        let Some(mut run) = self.fleet.unassign(worker_index, ended.task) else {
             return;
         };
+        let worker = self.fleet.at_mut(worker_index);
         run.on_reported();
         run.closed_in = Some(incarnation);
         let counts = matches!(ended.end, report::End::Done | report::End::Failed);
@@ -113,7 +115,11 @@
             self.requeue(worker_index, task, run, now);
             return;
         }
-        let declared = f64::from(step.estimate_ms);
+        let mut declared = f64::from(step.estimate_ms);
+        if !place_waits::is_near(worker.rack(), step) {
+            // Distance makes the run slow, not the worker.
+            declared *= self.locality.far_factor();
+        }
         let mut speed_change = None;
         if !is_gang && job.task(task).is_some_and(|task| task.checkpoint.is_none()) {
             let took = (now - run.placed_at).as_secs_f64() * 1_000.0;
--- a/crates/daisymast_scheduler/tests/common/mod.rs
+++ b/crates/daisymast_scheduler/tests/common/mod.rs
@@ -11,11 +11,12 @@
 use std::time::Duration;
 
 use daisymast_jobs::{job, job_table, queue, record, spec};
-use daisymast_scheduler::{action, config, report, scheduler, worker};
+use daisymast_scheduler::{action, config, locality, report, scheduler, worker};
 use daisymast_types::{quantities, time};
 
 mod checks;
 mod late_calls;
+pub(crate) mod organisations;
 pub(crate) mod series;
 mod workers;
 
@@ -103,6 +104,7 @@
     /// Rate of the clock in percent.
     pub(crate) clock_rate: u64,
     pub(crate) draining: bool,
+    pub(crate) rack: &'static str,
 }
 
 /// A poll of a worker.
@@ -169,6 +171,10 @@
 pub(crate) struct Rig {
     pub(crate) now: u64,
     pub(crate) scheduler: scheduler::Scheduler,
+    /// Configuration of the schedulers that take over.
+    pub(crate) config: Arc<config::Configuration>,
+    /// Organisations of the jobs, for the checks.
+    owners: organisations::Owners,
     /// Number of the scheduler's term.
     term: u64,
     /// Revision of the store.
@@ -194,6 +200,8 @@
     sequence: u64,
     pub(crate) work_ms: BTreeMap<(spec::JobId, u16), u64>,
     next_tick: u64,
+    /// Terms for waiting for near places.
+    pub(crate) locality: locality::Locality,
     /// Jobs whose runs all fail.
     pub(crate) failing_jobs: BTreeSet<spec::JobId>,
     /// Source of the choice of late calls and of their lateness.
@@ -298,6 +306,7 @@
                 speed: 100,
                 clock_rate,
                 draining: false,
+                rack: "r1",
             })
             .collect();
         let worker_numbers = workers
@@ -318,6 +327,8 @@
                 },
                 timestamp(now),
             ),
+            config: config(),
+            owners: organisations::Owners::default(),
             term: 1,
             revision: 1,
             workers,
@@ -338,6 +349,7 @@
             sequence: 0,
             work_ms: BTreeMap::new(),
             next_tick: 0,
+            locality: locality::Locality::default(),
             failing_jobs: BTreeSet::new(),
             late_calls: fastrand::Rng::with_seed(0),
             answer_delays: None,
@@ -366,7 +378,7 @@
             address: "127.0.0.1:1".parse().expect("an address"),
             zone: worker.zone.into(),
             capacity: capacity(),
-            rack: Some("r1".into()),
+            rack: Some(worker.rack.into()),
             labels: Vec::new(),
             draining: worker.draining,
             started_at: Some(worker.started_at),
@@ -422,7 +434,7 @@
     }
 
     fn replace_scheduler(&mut self, orders_end: time::Monotonic) {
-        self.replace_scheduler_with(config(), orders_end);
+        self.replace_scheduler_with(Arc::clone(&self.config), orders_end);
     }
 
     /// Replaces the scheduler by a new one that starts from the stored records.
@@ -464,7 +476,8 @@
                 max_lease: MAX_LEASE,
             },
             timestamp(self.now),
-        );
+        )
+        .with_locality(self.locality.clone());
         self.register_all();
     }
 
