Refuse, forward or settle submissions that the leader does not answer

Calls to a leader that was cut off held requests for up to 1.7 s while the next one was elected after 1.1 s; the nodes of the cut zone refused with a store error, stayed ready, and so kept their callers; outcomes that a later leader could settle became 504.

Change: submission.rs decides, without a network, what a request does next from what the node knows of its paths (reach.rs: own reads of the store, rounds of questions to other nodes). A call ends when a later leader is known, a request goes through another node once if only that one reaches the leader, an isolated node refuses at once, closes the connection and is not ready. Refusals of a later leader, or of the same one long enough after the call, settle an unknown outcome. The deadline of the caller is kept. An election is announced to the other nodes, a vote ends once it is decided, and a candidate stands back when the leader is healthy again. The leader rejects unstored jobs 500 ms after a failing commit began, not when its attempt in flight ends, never refuses a job whose record may be stored, and bounds the requests that wait.

--- a/crates/daisymast_election/src/candidate.rs
+++ b/crates/daisymast_election/src/candidate.rs
@@ -199,6 +199,7 @@
         self.last_contact = now;
         self.commit_age = commit_age;
         self.refused_pings = 0;
+        self.not_leader = false;
         if !members.is_empty() {
             self.members = members;
         }
@@ -312,6 +313,15 @@
             && self.commit_age <= MAX_COMMIT_AGE
     }
 
+    /// Whether the scheduler answers and has not resigned, whether or not it can reach the store.
+    pub fn is_leader_reached(&self, now: time::Monotonic) -> bool {
+        self.elected
+            .as_ref()
+            .is_some_and(|elected| !elected.leader.resigned)
+            && self.refused_pings < REFUSED_PINGS_THRESHOLD
+            && now - self.last_contact <= SUSPECT_TIMEOUT
+    }
+
     /// Returns what the node should do next.
     pub fn next(&mut self, now: time::Monotonic) -> Step {
         let Some(elected) = self.elected.clone() else {
--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -6,16 +6,16 @@
 use daisymast_adapter::callers;
 use daisymast_http::server;
 use daisymast_jobs::{job, queue, spec};
-use daisymast_protocol::outcome;
 use daisymast_scheduler::lease;
 use daisymast_types::ids;
 use serde::Serialize;
-use smol::Timer;
 
 use crate::clock;
 use crate::constants;
 use crate::context;
+use crate::forwarding::{self, ForwardOutcome};
 use crate::peers;
+use crate::submission;
 
 const JSON: &str = "application/json";
 
@@ -24,6 +24,9 @@
     let Some(config) = context.config() else {
         return refuse("no configuration yet");
     };
+    let deadline_ms = request
+        .header(callers::DEADLINE_HEADER)
+        .and_then(|value| value.trim().parse().ok());
     let host = request.header("host").unwrap_or_default();
     let queue = config.route(host, &request.path);
     let rest = queue.map(|queue| &request.path[queue.prefix.len()..]);
@@ -33,22 +36,22 @@
                 return server::Response::text(400, "the job id needs 16 hexadecimal digits");
             };
             match callers::parse_submission(&request.body) {
-                Ok(spec) => submit(&context, job, queue, spec).await,
+                Ok(spec) => submit(&context, job, queue, spec, deadline_ms).await,
                 Err(error) => server::Response::text(400, error.to_string()),
             }
         }
         ("GET", Some(queue), Some("")) => {
             let queue = queue.name.clone();
-            read(&context, peers::Request::Pending { queue }).await
+            read(&context, peers::Request::Pending { queue }, deadline_ms).await
         }
         // Jobs of a queue that was removed from the configuration remain readable under their old
         // path.
         ("GET", ..) => match job_id_of_path(&request.path) {
-            Some(job) => read(&context, peers::Request::State { job }).await,
+            Some(job) => read(&context, peers::Request::State { job }, deadline_ms).await,
             None => not_found(),
         },
         ("DELETE", ..) => match job_id_of_path(&request.path) {
-            Some(job) => cancel(&context, job).await,
+            Some(job) => cancel(&context, job, deadline_ms).await,
             None => not_found(),
         },
         (_, None, _) => not_found(),
@@ -64,48 +67,36 @@
     server::Response::text(404, "no such queue")
 }
 
-fn refuse_store_unavailable() -> server::Response {
-    server::Response::text(503, "the store is not reached; the job was not accepted")
-        .with_retry_after(constants::STORE_RETRY_AFTER_S)
-}
-
 fn refuse(reason: &'static str) -> server::Response {
     server::Response::text(503, reason).with_retry_after(constants::RETRY_AFTER_S)
 }
 
-/// Rejects a request. If this node is not ready, also closes the connection, so that the caller
-/// reconnects to another node.
-fn refuse_unreachable(context: &context::Context, reason: &'static str) -> server::Response {
+/// Answers a request that may have taken effect. Another node may know more if this one is not ready.
+fn report_unknown(context: &context::Context) -> server::Response {
+    let response = server::Response::text(504, "the outcome is not known");
     if context.is_ready() {
-        refuse(reason)
+        response
     } else {
-        refuse(reason).with_connection_close()
+        response.with_connection_close()
     }
 }
 
-/// Outcome of forwarding a request to the leader.
-enum ForwardOutcome {
-    Served(peers::Served),
-    /// The leader rejected the request without effect; an immediate retry would be rejected as
-    /// well.
-    Refused,
-    /// The request certainly had no effect.
-    NoEffect,
-    /// The leader does not know the queue, so the request certainly had no effect.
-    UnknownQueue,
-    /// The request may have taken effect.
-    Unknown,
-}
-
-impl ForwardOutcome {
-    fn name(&self) -> &'static str {
-        match self {
-            Self::Served(_) => "served",
-            Self::Refused => "no_store",
-            Self::NoEffect => "no_scheduler",
-            Self::UnknownQueue => "unknown_queue",
-            Self::Unknown => "unknown",
-        }
+/// Rejects a request that certainly had no effect. If other nodes serve better, also closes the
+/// connection, so that the caller reconnects to one of them.
+fn refuse_for(context: &context::Context, cause: submission::Cause) -> server::Response {
+    let reason = match cause {
+        submission::Cause::NoLeader => "no scheduler is reached; nothing was done",
+        submission::Cause::StoreAway => "the store is not reached; nothing was done",
+        submission::Cause::CutOff => "this node is cut off; nothing was done",
+        submission::Cause::Overload => "too many requests wait; nothing was done",
+    };
+    let outage = context.reach().store_outage(clock::now());
+    let seconds = submission::retry_after(cause, outage, fastrand::u32(..));
+    let response = server::Response::text(503, reason).with_retry_after(seconds);
+    if cause == submission::Cause::CutOff || !context.is_ready() {
+        response.with_connection_close()
+    } else {
+        response
     }
 }
 
@@ -156,6 +147,7 @@
     job: spec::JobId,
     queue: &queue::Queue,
     spec: spec::JobSpec,
+    deadline_ms: Option<u64>,
 ) -> server::Response {
     let request = peers::Request::Submit {
         job,
@@ -165,62 +157,56 @@
         organisation: None,
     };
     let started = Instant::now();
-    let forwarded = forward(context, &request, Some(queue), leader_wait(context)).await;
+    let forwarded = forwarding::forward(context, &request, Some(queue), deadline_ms).await;
     context.metrics.observe_submission(started.elapsed());
     context.metrics.count_request("submit", forwarded.name());
-    if !matches!(forwarded, ForwardOutcome::Served(_)) {
+    context
+        .metrics
+        .count_submission(forwarded.path(), forwarded.name());
+    if !matches!(forwarded, ForwardOutcome::Served { .. }) {
         log_unserved(context, "submit", job, &forwarded, started.elapsed());
     }
     match forwarded {
-        ForwardOutcome::Served(_) => server::Response::new(200, JSON, "{}"),
-        ForwardOutcome::NoEffect | ForwardOutcome::UnknownQueue => {
-            refuse_unreachable(context, "no scheduler is reached; the job was not accepted")
-        }
-        ForwardOutcome::Refused => refuse_store_unavailable(),
-        ForwardOutcome::Unknown => server::Response::text(504, "the outcome is not known"),
-    }
-}
-
-/// Time that a submission may wait for a leader.
-fn leader_wait(context: &context::Context) -> Duration {
-    if context.leadership().is_some() {
-        return constants::LEADER_WAIT;
+        ForwardOutcome::Served { .. } => server::Response::new(200, JSON, "{}"),
+        ForwardOutcome::Refused(cause) => refuse_for(context, cause),
+        ForwardOutcome::Unknown => report_unknown(context),
     }
-    let time_since_contact = context.candidate().time_since_contact(clock::now());
-    constants::LEADER_WAIT.saturating_sub(time_since_contact)
 }
 
-async fn cancel(context: &Arc<context::Context>, job: spec::JobId) -> server::Response {
+async fn cancel(
+    context: &Arc<context::Context>,
+    job: spec::JobId,
+    deadline_ms: Option<u64>,
+) -> server::Response {
     let request = peers::Request::Cancel { job };
     let started = Instant::now();
-    let forwarded = forward(context, &request, None, constants::FORWARD_DEADLINE).await;
+    let forwarded = forwarding::forward(context, &request, None, deadline_ms).await;
     context.metrics.count_request("cancel", forwarded.name());
-    if !matches!(forwarded, ForwardOutcome::Served(_)) {
+    if !matches!(forwarded, ForwardOutcome::Served { .. }) {
         log_unserved(context, "cancel", job, &forwarded, started.elapsed());
     }
     match forwarded {
-        ForwardOutcome::Served(peers::Served::NoSuchJob) => {
-            server::Response::text(410, "no such job")
-        }
-        ForwardOutcome::Served(_) => server::Response::new(200, JSON, "{}"),
-        ForwardOutcome::NoEffect | ForwardOutcome::UnknownQueue | ForwardOutcome::Refused => {
-            refuse_unreachable(context, "no scheduler is reached")
-        }
-        ForwardOutcome::Unknown => server::Response::text(504, "the outcome is not known"),
+        ForwardOutcome::Served {
+            served: peers::Served::NoSuchJob,
+            ..
+        } => server::Response::text(410, "no such job"),
+        ForwardOutcome::Served { .. } => server::Response::new(200, JSON, "{}"),
+        ForwardOutcome::Refused(cause) => refuse_for(context, cause),
+        ForwardOutcome::Unknown => report_unknown(context),
     }
 }
 
-async fn read(context: &Arc<context::Context>, request: peers::Request) -> server::Response {
-    let forwarded = forward(context, &request, None, constants::FORWARD_DEADLINE).await;
+async fn read(
+    context: &Arc<context::Context>,
+    request: peers::Request,
+    deadline_ms: Option<u64>,
+) -> server::Response {
+    let forwarded = forwarding::forward(context, &request, None, deadline_ms).await;
     context.metrics.count_request("read", forwarded.name());
     let served = match forwarded {
-        ForwardOutcome::Served(served) => served,
-        ForwardOutcome::NoEffect
-        | ForwardOutcome::UnknownQueue
-        | ForwardOutcome::Refused
-        | ForwardOutcome::Unknown => {
-            return refuse_unreachable(context, "no scheduler is reached");
-        }
+        ForwardOutcome::Served { served, .. } => served,
+        ForwardOutcome::Refused(cause) => return refuse_for(context, cause),
+        ForwardOutcome::Unknown => return refuse_for(context, submission::Cause::NoLeader),
     };
     let state = match served {
         peers::Served::NoSuchJob => return server::Response::text(410, "no such job"),
@@ -235,87 +221,3 @@
     };
     server::Response::new(200, JSON, callers::state_body(state))
 }
-
-/// Sends a request to the leader, and to its successor if the first does not answer. This is safe
-/// because all requests are idempotent. While no attempt may have taken effect, waits for a leader
-/// for at most `max_wait`. `queue` is the queue of a submission.
-async fn forward(
-    context: &Arc<context::Context>,
-    request: &peers::Request,
-    queue: Option<&queue::Queue>,
-    max_wait: Duration,
-) -> ForwardOutcome {
-    let started = Instant::now();
-    let mut unknown = false;
-    loop {
-        match forward_once(context, request, queue).await {
-            ForwardOutcome::Served(served) => return ForwardOutcome::Served(served),
-            ForwardOutcome::Refused if !unknown => return ForwardOutcome::Refused,
-            ForwardOutcome::Refused => return ForwardOutcome::Unknown,
-            ForwardOutcome::NoEffect | ForwardOutcome::UnknownQueue => {}
-            ForwardOutcome::Unknown => unknown = true,
-        }
-        let limit = if unknown {
-            constants::FORWARD_DEADLINE
-        } else {
-            max_wait
-        };
-        if started.elapsed() + constants::FORWARD_RETRY_DELAY >= limit {
-            return if unknown {
-                ForwardOutcome::Unknown
-            } else {
-                ForwardOutcome::NoEffect
-            };
-        }
-        Timer::after(constants::FORWARD_RETRY_DELAY).await;
-    }
-}
-
-/// Sends a request to the leader once. A submission to a queue that the leader does not know is
-/// sent again with the queue's settings, which most submissions need not carry.
-async fn forward_once(
-    context: &Arc<context::Context>,
-    request: &peers::Request,
-    queue: Option<&queue::Queue>,
-) -> ForwardOutcome {
-    match (send_to_leader(context, request).await, request, queue) {
-        (ForwardOutcome::UnknownQueue, request @ peers::Request::Submit { .. }, Some(queue)) => {
-            let mut with_terms = request.clone();
-            if let peers::Request::Submit { terms, .. } = &mut with_terms {
-                *terms = Some(queue.clone());
-            }
-            send_to_leader(context, &with_terms).await
-        }
-        (outcome, ..) => outcome,
-    }
-}
-
-async fn send_to_leader(
-    context: &Arc<context::Context>,
-    request: &peers::Request,
-) -> ForwardOutcome {
-    let reply = if context.leadership().is_some() {
-        peers::handle_as_leader(context, request.clone()).await
-    } else {
-        let leader = context.candidate().elected().cloned();
-        let Some(elected) = leader.filter(|elected| !elected.leader.resigned) else {
-            return ForwardOutcome::NoEffect;
-        };
-        let address = elected.leader.node.address;
-        match peers::call(context, address, request, constants::FORWARD_TIMEOUT).await {
-            outcome::Outcome::Done(reply) => reply,
-            outcome::Outcome::NoEffect(_) => return ForwardOutcome::NoEffect,
-            outcome::Outcome::Unknown(_) => return ForwardOutcome::Unknown,
-        }
-    };
-    match reply {
-        peers::Reply::Served(served) => ForwardOutcome::Served(served),
-        peers::Reply::Unavailable => ForwardOutcome::Refused,
-        peers::Reply::NotLeader => ForwardOutcome::NoEffect,
-        peers::Reply::UnknownQueue => ForwardOutcome::UnknownQueue,
-        peers::Reply::Unknown
-        | peers::Reply::Pong(_)
-        | peers::Reply::Advice(_)
-        | peers::Reply::Relayed(_) => ForwardOutcome::Unknown,
-    }
-}
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -57,11 +57,30 @@
 pub const FORWARD_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Time after which the node stops retrying a request whose outcome is unknown.
 pub const FORWARD_DEADLINE: Duration = Duration::from_millis(2_600);
-/// `Retry-After` value of a response that no leader is reachable, in seconds.
+/// Part of a caller's deadline that is left for the way of the answer.
+pub const DEADLINE_MARGIN: Duration = Duration::from_millis(150);
+/// Minimum time for a call to the leader; with less left, the request is answered.
+pub const MIN_CALL_TIME: Duration = Duration::from_millis(20);
+/// Smallest `Retry-After` value of a refusal, in seconds.
 pub const RETRY_AFTER_S: u32 = 1;
-/// `Retry-After` value of a response that the store is unreachable, in seconds. Outages of the
-/// store last longer than elections.
-pub const STORE_RETRY_AFTER_S: u32 = 2;
+/// Number of further seconds over which the callers that are refused during a long outage of the store
+/// are spread.
+pub const MAX_RETRY_SPREAD_S: u32 = 4;
+/// Interval between two rounds of questions to the store and to other nodes, while the leader is suspected.
+pub const REACH_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which a node remembers the list of the other nodes.
+pub const MEMBERS_INTERVAL: Duration = Duration::from_secs(2);
+/// Timeout of a question of such a round.
+pub const REACH_TIMEOUT: Duration = Duration::from_millis(250);
+/// Interval at which a request that waits for the leader's answer checks whether there is a later leader.
+pub const TERM_CHECK_INTERVAL: Duration = Duration::from_millis(40);
+/// Maximum number of callers' requests that wait for a commit at the leader; further ones are refused.
+/// Many times what waits at the largest measured load, and less than what a leader stores in the time
+/// for which callers wait.
+pub const MAX_WAITING_REQUESTS: usize = 600;
+/// Time after which an elected node that has not read the journal gives its role up. Reading 1 MB at
+/// 10 Mbit/s takes 2 s, and recovery may take 15 s.
+pub const REPLAY_LIMIT: Duration = Duration::from_millis(6_000);
 /// Time after SIGTERM for which new connections are still accepted. The platform's load balancer
 /// takes a node out after two failed readiness checks, which are a second apart.
 pub const DRAIN_PERIOD: Duration = Duration::from_millis(2_600);
--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -16,6 +16,7 @@
 use crate::leadership;
 use crate::metrics;
 use crate::peers;
+use crate::reach;
 use crate::relay;
 
 /// State shared by all tasks of a node.
@@ -42,6 +43,9 @@
     /// Calls to workers that this node makes for the leader.
     pub relay: relay::Relay,
     candidate: Mutex<candidate::Candidate>,
+    reach: Mutex<reach::Reach>,
+    /// Whether the paths should be looked at although the leader answers.
+    reach_wanted: AtomicBool,
     config: Mutex<Option<Arc<config::Configuration>>>,
     /// Time at which another node first reported a later configuration version than this node has.
     config_behind_since: Mutex<Option<time::Monotonic>>,
@@ -75,6 +79,8 @@
             workers: bounded_client(),
             advice: client(),
             relay: relay::Relay::new(incarnation),
+            reach: Mutex::new(reach::Reach::new(me.zone.clone())),
+            reach_wanted: AtomicBool::new(false),
             candidate: Mutex::new(candidate::Candidate::new(me, clock::now())),
             config: Mutex::new(None),
             config_behind_since: Mutex::new(None),
@@ -107,6 +113,21 @@
         lock(&self.candidate)
     }
 
+    /// Locks and returns what this node knows of its paths.
+    pub fn reach(&self) -> MutexGuard<'_, reach::Reach> {
+        lock(&self.reach)
+    }
+
+    /// Requests a look at the paths although the leader answers, as it cannot write to the store.
+    pub fn request_reach(&self) {
+        self.reach_wanted.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a look at the paths was requested since the last call.
+    pub fn take_reach_request(&self) -> bool {
+        self.reach_wanted.swap(false, Ordering::Relaxed)
+    }
+
     /// Returns the configuration in force, or `None` before the first one.
     pub fn config(&self) -> Option<Arc<config::Configuration>> {
         lock(&self.config).clone()
@@ -194,9 +215,21 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this node is cut off, alone or with its zone, and its leader with it: callers are served
+    /// elsewhere.
+    pub fn is_cut_off(&self, now: time::Monotonic) -> bool {
+        let is_leader_healthy = match self.leadership() {
+            Some(leadership) => leadership.stale_ms(now) == 0,
+            None => self.candidate().is_leader_healthy(now),
+        };
+        !is_leader_healthy && self.reach().is_isolated(now)
+    }
+
     /// Whether this node passes readiness checks and should receive requests.
     pub fn is_ready(&self) -> bool {
-        let connected = self.term().is_some() || self.candidate().is_connected(clock::now());
+        let now = clock::now();
+        let connected = self.term().is_some() || self.candidate().is_connected(now);
+        let connected = connected && !self.is_cut_off(now);
         connected && !self.is_draining() && self.config().is_some()
     }
 }
--- a/crates/daisymast_node/src/follower.rs
+++ b/crates/daisymast_node/src/follower.rs
@@ -7,6 +7,7 @@
 use daisymast_election::{candidate, former_leases, record};
 use daisymast_protocol::outcome;
 use daisymast_scheduler::{constants as limits, lease};
+use futures_lite::future;
 use serde::Serialize;
 use smol::Timer;
 
@@ -57,8 +58,9 @@
                 delay,
             } => {
                 log_campaign(&context, term, reason, delay);
-                Timer::after(delay).await;
-                if let Some(won) = campaign(&context, term).await {
+                if wait_for_larger(&context, term, delay).await
+                    && let Some(won) = campaign(&context, term).await
+                {
                     last_led_term = won.term;
                     run_term(&context, won).await;
                 }
@@ -67,6 +69,26 @@
     }
 }
 
+/// Waits so that larger machines are elected first. Returns whether a leader is still wanted.
+async fn wait_for_larger(context: &context::Context, term: u64, delay: Duration) -> bool {
+    let started = clock::now();
+    loop {
+        let now = clock::now();
+        let left = delay.saturating_sub(now - started);
+        {
+            let candidate = context.candidate();
+            let known = candidate.elected().map_or(0, |elected| elected.term);
+            if known > term || candidate.is_leader_healthy(now) {
+                return false;
+            }
+        }
+        if left.is_zero() {
+            return true;
+        }
+        Timer::after(left.min(constants::ELECTION_POLL_INTERVAL)).await;
+    }
+}
+
 /// Log event for an attempt to become the leader.
 #[derive(Serialize)]
 struct Campaign {
@@ -169,8 +191,13 @@
 /// Reads the leader key and the heartbeat key of the journal. Returns whether the store answered.
 async fn inspect(context: &context::Context) -> bool {
     let timeout = constants::STORE_TIMEOUT;
-    let leader = context.store.read(keys::LEADER, timeout).await;
-    let heartbeat = context.store.read(keys::HEARTBEAT, timeout).await;
+    let (leader, heartbeat) = future::zip(
+        context.store.read(keys::LEADER, timeout),
+        context.store.read(keys::HEARTBEAT, timeout),
+    )
+    .await;
+    let answered = leader.is_ok() && heartbeat.is_ok();
+    context.reach().on_store_read(answered, clock::now());
     let (Ok(leader), Ok(heartbeat)) = (leader, heartbeat) else {
         context.candidate().on_store_failed(clock::now());
         return false;
@@ -208,24 +235,33 @@
         asked: others.len() + 1,
         agreed: 1,
     };
+    let (sender, receiver) = async_channel::unbounded();
     let asked: Vec<_> = others
         .into_iter()
         .map(|member| {
             let context = Arc::clone(context);
             let executor = Arc::clone(&context.executor);
+            let sender = sender.clone();
             executor.spawn(async move {
                 let request = context.ping();
                 let call = peers::call(&context, member.address, &request, constants::PING_TIMEOUT);
-                match call.await {
+                let agrees = match call.await {
                     outcome::Outcome::Done(peers::Reply::Pong(pong)) => !pong.content,
                     _ => false,
-                }
+                };
+                // The vote may be decided.
+                let _ = sender.try_send(agrees);
             })
         })
         .collect();
-    for task in asked {
-        poll.agreed += usize::from(task.await);
+    drop(sender);
+    // Waiting for nodes that are cut off, too, would delay the election by a timeout.
+    while poll.agreed * 2 <= poll.asked
+        && let Ok(agrees) = receiver.recv().await
+    {
+        poll.agreed += usize::from(agrees);
     }
+    drop(asked);
     context.candidate().on_probe_result(poll);
 }
 
@@ -239,7 +275,7 @@
 }
 
 /// Tries to become the leader by replacing the leader key at the given term.
-async fn campaign(context: &context::Context, term: u64) -> Option<leadership::WonElection> {
+async fn campaign(context: &Arc<context::Context>, term: u64) -> Option<leadership::WonElection> {
     let known = context
         .candidate()
         .elected()
@@ -282,10 +318,41 @@
     }
 }
 
+/// Tells the other nodes of the election, so that their requests do not wait until they hear of it from
+/// the store.
+fn announce(context: &Arc<context::Context>, term: u64) {
+    let (others, elected) = {
+        let candidate = context.candidate();
+        let elected = candidate.elected().filter(|elected| elected.term == term);
+        (candidate.members().to_vec(), elected.cloned())
+    };
+    let Some(elected) = elected else {
+        return;
+    };
+    for member in others {
+        if member.id == context.settings.instance {
+            continue;
+        }
+        let context = Arc::clone(context);
+        let executor = Arc::clone(&context.executor);
+        let request = peers::Request::Elected(peers::KnownLeader::from(&elected));
+        let call = async move {
+            let call = peers::call(&context, member.address, &request, constants::PING_TIMEOUT);
+            if let outcome::Outcome::Unknown(error) | outcome::Outcome::NoEffect(error) = call.await
+            {
+                log::debug!("failed to announce the election: {error}");
+            }
+        };
+        executor.spawn(call).detach();
+    }
+}
+
 async fn run_term(context: &Arc<context::Context>, won: leadership::WonElection) {
     let term = won.term;
     log::info!("elected in term {term}");
     context.set_term(term);
+    // Before that, the node would answer pings that it does not lead.
+    announce(context, term);
     leadership::run(context, won).await;
     context.set_term(0);
     log::info!("term {term} ended");
--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -50,6 +50,8 @@
     store_unavailable: AtomicBool,
     /// Whether the last attempt at a commit failed.
     commit_failing: AtomicBool,
+    /// When the commit in flight was begun.
+    commit_began: Mutex<Option<time::Monotonic>>,
     commit_timeout: Mutex<commit_timeout::CommitTimeout>,
 }
 
@@ -81,6 +83,7 @@
             committing: AtomicBool::new(false),
             store_unavailable: AtomicBool::new(false),
             commit_failing: AtomicBool::new(false),
+            commit_began: Mutex::default(),
             commit_timeout: Mutex::new(commit_timeout),
         }
     }
@@ -115,6 +118,18 @@
         lock(&self.leader_lease).end()
     }
 
+    /// Rejects what is not stored once a commit has failed for [`constants::STORE_OUTAGE_THRESHOLD`]. The
+    /// attempt in flight may take much longer to fail.
+    fn check_store(&self, now: time::Monotonic) {
+        let began = *lock(&self.commit_began);
+        if self.commit_failing.load(Ordering::Relaxed)
+            && began.is_some_and(|began| now - began >= constants::STORE_OUTAGE_THRESHOLD)
+            && !self.store_unavailable.swap(true, Ordering::Relaxed)
+        {
+            self.update(|scheduler| scheduler.reject_unstored_jobs(false));
+        }
+    }
+
     /// Clears the failure flags after a commit took effect.
     fn on_commit_succeeded(&self) {
         self.store_unavailable.store(false, Ordering::Relaxed);
@@ -344,6 +359,7 @@
             return true;
         }
         if now.mono >= next_tick {
+            leadership.check_store(now.mono);
             relaying::update(context, leadership, now.mono);
         }
         let (actions, next_pass_at) = {
--- a/crates/daisymast_node/src/leadership/commit.rs
+++ b/crates/daisymast_node/src/leadership/commit.rs
@@ -38,6 +38,18 @@
     leadership: &leadership::Leadership,
     transaction: &store::Transaction,
     written_item: Option<(&str, &[u8])>,
+) -> WriteOutcome {
+    *lock(&leadership.commit_began) = Some(clock::now());
+    let outcome = commit_until_known(context, leadership, transaction, written_item).await;
+    *lock(&leadership.commit_began) = None;
+    outcome
+}
+
+async fn commit_until_known(
+    context: &context::Context,
+    leadership: &leadership::Leadership,
+    transaction: &store::Transaction,
+    written_item: Option<(&str, &[u8])>,
 ) -> WriteOutcome {
     let started = clock::now();
     let mut unknown = false;
@@ -111,11 +123,6 @@
                     leadership.on_commit_succeeded();
                     return WriteOutcome::Stored;
                 }
-                if clock::now() - started >= constants::STORE_OUTAGE_THRESHOLD
-                    && !leadership.store_unavailable.swap(true, Ordering::Relaxed)
-                {
-                    leadership.update(|scheduler| scheduler.reject_unstored_jobs(false));
-                }
                 Timer::after(constants::MIN_COMMIT_INTERVAL).await;
             }
         }
--- a/crates/daisymast_node/src/leadership/requests.rs
+++ b/crates/daisymast_node/src/leadership/requests.rs
@@ -13,6 +13,19 @@
 use crate::leadership::Leadership;
 use crate::peers;
 
+/// A request that waits for its answer. Dropped with the connection of a sender that has given up, so
+/// that such requests do not count as waiting.
+struct Waiting<'a> {
+    leadership: &'a Leadership,
+    token: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        lock(&self.leadership.pending_answers).remove(&self.token);
+    }
+}
+
 impl Leadership {
     /// Adds a queue that another node has from a later configuration.
     pub fn add_queue(&self, terms: queue::Queue) {
@@ -21,12 +34,36 @@
 
     /// Accepts a job and waits until it is committed.
     pub async fn submit(&self, submission: scheduler::Submission) -> peers::Reply {
+        let now = clock::timestamp();
+        let job = submission.job;
+        if let Some(reply) = self.judge_submission(&lock(&self.scheduler), job) {
+            return reply;
+        }
+        self.await_answer(|scheduler, token| {
+            // The commit in flight may have failed since, and unstored jobs been rejected.
+            match self.judge_submission(scheduler, job) {
+                Some(_) => scheduler.refuse(token),
+                None => scheduler.submit(token, submission, now),
+            }
+        })
+        .await
+    }
+
+    /// Returns the refusal of a submission that cannot be stored now. A job whose record is in a commit
+    /// without an answer may be stored, so it is never refused.
+    fn judge_submission(
+        &self,
+        scheduler: &scheduler::Scheduler,
+        job: spec::JobId,
+    ) -> Option<peers::Reply> {
+        if scheduler.state(job).is_some() {
+            return None;
+        }
         if self.store_unavailable.load(Ordering::Relaxed) {
-            return peers::Reply::Unavailable;
+            return Some(peers::Reply::Unavailable);
         }
-        let now = clock::timestamp();
-        self.await_answer(|scheduler, token| scheduler.submit(token, submission, now))
-            .await
+        let waiting = lock(&self.pending_answers).len();
+        (waiting >= constants::MAX_WAITING_REQUESTS).then_some(peers::Reply::Overloaded)
     }
 
     /// Cancels a job and waits until the cancellation is committed.
@@ -100,6 +137,10 @@
         let token = self.last_token.fetch_add(1, Ordering::Relaxed) + 1;
         let (sender, receiver) = async_channel::bounded(1);
         lock(&self.pending_answers).insert(token, sender);
+        let _waiting = Waiting {
+            leadership: self,
+            token,
+        };
         request(&mut lock(&self.scheduler), token);
         self.wake_driver();
         match receiver.recv().await {
--- a/crates/daisymast_node/src/metrics.rs
+++ b/crates/daisymast_node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a node, exported as Prometheus text.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::text;
@@ -24,6 +25,8 @@
 #[derive(Clone, Debug)]
 pub struct Metrics {
     requests: Family<Labels, Counter>,
+    submissions: Family<Labels, Counter>,
+    leaderless: Counter<f64, AtomicU64>,
     calls: Family<Labels, Counter>,
     invalid: Family<[(&'static str, &'static str); 1], Counter>,
     submission: Histogram,
@@ -35,6 +38,8 @@
     fn default() -> Self {
         Self {
             requests: Family::default(),
+            submissions: Family::default(),
+            leaderless: Counter::default(),
             calls: Family::default(),
             invalid: Family::default(),
             submission: histogram(),
@@ -51,6 +56,17 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Counts a submission by the path of its answer and its outcome.
+    pub fn count_submission(&self, path: &'static str, outcome: &'static str) {
+        let labels = [("path", path), ("outcome", outcome)];
+        self.submissions.get_or_create(&labels).inc();
+    }
+
+    /// Adds time in which no leader that can commit was known.
+    pub fn add_leaderless(&self, time: Duration) {
+        self.leaderless.inc_by(time.as_secs_f64());
+    }
+
     /// Counts a call to a dependency by outcome.
     pub fn count_call(&self, dependency: &'static str, outcome: &'static str) {
         let labels = [("dependency", dependency), ("outcome", outcome)];
@@ -88,6 +104,10 @@
         let mut registry = Registry::with_prefix("daisymast");
         let requests = "Requests of callers";
         registry.register("requests", requests, self.requests.clone());
+        let submissions = "Submissions by path of the answer and outcome";
+        registry.register("submissions", submissions, self.submissions.clone());
+        let leaderless = "Seconds without a known leader that can commit";
+        registry.register("leaderless_seconds", leaderless, self.leaderless.clone());
         registry.register("calls", "Calls to dependencies", self.calls.clone());
         let invalid = "Inputs from outside that cannot be decoded";
         registry.register("invalid_inputs", invalid, self.invalid.clone());
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::context;
+use crate::forwarding;
 use crate::relay;
 
 const PATH: &str = "/peer";
@@ -75,6 +76,23 @@
     },
     /// Brings calls to workers that the node makes for the leader, and asks for their outcomes.
     Relay(wire::Exchange),
+    /// A caller's request of a node that does not reach the leader, which the receiver sends to the
+    /// leader once.
+    Via(Box<Request>),
+    /// Asks whether the node reaches a leader that can commit.
+    Reach,
+    /// Names the leader that was just elected.
+    Elected(KnownLeader),
+}
+
+impl Request {
+    /// Whether this is a caller's request to the leader.
+    pub fn is_of_caller(&self) -> bool {
+        matches!(
+            self,
+            Self::Submit { .. } | Self::State { .. } | Self::Cancel { .. } | Self::Pending { .. }
+        )
+    }
 }
 
 /// The leader that a node knows of.
@@ -86,6 +104,24 @@
     pub leader: record::Leader,
 }
 
+impl From<&record::Elected> for KnownLeader {
+    fn from(elected: &record::Elected) -> Self {
+        Self {
+            term: elected.term,
+            leader: elected.leader.clone(),
+        }
+    }
+}
+
+impl From<KnownLeader> for record::Elected {
+    fn from(known: KnownLeader) -> Self {
+        Self {
+            term: known.term,
+            leader: known.leader,
+        }
+    }
+}
+
 /// Answer to a ping.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Pong {
@@ -105,6 +141,15 @@
     pub config: Option<config::Configuration>,
 }
 
+/// Answer to the question whether a node reaches a leader that can commit.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReachAnswer {
+    /// Whether it does.
+    pub reaches_leader: bool,
+    /// The leader known to the answering node.
+    pub known: Option<KnownLeader>,
+}
+
 /// The leader's answer to a caller's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Served {
@@ -158,6 +203,12 @@
     Advice(Option<Vec<(String, String)>>),
     /// Outcomes of calls that the node made for the leader.
     Relayed(wire::ExchangeReply),
+    /// Too many requests wait at the leader, which did nothing.
+    Overloaded,
+    /// Answer to [`Request::Reach`].
+    Reach(Box<ReachAnswer>),
+    /// The news of an election was received.
+    Noted,
 }
 
 /// Sends a request to another node.
@@ -194,6 +245,9 @@
         Request::Pending { .. } => "count pending",
         Request::Ask { .. } => "ask for advice",
         Request::Relay(_) => "relay calls",
+        Request::Via(_) => "send through a node",
+        Request::Reach => "ask for the leader",
+        Request::Elected(_) => "name the leader",
     }
 }
 
@@ -230,6 +284,12 @@
             request_advice(context, step, &workers, Duration::from_millis(timeout_ms)).await,
         ),
         Request::Relay(exchange) => relay::serve(context, exchange).await,
+        Request::Via(request) => forwarding::serve_via(context, *request).await,
+        Request::Reach => Reply::Reach(Box::new(reach_answer(context))),
+        Request::Elected(known) => {
+            context.candidate().on_elected(known.into(), clock::now());
+            Reply::Noted
+        }
         request => handle_as_leader(context, request).await,
     }
 }
@@ -261,7 +321,27 @@
         Request::Cancel { job } => leadership.cancel(job).await,
         Request::State { job } => leadership.state(job).await,
         Request::Pending { queue } => leadership.pending(&queue).await,
-        Request::Ping { .. } | Request::Ask { .. } | Request::Relay(_) => Reply::NotLeader,
+        Request::Ping { .. }
+        | Request::Ask { .. }
+        | Request::Relay(_)
+        | Request::Via(_)
+        | Request::Reach
+        | Request::Elected(_) => Reply::NotLeader,
+    }
+}
+
+fn reach_answer(context: &context::Context) -> ReachAnswer {
+    let now = clock::now();
+    let leads = context
+        .leadership()
+        .is_some_and(|leadership| leadership.stale_ms(now) == 0);
+    let candidate = context.candidate();
+    ReachAnswer {
+        reaches_leader: leads
+            || (context.term().is_none()
+                && candidate.is_leader_healthy(now)
+                && candidate.commit_age().is_zero()),
+        known: candidate.elected().map(KnownLeader::from),
     }
 }
 
@@ -285,10 +365,7 @@
         leads,
         stale_ms,
         members,
-        known: candidate.elected().map(|elected| KnownLeader {
-            term: elected.term,
-            leader: elected.leader.clone(),
-        }),
+        known: candidate.elected().map(KnownLeader::from),
         content: leads.is_some() || candidate.is_leader_healthy(now),
         version: 0,
         config: None,
--- a/crates/daisymast_node/src/process.rs
+++ b/crates/daisymast_node/src/process.rs
@@ -23,6 +23,7 @@
 use crate::context;
 use crate::follower;
 use crate::peers;
+use crate::probing;
 
 const HELP: &str = "\
 Usage: daisymast-node [--settings FILE] [--listen-peers ADDRESS] [--check]
@@ -129,6 +130,7 @@
         executor.spawn(configuration::sync(Arc::clone(&context))),
         executor.spawn(follower::run(Arc::clone(&context))),
         executor.spawn(follower::ping_loop(Arc::clone(&context))),
+        executor.spawn(probing::run(Arc::clone(&context))),
     ];
     signals.wait_for_shutdown(&arguments.settings).await;
     log::info!("node {} is draining", context.settings.instance);
--- a/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
@@ -93,6 +93,12 @@
         self.after_commit(answer, now.mono);
     }
 
+    /// Answers that a submission was not taken.
+    pub fn refuse(&mut self, token: u64) {
+        let answer = action::Answer::Refused;
+        self.actions.push(action::Action::Answer { token, answer });
+    }
+
     /// Handles a store that takes no records. Jobs whose acceptance was certainly not stored are
     /// removed, and their callers are told at once that they were refused. `batch_failed` says that
     /// the batch in flight had no effect, so that its records are written again.
