--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -6,12 +6,13 @@
 use daisymast_adapter::callers;
 use daisymast_http::server;
 use daisymast_jobs::{job, queue, spec};
-use daisymast_scheduler::lease;
+use daisymast_organisations::access;
+use daisymast_scheduler::{action, lease};
 use daisymast_types::ids;
 use serde::Serialize;
 
+use crate::authentication;
 use crate::clock;
-use crate::constants;
 use crate::context;
 use crate::forwarding::{self, ForwardOutcome};
 use crate::peers;
@@ -21,14 +22,16 @@
 
 /// Handles one request of a caller.
 pub async fn serve(context: Arc<context::Context>, request: server::Request) -> server::Response {
-    let Some(config) = context.config() else {
-        return refuse("no configuration yet");
+    let checked = match authentication::check(&context, &request).await {
+        Ok(checked) => checked,
+        Err(refusal) => return refusal,
     };
+    let caller = checked.caller;
     let deadline_ms = request
         .header(callers::DEADLINE_HEADER)
         .and_then(|value| value.trim().parse().ok());
     let host = request.header("host").unwrap_or_default();
-    let queue = config.route(host, &request.path);
+    let queue = checked.config.route(host, &request.path);
     let rest = queue.map(|queue| &request.path[queue.prefix.len()..]);
     match (request.method.as_str(), queue, rest) {
         ("POST", Some(queue), Some(id)) => {
@@ -36,7 +39,7 @@
                 return server::Response::text(400, "the job id needs 16 hexadecimal digits");
             };
             match callers::parse_submission(&request.body) {
-                Ok(spec) => submit(&context, job, queue, spec, deadline_ms).await,
+                Ok(spec) => submit(&context, job, queue, spec, (&caller, deadline_ms)).await,
                 Err(error) => server::Response::text(400, error.to_string()),
             }
         }
@@ -47,11 +50,11 @@
         // Jobs of a queue that was removed from the configuration remain readable under their old
         // path.
         ("GET", ..) => match job_id_of_path(&request.path) {
-            Some(job) => read(&context, peers::Request::State { job }, deadline_ms).await,
+            Some(job) => read(&context, peers::Request::State { job, caller }, deadline_ms).await,
             None => not_found(),
         },
         ("DELETE", ..) => match job_id_of_path(&request.path) {
-            Some(job) => cancel(&context, job, deadline_ms).await,
+            Some(job) => cancel(&context, job, caller, deadline_ms).await,
             None => not_found(),
         },
         (_, None, _) => not_found(),
@@ -67,8 +70,9 @@
     server::Response::text(404, "no such queue")
 }
 
-fn refuse(reason: &'static str) -> server::Response {
-    server::Response::text(503, reason).with_retry_after(constants::RETRY_AFTER_S)
+/// Refuses a job that the cap of its organisation can never allow.
+fn refuse_over_cap(over_cap: &action::OverCap) -> server::Response {
+    server::Response::text(422, over_cap.to_string())
 }
 
 /// Answers a request that may have taken effect. Another node may know more if this one is not ready.
@@ -147,14 +151,14 @@
     job: spec::JobId,
     queue: &queue::Queue,
     spec: spec::JobSpec,
-    deadline_ms: Option<u64>,
+    (caller, deadline_ms): (&access::Caller, Option<u64>),
 ) -> server::Response {
     let request = peers::Request::Submit {
         job,
         queue: queue.name.clone(),
         spec,
         terms: None,
-        organisation: None,
+        organisation: caller.organisation().cloned(),
     };
     let started = Instant::now();
     let forwarded = forwarding::forward(context, &request, Some(queue), deadline_ms).await;
@@ -167,8 +171,13 @@
         log_unserved(context, "submit", job, &forwarded, started.elapsed());
     }
     match forwarded {
+        ForwardOutcome::Served {
+            served: peers::Served::IdTaken,
+            ..
+        } => server::Response::text(409, "the job id is not available"),
         ForwardOutcome::Served { .. } => server::Response::new(200, JSON, "{}"),
         ForwardOutcome::Refused(cause) => refuse_for(context, cause),
+        ForwardOutcome::OverCap(over_cap) => refuse_over_cap(&over_cap),
         ForwardOutcome::Unknown => report_unknown(context),
     }
 }
@@ -176,9 +185,10 @@
 async fn cancel(
     context: &Arc<context::Context>,
     job: spec::JobId,
+    caller: access::Caller,
     deadline_ms: Option<u64>,
 ) -> server::Response {
-    let request = peers::Request::Cancel { job };
+    let request = peers::Request::Cancel { job, caller };
     let started = Instant::now();
     let forwarded = forwarding::forward(context, &request, None, deadline_ms).await;
     context.metrics.count_request("cancel", forwarded.name());
@@ -192,7 +202,7 @@
         } => server::Response::text(410, "no such job"),
         ForwardOutcome::Served { .. } => server::Response::new(200, JSON, "{}"),
         ForwardOutcome::Refused(cause) => refuse_for(context, cause),
-        ForwardOutcome::Unknown => report_unknown(context),
+        ForwardOutcome::OverCap(_) | ForwardOutcome::Unknown => report_unknown(context),
     }
 }
 
@@ -206,10 +216,14 @@
     let served = match forwarded {
         ForwardOutcome::Served { served, .. } => served,
         ForwardOutcome::Refused(cause) => return refuse_for(context, cause),
-        ForwardOutcome::Unknown => return refuse_for(context, submission::Cause::NoLeader),
+        ForwardOutcome::OverCap(_) | ForwardOutcome::Unknown => {
+            return refuse_for(context, submission::Cause::NoLeader);
+        }
     };
     let state = match served {
-        peers::Served::NoSuchJob => return server::Response::text(410, "no such job"),
+        peers::Served::NoSuchJob | peers::Served::IdTaken => {
+            return server::Response::text(410, "no such job");
+        }
         peers::Served::Pending(count) => {
             return server::Response::new(200, JSON, callers::pending_body(count));
         }
--- a/crates/daisymast_node/src/forwarding.rs
+++ b/crates/daisymast_node/src/forwarding.rs
@@ -4,7 +4,7 @@
 
 use daisymast_jobs::queue;
 use daisymast_protocol::outcome;
-use daisymast_scheduler::lease;
+use daisymast_scheduler::{action, lease};
 use daisymast_types::time;
 use futures_lite::future;
 use smol::Timer;
@@ -16,7 +16,7 @@
 use crate::submission::{self, Failure, Step};
 
 /// Outcome of forwarding a request to the leader.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub enum ForwardOutcome {
     /// The leader answered.
     Served {
@@ -27,16 +27,25 @@
     },
     /// The request certainly had no effect.
     Refused(submission::Cause),
+    /// The cap of the organisation can never allow the job, which certainly never runs.
+    OverCap(action::OverCap),
     /// The request may have taken effect.
     Unknown,
 }
 
+/// The leader's decision on a request.
+enum Answer {
+    Served(peers::Served),
+    OverCap(action::OverCap),
+}
+
 impl ForwardOutcome {
     /// Returns the label of the outcome in metrics and log events.
     pub fn name(&self) -> &'static str {
         match self {
             Self::Served { .. } => "served",
             Self::Refused(cause) => cause.name(),
+            Self::OverCap(_) => "over_cap",
             Self::Unknown => "unknown",
         }
     }
@@ -48,7 +57,7 @@
                 is_via_peer: true, ..
             } => "peer",
             Self::Served { .. } => "direct",
-            Self::Refused(_) | Self::Unknown => "none",
+            Self::Refused(_) | Self::OverCap(_) | Self::Unknown => "none",
         }
     }
 }
@@ -83,18 +92,15 @@
                 is_via_peer = true;
                 let send = |request| send_via_peer(context, request, until);
                 let sent = with_terms(request, queue, send).await;
-                (
-                    if sent == Err(Failure::Unknown) {
-                        u64::MAX
-                    } else {
-                        0
-                    },
-                    sent,
-                )
+                let is_unknown = matches!(sent, Err(Failure::Unknown));
+                (if is_unknown { u64::MAX } else { 0 }, sent)
             }
         };
         match sent {
-            Ok(served) => {
+            // An earlier call may have been taken by a leader that knew another cap.
+            Ok(Answer::OverCap(_)) if pending.is_open() => return ForwardOutcome::Unknown,
+            Ok(Answer::OverCap(over_cap)) => return ForwardOutcome::OverCap(over_cap),
+            Ok(Answer::Served(served)) => {
                 return ForwardOutcome::Served {
                     served,
                     is_via_peer,
@@ -143,11 +149,11 @@
 
 /// Sends a request. If the leader does not know the queue of a submission, sends it again with the
 /// queue's settings, which most submissions need not carry.
-async fn with_terms<F: Future<Output = Result<peers::Served, Failure>>>(
+async fn with_terms<F: Future<Output = Result<Answer, Failure>>>(
     request: &peers::Request,
     queue: Option<&queue::Queue>,
     send: impl Fn(peers::Request) -> F,
-) -> Result<peers::Served, Failure> {
+) -> Result<Answer, Failure> {
     match (send(request.clone()).await, request, queue) {
         (Err(Failure::UnknownQueue), request @ peers::Request::Submit { .. }, Some(queue)) => {
             let mut with_terms = request.clone();
@@ -165,7 +171,7 @@
     request: peers::Request,
     term: u64,
     until: time::Monotonic,
-) -> Result<peers::Served, Failure> {
+) -> Result<Answer, Failure> {
     let call = async {
         if context.term().is_some() {
             let answer = async { Some(peers::handle_as_leader(context, request).await) };
@@ -208,7 +214,7 @@
     context: &Arc<context::Context>,
     request: peers::Request,
     until: time::Monotonic,
-) -> Result<peers::Served, Failure> {
+) -> Result<Answer, Failure> {
     let now = clock::now();
     let Some(address) = context.reach().path(now).map(|peer| peer.address) else {
         return Err(Failure::NoEffect);
@@ -229,9 +235,10 @@
 }
 
 /// Returns the leader's answer.
-fn judge(reply: peers::Reply) -> Result<peers::Served, Failure> {
+fn judge(reply: peers::Reply) -> Result<Answer, Failure> {
     match reply {
-        peers::Reply::Served(served) => Ok(served),
+        peers::Reply::Served(served) => Ok(Answer::Served(served)),
+        peers::Reply::OverCap(over_cap) => Ok(Answer::OverCap(over_cap)),
         peers::Reply::Unavailable => Err(Failure::StoreAway),
         peers::Reply::Overloaded => Err(Failure::Overload),
         peers::Reply::NotLeader => Err(Failure::NoEffect),
--- a/crates/daisymast_node/src/submission.rs
+++ b/crates/daisymast_node/src/submission.rs
@@ -197,6 +197,11 @@
         }
     }
 
+    /// Whether the request may have taken effect.
+    pub fn is_open(&self) -> bool {
+        self.open_term.is_some()
+    }
+
     /// Returns what to do next.
     pub fn next(&mut self, paths: &Paths, now: time::Monotonic) -> Step {
         if let Some(answer) = self.answer(paths, now) {
--- a/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
@@ -3,6 +3,7 @@
 use daisymast_jobs::job;
 use daisymast_jobs::record;
 use daisymast_jobs::spec;
+use daisymast_organisations::access;
 use daisymast_types::ids;
 use daisymast_types::time;
 
@@ -45,8 +46,10 @@
 }
 
 impl Scheduler {
-    /// Accepts a job, and answers once it is stored. A repeated ID names the same job. A job on an
-    /// unknown queue is not accepted; see [`add_queue`](Self::add_queue).
+    /// Accepts a job, and answers once it is stored. A repeated ID names the same job, if that belongs
+    /// to the same organisation or to none; otherwise the submission has no effect. A job on an
+    /// unknown queue is not accepted; see [`add_queue`](Self::add_queue). Neither is one of an unknown
+    /// organisation, whose cap is not known, or one that the cap can never allow.
     pub fn submit(&mut self, token: u64, submission: Submission, now: time::Timestamp) {
         let Submission {
             job: id,
@@ -55,19 +58,29 @@
             spec,
         } = submission;
         self.wall = now.wall;
+        let owner = self.job_table.owner(id);
+        if owner.is_some() && owner != organisation.as_ref() {
+            let answer = action::Answer::IdTaken;
+            self.actions.push(action::Action::Answer { token, answer });
+            return;
+        }
         if self.job_table.committed_state(id).is_none() {
-            if self.queue(&queue).is_none() {
-                let answer = action::Answer::UnknownQueue;
+            if let Some(answer) = self.refusal(&queue, organisation.as_ref(), &spec) {
                 self.actions.push(action::Action::Answer { token, answer });
                 return;
             }
             self.store_configured_queue(&queue);
+            if let Some(organisation) = &organisation {
+                self.store_organisation(organisation);
+            }
+            let over_rate = self.take_rate(organisation.as_ref(), now.mono);
             self.journal.append(record::Record::Accepted {
                 job: id,
                 queue: queue.clone(),
                 spec: spec.clone(),
                 at: now.wall,
                 organisation: organisation.clone(),
+                over_rate,
             });
             let allowance_ms = self
                 .queue(&queue)
@@ -78,7 +91,9 @@
                 version: self.config.version,
                 allowance_ms,
             });
-            let job = job::Job::new(queue, spec, now.wall).owned_by(organisation);
+            let job = job::Job::new(queue, spec, now.wall)
+                .owned_by(organisation)
+                .over_rate(over_rate);
             if job.spec.schedule.is_some() {
                 self.recurring.push(id);
             }
@@ -99,6 +114,20 @@
         self.actions.push(action::Action::Answer { token, answer });
     }
 
+    /// Returns why a job is not accepted, `None` if it is.
+    fn refusal(
+        &self,
+        queue: &ids::QueueName,
+        organisation: Option<&ids::Organisation>,
+        spec: &spec::JobSpec,
+    ) -> Option<action::Answer> {
+        let is_known = organisation.is_none_or(|name| self.terms(name).is_some());
+        if self.queue(queue).is_none() || !is_known {
+            return Some(action::Answer::UnknownQueue);
+        }
+        self.over_cap(organisation, spec)
+    }
+
     /// Handles a store that takes no records. Jobs whose acceptance was certainly not stored are
     /// removed, and their callers are told at once that they were refused. `batch_failed` says that
     /// the batch in flight had no effect, so that its records are written again.
@@ -109,7 +138,7 @@
         let (jobs, tokens) = self.journal.remove_unstored_jobs();
         for id in jobs {
             for (worker_index, task) in self.placed_tasks(id) {
-                self.fleet.at_mut(worker_index).remove(task);
+                self.fleet.unassign(worker_index, task);
             }
             self.steps.retain(|step, _| step.job != id);
             self.recurring.retain(|&job| job != id);
@@ -150,6 +179,11 @@
         self.job_table.committed_state(id)
     }
 
+    /// Whether a caller may see and cancel a job. An unknown job is open to all callers.
+    pub fn may_use(&self, id: spec::JobId, caller: &access::Caller) -> bool {
+        caller.may_use(self.job_table.owner(id))
+    }
+
     /// Number of jobs of a queue of which no worker has accepted a task yet. A task that is only
     /// placed does not count, as its worker may never answer.
     pub fn pending(&self, queue: &ids::QueueName) -> u64 {
