--- a/crates/daisymast_scheduler/examples/fleet_model/jobs.rs
+++ b/crates/daisymast_scheduler/examples/fleet_model/jobs.rs
@@ -23,6 +23,10 @@
     pub(crate) errors: f64,
     /// Share of workers that the advice service allows, in percent.
     pub(crate) allowed: u64,
+    /// Standard deviation of the logarithm of a declared run time around the real one.
+    pub(crate) estimate_spread: f64,
+    /// Number of jobs that arrive at the start.
+    pub(crate) first_jobs: u32,
     pub(crate) terms: queue::Queue,
 }
 
@@ -50,54 +54,195 @@
     }
 }
 
-pub(crate) fn kinds() -> Vec<Kind> {
-    vec![
-        Kind {
-            name: "quotes",
-            rate: 135.0,
-            worth: 0.41,
-            tasks: 3.1,
-            max_tasks: 19.0,
-            millicores: 7_900.0,
-            max_millicores: 24_000.0,
-            work_ms: 640.0,
-            max_work_ms: 1_600.0,
-            gangs: 0.3,
-            errors: 0.005,
-            allowed: 70,
-            terms: terms("quotes", 0, (1.5, 250.0), (16.9, 0.234)),
-        },
-        Kind {
-            name: "surveys",
-            rate: 11.0,
-            worth: 5.8,
-            tasks: 20.0,
-            max_tasks: 120.0,
-            millicores: 9_000.0,
-            max_millicores: 15_000.0,
-            work_ms: 4_000.0,
-            max_work_ms: 10_000.0,
-            gangs: 1.0,
-            errors: 0.05,
-            allowed: 35,
-            terms: terms("surveys", 1, (2.2, 1_000.0), (507.0, 7.28)),
-        },
-        Kind {
-            name: "invoices",
-            rate: 18.0,
-            worth: 2.2,
-            tasks: 24.0,
-            max_tasks: 150.0,
-            millicores: 5_500.0,
-            max_millicores: 17_000.0,
-            work_ms: 2_200.0,
-            max_work_ms: 5_400.0,
-            gangs: 0.0,
-            errors: 0.005,
-            allowed: 45,
-            terms: terms("invoices", 2, (4.0, 3_000.0), (182.0, 2.6)),
-        },
-    ]
+/// Which kinds of jobs arrive, and on which workers they run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Mix {
+    /// Jobs like those of lsgw-sched-large.
+    #[default]
+    Surveys,
+    /// Jobs like those of mhfc-daisymast-grown: large gangs, and workers of unlike speed.
+    Nesting,
+    /// Jobs like those of ccw-render-grown: declared run times far from the real ones.
+    Render,
+}
+
+impl Mix {
+    /// Returns the mix with the given name.
+    pub(crate) fn named(name: &str) -> Option<Self> {
+        match name {
+            "surveys" => Some(Self::Surveys),
+            "nesting" => Some(Self::Nesting),
+            "render" => Some(Self::Render),
+            _ => None,
+        }
+    }
+
+    /// Speeds of the workers, in percent, in rotation.
+    pub(crate) fn speeds(self) -> [u64; 3] {
+        match self {
+            Self::Surveys | Self::Nesting => [70, 70, 170],
+            Self::Render => [100, 100, 130],
+        }
+    }
+
+    /// Processors of a worker, in thousandths of a core.
+    pub(crate) fn millicores(self) -> u32 {
+        match self {
+            Self::Surveys => 32_000,
+            Self::Nesting | Self::Render => 64_000,
+        }
+    }
+
+    /// Number of nodes that send advice requests.
+    pub(crate) fn nodes(self) -> usize {
+        match self {
+            Self::Surveys => 97,
+            Self::Nesting => 45,
+            Self::Render => 32,
+        }
+    }
+
+    pub(crate) fn kinds(self) -> Vec<Kind> {
+        match self {
+            Self::Surveys => vec![quotes(), surveys(), invoices()],
+            Self::Nesting => vec![
+                urgent_kind(("stock", 144.0, 0.39), 640.0, 250.0, (7.2, 0.1)),
+                gang_kind(("nesting", 5.0, 12.9), 5_000.0, 0.2, (430.0, 6.2)),
+                batch_kind(("costing", 17.9, 3.9), 2_700.0, 0.5, (100.0, 1.4)),
+            ],
+            Self::Render => vec![
+                urgent_kind(("fix", 187.0, 0.395), 540.0, 300.0, (9.36, 0.13)),
+                gang_kind(("burn", 8.1, 10.4), 3_400.0, 0.9, (442.0, 6.37)),
+                batch_kind(("pass", 13.4, 3.94), 2_300.0, 0.2, (130.0, 1.82)),
+            ],
+        }
+    }
+}
+
+/// Name, jobs per second on 540 workers, and worth of a kind.
+type Demand = (&'static str, f64, f64);
+
+fn urgent_kind(
+    (name, rate, worth): Demand,
+    work_ms: f64,
+    latency_ms: f64,
+    advice: (f64, f64),
+) -> Kind {
+    Kind {
+        name,
+        rate,
+        worth,
+        millicores: 9_900.0,
+        max_millicores: 30_000.0,
+        work_ms,
+        max_work_ms: work_ms * 2.5,
+        estimate_spread: 0.9,
+        terms: terms(name, 0, (1.5, latency_ms), advice),
+        ..quotes()
+    }
+}
+
+fn gang_kind(
+    (name, rate, worth): Demand,
+    work_ms: f64,
+    estimate_spread: f64,
+    advice: (f64, f64),
+) -> Kind {
+    Kind {
+        name,
+        rate,
+        worth,
+        millicores: 18_000.0,
+        max_millicores: 30_000.0,
+        work_ms,
+        max_work_ms: work_ms * 2.4,
+        estimate_spread,
+        first_jobs: 18,
+        terms: terms(name, 1, (2.2, 1_000.0), advice),
+        ..surveys()
+    }
+}
+
+fn batch_kind(
+    (name, rate, worth): Demand,
+    work_ms: f64,
+    estimate_spread: f64,
+    advice: (f64, f64),
+) -> Kind {
+    Kind {
+        name,
+        rate,
+        worth,
+        tasks: 25.0,
+        millicores: 6_900.0,
+        max_millicores: 21_000.0,
+        work_ms,
+        max_work_ms: work_ms * 2.5,
+        estimate_spread,
+        first_jobs: 25,
+        terms: terms(name, 2, (4.0, 3_000.0), advice),
+        ..invoices()
+    }
+}
+
+fn quotes() -> Kind {
+    Kind {
+        name: "quotes",
+        rate: 135.0,
+        worth: 0.41,
+        tasks: 3.1,
+        max_tasks: 19.0,
+        millicores: 7_900.0,
+        max_millicores: 24_000.0,
+        work_ms: 640.0,
+        max_work_ms: 1_600.0,
+        gangs: 0.3,
+        errors: 0.005,
+        allowed: 70,
+        estimate_spread: 0.5,
+        first_jobs: 0,
+        terms: terms("quotes", 0, (1.5, 250.0), (16.9, 0.234)),
+    }
+}
+
+fn surveys() -> Kind {
+    Kind {
+        name: "surveys",
+        rate: 11.0,
+        worth: 5.8,
+        tasks: 20.0,
+        max_tasks: 120.0,
+        millicores: 9_000.0,
+        max_millicores: 15_000.0,
+        work_ms: 4_000.0,
+        max_work_ms: 10_000.0,
+        gangs: 1.0,
+        errors: 0.05,
+        allowed: 35,
+        estimate_spread: 0.5,
+        first_jobs: 0,
+        terms: terms("surveys", 1, (2.2, 1_000.0), (507.0, 7.28)),
+    }
+}
+
+fn invoices() -> Kind {
+    Kind {
+        name: "invoices",
+        rate: 18.0,
+        worth: 2.2,
+        tasks: 24.0,
+        max_tasks: 150.0,
+        millicores: 5_500.0,
+        max_millicores: 17_000.0,
+        work_ms: 2_200.0,
+        max_work_ms: 5_400.0,
+        gangs: 0.0,
+        errors: 0.005,
+        allowed: 45,
+        estimate_spread: 0.5,
+        first_jobs: 0,
+        terms: terms("invoices", 2, (4.0, 3_000.0), (182.0, 2.6)),
+    }
 }
 
 /// Pseudo-random numbers (xorshift64*), so that a seed repeats a run.
--- a/crates/daisymast_scheduler/examples/fleet_model/mod.rs
+++ b/crates/daisymast_scheduler/examples/fleet_model/mod.rs
@@ -13,7 +13,8 @@
 mod summary;
 mod workers;
 
-use jobs::{Job, Kind, Random, kinds, whole};
+pub(crate) use jobs::Mix;
+use jobs::{Job, Kind, Random, whole};
 use summary::Summary;
 use workers::{Run, Worker};
 
@@ -33,20 +34,15 @@
 const COMMIT_MS: u64 = 15;
 /// Time between two ticks, in milliseconds.
 const TICK_MS: u64 = 50;
-/// Number of nodes that send advice requests.
-const NODES: usize = 97;
 /// Difference between the seeds of arrivals and of the outcomes of runs.
 const OUTCOME_SEED: u64 = 1_000;
 /// Number of workers in a rack.
 const WORKERS_PER_RACK: usize = 12;
-/// Speeds of the workers, in percent, in rotation.
-const SPEEDS: [u64; 3] = [70, 70, 170];
-/// Standard deviation of the logarithm of a declared run time around the real one.
-const ESTIMATE_SPREAD: f64 = 0.5;
 
 /// Size and load of a cell.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Scenario {
+    pub(crate) mix: Mix,
     pub(crate) workers: usize,
     /// Arrivals, in percent of the usual ones.
     pub(crate) load_percent: u64,
@@ -64,6 +60,7 @@
 impl Default for Scenario {
     fn default() -> Self {
         Self {
+            mix: Mix::default(),
             workers: 540,
             load_percent: 100,
             burst_percent: 250,
@@ -127,7 +124,7 @@
 
 impl Simulation {
     pub(crate) fn new(scenario: Scenario, seed: u64) -> Self {
-        let kinds = kinds();
+        let kinds = scenario.mix.kinds();
         let config = Arc::new(config::Configuration {
             version: 1,
             queues: kinds.iter().map(|kind| kind.terms.clone()).collect(),
@@ -146,7 +143,7 @@
         );
         let locality = locality::Locality::new(scenario.far_factor);
         scheduler = scheduler.with_locality(locality.with_policy(scenario.policy));
-        let nodes: Vec<_> = (0..NODES)
+        let nodes: Vec<_> = (0..scenario.mix.nodes())
             .map(|node| format!("n{node:02}").into())
             .collect();
         scheduler.set_advice_nodes(&nodes);
@@ -156,7 +153,7 @@
                 service: "s".into(),
                 address: ([127, 0, 0, 1], 1).into(),
                 zone: ["a", "b", "c", "d", "e"][index % 5].into(),
-                capacity: quantities::Resources::new(32_000, 131_072, 0),
+                capacity: quantities::Resources::new(scenario.mix.millicores(), 131_072, 0),
                 rack: Some(rack_name(index / WORKERS_PER_RACK)),
                 labels: Vec::new(),
                 draining: false,
@@ -190,6 +187,11 @@
 
     /// Plays all arrivals and the time after them.
     pub(crate) fn run(&mut self) {
+        for kind in 0..self.kinds.len() {
+            for _ in 0..self.kinds[kind].first_jobs {
+                self.submit(kind);
+            }
+        }
         while self.now < START_MS + ARRIVALS_MS + SETTLING_MS {
             self.now += 1;
             self.arrive();
@@ -233,7 +235,7 @@
         let work_ms = random
             .around(kind.work_ms, 0.5)
             .clamp(50.0, kind.max_work_ms);
-        let estimate_ms = random.around(work_ms, ESTIMATE_SPREAD);
+        let estimate_ms = random.around(work_ms, kind.estimate_spread);
         let gang = tasks > 1 && random.unit() < kind.gangs;
         let core_seconds = f64::from(tasks) * f64::from(millicores) * work_ms / 1e6;
         let mean = kind.tasks * kind.millicores * kind.work_ms / 1e6;
@@ -389,7 +391,8 @@
 
     fn duration(&self, index: usize, task: spec::TaskId) -> u64 {
         let job = self.job(task);
-        let took = job.work_ms * 100 / SPEEDS[index % SPEEDS.len()];
+        let speeds = self.scenario.mix.speeds();
+        let took = job.work_ms * 100 / speeds[index % speeds.len()];
         if job.rack.is_none_or(|rack| rack == index / WORKERS_PER_RACK) {
             took
         } else {
@@ -534,7 +537,8 @@
 
     /// Returns what was served of what was owed.
     pub(crate) fn summary(&self) -> Summary {
-        let core_ms = ARRIVALS_MS as f64 * 32.0 * self.scenario.workers as f64;
+        let cores = f64::from(self.scenario.mix.millicores()) / 1_000.0;
+        let core_ms = ARRIVALS_MS as f64 * cores * self.scenario.workers as f64;
         summary::summarize(&self.kinds, &self.jobs, self.occupied / core_ms)
     }
 }
--- a/crates/daisymast_scheduler/examples/locality.rs
+++ b/crates/daisymast_scheduler/examples/locality.rs
@@ -2,14 +2,14 @@
 //! network.
 //!
 //! `cargo run --release -p daisymast_scheduler --example locality -- [--workers N] [--seeds N]
-//! [--load PERCENT] [--near PERCENT] [--far PERCENT]` plays the arrivals of the example `overload` on a
+//! [--load PERCENT] [--near PERCENT] [--far PERCENT] [--mix surveys|nesting|render]` plays the arrivals of the example `overload` on a
 //! virtual clock, with the same seeds for each policy: never wait, wait if it pays, always wait.
 //! `--near` is the share of jobs that name a rack, `--far` the run time elsewhere.
 
 mod fleet_model;
 
 use daisymast_scheduler::locality::Policy;
-use fleet_model::{Scenario, Simulation};
+use fleet_model::{Mix, Scenario, Simulation};
 
 #[expect(clippy::print_stdout, reason = "the output of the example")]
 fn main() -> Result<(), String> {
@@ -23,8 +23,12 @@
     let mut seeds = 3;
     let mut arguments = std::env::args().skip(1);
     while let Some(name) = arguments.next() {
-        let value = arguments.next().and_then(|value| value.parse().ok());
-        let value: u64 = value.ok_or_else(|| format!("{name} needs a number"))?;
+        let text = arguments.next().unwrap_or_default();
+        if name == "--mix" {
+            scenario.mix = Mix::named(&text).ok_or_else(|| format!("unknown mix {text}"))?;
+            continue;
+        }
+        let value: u64 = text.parse().map_err(|_| format!("{name} needs a number"))?;
         match name.as_str() {
             "--workers" => scenario.workers = usize::try_from(value).unwrap_or(usize::MAX),
             "--seeds" => seeds = value,
