Order waiting steps by the rates and shares of organisations

Steps of all organisations were ordered by deadline and size alone, so a flood of one organisation took the room of the others, and kept ahead of them once it had made their jobs late. Jobs beyond the rate also used the room that is kept for urgent ones.

While room is short, what lies beyond an organisation's rate now waits behind all that has value, and among urgent steps and among all others the organisation that uses less of its share goes first. Shares are dominant shares by weight among the active organisations, counted on within a pass. Without organisations the order is as before: docs/design/order-of-work.md.

--- a/crates/daisymast_organisations/src/lib.rs
+++ b/crates/daisymast_organisations/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod freshness;
 pub mod organisation;
 pub mod rate;
+pub mod share;
 pub mod usage;
--- a/crates/daisymast_scheduler/src/scheduler/advice.rs
+++ b/crates/daisymast_scheduler/src/scheduler/advice.rs
@@ -43,7 +43,7 @@
         } else {
             constants::MIN_OPEN_REQUESTS_IDLE.max(nodes)
         };
-        step.priority == 0 || open < limit
+        step.is_urgent() || open < limit
     }
 
     /// Asks the advice service for permission to use workers with free capacity. For a gang, also
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -40,7 +40,11 @@
             open_requests: collections::FastMap::default(),
             awaited: collections::FastMap::default(),
         };
-        let mut order = order::waiting_steps(&self.steps, pass.snapshot.rows.len(), now);
+        let cell = order::Cell {
+            workers: pass.snapshot.rows.len(),
+            shares: self.shares(&pass.snapshot),
+        };
+        let mut order = order::waiting_steps(&self.steps, &cell, now);
         let steps = order.len();
         self.remove_over_cap(&mut order, now);
         for request in self.advice_requests.values() {
--- a/crates/daisymast_scheduler/src/scheduler/order/tests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/order/tests.rs
@@ -2,9 +2,10 @@
 use std::time::Duration;
 
 use daisymast_jobs::spec;
+use daisymast_organisations::share;
 use daisymast_types::{collections, quantities, time};
 
-use super::waiting_steps;
+use super::{Cell, waiting_steps};
 use crate::progress;
 use crate::steps;
 
@@ -57,8 +58,31 @@
 }
 
 fn order(steps: Vec<steps::ReadyStep>, workers: usize) -> Vec<u64> {
+    order_in(steps, workers, None)
+}
+
+/// Returns the order while room is short. The cell has 200 cores, and its two organisations, `a` and
+/// `b`, have the same weight.
+fn order_by_share(steps: Vec<steps::ReadyStep>, used_by_a: u32, used_by_b: u32) -> Vec<u64> {
+    let mut capacity = share::Capacity::default();
+    capacity.add(quantities::Resources::new(200_000, 200_000, 0));
+    let active = |name: &str, cores: u32| share::Active {
+        name: name.into(),
+        weight: 1.0,
+        used: quantities::Resources::new(cores * 1_000, 0, 0),
+    };
+    let active = vec![active("a", used_by_a), active("b", used_by_b)];
+    order_in(steps, 10, Some(share::Shares::new(capacity, active)))
+}
+
+fn order_in(
+    steps: Vec<steps::ReadyStep>,
+    workers: usize,
+    shares: Option<share::Shares>,
+) -> Vec<u64> {
     let steps = steps.into_iter().map(|step| (step.id, step)).collect();
-    let ids = waiting_steps(&steps, workers, NOW);
+    let cell = Cell { workers, shares };
+    let ids = waiting_steps(&steps, &cell, NOW);
     ids.into_iter().map(|id| id.job.0).collect()
 }
 
@@ -120,3 +144,66 @@
     let steps = vec![step(2, 90, true, 1_000), urgent];
     assert_eq!(order(steps, 540), vec![1, 2]);
 }
+
+fn owned(organisation: &str, step: steps::ReadyStep) -> steps::ReadyStep {
+    steps::ReadyStep {
+        organisation: Some(organisation.into()),
+        ..step
+    }
+}
+
+fn beyond_rate(step: steps::ReadyStep) -> steps::ReadyStep {
+    steps::ReadyStep {
+        within_rate: false,
+        ..owned("a", step)
+    }
+}
+
+/// Guards against a flood that takes the room of jobs within the rates: urgent ones and large gangs of
+/// the flood were placed first. Jobs without any value go last all the same.
+#[test]
+fn beyond_the_rate_goes_behind_all_that_has_value() {
+    let mut urgent = beyond_rate(step(1, 2, false, 1_000));
+    urgent.priority = 0;
+    let mut late = owned("b", step(3, 2, false, 0));
+    late.deadlines.latest_start = time::Monotonic::from_millis(99_000);
+    let mut expired = owned("b", step(4, 2, false, 0));
+    expired.deadlines.latest_start = time::Monotonic::from_millis(10_000);
+    expired.deadlines.due_at = time::Monotonic::from_millis(20_000);
+    let steps = || {
+        let gang = beyond_rate(step(2, 90, true, 2_000));
+        vec![urgent.clone(), gang, late.clone(), expired.clone()]
+    };
+    assert_eq!(order_by_share(steps(), 0, 0), vec![3, 1, 2, 4]);
+    // While there is room for all, the rate does not matter.
+    assert_eq!(order(steps(), 540), vec![1, 2, 3, 4]);
+}
+
+/// Guards against a flood that keeps ahead of the others because they are late by its doing.
+#[test]
+fn late_steps_within_the_share_go_before_others_beyond_it() {
+    let mut late = owned("b", step(2, 2, false, 0));
+    late.deadlines.latest_start = time::Monotonic::from_millis(99_000);
+    let steps = vec![owned("a", step(1, 2, false, 1_000)), late];
+    assert_eq!(order_by_share(steps.clone(), 150, 20), vec![2, 1]);
+    assert_eq!(order_by_share(steps, 20, 20), vec![1, 2]);
+}
+
+/// Guards against an organisation that was idle taking all the room that becomes free in one pass.
+#[test]
+fn the_steps_of_a_pass_count_for_the_share() {
+    let of_a = (1..=8).map(|job| owned("a", step(job, 2, false, 1_000)));
+    let of_b = (11..=12).map(|job| owned("b", step(job, 2, false, 9_000)));
+    // Half of 200 cores are five steps of 20 cores.
+    let expected = vec![1, 2, 3, 4, 5, 11, 12, 6, 7, 8];
+    assert_eq!(order_by_share(of_a.chain(of_b).collect(), 0, 0), expected);
+}
+
+/// Guards against urgent steps of a large organisation that wait behind the batches of all others.
+#[test]
+fn urgent_steps_go_first_whatever_the_share() {
+    let mut urgent = owned("a", step(2, 2, false, 1_000));
+    urgent.priority = 0;
+    let steps = vec![owned("b", step(1, 2, false, 1_000)), urgent];
+    assert_eq!(order_by_share(steps, 150, 20), vec![2, 1]);
+}
--- a/crates/daisymast_scheduler/src/scheduler/organisations.rs
+++ b/crates/daisymast_scheduler/src/scheduler/organisations.rs
@@ -4,6 +4,7 @@
 use daisymast_jobs::spec;
 use daisymast_organisations::organisation;
 use daisymast_organisations::rate;
+use daisymast_organisations::share;
 use daisymast_organisations::usage;
 use daisymast_types::collections;
 use daisymast_types::ids;
@@ -11,6 +12,7 @@
 use daisymast_types::time;
 
 use super::Scheduler;
+use super::placement;
 use crate::action;
 use crate::constants;
 use crate::decision;
@@ -165,6 +167,49 @@
         });
     }
 
+    /// Returns how much the organisations use of their shares; `None` while there is room for all, or
+    /// without organisations.
+    pub(super) fn shares(&self, snapshot: &placement::FleetSnapshot) -> Option<share::Shares> {
+        if self.organisations.terms.is_empty() || !self.is_room_short(snapshot) {
+            return None;
+        }
+        let mut capacity = share::Capacity::default();
+        for row in &snapshot.rows {
+            capacity.add(row.capacity);
+        }
+        let waiting = self.steps.values().filter(|step| !step.waiting.is_empty());
+        let waiting: collections::FastSet<&ids::Organisation> = waiting
+            .filter_map(|step| step.organisation.as_ref())
+            .collect();
+        let active = self.organisations.terms.values().filter_map(|terms| {
+            let used = self.usage(&terms.name);
+            let is_active = used != quantities::Resources::ZERO || waiting.contains(&terms.name);
+            is_active.then(|| share::Active {
+                name: terms.name.clone(),
+                weight: terms.weight,
+                used,
+            })
+        });
+        Some(share::Shares::new(capacity, active.collect()))
+    }
+
+    /// Whether the fleet would be highly utilised with all waiting tasks. What is in use does not tell
+    /// alone: many tasks may end at once while more wait than there is room for.
+    fn is_room_short(&self, snapshot: &placement::FleetSnapshot) -> bool {
+        let sum = |millicores: fn(&placement::WorkerSnapshot) -> u32| -> u64 {
+            let rows = snapshot.rows.iter();
+            rows.map(|row| u64::from(millicores(row))).sum()
+        };
+        let capacity = sum(|row| row.capacity.millicores);
+        let used = capacity.saturating_sub(sum(|row| row.available.millicores));
+        let waiting = self.steps.values().map(|step| {
+            let tasks = u64::try_from(step.waiting.len()).unwrap_or(u64::MAX);
+            tasks.saturating_mul(u64::from(step.size().millicores))
+        });
+        let demand = waiting.fold(used, u64::saturating_add);
+        demand.saturating_mul(100) >= capacity * constants::HIGH_UTILISATION_PERCENT
+    }
+
     /// Returns the answer to a submission that the cap of its organisation can never allow: a task or a
     /// gang is larger than the cap.
     pub(super) fn over_cap(
--- a/crates/daisymast_scheduler/src/steps.rs
+++ b/crates/daisymast_scheduler/src/steps.rs
@@ -160,10 +160,16 @@
         self.was_placed && self.step_spec().lasting
     }
 
+    /// Whether the step is urgent, and within the rate of its organisation. What lies beyond it uses
+    /// neither the room nor the advice requests that are kept for urgent steps.
+    pub fn is_urgent(&self) -> bool {
+        self.priority == 0 && self.within_rate
+    }
+
     /// Whether the step may use the capacity that is kept free for urgent steps. A task that starts
     /// again takes no more than it had; others may have taken its place meanwhile.
     pub fn uses_reserve(&self) -> bool {
-        self.priority == 0 || self.is_restart()
+        self.is_urgent() || self.is_restart()
     }
 
     /// Returns the scheduling tier of the step at a given time. A long-running step whose tasks were
