Prefer workers without failures for gangs

A gang took any workers of like speed, also those on which a run had just failed, and a member that fails there breaks the whole gang: the work of all members is lost.

A gang now takes workers without a failure since the last completed run where these have room for all of it: fast ones, others, or both. Otherwise it takes any, so that a gang as wide as the fleet still starts.

--- a/crates/daisymast_scheduler/src/health.rs
+++ b/crates/daisymast_scheduler/src/health.rs
@@ -96,6 +96,21 @@
         None
     }
 
+    /// Whether a run has failed on the worker since it was last known to be sound.
+    ///
+    /// ```
+    /// use daisymast_scheduler::health;
+    /// use daisymast_types::time;
+    /// let mut health = health::Health::default();
+    /// health.on_failure(None, time::Monotonic::from_millis(1_000));
+    /// assert!(health.has_failures());
+    /// health.on_success();
+    /// assert!(!health.has_failures());
+    /// ```
+    pub fn has_failures(&self) -> bool {
+        !self.failures.is_empty()
+    }
+
     /// Whether a run of the job has failed on the worker since it was last known to be sound.
     pub fn has_failed(&self, job: spec::JobId) -> bool {
         self.failures.contains_key(&Some(job))
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -151,10 +151,12 @@
             }
         }
         if step.step_spec().gang {
-            // A gang is as slow as its slowest member, so mixed workers waste the fast ones.
-            for is_fast in [true, false] {
+            // A gang is as slow as its slowest member, so mixed workers waste the fast ones, and a
+            // member that fails breaks the whole gang.
+            for speeds in [&[true][..], &[false], &[true, false]] {
                 let alike = candidates.iter().filter(usable);
-                let alike = alike.filter(|candidate| candidate.is_fast == is_fast);
+                let alike = alike
+                    .filter(|candidate| candidate.is_sound && speeds.contains(&candidate.is_fast));
                 take_fitting(alike, needed, &mut chosen);
                 if chosen.len() >= needed as usize {
                     return chosen;
--- a/crates/daisymast_scheduler/src/scheduler/placement.rs
+++ b/crates/daisymast_scheduler/src/scheduler/placement.rs
@@ -129,6 +129,8 @@
     pub(super) fits: u32,
     band: i32,
     pub(super) is_fast: bool,
+    /// Whether no run has failed on the worker since one was last completed there.
+    pub(super) is_sound: bool,
     pub(super) on_preferred_rack: bool,
     pub(super) free_millicores: u32,
 }
@@ -256,6 +258,7 @@
                     fits,
                     band: row.band,
                     is_fast: row.is_fast,
+                    is_sound: !worker.health.has_failures(),
                     on_preferred_rack: place_waits::is_near(worker.rack(), step.step_spec()),
                     free_millicores: available.millicores,
                 })
