Confirm the configuration through another node if store and leader are away

Cause: a node that reaches neither the store nor the leader may forward calls through another node, but refused keys 4.75 s after its last confirmation.

Change: after a failed read of the configuration it pings one other node, whose pong carries the age of its configuration.

Measured: tests of daisymast_node and daisymast_organisations and the test withdrawn_keys pass; the path itself has no test with processes, since the stand-in cannot cut one node from another.

--- a/crates/daisymast_node/src/confirmation.rs
+++ b/crates/daisymast_node/src/confirmation.rs
@@ -10,6 +10,7 @@
 use crate::configuration;
 use crate::constants;
 use crate::context;
+use crate::follower;
 
 /// Interval at which the age of the configuration is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -40,7 +41,10 @@
             .freshness()
             .is_read_due(version, leads, jitter, clock::now());
         if due {
-            read(&context, &mut known).await;
+            let confirmed = read(&context, &mut known).await;
+            if !confirmed && !leads {
+                ask_peer(&context).await;
+            }
             jitter = Duration::from_millis(fastrand::u64(0..=MAX_JITTER_MS));
         }
         report_age(&context, &mut honours_keys);
@@ -49,8 +53,8 @@
 }
 
 /// Reads the configuration with a linearizable call, which confirms the version that it returns for
-/// the time at which the call was sent.
-async fn read(context: &context::Context, known: &mut Option<(u64, u64)>) {
+/// the time at which the call was sent. Returns whether it did.
+async fn read(context: &context::Context, known: &mut Option<(u64, u64)>) -> bool {
     let held = context.config_version();
     let read = context.freshness().begin_read(held, clock::now());
     let item = context
@@ -75,6 +79,24 @@
         if item.is_ok() { "done" } else { "failed" },
     );
     context.freshness().end_read(read, version, clock::now());
+    version.is_some()
+}
+
+/// Pings another node than the leader, whose pong carries the age of its configuration. A node that
+/// reaches neither the store nor the leader may still serve requests through others.
+async fn ask_peer(context: &context::Context) {
+    let peer = {
+        let candidate = context.candidate();
+        let me = &context.settings.instance;
+        let leader = candidate.elected().map(|elected| &elected.leader.node.id);
+        let others = candidate.members().iter();
+        let others = others.filter(|member| member.id != *me && Some(&member.id) != leader);
+        let others: Vec<_> = others.collect();
+        fastrand::choice(others).map(|member| member.address)
+    };
+    if let Some(address) = peer {
+        follower::ping_address(context, address, None).await;
+    }
 }
 
 /// Sets the gauge of the age, and logs when keys expire and when they are honoured again.
--- a/crates/daisymast_node/src/follower.rs
+++ b/crates/daisymast_node/src/follower.rs
@@ -149,7 +149,8 @@
     }
 }
 
-async fn ping_address(
+/// Pings a node. `term` is the term in which it is believed to lead.
+pub(crate) async fn ping_address(
     context: &context::Context,
     address: std::net::SocketAddr,
     term: Option<u64>,
