--- a/crates/daisymast_organisations/src/declaration.rs
+++ b/crates/daisymast_organisations/src/declaration.rs
@@ -164,7 +164,7 @@
         });
         Vec::new()
     });
-    let mut organisations: Vec<(usize, organisation::Organisation)> = Vec::new();
+    let mut organisations = Vec::new();
     let mut names = collections::FastSet::default();
     for (position, declaration) in (1..).zip(declarations) {
         let mut report = |organisation: Option<&ids::Organisation>, part, problem| {
@@ -175,41 +175,46 @@
                 problem,
             });
         };
-        let name = match declaration.name.check() {
-            Ok(name) => name,
-            Err(problem) => {
-                report(None, Part::Organisation, problem);
-                continue;
+        match declaration.name.clone().check() {
+            Ok(name) if !names.insert(name.clone()) => {
+                report(Some(&name), Part::Organisation, Problem::Repeated);
             }
-        };
-        if !names.insert(name.clone()) {
-            report(Some(&name), Part::Organisation, Problem::Repeated);
-            continue;
+            Ok(name) => {
+                let last = last.and_then(|last| last.get(&name));
+                let report = |part, problem| report(Some(&name), part, problem);
+                let organisation = resolve_organisation(declaration, &name, last, report);
+                organisations.push((position, organisation));
+            }
+            Err(problem) => report(None, Part::Organisation, problem),
         }
-        let last = last.and_then(|last| last.get(&name));
-        let keys = resolve_keys(declaration.keys, |problem| {
-            report(Some(&name), Part::Key, problem);
-        });
-        let weight = declaration.weight.check().unwrap_or_else(|problem| {
-            report(Some(&name), Part::Weight, problem);
-            last.map_or(DEFAULT_WEIGHT, |last| last.weight)
-        });
-        let cap = resolve_cap(declaration.cap, last.map(|last| last.cap), |problem| {
-            report(Some(&name), Part::Cap, problem);
-        });
-        let organisation = organisation::Organisation {
-            name,
-            keys,
-            weight,
-            cap,
-        };
-        organisations.push((position, organisation));
     }
     remove_shared_keys(&mut organisations, &mut faults);
     let organisations = organisations.into_iter().map(|(_, entry)| entry).collect();
     (directory::Directory::new(organisations), faults)
 }
 
+fn resolve_organisation(
+    declaration: Declaration,
+    name: &ids::Organisation,
+    last: Option<&organisation::Organisation>,
+    mut report: impl FnMut(Part, Problem),
+) -> organisation::Organisation {
+    let keys = resolve_keys(declaration.keys, |problem| report(Part::Key, problem));
+    let weight = declaration.weight.check().unwrap_or_else(|problem| {
+        report(Part::Weight, problem);
+        last.map_or(DEFAULT_WEIGHT, |last| last.weight)
+    });
+    let cap = resolve_cap(declaration.cap, last.map(|last| last.cap), |problem| {
+        report(Part::Cap, problem);
+    });
+    organisation::Organisation {
+        name: name.clone(),
+        keys,
+        weight,
+        cap,
+    }
+}
+
 fn resolve_keys(
     declared: Declared<Vec<Declared<api_key::KeyDigest>>>,
     mut report: impl FnMut(Problem),
