Add a command that explains where a request or job would go now

Cause: why a job waits could only be put together from the log lines of all nodes, and where a request would go could only be learned by sending it.

Change: `daisymast-node explain` asks any node, and through it the scheduler.

Nothing is sent, stored or counted. A subcommand of the node was chosen as it is on each edge machine and knows the node's settings; the older `daisymast` speaks to the operators' listener, which these nodes lack.

Messages: `Request::Explain`, `Reply::Explained`, `Reply::LedBy`. The list of requests in tests/messages.rs has one more entry.

--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -347,6 +347,8 @@
         peers::Reply::Unknown
         | peers::Reply::Pong(_)
         | peers::Reply::Advice(_)
-        | peers::Reply::Relayed(_) => ForwardOutcome::Unknown,
+        | peers::Reply::Relayed(_)
+        | peers::Reply::Explained { .. }
+        | peers::Reply::LedBy(_) => ForwardOutcome::Unknown,
     }
 }
--- a/crates/daisymast_node/src/leadership/requests.rs
+++ b/crates/daisymast_node/src/leadership/requests.rs
@@ -4,7 +4,7 @@
 
 use daisymast_jobs::{queue, spec};
 use daisymast_organisations::access;
-use daisymast_scheduler::{action, scheduler};
+use daisymast_scheduler::{action, explanation, scheduler};
 use daisymast_types::{ids, time};
 use smol::Timer;
 
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Returns where a request or a job would go now, and the term.
+    pub fn explain(&self, subject: &explanation::Subject) -> (u64, explanation::Answer) {
+        let answer = lock(&self.scheduler).explain(subject, clock::now());
+        (self.term, answer)
+    }
+
     /// Returns the number of jobs of a queue that have not started.
     pub async fn pending(&self, queue: &ids::QueueName) -> peers::Reply {
         let count = lock(&self.scheduler).pending(queue);
--- a/crates/daisymast_node/src/lib.rs
+++ b/crates/daisymast_node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod confirmation;
 pub mod constants;
 pub mod context;
+pub mod explain;
 pub mod follower;
 pub mod leadership;
 pub mod metrics;
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use daisymast_adapter::advice;
-use daisymast_election::record;
+use daisymast_election::{candidate, record};
 use daisymast_http::{client, msgpack, server};
 use daisymast_jobs::{job, queue, spec};
 use daisymast_organisations::{access, freshness};
 use daisymast_protocol::outcome;
 use daisymast_relay::wire;
-use daisymast_scheduler::{action, config, scheduler};
+use daisymast_scheduler::{action, config, explanation, scheduler};
 use daisymast_types::{ids, time};
 use serde::{Deserialize, Serialize};
 
@@ -82,6 +82,8 @@
     },
     /// Brings calls to workers that the node makes for the leader, and asks for their outcomes.
     Relay(wire::Exchange),
+    /// Asks the leader where a request or a job would go now. Nothing is changed, stored or counted.
+    Explain(explanation::Subject),
 }
 
 /// The leader that a node knows of.
@@ -172,6 +174,15 @@
     Advice(Option<Vec<(String, String)>>),
     /// Outcomes of calls that the node made for the leader.
     Relayed(wire::ExchangeReply),
+    /// Where a request or a job would go now.
+    Explained {
+        /// Term of the leader.
+        term: u64,
+        /// The leader's answer.
+        answer: explanation::Answer,
+    },
+    /// The node is not the leader; it names the one that it knows.
+    LedBy(Option<KnownLeader>),
 }
 
 /// Sends a request to another node.
@@ -191,12 +202,22 @@
     request: &Request,
     timeout: Duration,
     send_by: Option<time::Monotonic>,
+) -> outcome::Outcome<Reply> {
+    post(&context.peers, address, request, (timeout, send_by)).await
+}
+
+/// Sends a request to a node, with a timeout and the time by which it has to be sent.
+pub(crate) async fn post(
+    client: &client::Client,
+    address: SocketAddr,
+    request: &Request,
+    (timeout, send_by): (Duration, Option<time::Monotonic>),
 ) -> outcome::Outcome<Reply> {
     let peer = address.to_string();
     let mut call =
         client::Call::new(address, PATH, timeout).with_error_context(step_name(request), &peer);
     call.send_by = send_by;
-    msgpack::post(&context.peers, &call, request).await
+    msgpack::post(client, &call, request).await
 }
 
 fn step_name(request: &Request) -> &'static str {
@@ -208,6 +229,7 @@
         Request::Pending { .. } => "count pending",
         Request::Ask { .. } => "ask for advice",
         Request::Relay(_) => "relay calls",
+        Request::Explain(_) => "explain",
     }
 }
 
@@ -248,6 +270,7 @@
             request_advice(context, step, &workers, Duration::from_millis(timeout_ms)).await,
         ),
         Request::Relay(exchange) => relay::serve(context, exchange).await,
+        Request::Explain(subject) => explain(context, &subject),
         request => handle_as_leader(context, request).await,
     }
 }
@@ -279,10 +302,30 @@
         Request::Cancel { job, caller } => leadership.cancel(job, &caller).await,
         Request::State { job, caller } => leadership.state(job, &caller).await,
         Request::Pending { queue } => leadership.pending(&queue).await,
-        Request::Ping { .. } | Request::Ask { .. } | Request::Relay(_) => Reply::NotLeader,
+        Request::Ping { .. } | Request::Ask { .. } | Request::Relay(_) | Request::Explain(_) => {
+            Reply::NotLeader
+        }
     }
 }
 
+fn explain(context: &context::Context, subject: &explanation::Subject) -> Reply {
+    match context.leadership() {
+        Some(leadership) => {
+            let (term, answer) = leadership.explain(subject);
+            Reply::Explained { term, answer }
+        }
+        None => Reply::LedBy(known_leader(&context.candidate())),
+    }
+}
+
+fn known_leader(candidate: &candidate::Candidate) -> Option<KnownLeader> {
+    let elected = candidate.elected()?;
+    Some(KnownLeader {
+        term: elected.term,
+        leader: elected.leader.clone(),
+    })
+}
+
 fn pong(context: &context::Context, from: record::Member, roster: u64) -> Pong {
     let now = clock::now();
     let leadership = context.leadership();
@@ -303,10 +346,7 @@
         leads,
         stale_ms,
         members,
-        known: candidate.elected().map(|elected| KnownLeader {
-            term: elected.term,
-            leader: elected.leader.clone(),
-        }),
+        known: known_leader(&candidate),
         content: leads.is_some() || candidate.is_leader_healthy(now),
         version: 0,
         config: None,
--- a/crates/daisymast_node/src/process.rs
+++ b/crates/daisymast_node/src/process.rs
@@ -22,11 +22,13 @@
 use crate::confirmation;
 use crate::constants;
 use crate::context;
+use crate::explain;
 use crate::follower;
 use crate::peers;
 
 const HELP: &str = "\
 Usage: daisymast-node [--settings FILE] [--listen-peers ADDRESS] [--check]
+       daisymast-node explain --help
 
 Accepts requests of callers and, if elected, runs the scheduler.
 
@@ -69,6 +71,13 @@
 }
 
 fn start() -> anyhow::Result<()> {
+    if std::env::args_os()
+        .nth(1)
+        .is_some_and(|name| name == "explain")
+    {
+        let arguments = lexopt::Parser::from_iter(std::env::args_os().skip(1));
+        return explain::run(arguments);
+    }
     let Some(arguments) = arguments()? else {
         return Ok(());
     };
--- a/crates/daisymast_node/tests/messages.rs
+++ b/crates/daisymast_node/tests/messages.rs
@@ -6,6 +6,7 @@
 use daisymast_node::peers;
 use daisymast_organisations::access;
 use daisymast_relay::wire;
+use daisymast_scheduler::explanation;
 use proptest::collection::vec;
 use proptest::prelude::any;
 use proptest::proptest;
@@ -42,6 +43,7 @@
             workers: vec!["w-1".to_owned()],
             timeout_ms: 900,
         },
+        peers::Request::Explain(explanation::Subject::Job(step.job)),
         peers::Request::Relay(wire::Exchange {
             session: 1,
             term: 2,
--- a/crates/daisymast_scheduler/src/lib.rs
+++ b/crates/daisymast_scheduler/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod constants;
 pub mod decision;
+pub mod explanation;
 pub mod failing_jobs;
 pub mod fencing;
 pub mod fleet;
--- a/crates/daisymast_scheduler/src/scheduler.rs
+++ b/crates/daisymast_scheduler/src/scheduler.rs
@@ -31,6 +31,7 @@
 mod availability;
 mod caller_requests;
 mod dispatch;
+mod explain;
 mod gangs;
 mod late_starts;
 mod order;
@@ -204,13 +205,26 @@
         let Some(job) = self.job_table.job(id.job) else {
             return;
         };
-        let Some(tasks) = job.tasks(id) else {
+        if job.tasks(id).is_none() {
             return;
-        };
-        let Some(queue) = self.queue(&job.queue) else {
+        }
+        let Some(step) = self.ready_step(id, job, now) else {
             self.without_queue.push(id.job);
             return;
         };
+        self.steps.insert(id, step);
+        self.dirty = true;
+    }
+
+    /// Returns a step with its tasks that are neither done nor placed; `None` if its queue is unknown.
+    fn ready_step(
+        &self,
+        id: spec::StepId,
+        job: &job::Job,
+        now: time::Monotonic,
+    ) -> Option<steps::ReadyStep> {
+        let tasks = job.tasks(id)?;
+        let queue = self.queue(&job.queue)?;
         let waiting = tasks
             .tasks
             .iter()
@@ -219,7 +233,7 @@
             .map(|(_, index)| index)
             .collect();
         let deadlines = self.deadlines(queue, job, id, now);
-        let step = steps::ReadyStep {
+        Some(steps::ReadyStep {
             id,
             queue: job.queue.clone(),
             spec: Arc::clone(&job.spec),
@@ -239,9 +253,7 @@
             deadlines,
             organisation: job.organisation.clone(),
             within_rate: !job.over_rate,
-        };
-        self.steps.insert(id, step);
-        self.dirty = true;
+        })
     }
 
     /// Makes the steps of a job ready whose predecessors are all done, in all occurrences that have
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -102,8 +102,11 @@
         if is_complete {
             return;
         }
-        if is_gang && !self.reserve_awaited(id, pass) {
-            self.reserve_for_gang(id, pass);
+        if is_gang
+            && !self.reserve_awaited(id, pass)
+            && let Some(step) = self.steps.get(&id)
+        {
+            self.reserve_for_gang(step, pass);
         }
         if may_request {
             self.request_advice_if_needed(id, needed, &candidates, pass);
@@ -112,7 +115,7 @@
 
     /// Chooses workers for up to `needed` tasks. If the queue needs advice, only workers with a
     /// valid ticket are chosen.
-    fn choose_workers(
+    pub(super) fn choose_workers(
         &self,
         step: &steps::ReadyStep,
         candidates: &[placement::Candidate],
@@ -233,14 +236,11 @@
 
     /// Reserves workers for a gang, so that smaller tasks do not take up capacity there as soon as
     /// it becomes free.
-    fn reserve_for_gang(&mut self, id: spec::StepId, pass: &mut Pass) {
+    pub(super) fn reserve_for_gang(&self, step: &steps::ReadyStep, pass: &mut Pass) {
         let limit = pass.snapshot.rows.len() / constants::WORKERS_PER_RESERVING_GANG;
         if pass.reserving_gangs >= limit.max(constants::MIN_RESERVING_GANGS) {
             return;
         }
-        let Some(step) = self.steps.get(&id) else {
-            return;
-        };
         let size = step.size();
         let mut reservable: Vec<(u32, usize, u32)> = pass
             .snapshot
@@ -265,7 +265,7 @@
                 break;
             }
             reserved_tasks += capacity_tasks;
-            pass.snapshot.rows[position].reserved_for = Some(id);
+            pass.snapshot.rows[position].reserved_for = Some(step.id);
         }
         if reserved_tasks > 0 {
             pass.reserving_gangs += 1;
--- a/crates/daisymast_scheduler/src/scheduler/place_waits.rs
+++ b/crates/daisymast_scheduler/src/scheduler/place_waits.rs
@@ -202,7 +202,7 @@
     }
 
     /// Adds the places on a worker, by the expected ends of its runs.
-    fn add_places(
+    pub(super) fn add_places(
         &self,
         step: &steps::ReadyStep,
         (worker, row): (&worker::Worker, &placement::WorkerSnapshot),
--- a/crates/daisymast_scheduler/src/scheduler/placement.rs
+++ b/crates/daisymast_scheduler/src/scheduler/placement.rs
@@ -100,7 +100,8 @@
         }
     }
 
-    fn row(&self, worker_index: usize) -> Option<&WorkerSnapshot> {
+    /// Returns the row of a worker, if it is usable.
+    pub(super) fn row(&self, worker_index: usize) -> Option<&WorkerSnapshot> {
         let position = self.positions.get(worker_index).copied().flatten()?;
         self.rows.get(position as usize)
     }
