--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -17,6 +17,7 @@
 use crate::leadership;
 use crate::metrics;
 use crate::peers;
+use crate::reach;
 use crate::relay;
 
 /// State shared by all tasks of a node.
@@ -43,6 +44,9 @@
     /// Calls to workers that this node makes for the leader.
     pub relay: relay::Relay,
     candidate: Mutex<candidate::Candidate>,
+    reach: Mutex<reach::Reach>,
+    /// Whether the paths should be looked at although the leader answers.
+    reach_wanted: AtomicBool,
     config: Mutex<Option<Arc<config::Configuration>>>,
     freshness: Mutex<freshness::Freshness>,
     /// Time at which another node first reported a later configuration version than this node has.
@@ -78,6 +82,8 @@
             workers: bounded_client(),
             advice: client(),
             relay: relay::Relay::new(incarnation),
+            reach: Mutex::new(reach::Reach::new(me.zone.clone())),
+            reach_wanted: AtomicBool::new(false),
             candidate: Mutex::new(candidate::Candidate::new(me, clock::now())),
             config: Mutex::new(None),
             freshness: Mutex::new(freshness::Freshness::new(revocation)),
@@ -111,6 +117,21 @@
         lock(&self.candidate)
     }
 
+    /// Locks and returns what this node knows of its paths.
+    pub fn reach(&self) -> MutexGuard<'_, reach::Reach> {
+        lock(&self.reach)
+    }
+
+    /// Requests a look at the paths although the leader answers, as it cannot write to the store.
+    pub fn request_reach(&self) {
+        self.reach_wanted.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a look at the paths was requested since the last call.
+    pub fn take_reach_request(&self) -> bool {
+        self.reach_wanted.swap(false, Ordering::Relaxed)
+    }
+
     /// Returns the configuration in force, or `None` before the first one.
     pub fn config(&self) -> Option<Arc<config::Configuration>> {
         lock(&self.config).clone()
@@ -209,10 +230,21 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this node is cut off, alone or with its zone, and its leader with it: callers are served
+    /// elsewhere.
+    pub fn is_cut_off(&self, now: time::Monotonic) -> bool {
+        let is_leader_healthy = match self.leadership() {
+            Some(leadership) => leadership.stale_ms(now) == 0,
+            None => self.candidate().is_leader_healthy(now),
+        };
+        !is_leader_healthy && self.reach().is_isolated(now)
+    }
+
     /// Whether this node passes readiness checks and should receive requests.
     pub fn is_ready(&self) -> bool {
-        let connected = self.term().is_some() || self.candidate().is_connected(clock::now());
-        connected && !self.is_draining() && self.has_fresh_config()
+        let now = clock::now();
+        let connected = self.term().is_some() || self.candidate().is_connected(now);
+        connected && !self.is_cut_off(now) && !self.is_draining() && self.has_fresh_config()
     }
 
     /// Whether there is a configuration whose keys stay valid for the next seconds.
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use daisymast_adapter::advice;
-use daisymast_election::{candidate, record};
+use daisymast_election::record;
 use daisymast_http::{client, msgpack, server};
 use daisymast_jobs::{job, queue, spec};
 use daisymast_organisations::{access, freshness};
@@ -17,6 +17,7 @@
 
 use crate::clock;
 use crate::context;
+use crate::forwarding;
 use crate::relay;
 
 const PATH: &str = "/peer";
@@ -82,10 +83,27 @@
     },
     /// Brings calls to workers that the node makes for the leader, and asks for their outcomes.
     Relay(wire::Exchange),
+    /// A caller's request of a node that does not reach the leader, which the receiver sends to the
+    /// leader once.
+    Via(Box<Request>),
+    /// Asks whether the node reaches a leader that can commit.
+    Reach,
+    /// Names the leader that was just elected.
+    Elected(KnownLeader),
     /// Asks the leader where a request or a job would go now. Nothing is changed, stored or counted.
     Explain(explanation::Subject),
 }
 
+impl Request {
+    /// Whether this is a caller's request to the leader.
+    pub fn is_of_caller(&self) -> bool {
+        matches!(
+            self,
+            Self::Submit { .. } | Self::State { .. } | Self::Cancel { .. } | Self::Pending { .. }
+        )
+    }
+}
+
 /// The leader that a node knows of.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct KnownLeader {
@@ -95,6 +113,24 @@
     pub leader: record::Leader,
 }
 
+impl From<&record::Elected> for KnownLeader {
+    fn from(elected: &record::Elected) -> Self {
+        Self {
+            term: elected.term,
+            leader: elected.leader.clone(),
+        }
+    }
+}
+
+impl From<KnownLeader> for record::Elected {
+    fn from(known: KnownLeader) -> Self {
+        Self {
+            term: known.term,
+            leader: known.leader,
+        }
+    }
+}
+
 /// Answer to a ping.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Pong {
@@ -117,6 +153,15 @@
     pub confirmed: Option<freshness::Report>,
 }
 
+/// Answer to the question whether a node reaches a leader that can commit.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReachAnswer {
+    /// Whether it does.
+    pub reaches_leader: bool,
+    /// The leader known to the answering node.
+    pub known: Option<KnownLeader>,
+}
+
 /// The leader's answer to a caller's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Served {
@@ -174,6 +219,12 @@
     Advice(Option<Vec<(String, String)>>),
     /// Outcomes of calls that the node made for the leader.
     Relayed(wire::ExchangeReply),
+    /// Too many requests wait at the leader, which did nothing.
+    Overloaded,
+    /// Answer to [`Request::Reach`].
+    Reach(Box<ReachAnswer>),
+    /// The news of an election was received.
+    Noted,
     /// Where a request or a job would go now.
     Explained {
         /// Term of the leader.
@@ -229,6 +280,9 @@
         Request::Pending { .. } => "count pending",
         Request::Ask { .. } => "ask for advice",
         Request::Relay(_) => "relay calls",
+        Request::Via(_) => "send through a node",
+        Request::Reach => "ask for the leader",
+        Request::Elected(_) => "name the leader",
         Request::Explain(_) => "explain",
     }
 }
@@ -270,6 +324,12 @@
             request_advice(context, step, &workers, Duration::from_millis(timeout_ms)).await,
         ),
         Request::Relay(exchange) => relay::serve(context, exchange).await,
+        Request::Via(request) => forwarding::serve_via(context, *request).await,
+        Request::Reach => Reply::Reach(Box::new(reach_answer(context))),
+        Request::Elected(known) => {
+            context.candidate().on_elected(known.into(), clock::now());
+            Reply::Noted
+        }
         Request::Explain(subject) => explain(context, &subject),
         request => handle_as_leader(context, request).await,
     }
@@ -302,9 +362,28 @@
         Request::Cancel { job, caller } => leadership.cancel(job, &caller).await,
         Request::State { job, caller } => leadership.state(job, &caller).await,
         Request::Pending { queue } => leadership.pending(&queue).await,
-        Request::Ping { .. } | Request::Ask { .. } | Request::Relay(_) | Request::Explain(_) => {
-            Reply::NotLeader
-        }
+        Request::Ping { .. }
+        | Request::Ask { .. }
+        | Request::Relay(_)
+        | Request::Via(_)
+        | Request::Reach
+        | Request::Elected(_)
+        | Request::Explain(_) => Reply::NotLeader,
+    }
+}
+
+fn reach_answer(context: &context::Context) -> ReachAnswer {
+    let now = clock::now();
+    let leads = context
+        .leadership()
+        .is_some_and(|leadership| leadership.stale_ms(now) == 0);
+    let candidate = context.candidate();
+    ReachAnswer {
+        reaches_leader: leads
+            || (context.term().is_none()
+                && candidate.is_leader_healthy(now)
+                && candidate.commit_age().is_zero()),
+        known: candidate.elected().map(KnownLeader::from),
     }
 }
 
@@ -314,18 +393,10 @@
             let (term, answer) = leadership.explain(subject);
             Reply::Explained { term, answer }
         }
-        None => Reply::LedBy(known_leader(&context.candidate())),
+        None => Reply::LedBy(context.candidate().elected().map(KnownLeader::from)),
     }
 }
 
-fn known_leader(candidate: &candidate::Candidate) -> Option<KnownLeader> {
-    let elected = candidate.elected()?;
-    Some(KnownLeader {
-        term: elected.term,
-        leader: elected.leader.clone(),
-    })
-}
-
 fn pong(context: &context::Context, from: record::Member, roster: u64) -> Pong {
     let now = clock::now();
     let leadership = context.leadership();
@@ -346,7 +417,7 @@
         leads,
         stale_ms,
         members,
-        known: known_leader(&candidate),
+        known: candidate.elected().map(KnownLeader::from),
         content: leads.is_some() || candidate.is_leader_healthy(now),
         version: 0,
         config: None,
--- a/crates/daisymast_node/src/process.rs
+++ b/crates/daisymast_node/src/process.rs
@@ -25,6 +25,7 @@
 use crate::explain;
 use crate::follower;
 use crate::peers;
+use crate::probing;
 
 const HELP: &str = "\
 Usage: daisymast-node [--settings FILE] [--listen-peers ADDRESS] [--check]
@@ -140,6 +141,7 @@
         executor.spawn(confirmation::run(Arc::clone(&context))),
         executor.spawn(follower::run(Arc::clone(&context))),
         executor.spawn(follower::ping_loop(Arc::clone(&context))),
+        executor.spawn(probing::run(Arc::clone(&context))),
     ];
     signals.wait_for_shutdown(&arguments.settings).await;
     log::info!("node {} is draining", context.settings.instance);
--- a/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
@@ -109,6 +109,12 @@
         self.after_commit(answer, now.mono);
     }
 
+    /// Answers that a submission was not taken.
+    pub fn refuse(&mut self, token: u64) {
+        let answer = action::Answer::Refused;
+        self.actions.push(action::Action::Answer { token, answer });
+    }
+
     /// Returns why a job is not accepted, `None` if it is.
     fn refusal(
         &self,
