Give up a role that cannot be taken up, and test nodes without a leader

A small machine that followed a resignation stepped down after 1.2 s, again and again, if the larger ones could not take over.

A request is sent as long as there is a path, also on a node that has been without a leader for long.

--- a/crates/daisymast_election/tests/candidacy.rs
+++ b/crates/daisymast_election/tests/candidacy.rs
@@ -271,3 +271,15 @@
     };
     assert_eq!(delay, delay_after(0));
 }
+
+/// Guards against a new scheduler that is replaced because a node asked it between its election and its
+/// first answer as the scheduler. A machine with an eighth of its processors took over 0.6 s later.
+#[test]
+fn a_scheduler_that_answers_again_is_not_disowned() {
+    let mut candidate = follower();
+    candidate.on_not_leader(5);
+    assert!(!candidate.is_leader_healthy(at(10)));
+    candidate.on_pong(RECENT_COMMIT, Vec::new(), at(50));
+    assert!(candidate.is_leader_healthy(at(60)));
+    assert_eq!(candidate.next(at(60)), Step::Follow);
+}
--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -78,9 +78,13 @@
 /// Many times what waits at the largest measured load, and less than what a leader stores in the time
 /// for which callers wait.
 pub const MAX_WAITING_REQUESTS: usize = 600;
-/// Time after which an elected node that has not read the journal gives its role up. Reading 1 MB at
-/// 10 Mbit/s takes 2 s, and recovery may take 15 s.
-pub const REPLAY_LIMIT: Duration = Duration::from_millis(6_000);
+/// Time without a page of the journal, or without a configuration, after which an elected node gives its
+/// role up. It renews its term and answers pings meanwhile, so no other node would replace it, and all
+/// requests would wait for it. Longer than one page takes at most, within the 15 s for a recovery.
+pub const REPLAY_STALL_LIMIT: Duration = Duration::from_millis(5_000);
+/// Time after which a leader steps down in favour of a much larger machine although the leader before it
+/// has resigned: the larger machines were free to follow that one, and could not.
+pub const STEP_DOWN_RETRY_DELAY: Duration = Duration::from_millis(10_000);
 /// Time after SIGTERM for which new connections are still accepted. The platform's load balancer
 /// takes a node out after two failed readiness checks, which are a second apart.
 pub const DRAIN_PERIOD: Duration = Duration::from_millis(2_600);
--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -24,6 +24,7 @@
 mod relaying;
 mod replay;
 mod requests;
+mod startup;
 
 /// State of the leader during one term.
 #[derive(Debug)]
@@ -233,28 +234,23 @@
     let renewal = context.executor.spawn(renewal);
     let former_leases = former_leases::FormerLeases::new(&former, answered, limits::LEADER_LEASE);
     let replayed = replay::replay(context, term).await;
-    let has_lease = replayed.is_ok() && wait_for_lease(context, term, &leader_lease).await;
+    let has_lease = replayed.is_ok() && startup::wait_for_lease(context, term, &leader_lease).await;
     renewal.cancel().await;
     let replay::ReplayedJournal {
         job_table, batches, ..
     } = match replayed {
         Ok(replayed) if has_lease => replayed,
         Ok(_) | Err(replay::ReplayError::TermEnded) => return,
-        Err(replay::ReplayError::Unreadable) => {
+        Err(replay::ReplayError::Unreadable | replay::ReplayError::Stalled) => {
             context.candidate().on_journal_read(false);
             journal::resign(context, term, former_leases.remaining(clock::now())).await;
             return;
         }
     };
     context.candidate().on_journal_read(true);
-    let config = loop {
-        if let Some(config) = context.config() {
-            break config;
-        }
-        if context.is_draining() {
-            return;
-        }
-        Timer::after(constants::TICK_INTERVAL).await;
+    let Some(config) = startup::wait_for_config(context).await else {
+        journal::resign(context, term, former_leases.remaining(clock::now())).await;
+        return;
     };
     let now = clock::timestamp();
     let max_lease = Duration::from_millis(context.settings.max_lease_ms);
@@ -281,6 +277,7 @@
         Arc::clone(context),
         Arc::clone(&leadership),
     ));
+    let step_down_delay = startup::step_down_delay(&former);
     let former_watch = match former {
         former_leases::Former::Known { elected, .. } if !elected.leader.resigned => {
             let watch =
@@ -296,7 +293,7 @@
         Arc::clone(&leadership),
         batches,
     ));
-    let steps_down = drive(context, &leadership).await;
+    let steps_down = drive(context, &leadership, step_down_delay).await;
     context.set_leadership(None);
     drop((registrations, former_watch));
     if (steps_down || context.is_draining()) && !leadership.deposed.load(Ordering::Relaxed) {
@@ -313,28 +310,13 @@
     leadership.close();
 }
 
-/// Waits until a write of this term is confirmed. Returns whether the leader may act.
-async fn wait_for_lease(
-    context: &context::Context,
-    term: u64,
-    leader_lease: &Mutex<leader_lease::LeaderLease>,
-) -> bool {
-    let started = clock::now();
-    while clock::now() - started < limits::LEADER_LEASE {
-        if lock(leader_lease).is_valid(clock::now()) {
-            return true;
-        }
-        if context.is_draining() || replay::is_replaced(context, term) {
-            return false;
-        }
-        Timer::after(constants::TICK_INTERVAL).await;
-    }
-    false
-}
-
 /// Executes the scheduler's actions until the term ends. Returns whether the leader steps down in
 /// favour of a larger machine.
-async fn drive(context: &Arc<context::Context>, leadership: &Arc<Leadership>) -> bool {
+async fn drive(
+    context: &Arc<context::Context>,
+    leadership: &Arc<Leadership>,
+    step_down_delay: Duration,
+) -> bool {
     let mut next_tick = time::Monotonic::ZERO;
     let started = clock::now();
     loop {
@@ -348,7 +330,7 @@
             );
             return false;
         }
-        if now.mono - started >= constants::STEP_DOWN_DELAY
+        if now.mono - started >= step_down_delay
             && now.mono >= next_tick
             && candidate::should_step_down(&leadership.me, &leadership.members(now.mono))
         {
--- a/crates/daisymast_node/src/leadership/replay.rs
+++ b/crates/daisymast_node/src/leadership/replay.rs
@@ -24,6 +24,8 @@
     TermEnded,
     /// A batch cannot be decoded. Leading without its records would lose jobs or run tasks twice.
     Unreadable,
+    /// The store has refused this node the journal for [`constants::REPLAY_STALL_LIMIT`].
+    Stalled,
 }
 
 /// Reads and replays the journal. This term's write of the leader key precedes the read, so no
@@ -40,6 +42,7 @@
     };
     let mut after = String::new();
     let mut bytes = 0;
+    let mut last_page = started;
     loop {
         if context.is_draining() || is_replaced(context, term) {
             return Err(ReplayError::TermEnded);
@@ -52,10 +55,14 @@
             Ok(page) => page,
             Err(error) => {
                 log::warn!("failed to read a page of the journal: {error}");
+                if clock::now() - last_page >= constants::REPLAY_STALL_LIMIT {
+                    return Err(ReplayError::Stalled);
+                }
                 Timer::after(constants::STORE_RETRY_DELAY).await;
                 continue;
             }
         };
+        last_page = clock::now();
         for item in &page.items {
             bytes += item.value.len();
             replayed.apply(item)?;
--- a/crates/daisymast_node/src/submission.rs
+++ b/crates/daisymast_node/src/submission.rs
@@ -208,16 +208,14 @@
             return answer;
         }
         let is_new_leader = self.tried_term.is_some() && paths.term > self.tried_term;
-        if now < self.next_send && !is_new_leader {
-            return self.pause(now);
-        }
-        let until = self.limit().min(now + constants::FORWARD_TIMEOUT);
+        let may_send = now >= self.next_send || is_new_leader;
+        let until = self.answer_by.min(now + constants::FORWARD_TIMEOUT);
         match paths.term {
-            Some(term) if paths.is_reached => {
+            Some(term) if may_send && paths.is_reached => {
                 self.last_sent = now;
                 Step::Send { term, until }
             }
-            _ if paths.has_peer => {
+            _ if may_send && paths.has_peer => {
                 self.last_sent = now;
                 Step::SendVia { until }
             }
@@ -227,50 +225,48 @@
         }
     }
 
-    fn limit(&self) -> time::Monotonic {
-        if self.open_term.is_none() {
-            self.wait_until.min(self.answer_by)
-        } else {
-            self.answer_by
-        }
-    }
-
+    /// Returns the answer to the caller if there is nothing more to try.
     fn answer(&self, paths: &Paths, now: time::Monotonic) -> Option<Step> {
-        let is_settled = self.open_term.is_none();
-        let refusal = self.refusal.map(|(_, cause)| cause);
-        if now + constants::MIN_CALL_TIME > self.limit() {
-            return Some(if is_settled {
-                Step::Refuse(refusal.unwrap_or(Cause::NoLeader))
-            } else {
-                Step::Unknown
-            });
-        }
         if paths.is_isolated {
-            // Another node can find out at once what this one can not.
-            return Some(if is_settled {
-                Step::Refuse(Cause::CutOff)
-            } else {
-                Step::Unknown
-            });
+            // Another node can find out at once what this one cannot.
+            return Some(self.conclude(Cause::CutOff));
         }
-        if !is_settled {
-            return None;
+        if now + constants::MIN_CALL_TIME > self.answer_by {
+            return Some(self.conclude(Cause::NoLeader));
         }
         match self.refusal {
-            Some((_, Cause::Overload)) => Some(Step::Refuse(Cause::Overload)),
+            Some((_, Cause::Overload)) if self.open_term.is_none() => {
+                Some(Step::Refuse(Cause::Overload))
+            }
             // While the store answers this node, only the leader is cut off from it, and another is
             // elected soon.
-            Some((term, cause)) if paths.term <= Some(term) => match paths.store {
-                reach::StorePath::Away => Some(Step::Refuse(cause)),
-                reach::StorePath::Answers | reach::StorePath::Unknown => None,
-            },
+            Some((term, cause)) if self.open_term.is_none() && paths.term <= Some(term) => {
+                (paths.store == reach::StorePath::Away).then_some(Step::Refuse(cause))
+            }
             Some(_) | None => None,
         }
     }
 
+    /// Returns the last answer to the caller.
+    fn conclude(&self, cause: Cause) -> Step {
+        if self.open_term.is_some() {
+            return Step::Unknown;
+        }
+        Step::Refuse(match self.refusal {
+            Some((_, refusal)) if cause == Cause::NoLeader => refusal,
+            _ => cause,
+        })
+    }
+
     fn pause(&self, now: time::Monotonic) -> Step {
-        let pause = constants::FORWARD_RETRY_DELAY / 2;
-        Step::Wait(pause.min(self.limit() - now))
+        let limit = match self.open_term {
+            Some(_) => self.answer_by,
+            None => self.wait_until.min(self.answer_by),
+        };
+        if now + constants::MIN_CALL_TIME > limit {
+            return self.conclude(Cause::NoLeader);
+        }
+        Step::Wait((constants::FORWARD_RETRY_DELAY / 2).min(limit - now))
     }
 }
 
--- a/crates/daisymast_node/tests/submissions.rs
+++ b/crates/daisymast_node/tests/submissions.rs
@@ -129,6 +129,22 @@
     ));
 }
 
+/// Guards against a node that has been without a leader for long and refuses although another node has
+/// a path.
+#[test]
+fn a_node_that_lost_the_leader_long_ago_sends_through_another() {
+    let paths = Paths {
+        has_peer: true,
+        ..silent(5)
+    };
+    let mut long_without = Submission::new(at(0), Some(3_000), 10_000);
+    let step = long_without.next(&paths, at(0));
+    assert!(matches!(step, Step::SendVia { .. }), "{step:?}");
+    let mut without_path = Submission::new(at(0), Some(3_000), 10_000);
+    let step = without_path.next(&silent(5), at(0));
+    assert_eq!(step, Step::Refuse(Cause::NoLeader));
+}
+
 /// Guards against a 504 where a later leader knows that the job was not stored.
 #[test]
 fn a_later_leader_settles_an_unknown_outcome() {
