--- a/crates/daisymast_scheduler/src/decision.rs
+++ b/crates/daisymast_scheduler/src/decision.rs
@@ -6,6 +6,7 @@
 use daisymast_types::quantities;
 use serde::{Serialize, Serializer};
 
+use crate::locality;
 use crate::report;
 
 /// Why a run is being stopped.
@@ -39,6 +40,9 @@
         version: u64,
         /// Time objective, counted from acceptance, in milliseconds.
         allowance_ms: u64,
+        /// Whether the job came beyond the rate of its organisation.
+        #[serde(skip_serializing_if = "std::ops::Not::not")]
+        over_rate: bool,
     },
     /// Tasks of a step were assigned to workers.
     Placed {
@@ -59,6 +63,38 @@
         /// Worker of the first placed task.
         worker: ids::WorkerId,
     },
+    /// Tasks of a step wait for near places instead of starting far away.
+    PlaceWaitOpened {
+        /// Job ID.
+        #[serde(serialize_with = "text")]
+        job: spec::JobId,
+        /// Position of the step in the job.
+        step: u16,
+        /// Rack with the places.
+        rack: ids::WorkerLabel,
+        /// Number of tasks that wait.
+        tasks: u32,
+        /// Expected time until the last of them has a place, in milliseconds.
+        expected_ms: u64,
+        /// Time that a near place saves a task, in milliseconds.
+        saving_ms: u64,
+        /// Time after which the tasks start far away, in milliseconds.
+        limit_ms: u64,
+    },
+    /// The wait of a step for near places ended.
+    PlaceWaitClosed {
+        /// Job ID.
+        #[serde(serialize_with = "text")]
+        job: spec::JobId,
+        /// Position of the step in the job.
+        step: u16,
+        /// Rack with the places.
+        rack: ids::WorkerLabel,
+        /// What came of the wait.
+        outcome: locality::Outcome,
+        /// Duration of the wait, in milliseconds.
+        waited_ms: u64,
+    },
     /// A run ended without completing its task.
     Ended {
         /// Job ID.
@@ -187,6 +223,20 @@
     },
 }
 
+impl Decision {
+    /// Returns the name of the event about an organisation, as it is counted; `None` for all others.
+    pub fn organisation_event(&self) -> Option<&'static str> {
+        match self {
+            Self::Cap { reached: true, .. } => Some("cap_reached"),
+            Self::Cap { reached: false, .. } => Some("cap_left"),
+            Self::Submitted {
+                over_rate: true, ..
+            } => Some("over_rate"),
+            _ => None,
+        }
+    }
+}
+
 fn text<S: Serializer>(job: &spec::JobId, serializer: S) -> Result<S::Ok, S::Error> {
     serializer.collect_str(job)
 }
