--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -93,6 +93,7 @@
         submission::Cause::StoreAway => "the store is not reached; nothing was done",
         submission::Cause::CutOff => "this node is cut off; nothing was done",
         submission::Cause::Overload => "too many requests wait; nothing was done",
+        submission::Cause::UnknownQueue => "the scheduler does not know the queue yet",
     };
     let outage = context.reach().store_outage(clock::now());
     let seconds = submission::retry_after(cause, outage, fastrand::u32(..));
--- a/crates/daisymast_node/src/submission.rs
+++ b/crates/daisymast_node/src/submission.rs
@@ -41,6 +41,8 @@
     CutOff,
     /// The leader has too many requests waiting.
     Overload,
+    /// The leader does not know the queue or the organisation yet.
+    UnknownQueue,
 }
 
 impl Cause {
@@ -56,6 +58,7 @@
             Self::StoreAway => "no_store",
             Self::CutOff => "cut_off",
             Self::Overload => "overload",
+            Self::UnknownQueue => "unknown_queue",
         }
     }
 }
@@ -165,7 +168,8 @@
         let mut pause = constants::FORWARD_RETRY_DELAY;
         self.tried_term = self.tried_term.max(Some(term));
         match failure {
-            Failure::NoEffect | Failure::UnknownQueue => {}
+            Failure::NoEffect => {}
+            Failure::UnknownQueue => self.on_refused(term, Cause::UnknownQueue),
             Failure::StoreAway => {
                 self.on_refused(term, Cause::StoreAway);
                 pause *= REFUSED_PAUSE_FACTOR;
@@ -284,7 +288,7 @@
     let spread = match cause {
         // The caller reaches another node.
         Cause::CutOff => 1,
-        Cause::NoLeader | Cause::Overload => 2,
+        Cause::NoLeader | Cause::Overload | Cause::UnknownQueue => 2,
         Cause::StoreAway => 2 + seconds.min(constants::MAX_RETRY_SPREAD_S),
     };
     constants::RETRY_AFTER_S + random % spread
