--- a/crates/daisymast_scheduler/src/scheduler/explain.rs
+++ b/crates/daisymast_scheduler/src/scheduler/explain.rs
@@ -85,7 +85,11 @@
             cap: self.terms(name).map(|terms| terms.cap),
         });
         let snapshot = self.snapshot(now);
-        let order = order::waiting_steps(steps, snapshot.rows.len(), now);
+        let cell = order::Cell {
+            workers: snapshot.rows.len(),
+            shares: self.shares(&snapshot),
+        };
+        let order = order::waiting_steps(steps, &cell, now);
         let open =
             step_ids(id, job).filter(|&step| job.tasks(step).is_some_and(|at| !at.is_done()));
         Explanation {
