--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -11,7 +11,7 @@
 use daisymast_organisations::{access, freshness};
 use daisymast_protocol::outcome;
 use daisymast_relay::wire;
-use daisymast_scheduler::{action, config, scheduler};
+use daisymast_scheduler::{action, config, explanation, scheduler};
 use daisymast_types::{ids, time};
 use serde::{Deserialize, Serialize};
 
@@ -90,6 +90,8 @@
     Reach,
     /// Names the leader that was just elected.
     Elected(KnownLeader),
+    /// Asks the leader where a request or a job would go now. Nothing is changed, stored or counted.
+    Explain(explanation::Subject),
 }
 
 impl Request {
@@ -223,6 +225,15 @@
     Reach(Box<ReachAnswer>),
     /// The news of an election was received.
     Noted,
+    /// Where a request or a job would go now.
+    Explained {
+        /// Term of the leader.
+        term: u64,
+        /// The leader's answer.
+        answer: explanation::Answer,
+    },
+    /// The node is not the leader; it names the one that it knows.
+    LedBy(Option<KnownLeader>),
 }
 
 /// Sends a request to another node.
@@ -242,12 +253,22 @@
     request: &Request,
     timeout: Duration,
     send_by: Option<time::Monotonic>,
+) -> outcome::Outcome<Reply> {
+    post(&context.peers, address, request, (timeout, send_by)).await
+}
+
+/// Sends a request to a node, with a timeout and the time by which it has to be sent.
+pub(crate) async fn post(
+    client: &client::Client,
+    address: SocketAddr,
+    request: &Request,
+    (timeout, send_by): (Duration, Option<time::Monotonic>),
 ) -> outcome::Outcome<Reply> {
     let peer = address.to_string();
     let mut call =
         client::Call::new(address, PATH, timeout).with_error_context(step_name(request), &peer);
     call.send_by = send_by;
-    msgpack::post(&context.peers, &call, request).await
+    msgpack::post(client, &call, request).await
 }
 
 fn step_name(request: &Request) -> &'static str {
@@ -262,6 +283,7 @@
         Request::Via(_) => "send through a node",
         Request::Reach => "ask for the leader",
         Request::Elected(_) => "name the leader",
+        Request::Explain(_) => "explain",
     }
 }
 
@@ -308,6 +330,7 @@
             context.candidate().on_elected(known.into(), clock::now());
             Reply::Noted
         }
+        Request::Explain(subject) => explain(context, &subject),
         request => handle_as_leader(context, request).await,
     }
 }
@@ -344,7 +367,8 @@
         | Request::Relay(_)
         | Request::Via(_)
         | Request::Reach
-        | Request::Elected(_) => Reply::NotLeader,
+        | Request::Elected(_)
+        | Request::Explain(_) => Reply::NotLeader,
     }
 }
 
@@ -363,6 +387,16 @@
     }
 }
 
+fn explain(context: &context::Context, subject: &explanation::Subject) -> Reply {
+    match context.leadership() {
+        Some(leadership) => {
+            let (term, answer) = leadership.explain(subject);
+            Reply::Explained { term, answer }
+        }
+        None => Reply::LedBy(context.candidate().elected().map(KnownLeader::from)),
+    }
+}
+
 fn pong(context: &context::Context, from: record::Member, roster: u64) -> Pong {
     let now = clock::now();
     let leadership = context.leadership();
