--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -68,6 +68,10 @@
 pub const MAX_RETRY_SPREAD_S: u32 = 4;
 /// Interval between two rounds of questions to the store and to other nodes, while the leader is suspected.
 pub const REACH_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum time since the leader's last answer for a node to be a path to it. Below the time after which the
+/// node that asks suspects the leader, less an interval between pings: nodes of one zone that is cut off
+/// would otherwise be paths for each other.
+pub const PATH_CONTACT_AGE: Duration = Duration::from_millis(300);
 /// Interval at which a node remembers the list of the other nodes.
 pub const MEMBERS_INTERVAL: Duration = Duration::from_secs(2);
 /// Timeout of a question of such a round.
--- a/crates/daisymast_node/src/forwarding.rs
+++ b/crates/daisymast_node/src/forwarding.rs
@@ -261,8 +261,13 @@
     if context.term().is_some() {
         return peers::handle_as_leader(context, request).await;
     }
-    let elected = context.candidate().elected().cloned();
-    let Some(elected) = elected.filter(|elected| !elected.leader.resigned) else {
+    let elected = {
+        let candidate = context.candidate();
+        let is_path = candidate.time_since_contact(clock::now()) <= constants::PATH_CONTACT_AGE;
+        let elected = candidate.elected().filter(|_| is_path);
+        elected.filter(|elected| !elected.leader.resigned).cloned()
+    };
+    let Some(elected) = elected else {
         return peers::Reply::NotLeader;
     };
     let address = elected.leader.node.address;
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock;
+use crate::constants;
 use crate::context;
 use crate::forwarding;
 use crate::relay;
@@ -358,6 +359,7 @@
         reaches_leader: leads
             || (context.term().is_none()
                 && candidate.is_leader_healthy(now)
+                && candidate.time_since_contact(now) <= constants::PATH_CONTACT_AGE
                 && candidate.commit_age().is_zero()),
         known: candidate.elected().map(KnownLeader::from),
     }
--- a/crates/daisymast_node/src/reach.rs
+++ b/crates/daisymast_node/src/reach.rs
@@ -8,6 +8,8 @@
 /// Age after which an answer of the store, or a round of questions to other nodes, no longer counts.
 /// It spans three rounds.
 pub const MAX_AGE: Duration = Duration::from_millis(900);
+/// Age after which a path through another node no longer counts. It spans two rounds.
+pub const MAX_PATH_AGE: Duration = Duration::from_millis(600);
 /// Number of nodes asked in one round. With more, the questions of all nodes during an election would
 /// compete with the votes for processor time.
 pub const ROUND_SIZE: usize = 4;
@@ -171,7 +173,7 @@
         let round = self
             .round
             .as_ref()
-            .filter(|round| now - round.at <= MAX_AGE);
+            .filter(|round| now - round.at <= MAX_PATH_AGE);
         round.and_then(|round| round.path.as_ref())
     }
 
