--- a/crates/daisymast_node/src/forwarding.rs
+++ b/crates/daisymast_node/src/forwarding.rs
@@ -247,6 +247,8 @@
         | peers::Reply::Pong(_)
         | peers::Reply::Advice(_)
         | peers::Reply::Relayed(_)
+        | peers::Reply::Explained { .. }
+        | peers::Reply::LedBy(_)
         | peers::Reply::Reach(_)
         | peers::Reply::Noted => Err(Failure::Unknown),
     }
