Keep caps over two changes of the leader, and bound jobs beyond a rate

Jobs beyond the rate of an organisation could wait without bound.

Change: no run starts again in place, and no start is sent again, while the organisation is above its cap, the run included. More than 30 s of the rate (at least 100) beyond it are refused with 429 and spread times to come back.

--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -78,6 +78,13 @@
     server::Response::text(422, over_cap.to_string())
 }
 
+/// Refuses a job beyond the rate of its organisation, with the time to come back.
+fn refuse_over_rate(retry_ms: u64) -> server::Response {
+    let seconds = u32::try_from(retry_ms.div_ceil(1_000)).unwrap_or(u32::MAX);
+    let reason = "too many jobs beyond the organisation's rate wait; the job was not accepted";
+    server::Response::text(429, reason).with_retry_after(seconds)
+}
+
 fn refuse(reason: &'static str) -> server::Response {
     server::Response::text(503, reason).with_retry_after(constants::RETRY_AFTER_S)
 }
@@ -104,6 +111,9 @@
     UnknownQueue,
     /// The cap of the organisation can never allow the job, which certainly never runs.
     OverCap(action::OverCap),
+    /// The job lies beyond the rate of its organisation, of which too many such jobs wait, and certainly
+    /// never runs. It lies within the rate again after the given time in milliseconds.
+    OverRate(u64),
     /// The request may have taken effect.
     Unknown,
 }
@@ -116,6 +126,7 @@
             Self::NoEffect => "no_scheduler",
             Self::UnknownQueue => "unknown_queue",
             Self::OverCap(_) => "over_cap",
+            Self::OverRate(_) => "over_rate",
             Self::Unknown => "unknown",
         }
     }
@@ -194,6 +205,7 @@
         }
         ForwardOutcome::Refused => refuse_store_unavailable(),
         ForwardOutcome::OverCap(over_cap) => refuse_over_cap(&over_cap),
+        ForwardOutcome::OverRate(retry_ms) => refuse_over_rate(retry_ms),
         ForwardOutcome::Unknown => server::Response::text(504, "the outcome is not known"),
     }
 }
@@ -227,6 +239,7 @@
         ForwardOutcome::NoEffect
         | ForwardOutcome::UnknownQueue
         | ForwardOutcome::OverCap(_)
+        | ForwardOutcome::OverRate(_)
         | ForwardOutcome::Refused => refuse_unreachable(context, "no scheduler is reached"),
         ForwardOutcome::Unknown => server::Response::text(504, "the outcome is not known"),
     }
@@ -240,6 +253,7 @@
         ForwardOutcome::NoEffect
         | ForwardOutcome::UnknownQueue
         | ForwardOutcome::OverCap(_)
+        | ForwardOutcome::OverRate(_)
         | ForwardOutcome::Refused
         | ForwardOutcome::Unknown => {
             return refuse_unreachable(context, "no scheduler is reached");
@@ -275,7 +289,9 @@
     loop {
         match forward_once(context, request, queue).await {
             ForwardOutcome::Served(served) => return ForwardOutcome::Served(served),
-            refused @ (ForwardOutcome::Refused | ForwardOutcome::OverCap(_)) => {
+            refused @ (ForwardOutcome::Refused
+            | ForwardOutcome::OverCap(_)
+            | ForwardOutcome::OverRate(_)) => {
                 return if unknown {
                     ForwardOutcome::Unknown
                 } else {
@@ -344,6 +360,7 @@
         peers::Reply::NotLeader => ForwardOutcome::NoEffect,
         peers::Reply::UnknownQueue => ForwardOutcome::UnknownQueue,
         peers::Reply::OverCap(over_cap) => ForwardOutcome::OverCap(over_cap),
+        peers::Reply::OverRate { retry_ms } => ForwardOutcome::OverRate(retry_ms),
         peers::Reply::Unknown
         | peers::Reply::Pong(_)
         | peers::Reply::Advice(_)
--- a/crates/daisymast_node/src/leadership/requests.rs
+++ b/crates/daisymast_node/src/leadership/requests.rs
@@ -120,6 +120,7 @@
             Ok(action::Answer::Refused) => peers::Reply::Unavailable,
             Ok(action::Answer::IdTaken) => peers::Reply::Served(peers::Served::IdTaken),
             Ok(action::Answer::UnknownQueue) => peers::Reply::UnknownQueue,
+            Ok(action::Answer::OverRate { retry_ms }) => peers::Reply::OverRate { retry_ms },
             Ok(action::Answer::OverCap(over_cap)) => peers::Reply::OverCap(over_cap),
             Ok(action::Answer::NoSuchJob) => peers::Reply::Served(peers::Served::NoSuchJob),
             Err(_) => peers::Reply::Unknown,
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -166,6 +166,12 @@
     UnknownQueue,
     /// The cap of the organisation can never allow the job; the leader did nothing.
     OverCap(action::OverCap),
+    /// The job lies beyond the rate of its organisation, of which too many such jobs wait; the leader did
+    /// nothing.
+    OverRate {
+        /// When a submission lies within the rate again, in milliseconds.
+        retry_ms: u64,
+    },
     /// The node stopped leading before the outcome was known.
     Unknown,
     /// Allowed workers with their tickets, or `None` if the advice service did not answer in time.
--- a/crates/daisymast_scheduler/src/action.rs
+++ b/crates/daisymast_scheduler/src/action.rs
@@ -47,6 +47,12 @@
     Refused,
     /// The job was not accepted and never runs, because the cap of its organisation can never allow it.
     OverCap(OverCap),
+    /// The job was not accepted and never runs, because it lies beyond the rate of its organisation and
+    /// too many such jobs of it wait.
+    OverRate {
+        /// When a submission lies within the rate again, in milliseconds from now.
+        retry_ms: u64,
+    },
 }
 
 /// A task or gang that is larger than the cap of its organisation.
--- a/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
+++ b/crates/daisymast_scheduler/src/scheduler/caller_requests.rs
@@ -65,7 +65,10 @@
             return;
         }
         if self.job_table.committed_state(id).is_none() {
-            if let Some(answer) = self.refusal(&queue, organisation.as_ref(), &spec) {
+            let refusal = self.refusal(&queue, organisation.as_ref(), &spec);
+            if let Some(answer) =
+                refusal.or_else(|| self.over_rate(organisation.as_ref(), now.mono))
+            {
                 self.actions.push(action::Action::Answer { token, answer });
                 return;
             }
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -47,6 +47,7 @@
         for position in (0..urgent).chain(further) {
             self.place_step(order[position], &mut pass);
         }
+        self.count_backlogs();
         steps
     }
 
--- a/crates/daisymast_scheduler/src/scheduler/late_starts.rs
+++ b/crates/daisymast_scheduler/src/scheduler/late_starts.rs
@@ -55,7 +55,7 @@
         };
         if run.start_order.incarnation != worker.incarnation {
             self.on_absent(worker_index, task, now);
-        } else if run.has_no_sends_left() {
+        } else if run.has_no_sends_left() || self.exceeds_cap(run) {
             let reason = decision::StopReason::StartUnknown;
             self.request_stop(worker_index, task, reason, now);
         } else {
@@ -114,6 +114,7 @@
         let is_open = worker.runs.get(&task).is_some_and(|run| {
             run.closed_in != Some(worker.incarnation)
                 && self.is_current_run(worker_index, task, run.run)
+                && !self.exceeds_cap(run)
         });
         let may_run = self.steps.get(&task.step).is_some_and(|step| {
             let is_alone = !step.step_spec().gang && step.advice.is_none();
--- a/crates/daisymast_scheduler/src/scheduler/organisations.rs
+++ b/crates/daisymast_scheduler/src/scheduler/organisations.rs
@@ -14,6 +14,8 @@
 use crate::action;
 use crate::constants;
 use crate::decision;
+use crate::lease;
+use crate::run;
 use crate::steps;
 
 /// Settings of the organisations, and what is known of them besides their running tasks.
@@ -24,6 +26,15 @@
     rates: rate::Rates,
     /// Organisations that are at their cap, and when this last kept a step from starting.
     at_cap: collections::FastMap<ids::Organisation, time::Monotonic>,
+    /// Number of steps that wait beyond the rate of their organisation: those after the last pass, and one
+    /// for each job accepted since.
+    backlogs: collections::FastMap<ids::Organisation, u32>,
+}
+
+impl Organisations {
+    fn backlog_mut(&mut self, organisation: &ids::Organisation) -> &mut u32 {
+        self.backlogs.entry(organisation.clone()).or_default()
+    }
 }
 
 impl Scheduler {
@@ -97,6 +108,15 @@
         self.cap_room(step) >= needed
     }
 
+    /// Whether the organisation of a run is above its cap, the run included. A former scheduler may have
+    /// started other tasks after it had learned, which the journal does not tell, that the run was over.
+    pub(super) fn exceeds_cap(&self, run: &run::Run) -> bool {
+        run.charge.as_ref().is_some_and(|charge| {
+            let terms = self.terms(&charge.organisation);
+            terms.is_none_or(|terms| !terms.cap.allows(self.usage(&charge.organisation)))
+        })
+    }
+
     /// Removes the steps that cannot start because their organisation is at its cap, so that they take
     /// neither time in the pass nor room or advice from others.
     pub(super) fn remove_over_cap(&mut self, order: &mut Vec<spec::StepId>, now: time::Monotonic) {
@@ -174,6 +194,38 @@
         }))
     }
 
+    /// Counts the steps beyond the rates of their organisations that wait after a pass.
+    pub(super) fn count_backlogs(&mut self) {
+        self.organisations.backlogs.clear();
+        let steps = self.steps.values();
+        for step in steps.filter(|step| !step.within_rate && !step.waiting.is_empty()) {
+            if let Some(organisation) = &step.organisation {
+                *self.organisations.backlog_mut(organisation) += 1;
+            }
+        }
+    }
+
+    /// Returns the answer to a submission beyond the rate of its organisation, if more jobs beyond it wait
+    /// than the organisation has coming in a while: it could not be served in time, and the jobs that
+    /// wait have to be bounded.
+    pub(super) fn over_rate(
+        &mut self,
+        organisation: Option<&ids::Organisation>,
+        now: time::Monotonic,
+    ) -> Option<action::Answer> {
+        let state = &mut self.organisations;
+        let terms = state.terms.get(organisation?)?;
+        let waiting = state.backlogs.get(&terms.name).copied().unwrap_or(0);
+        let limit = (terms.weight * constants::OVER_RATE_BACKLOG.as_secs_f64())
+            .max(constants::MIN_OVER_RATE_BACKLOG);
+        if f64::from(waiting) < limit || state.rates.allows(&terms.name, terms.weight, now) {
+            return None;
+        }
+        let after = state.rates.retry_after(&terms.name, terms.weight, now);
+        let retry_ms = lease::millis(after);
+        Some(action::Answer::OverRate { retry_ms })
+    }
+
     /// Counts a job of an organisation. Returns whether it lies beyond the organisation's rate.
     pub(super) fn take_rate(
         &mut self,
@@ -183,7 +235,11 @@
         let Some(terms) = organisation.and_then(|name| self.organisations.terms.get(name)) else {
             return false;
         };
-        let rates = &mut self.organisations.rates;
-        !rates.take(&terms.name, terms.weight, now)
+        let name = terms.name.clone();
+        let over_rate = !self.organisations.rates.take(&name, terms.weight, now);
+        if over_rate {
+            *self.organisations.backlog_mut(&name) += 1;
+        }
+        over_rate
     }
 }
--- a/crates/daisymast_scheduler/tests/caps.rs
+++ b/crates/daisymast_scheduler/tests/caps.rs
@@ -249,3 +249,56 @@
     assert_eq!(rig.scheduler.usage(&PARTS.into()).millicores, 0);
     assert_eq!(rig.scheduler.usage(&PARTS.into()).memory_mib, 0);
 }
+
+/// Guards against jobs beyond a rate that count as within it after a change of the leader, and against a
+/// retry that changes the class of an accepted job.
+#[test]
+fn a_job_beyond_its_rate_keeps_its_class() {
+    let mut rig = Rig::with_organisations(1, &[(PARTS, 2.0, 90)]);
+    let is_over = |rig: &Rig, id: u64| {
+        let job = rig.scheduler.job_table().job(spec::JobId(id));
+        job.expect("the job").over_rate
+    };
+    let submit = |rig: &mut Rig, id: u64| {
+        rig.submit_owned(id, PARTS, BATCH, job(vec![step(1, 32, 60_000)]));
+    };
+    for id in 1..=4 {
+        submit(&mut rig, id);
+    }
+    rig.run_ms(2_000);
+    submit(&mut rig, 4);
+    submit(&mut rig, 5);
+    let classes = |rig: &Rig| (1..=5).map(|id| is_over(rig, id)).collect::<Vec<_>>();
+    assert_eq!(classes(&rig), [false, false, true, true, false]);
+    rig.run_ms(100);
+    rig.take_over();
+    assert_eq!(classes(&rig), [false, false, true, true, false]);
+}
+
+/// Guards against a flood beyond a rate that grows without bound, refused callers who return together,
+/// and a refusal of jobs that are accepted or lie within the rate.
+#[test]
+fn a_flood_beyond_the_rate_is_refused_with_times_to_come_back() {
+    let mut rig = Rig::with_organisations(1, &[(PARTS, 4.0, 90), (YARD, 4.0, 90)]);
+    let flood = 1..=400_u64;
+    for id in flood.clone() {
+        rig.submit_owned(id, PARTS, BATCH, job(vec![step(1, 32, 60_000)]));
+    }
+    rig.submit_owned(500, YARD, BATCH, job(vec![step(1, 1, 100)]));
+    rig.submit_owned(1, PARTS, BATCH, job(vec![step(1, 32, 60_000)]));
+    rig.run_ms(50);
+    let retries: Vec<u64> = flood
+        .filter_map(|id| match rig.answers[&id] {
+            Answer::OverRate { retry_ms } => Some(retry_ms),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(retries.len(), 400 - 4 - 120);
+    assert_eq!(retries[..3], [250, 500, 750]);
+    assert_eq!(rig.answers[&500], Answer::Accepted);
+    assert_eq!(rig.answers[&1], Answer::Accepted);
+    rig.run_ms(250);
+    rig.submit_owned(501, PARTS, BATCH, job(vec![step(1, 32, 100)]));
+    rig.run_ms(50);
+    assert_eq!(rig.answers[&501], Answer::Accepted, "within the rate");
+}
