--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -6,7 +6,7 @@
 
 use daisymast_election::{candidate, former_leases, leader_lease, record};
 use daisymast_relay::relays;
-use daisymast_scheduler::{action, config, constants as limits, lease, scheduler};
+use daisymast_scheduler::{action, config, constants as limits, lease, locality, scheduler};
 use daisymast_types::{collections, ids, time};
 use futures_lite::future;
 use smol::Timer;
@@ -50,6 +50,8 @@
     store_unavailable: AtomicBool,
     /// Whether the last attempt at a commit failed.
     commit_failing: AtomicBool,
+    /// When the commit in flight was begun.
+    commit_began: Mutex<Option<time::Monotonic>>,
     commit_timeout: Mutex<commit_timeout::CommitTimeout>,
 }
 
@@ -81,6 +83,7 @@
             committing: AtomicBool::new(false),
             store_unavailable: AtomicBool::new(false),
             commit_failing: AtomicBool::new(false),
+            commit_began: Mutex::default(),
             commit_timeout: Mutex::new(commit_timeout),
         }
     }
@@ -115,6 +118,18 @@
         lock(&self.leader_lease).end()
     }
 
+    /// Rejects what is not stored once a commit has failed for [`constants::STORE_OUTAGE_THRESHOLD`]. The
+    /// attempt in flight may take much longer to fail.
+    fn check_store(&self, now: time::Monotonic) {
+        let began = *lock(&self.commit_began);
+        if self.commit_failing.load(Ordering::Relaxed)
+            && began.is_some_and(|began| now - began >= constants::STORE_OUTAGE_THRESHOLD)
+            && !self.store_unavailable.swap(true, Ordering::Relaxed)
+        {
+            self.update(|scheduler| scheduler.reject_unstored_jobs(false));
+        }
+    }
+
     /// Clears the failure flags after a commit took effect.
     fn on_commit_succeeded(&self) {
         self.store_unavailable.store(false, Ordering::Relaxed);
@@ -249,7 +264,8 @@
         orders_end,
         max_lease,
     };
-    let scheduler = scheduler::Scheduler::resume(config, job_table, scheduler_term, now);
+    let scheduler = scheduler::Scheduler::resume(config, job_table, scheduler_term, now)
+        .with_locality(locality::Locality::new(context.settings.far_factor));
     let leadership = Arc::new(Leadership::new(
         term,
         scheduler,
@@ -344,6 +360,7 @@
             return true;
         }
         if now.mono >= next_tick {
+            leadership.check_store(now.mono);
             relaying::update(context, leadership, now.mono);
         }
         let (actions, next_pass_at) = {
--- a/crates/daisymast_node/src/leadership/calls.rs
+++ b/crates/daisymast_node/src/leadership/calls.rs
@@ -26,6 +26,7 @@
         action::Action::Answer { .. } => leadership.deliver(action),
         action::Action::Deposed => leadership.depose(),
         action::Action::Log(decision) => {
+            context.metrics.count_place_wait(&decision);
             if let Some(event) = decision.organisation_event() {
                 context.metrics.count_organisation(event);
             }
--- a/crates/daisymast_node/src/metrics.rs
+++ b/crates/daisymast_node/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Counters and histograms of a node, exported as Prometheus text.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use daisymast_scheduler::{decision, locality};
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -24,11 +26,15 @@
 #[derive(Clone, Debug)]
 pub struct Metrics {
     requests: Family<Labels, Counter>,
+    submissions: Family<Labels, Counter>,
+    leaderless: Counter<f64, AtomicU64>,
     calls: Family<Labels, Counter>,
     invalid: Family<[(&'static str, &'static str); 1], Counter>,
     organisations: Family<[(&'static str, &'static str); 1], Counter>,
     submission: Histogram,
     commit: Histogram,
+    place_waits: Family<[(&'static str, &'static str); 1], Counter>,
+    place_wait: Histogram,
     term: Gauge,
     confirmation_age: Gauge,
 }
@@ -37,11 +43,15 @@
     fn default() -> Self {
         Self {
             requests: Family::default(),
+            submissions: Family::default(),
+            leaderless: Counter::default(),
             calls: Family::default(),
             invalid: Family::default(),
             organisations: Family::default(),
             submission: histogram(),
             commit: histogram(),
+            place_waits: Family::default(),
+            place_wait: histogram(),
             term: Gauge::default(),
             confirmation_age: Gauge::default(),
         }
@@ -55,6 +65,17 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Counts a submission by the path of its answer and its outcome.
+    pub fn count_submission(&self, path: &'static str, outcome: &'static str) {
+        let labels = [("path", path), ("outcome", outcome)];
+        self.submissions.get_or_create(&labels).inc();
+    }
+
+    /// Adds time in which no leader that can commit was known.
+    pub fn add_leaderless(&self, time: Duration) {
+        self.leaderless.inc_by(time.as_secs_f64());
+    }
+
     /// Counts a call to a dependency by outcome.
     pub fn count_call(&self, dependency: &'static str, outcome: &'static str) {
         let labels = [("dependency", dependency), ("outcome", outcome)];
@@ -81,6 +102,28 @@
         self.commit.observe(took.as_secs_f64());
     }
 
+    /// Counts a decision about a wait for a place near the data; others are ignored.
+    pub fn count_place_wait(&self, decision: &decision::Decision) {
+        let outcome = match decision {
+            decision::Decision::PlaceWaitOpened { .. } => "started",
+            decision::Decision::PlaceWaitClosed {
+                outcome, waited_ms, ..
+            } => {
+                let waited = Duration::from_millis(*waited_ms);
+                self.place_wait.observe(waited.as_secs_f64());
+                match outcome {
+                    locality::Outcome::Paid => "paid",
+                    locality::Outcome::Lost => "lost",
+                    locality::Outcome::Dropped => "dropped",
+                }
+            }
+            _ => return,
+        };
+        self.place_waits
+            .get_or_create(&[("outcome", outcome)])
+            .inc();
+    }
+
     /// Sets the term in which this node leads, 0 for none.
     pub fn set_term(&self, term: u64) {
         self.term.set(i64::try_from(term).unwrap_or(i64::MAX));
@@ -103,6 +146,10 @@
         let mut registry = Registry::with_prefix("daisymast");
         let requests = "Requests of callers";
         registry.register("requests", requests, self.requests.clone());
+        let submissions = "Submissions by path of the answer and outcome";
+        registry.register("submissions", submissions, self.submissions.clone());
+        let leaderless = "Seconds without a known leader that can commit";
+        registry.register("leaderless_seconds", leaderless, self.leaderless.clone());
         registry.register("calls", "Calls to dependencies", self.calls.clone());
         let invalid = "Inputs from outside that cannot be decoded";
         registry.register("invalid_inputs", invalid, self.invalid.clone());
@@ -116,6 +163,10 @@
         registry.register("submission_seconds", submission, self.submission.clone());
         let commit = "Time of a commit to the journal in seconds";
         registry.register("commit_seconds", commit, self.commit.clone());
+        let place_waits = "Waits of steps for places near their data or on one rack";
+        registry.register("place_waits", place_waits, self.place_waits.clone());
+        let place_wait = "Duration of such waits in seconds";
+        registry.register("place_wait_seconds", place_wait, self.place_wait.clone());
         registry.register(
             "term",
             "Term in which this node schedules",
--- a/crates/daisymast_scheduler/src/worker.rs
+++ b/crates/daisymast_scheduler/src/worker.rs
@@ -201,6 +201,11 @@
             })
     }
 
+    /// Rack, if the worker names one.
+    pub fn rack(&self) -> Option<&ids::WorkerLabel> {
+        self.registration.as_ref()?.rack.as_ref()
+    }
+
     /// Assigns a run to the worker. Returns the earlier run of the same task that it replaces. To be
     /// called by [`Fleet::assign`](crate::fleet::Fleet::assign), which also counts the run against the
     /// cap of its organisation.
--- a/crates/daisymast_scheduler/tests/disturbances.rs
+++ b/crates/daisymast_scheduler/tests/disturbances.rs
@@ -22,6 +22,8 @@
 /// Organisations of the jobs in plays with caps, each with its weight and cap in cores. Versions with an
 /// odd number drop the first one.
 const ORGANISATIONS: [(&str, f64, u32); 2] = [("yard", 5.0, 24), ("parts", 5.0, 40)];
+/// Smallest cap of them, in cores. All long tasks may belong to that organisation.
+const SMALLEST_CAP_CORES: u64 = 24;
 
 /// What is due later in a disturbance, mostly its end.
 #[derive(Clone, Copy, Debug)]
@@ -227,9 +229,8 @@
     fn finish(&mut self) {
         let last = self.events.iter().map(|(at, _)| *at).max();
         self.run_ms(last.unwrap_or(0).saturating_sub(self.rig.now) + 1);
-        // All work may be that of the organisation with the narrowest cap.
         let cores = if self.has_caps {
-            u64::from(ORGANISATIONS[0].2)
+            SMALLEST_CAP_CORES
         } else {
             CORES
         };
