--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -68,6 +68,10 @@
 pub const MAX_RETRY_SPREAD_S: u32 = 4;
 /// Interval between two rounds of questions to the store and to other nodes, while the leader is suspected.
 pub const REACH_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum time since the leader's last answer for a node to be a path to it. Below the time after which the
+/// node that asks suspects the leader, less an interval between pings: nodes of one zone that is cut off
+/// would otherwise be paths for each other.
+pub const PATH_CONTACT_AGE: Duration = Duration::from_millis(300);
 /// Interval at which a node remembers the list of the other nodes.
 pub const MEMBERS_INTERVAL: Duration = Duration::from_secs(2);
 /// Timeout of a question of such a round.
@@ -78,9 +82,13 @@
 /// Many times what waits at the largest measured load, and less than what a leader stores in the time
 /// for which callers wait.
 pub const MAX_WAITING_REQUESTS: usize = 600;
-/// Time after which an elected node that has not read the journal gives its role up. Reading 1 MB at
-/// 10 Mbit/s takes 2 s, and recovery may take 15 s.
-pub const REPLAY_LIMIT: Duration = Duration::from_millis(6_000);
+/// Time without a page of the journal, or without a configuration, after which an elected node gives its
+/// role up. It renews its term and answers pings meanwhile, so no other node would replace it, and all
+/// requests would wait for it. Longer than one page takes at most, within the 15 s for a recovery.
+pub const REPLAY_STALL_LIMIT: Duration = Duration::from_millis(5_000);
+/// Time after which a leader steps down in favour of a much larger machine although the leader before it
+/// has resigned: the larger machines were free to follow that one, and could not.
+pub const STEP_DOWN_RETRY_DELAY: Duration = Duration::from_millis(10_000);
 /// Time after SIGTERM for which new connections are still accepted. The platform's load balancer
 /// takes a node out after two failed readiness checks, which are a second apart.
 pub const DRAIN_PERIOD: Duration = Duration::from_millis(2_600);
--- a/crates/daisymast_node/src/forwarding.rs
+++ b/crates/daisymast_node/src/forwarding.rs
@@ -29,6 +29,9 @@
     Refused(submission::Cause),
     /// The cap of the organisation can never allow the job, which certainly never runs.
     OverCap(action::OverCap),
+    /// The job lies beyond the rate of its organisation, of which too many such jobs wait, and certainly
+    /// never runs. It lies within the rate again after the given time in milliseconds.
+    OverRate(u64),
     /// The request may have taken effect.
     Unknown,
 }
@@ -37,6 +40,7 @@
 enum Answer {
     Served(peers::Served),
     OverCap(action::OverCap),
+    OverRate(u64),
 }
 
 impl ForwardOutcome {
@@ -46,6 +50,7 @@
             Self::Served { .. } => "served",
             Self::Refused(cause) => cause.name(),
             Self::OverCap(_) => "over_cap",
+            Self::OverRate(_) => "over_rate",
             Self::Unknown => "unknown",
         }
     }
@@ -57,7 +62,7 @@
                 is_via_peer: true, ..
             } => "peer",
             Self::Served { .. } => "direct",
-            Self::Refused(_) | Self::OverCap(_) | Self::Unknown => "none",
+            Self::Refused(_) | Self::OverCap(_) | Self::OverRate(_) | Self::Unknown => "none",
         }
     }
 }
@@ -97,9 +102,12 @@
             }
         };
         match sent {
-            // An earlier call may have been taken by a leader that knew another cap.
-            Ok(Answer::OverCap(_)) if pending.is_open() => return ForwardOutcome::Unknown,
+            // An earlier call may have been taken by a leader that knew another cap or rate.
+            Ok(Answer::OverCap(_) | Answer::OverRate(_)) if pending.is_open() => {
+                return ForwardOutcome::Unknown;
+            }
             Ok(Answer::OverCap(over_cap)) => return ForwardOutcome::OverCap(over_cap),
+            Ok(Answer::OverRate(retry_ms)) => return ForwardOutcome::OverRate(retry_ms),
             Ok(Answer::Served(served)) => {
                 return ForwardOutcome::Served {
                     served,
@@ -239,6 +247,7 @@
     match reply {
         peers::Reply::Served(served) => Ok(Answer::Served(served)),
         peers::Reply::OverCap(over_cap) => Ok(Answer::OverCap(over_cap)),
+        peers::Reply::OverRate { retry_ms } => Ok(Answer::OverRate(retry_ms)),
         peers::Reply::Unavailable => Err(Failure::StoreAway),
         peers::Reply::Overloaded => Err(Failure::Overload),
         peers::Reply::NotLeader => Err(Failure::NoEffect),
@@ -247,6 +256,8 @@
         | peers::Reply::Pong(_)
         | peers::Reply::Advice(_)
         | peers::Reply::Relayed(_)
+        | peers::Reply::Explained { .. }
+        | peers::Reply::LedBy(_)
         | peers::Reply::Reach(_)
         | peers::Reply::Noted => Err(Failure::Unknown),
     }
@@ -261,8 +272,13 @@
     if context.term().is_some() {
         return peers::handle_as_leader(context, request).await;
     }
-    let elected = context.candidate().elected().cloned();
-    let Some(elected) = elected.filter(|elected| !elected.leader.resigned) else {
+    let elected = {
+        let candidate = context.candidate();
+        let is_path = candidate.time_since_contact(clock::now()) <= constants::PATH_CONTACT_AGE;
+        let elected = candidate.elected().filter(|_| is_path);
+        elected.filter(|elected| !elected.leader.resigned).cloned()
+    };
+    let Some(elected) = elected else {
         return peers::Reply::NotLeader;
     };
     let address = elected.leader.node.address;
--- a/crates/daisymast_node/src/leadership/requests.rs
+++ b/crates/daisymast_node/src/leadership/requests.rs
@@ -4,7 +4,7 @@
 
 use daisymast_jobs::{queue, spec};
 use daisymast_organisations::access;
-use daisymast_scheduler::{action, scheduler};
+use daisymast_scheduler::{action, explanation, scheduler};
 use daisymast_types::{ids, time};
 use smol::Timer;
 
@@ -106,6 +106,12 @@
         }
     }
 
+    /// Returns where a request or a job would go now, and the term.
+    pub fn explain(&self, subject: &explanation::Subject) -> (u64, explanation::Answer) {
+        let answer = lock(&self.scheduler).explain(subject, clock::now());
+        (self.term, answer)
+    }
+
     /// Returns the number of jobs of a queue that have not started.
     pub async fn pending(&self, queue: &ids::QueueName) -> peers::Reply {
         let count = lock(&self.scheduler).pending(queue);
@@ -161,6 +167,7 @@
             Ok(action::Answer::Refused) => peers::Reply::Unavailable,
             Ok(action::Answer::IdTaken) => peers::Reply::Served(peers::Served::IdTaken),
             Ok(action::Answer::UnknownQueue) => peers::Reply::UnknownQueue,
+            Ok(action::Answer::OverRate { retry_ms }) => peers::Reply::OverRate { retry_ms },
             Ok(action::Answer::OverCap(over_cap)) => peers::Reply::OverCap(over_cap),
             Ok(action::Answer::NoSuchJob) => peers::Reply::Served(peers::Served::NoSuchJob),
             Err(_) => peers::Reply::Unknown,
