--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock;
+use crate::constants;
 use crate::context;
 use crate::forwarding;
 use crate::relay;
@@ -213,6 +214,12 @@
     UnknownQueue,
     /// The cap of the organisation can never allow the job; the leader did nothing.
     OverCap(action::OverCap),
+    /// The job lies beyond the rate of its organisation, of which too many such jobs wait; the leader did
+    /// nothing.
+    OverRate {
+        /// When a submission lies within the rate again, in milliseconds.
+        retry_ms: u64,
+    },
     /// The node stopped leading before the outcome was known.
     Unknown,
     /// Allowed workers with their tickets, or `None` if the advice service did not answer in time.
@@ -382,6 +389,7 @@
         reaches_leader: leads
             || (context.term().is_none()
                 && candidate.is_leader_healthy(now)
+                && candidate.time_since_contact(now) <= constants::PATH_CONTACT_AGE
                 && candidate.commit_age().is_zero()),
         known: candidate.elected().map(KnownLeader::from),
     }
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -55,6 +55,7 @@
         for position in (0..urgent).chain(further) {
             self.place_step(order[position], &mut pass);
         }
+        self.count_backlogs();
         self.close_ended_waits(now);
         steps
     }
