--- a/crates/daisymast_node/src/api.rs
+++ b/crates/daisymast_node/src/api.rs
@@ -75,6 +75,13 @@
     server::Response::text(422, over_cap.to_string())
 }
 
+/// Refuses a job beyond the rate of its organisation, with the time to come back.
+fn refuse_over_rate(retry_ms: u64) -> server::Response {
+    let seconds = u32::try_from(retry_ms.div_ceil(1_000)).unwrap_or(u32::MAX);
+    let reason = "too many jobs beyond the organisation's rate wait; the job was not accepted";
+    server::Response::text(429, reason).with_retry_after(seconds)
+}
+
 /// Answers a request that may have taken effect. Another node may know more if this one is not ready.
 fn report_unknown(context: &context::Context) -> server::Response {
     let response = server::Response::text(504, "the outcome is not known");
@@ -179,6 +186,7 @@
         ForwardOutcome::Served { .. } => server::Response::new(200, JSON, "{}"),
         ForwardOutcome::Refused(cause) => refuse_for(context, cause),
         ForwardOutcome::OverCap(over_cap) => refuse_over_cap(&over_cap),
+        ForwardOutcome::OverRate(retry_ms) => refuse_over_rate(retry_ms),
         ForwardOutcome::Unknown => report_unknown(context),
     }
 }
@@ -203,7 +211,9 @@
         } => server::Response::text(410, "no such job"),
         ForwardOutcome::Served { .. } => server::Response::new(200, JSON, "{}"),
         ForwardOutcome::Refused(cause) => refuse_for(context, cause),
-        ForwardOutcome::OverCap(_) | ForwardOutcome::Unknown => report_unknown(context),
+        ForwardOutcome::OverCap(_) | ForwardOutcome::OverRate(_) | ForwardOutcome::Unknown => {
+            report_unknown(context)
+        }
     }
 }
 
@@ -217,7 +227,7 @@
     let served = match forwarded {
         ForwardOutcome::Served { served, .. } => served,
         ForwardOutcome::Refused(cause) => return refuse_for(context, cause),
-        ForwardOutcome::OverCap(_) | ForwardOutcome::Unknown => {
+        ForwardOutcome::OverCap(_) | ForwardOutcome::OverRate(_) | ForwardOutcome::Unknown => {
             return refuse_for(context, submission::Cause::NoLeader);
         }
     };
