Send a key in the tests of nodes without a leader

The queues of the test cells ask for keys since the soak learned them, so the two tests got 401. They send the key of the cell's callers now; what they assert is unchanged.

--- a/crates/daisymast_soak/tests/leaderless.rs
+++ b/crates/daisymast_soak/tests/leaderless.rs
@@ -59,7 +59,10 @@
 async fn submit(client: &client::Client, node: std::net::SocketAddr, id: spec::JobId) -> Answer {
     let path = format!("{}{id}", fixtures::prefix(plan::QUEUES[0]));
     let body = fixtures::submission(&id.to_string(), &plan::Job::probe().steps);
-    let call = client::Call::new(node, &path, DEADLINE).with_header("Host", fixtures::HOST);
+    let key = fixtures::authorization(&path);
+    let call = client::Call::new(node, &path, DEADLINE)
+        .with_header("Host", fixtures::HOST)
+        .with_header("Authorization", &key);
     let sent = Instant::now();
     let answer = client.post(&call, "application/json", body.into()).await;
     Answer {
