Mend what the reviews of the parts found

Found by two reviewers who had not written the parts, by reading: - A node could take a configuration without organisations from a node of the earlier release, and then confirmed it as the newest, as the store's has the same version. The new test of tests/caps.rs fails without the check. - A repeated record of a replaced run could name its worker as that of the task again. - Gangs and advice requests for a named rack changed also where being near gains nothing; gangs with failures on all workers mixed fast and slow ones. - Jobs that arrived while a refused commit had already set the flag of an unavailable store were not rejected. - Organisations at their cap were looked up in a list in each pass.

Not built: stopping the rest of a gang that a checkpoint shows as partly waiting; its test passed without the change, too.

--- a/crates/daisymast_jobs/src/job_table.rs
+++ b/crates/daisymast_jobs/src/job_table.rs
@@ -258,6 +258,10 @@
             let Some(task) = job.task_mut(step.task(index)) else {
                 continue;
             };
+            // A repeated placement of a run that a later one has replaced.
+            if run < task.run {
+                continue;
+            }
             let phase = job::Phase::Placed { worker };
             let is_repeated = task.phase == job::Phase::Done || task.phase == phase;
             task.open_start = match task.open_start {
--- a/crates/daisymast_node/src/configuration.rs
+++ b/crates/daisymast_node/src/configuration.rs
@@ -86,7 +86,7 @@
         Ok(decoded) => {
             let version = decoded.config.version;
             // The store delivers a version more than once; its faults are reported once.
-            if context.configure(decoded.config) {
+            if context.configure_from_store(decoded.config) {
                 report_faults(context, version, &decoded.faults);
             }
             Some(version)
--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -145,13 +145,35 @@
     /// Applies a configuration unless its version is not newer than the current one. Returns
     /// whether it was applied.
     pub fn configure(&self, config: config::Configuration) -> bool {
-        let mut known = lock(&self.config);
+        let known = lock(&self.config);
         if known
             .as_ref()
             .is_some_and(|known| known.version >= config.version)
         {
             return false;
         }
+        self.replace_config(known, config);
+        true
+    }
+
+    /// Applies a configuration that was read from the store. It also replaces one of the same version
+    /// with other content: a node of an earlier release passes on only the parts that it knows.
+    pub fn configure_from_store(&self, config: config::Configuration) -> bool {
+        let known = lock(&self.config);
+        if known.as_ref().is_some_and(|known| {
+            known.version > config.version || (known.version == config.version && **known == config)
+        }) {
+            return false;
+        }
+        self.replace_config(known, config);
+        true
+    }
+
+    fn replace_config(
+        &self,
+        mut known: MutexGuard<'_, Option<Arc<config::Configuration>>>,
+        config: config::Configuration,
+    ) {
         log::info!("applied configuration version {}", config.version);
         let config = Arc::new(config);
         *known = Some(Arc::clone(&config));
@@ -159,7 +181,6 @@
         if let Some(leadership) = self.leadership() {
             leadership.configure(config);
         }
-        true
     }
 
     /// Locks and returns what this node knows of the age of its configuration.
--- a/crates/daisymast_node/src/leadership.rs
+++ b/crates/daisymast_node/src/leadership.rs
@@ -125,8 +125,9 @@
         let began = *lock(&self.commit_began);
         if self.commit_failing.load(Ordering::Relaxed)
             && began.is_some_and(|began| now - began >= constants::STORE_OUTAGE_THRESHOLD)
-            && !self.store_unavailable.swap(true, Ordering::Relaxed)
         {
+            // A refused commit may have set the flag, and jobs came in before that.
+            self.store_unavailable.store(true, Ordering::Relaxed);
             self.update(|scheduler| scheduler.reject_unstored_jobs(false));
         }
     }
--- a/crates/daisymast_scheduler/src/scheduler/advice.rs
+++ b/crates/daisymast_scheduler/src/scheduler/advice.rs
@@ -135,7 +135,8 @@
         let mut min_workers = MIN_UNKNOWN_WORKERS;
         if !step.permissions.is_empty() {
             candidates.sort_by_key(|candidate| {
-                std::cmp::Reverse((candidate.on_preferred_rack, candidate.free_millicores))
+                let is_near = self.locality.is_enabled() && candidate.on_preferred_rack;
+                std::cmp::Reverse((is_near, candidate.free_millicores))
             });
             min_workers = min_workers.max(repeated_request_workers(step));
         }
@@ -269,7 +270,9 @@
             } else if slots > 0 {
                 let rack = self.fleet.at(worker_index).rack();
                 let is_near = awaited.contains(&worker_index)
-                    || (awaited.is_empty() && place_waits::is_near(rack, step.step_spec()));
+                    || (self.locality.is_enabled()
+                        && awaited.is_empty()
+                        && place_waits::is_near(rack, step.step_spec()));
                 let tie_break = tie_break(step.id, worker_index);
                 unknown.push((is_near, fits, tie_break, worker_index, slots));
             }
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -134,7 +134,8 @@
         let rack_of = |worker_index: usize| self.fleet.at(worker_index).rack();
         let step_spec = step.step_spec();
         let wanted = step_spec.rack.as_ref();
-        if step_spec.same_rack || (step_spec.gang && wanted.is_some()) {
+        let is_faster_near = self.locality.is_enabled() && wanted.is_some();
+        if step_spec.same_rack || (step_spec.gang && is_faster_near) {
             let mut by_rack: collections::FastMap<_, u32> = collections::FastMap::default();
             for candidate in candidates.iter().filter(usable) {
                 *by_rack.entry(rack_of(candidate.worker_index)).or_default() += candidate.fits;
@@ -157,10 +158,17 @@
         if step.step_spec().gang {
             // A gang is as slow as its slowest member, so mixed workers waste the fast ones, and a
             // member that fails breaks the whole gang.
-            for speeds in [&[true][..], &[false], &[true, false]] {
-                let alike = candidates.iter().filter(usable);
-                let alike = alike
-                    .filter(|candidate| candidate.is_sound && speeds.contains(&candidate.is_fast));
+            let rounds = [
+                (true, &[true][..]),
+                (true, &[false]),
+                (true, &[true, false]),
+                (false, &[true]),
+                (false, &[false]),
+            ];
+            for (needs_sound, speeds) in rounds {
+                let alike = candidates.iter().filter(usable).filter(|candidate| {
+                    (candidate.is_sound || !needs_sound) && speeds.contains(&candidate.is_fast)
+                });
                 take_fitting(alike, needed, &mut chosen);
                 if chosen.len() >= needed as usize {
                     return chosen;
--- a/crates/daisymast_scheduler/src/scheduler/orders.rs
+++ b/crates/daisymast_scheduler/src/scheduler/orders.rs
@@ -37,6 +37,13 @@
             .get(&task.step)
             .is_some_and(|step| step.advice.is_some() && !step.has_ticket(worker_index, now));
         let fence = self.fencing.token();
+        // The cap may have been lowered while the placement was stored.
+        let exceeds_cap = self
+            .fleet
+            .at(worker_index)
+            .runs
+            .get(&task)
+            .is_some_and(|run| self.exceeds_cap(run));
         let worker = self.fleet.at_mut(worker_index);
         let takes_tasks = worker.takes_tasks(now);
         let Some(assigned_run) = worker.runs.get(&task) else {
@@ -58,7 +65,7 @@
             self.release(worker_index, task, now);
             return;
         };
-        if is_unsent && (!takes_tasks || ticket_expired || !is_fenced) {
+        if is_unsent && (!takes_tasks || ticket_expired || !is_fenced || exceeds_cap) {
             self.release(worker_index, task, now);
             return;
         }
--- a/crates/daisymast_scheduler/src/scheduler/organisations.rs
+++ b/crates/daisymast_scheduler/src/scheduler/organisations.rs
@@ -125,7 +125,7 @@
         if self.organisations.terms.is_empty() {
             return;
         }
-        let mut over_cap: Vec<ids::Organisation> = Vec::new();
+        let mut over_cap = collections::FastSet::default();
         order.retain(|id| {
             let Some(step) = self.steps.get(id) else {
                 return false;
@@ -134,7 +134,7 @@
             if let Some(organisation) = step.organisation.as_ref().filter(|_| !fits)
                 && !over_cap.contains(organisation)
             {
-                over_cap.push(organisation.clone());
+                over_cap.insert(organisation.clone());
             }
             fits
         });
@@ -142,7 +142,11 @@
     }
 
     /// Logs which organisations have reached or left their cap.
-    fn note_caps(&mut self, over_cap: Vec<ids::Organisation>, now: time::Monotonic) {
+    fn note_caps(
+        &mut self,
+        over_cap: collections::FastSet<ids::Organisation>,
+        now: time::Monotonic,
+    ) {
         for name in over_cap {
             if self
                 .organisations
@@ -250,7 +254,7 @@
         }
     }
 
-    /// Returns the answer to a submission beyond the rate of its organisation, if more jobs beyond it wait
+    /// Returns the answer to a submission beyond the rate of its organisation, if more steps beyond it wait
     /// than the organisation has coming in a while: it could not be served in time, and the jobs that
     /// wait have to be bounded.
     pub(super) fn over_rate(
--- a/crates/daisymast_scheduler/tests/caps.rs
+++ b/crates/daisymast_scheduler/tests/caps.rs
@@ -103,6 +103,20 @@
     assert!(rig.run_until(2, State::Completed, 3_000).is_some());
 }
 
+/// Guards against starts above a cap that was lowered while their placements were being stored.
+#[test]
+fn a_cap_that_is_lowered_before_placements_are_stored_holds_their_starts_back() {
+    let mut rig = rig();
+    rig.store_down = true;
+    rig.submit_owned(1, PARTS, BATCH, job(vec![step(4, 4, 2_000)]));
+    rig.run_ms(100);
+    rig.configure(3, &[(PARTS, 100.0, 8), (YARD, 100.0, 90)]);
+    rig.store_down = false;
+    rig.run_ms(500);
+    assert_eq!(rig.starts_of(1).len(), 2, "starts above the lowered cap");
+    assert!(rig.run_until(1, State::Completed, 7_000).is_some());
+}
+
 /// Guards against jobs that wait forever, or run without a cap, after a configuration has dropped their
 /// organisation, also over a change of the leader.
 #[test]
