Name the fields of what is kept of ended jobs

The job table kept ended jobs as a bare tuple, so uses read as .0 and .1. EndedJob is a struct now. Order of hashing and records are as before.

--- a/crates/daisymast_jobs/src/job_table.rs
+++ b/crates/daisymast_jobs/src/job_table.rs
@@ -20,14 +20,17 @@
 /// the last order of this one, which may act for 7 s more.
 pub const LATE_START_RETENTION: Duration = Duration::from_secs(20);
 
-/// What is kept of an ended job, and the organisation that it belongs to.
-type EndedJob = (record::Ended, Option<ids::Organisation>);
+/// What is kept of an ended job.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct EndedJob {
+    ended: record::Ended,
+    organisation: Option<ids::Organisation>,
+}
 
 /// Table of all known jobs, plus the queue settings and worker speeds that the journal records.
 #[derive(Clone, Debug, Default)]
 pub struct JobTable {
     jobs: collections::FastMap<spec::JobId, job::Job>,
-    /// Ended jobs, of which only the final state and the organisation are kept.
     ended: collections::FastMap<spec::JobId, EndedJob>,
     queues: collections::FastMap<ids::QueueName, queue::Queue>,
     /// Settings of the organisations that jobs belong to.
@@ -45,7 +48,7 @@
     /// Returns the state of a job that committed journal records support and that callers may be
     /// told.
     pub fn committed_state(&self, id: spec::JobId) -> Option<job::State> {
-        let ended = || self.ended.get(&id).map(|(ended, _)| ended.state);
+        let ended = || self.ended.get(&id).map(|kept| kept.ended.state);
         self.jobs
             .get(&id)
             .map(|job| job.committed_state)
@@ -56,7 +59,7 @@
     pub fn owner(&self, id: spec::JobId) -> Option<&ids::Organisation> {
         match self.jobs.get(&id) {
             Some(job) => job.organisation.as_ref(),
-            None => self.ended.get(&id)?.1.as_ref(),
+            None => self.ended.get(&id)?.organisation.as_ref(),
         }
     }
 
@@ -126,7 +129,7 @@
     pub fn compact(&mut self, now: time::UnixMillis) {
         let kept = u64::try_from(ENDED_RETENTION.as_millis()).unwrap_or(u64::MAX);
         let ended = &mut self.ended;
-        ended.retain(|_, (ended, _)| now.0.saturating_sub(ended.at.0) <= kept);
+        ended.retain(|_, job| now.0.saturating_sub(job.ended.at.0) <= kept);
         self.jobs.retain(|&id, job| {
             if !job.is_settled() {
                 return true;
@@ -139,8 +142,11 @@
                 }
             }
             let state = job.committed_state;
-            let kept = record::Ended { state, at: now };
-            ended.insert(id, (kept, job.organisation.take()));
+            let kept = EndedJob {
+                ended: record::Ended { state, at: now },
+                organisation: job.organisation.take(),
+            };
+            ended.insert(id, kept);
             false
         });
         // The settings of an organisation are stored again with its next job.
@@ -167,12 +173,11 @@
         for (&job, ended) in &self.ended {
             groups.entry(ended).or_default().push(job);
         }
-        records.extend(groups.into_iter().map(|((ended, organisation), jobs)| {
-            record::Record::Ended {
-                ended: *ended,
-                jobs,
-                organisation: organisation.clone(),
-            }
+        let ended = groups.into_iter();
+        records.extend(ended.map(|(kept, jobs)| record::Record::Ended {
+            ended: kept.ended,
+            jobs,
+            organisation: kept.organisation.clone(),
         }));
         for (&job, content) in &self.jobs {
             let restored = record::Record::Restored {
@@ -236,9 +241,12 @@
                 jobs,
                 organisation,
             } => {
-                let ended = (ended, organisation);
+                let kept = EndedJob {
+                    ended,
+                    organisation,
+                };
                 self.ended
-                    .extend(jobs.into_iter().map(|job| (job, ended.clone())));
+                    .extend(jobs.into_iter().map(|job| (job, kept.clone())));
             }
             record::Record::Restored { job, content } => {
                 self.jobs.insert(job, *content);
