Name the fields of an organisation's use of its share

Shares kept a bare pair of numbers, and the comment of add did not say why parts of different resources may be added. The pair is a struct; the comment says that the sum is an upper bound. Behaviour is unchanged.

--- a/crates/daisymast_organisations/src/share.rs
+++ b/crates/daisymast_organisations/src/share.rs
@@ -9,7 +9,7 @@
 use daisymast_types::ids;
 use daisymast_types::quantities;
 
-/// Highest level of use. Beyond it, organisations are not told apart.
+/// Highest level that [`Shares::level`] returns. Organisations beyond it rank equally.
 const MAX_LEVEL: f64 = 8.0;
 
 /// Resources of all usable workers together. The sums are wider than those of a worker.
@@ -60,8 +60,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
     capacity: Capacity,
-    /// Use of each active organisation as a multiple of its share, and the share.
-    uses: collections::FastMap<ids::Organisation, (f64, f64)>,
+    /// Use of each active organisation.
+    uses: collections::FastMap<ids::Organisation, Use>,
+}
+
+/// How much an organisation uses of its share.
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    /// Its dominant share, as a multiple of the part that it is entitled to.
+    multiple: f64,
+    /// Part of the cell that its weight entitles it to.
+    entitled: f64,
 }
 
 impl Shares {
@@ -93,7 +102,7 @@
         let uses = active.into_iter().map(|organisation| {
             let entitled = weight(&organisation) / total;
             let multiple = capacity.dominant_share(organisation.used) / entitled;
-            (organisation.name, (multiple, entitled))
+            (organisation.name, Use { multiple, entitled })
         });
         Self {
             capacity,
@@ -101,8 +110,9 @@
         }
     }
 
-    /// Counts tasks of a size that an organisation is about to start. The part of each start adds to
-    /// the use, also where it is another resource: organisations in one pass are kept apart by that.
+    /// Counts tasks of a size that an organisation is about to start. The dominant share of the tasks is
+    /// added to that of the organisation even if the two are of different resources. The sum is then an
+    /// upper bound, which is enough to take turns between the organisations within one pass.
     pub fn add(
         &mut self,
         organisation: &ids::Organisation,
@@ -110,18 +120,16 @@
         tasks: usize,
     ) {
         let part = self.capacity.dominant_share(size) * tasks as f64;
-        if let Some((multiple, entitled)) = self.uses.get_mut(organisation) {
-            *multiple += part / *entitled;
+        if let Some(usage) = self.uses.get_mut(organisation) {
+            usage.multiple += part / usage.entitled;
         }
     }
 
     /// Returns how often an organisation uses its share, rounded down: 0 while it is within the share
     /// or not active.
     pub fn level(&self, organisation: &ids::Organisation) -> u8 {
-        let multiple = self
-            .uses
-            .get(organisation)
-            .map_or(0.0, |(multiple, _)| *multiple);
+        let usage = self.uses.get(organisation);
+        let multiple = usage.map_or(0.0, |usage| usage.multiple);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
