--- a/crates/daisymast_scheduler/src/locality.rs
+++ b/crates/daisymast_scheduler/src/locality.rs
@@ -12,6 +12,7 @@
 use daisymast_types::ids;
 use daisymast_types::time;
 
+mod bounds;
 mod ratios;
 #[cfg(test)]
 mod tests;
@@ -19,9 +20,6 @@
 /// Longest wait of a step for near places. A job that has nothing running for 3 s while there is
 /// room counts as lost; the rest is left for its placement to be stored and its start to be sent.
 pub const MAX_WAIT: Duration = Duration::from_millis(2_000);
-/// Time before the latest start at which a wait ends. The placement is stored and the start is sent
-/// after the wait.
-const START_MARGIN: Duration = Duration::from_millis(100);
 /// Multiple of the expected wait after which the estimate counts as wrong. Declared run times are
 /// often off by a half.
 const PATIENCE_FACTOR: f64 = 1.5;
@@ -205,13 +203,10 @@
         if !self.is_enabled() {
             return None;
         }
-        let far = scale(
-            choice.estimate,
-            self.far_factor / positive(choice.far_speed),
-        );
+        let far = bounds::run_time(choice.estimate, self.far_factor, choice.far_speed);
         let ratio = self.ratios.get(rack, now);
         for place in &mut places {
-            place.free_in = scale(place.free_in, ratio);
+            place.free_in = bounds::scale(place.free_in, ratio);
         }
         places.sort_unstable_by_key(|place| (place.free_in, place.worker_index));
         places.truncate(choice.far_tasks as usize);
@@ -230,17 +225,18 @@
         far: Duration,
         now: time::Monotonic,
     ) -> Option<Hold> {
-        let fastest = places.iter().map(|place| place.speed);
-        let near = scale(choice.estimate, 1.0 / positive(fastest.fold(0.0, f64::max)));
-        let (saving, longest) = bound(choice, far, near, now)?;
+        let speeds = places.iter().map(|place| place.speed);
+        let fastest = speeds.fold(0.0, f64::max);
+        let near = bounds::run_time(choice.estimate, 1.0, fastest);
+        let bounds = bounds::Bounds::new(choice, far, near, now)?;
         let pays = |place: &&Place| {
-            let near = scale(choice.estimate, 1.0 / positive(place.speed));
+            let near = bounds::run_time(choice.estimate, 1.0, place.speed);
             let saving = far.saturating_sub(near);
-            self.pays(choice, place.free_in, saving, longest)
+            self.pays(choice, place.free_in, bounds::Bounds { saving, ..bounds })
         };
         let places: Vec<Place> = places.iter().filter(pays).copied().collect();
         let last = places.last()?.free_in;
-        Some(self.hold(&places, (last, saving, longest), now))
+        Some(self.hold(&places, last, bounds, now))
     }
 
     /// Holds back all members of a gang, or none. It is as slow as its slowest member.
@@ -254,22 +250,22 @@
         if places.len() < choice.far_tasks as usize {
             return None;
         }
-        let slowest = places.iter().map(|place| place.speed);
-        let speed = slowest.fold(f64::INFINITY, f64::min);
-        let near = scale(choice.estimate, 1.0 / positive(speed));
-        let (saving, longest) = bound(choice, far, near, now)?;
+        let speeds = places.iter().map(|place| place.speed);
+        let slowest = speeds.fold(f64::INFINITY, f64::min);
+        let near = bounds::run_time(choice.estimate, 1.0, slowest);
+        let bounds = bounds::Bounds::new(choice, far, near, now)?;
         let last = places.last()?.free_in;
-        let pays = self.pays(choice, last, saving, longest);
-        pays.then(|| self.hold(places, (last, saving, longest), now))
+        let pays = self.pays(choice, last, bounds);
+        pays.then(|| self.hold(places, last, bounds, now))
     }
 
     /// Whether a wait pays. One that is open goes on until its limit while a near place would still
     /// save time: estimates change with each report, and a wait that ends at each change saves
     /// nothing.
-    fn pays(&self, choice: &Choice, wait: Duration, saving: Duration, longest: Duration) -> bool {
+    fn pays(&self, choice: &Choice, wait: Duration, bounds: bounds::Bounds) -> bool {
         let enough = match choice.limit {
-            Some(_) => saving,
-            None => saving.min(longest),
+            Some(_) => bounds.saving,
+            None => bounds.saving.min(bounds.longest),
         };
         self.policy == Policy::Always || wait < enough
     }
@@ -277,18 +273,19 @@
     fn hold(
         &self,
         places: &[Place],
-        (expected, saving, longest): (Duration, Duration, Duration),
+        expected: Duration,
+        bounds: bounds::Bounds,
         now: time::Monotonic,
     ) -> Hold {
-        let patience = scale(expected, PATIENCE_FACTOR) + PATIENCE_MARGIN;
+        let patience = bounds::scale(expected, PATIENCE_FACTOR) + PATIENCE_MARGIN;
         let wait = match self.policy {
-            Policy::Always => longest,
-            Policy::Weighed | Policy::Never => longest.min(patience),
+            Policy::Always => bounds.longest,
+            Policy::Weighed | Policy::Never => bounds.longest.min(patience),
         };
         Hold {
             tasks: u32::try_from(places.len()).unwrap_or(u32::MAX),
             expected,
-            saving,
+            saving: bounds.saving,
             until: now + wait,
             workers: places.iter().map(|place| place.worker_index).collect(),
         }
@@ -375,25 +372,6 @@
     Dropped,
 }
 
-/// Returns the time that a near place saves, and the longest wait for one; `None` if no wait pays.
-///
-/// A wait ends early enough for the job to be on time far away. If it would be late there, and on
-/// time near its data, the wait ends at the latest start near the data.
-fn bound(
-    choice: &Choice,
-    far: Duration,
-    near: Duration,
-    now: time::Monotonic,
-) -> Option<(Duration, Duration)> {
-    let saving = far.saturating_sub(near);
-    let slack = (choice.latest_start - now).saturating_sub(START_MARGIN);
-    let extra = far.saturating_sub(choice.estimate);
-    let until_late = if slack > extra { slack - extra } else { slack };
-    let until_limit = choice.limit.map_or(MAX_WAIT, |limit| limit - now);
-    let longest = saving.min(until_late).min(MAX_WAIT).min(until_limit);
-    (saving >= MIN_SAVING && longest > Duration::ZERO).then_some((saving, longest))
-}
-
 /// Returns the time that a run of a worker still takes.
 ///
 /// ```
@@ -420,11 +398,3 @@
         _ => elapsed.saturating_sub(total),
     }
 }
-
-fn positive(speed: f64) -> f64 {
-    speed.clamp(0.01, 100.0)
-}
-
-fn scale(span: Duration, factor: f64) -> Duration {
-    Duration::from_secs_f64((span.as_secs_f64() * factor).clamp(0.0, 1e6))
-}
