--- a/crates/daisymast_scheduler/src/scheduler/explain.rs
+++ b/crates/daisymast_scheduler/src/scheduler/explain.rs
@@ -21,7 +21,7 @@
 
 /// Maximum number of steps that an answer holds. The first ones that are not done are shown.
 const MAX_STEPS: usize = 20;
-/// ID of a request, which no job of a caller is expected to have.
+/// ID that a request has while it is explained, which no job of a caller is expected to have.
 const REQUEST_ID: spec::JobId = spec::JobId(u64::MAX);
 
 impl Scheduler {
@@ -111,32 +111,14 @@
         (order, snapshot): (&[spec::StepId], &placement::FleetSnapshot),
         now: time::Monotonic,
     ) -> StepPlan {
-        let tasks = job.tasks(id).map(|tasks| tasks.tasks.as_slice());
-        let phases = tasks.unwrap_or_default().iter().map(|task| &task.phase);
-        let count = |wanted: fn(&job::Phase) -> bool| {
-            u32::try_from(phases.clone().filter(|&phase| wanted(phase)).count()).unwrap_or(u32::MAX)
-        };
         let mut plan = StepPlan {
-            step: id.step,
-            occurrence: id.occurrence,
-            waiting: count(|phase| matches!(phase, job::Phase::Waiting)),
-            placed: count(|phase| matches!(phase, job::Phase::Placed { .. })),
-            done: count(|phase| matches!(phase, job::Phase::Done)),
-            verdict: Verdict::AfterOtherSteps,
-            position: None,
             order_length: u32::try_from(order.len()).unwrap_or(u32::MAX),
-            slack_ms: None,
-            starts: Vec::new(),
-            passed_over: Vec::new(),
-            expected_wait_ms: None,
+            ..initial_plan(id, job)
         };
         let Some(step) = steps.get(&id) else {
             return plan;
         };
-        let late = lease::millis(now - step.deadlines.latest_start);
-        let left = lease::millis(step.deadlines.latest_start - now);
-        let millis = |value| i64::try_from(value).unwrap_or(i64::MAX);
-        plan.slack_ms = Some(millis(left) - millis(late));
+        plan.slack_ms = Some(signed_millis(now, step.deadlines.latest_start));
         if step.waiting.is_empty() {
             plan.verdict = Verdict::Placed;
             return plan;
@@ -181,6 +163,7 @@
         chosen
     }
 
+    /// Fills in what would become of the waiting tasks of a step whose turn has come in `pass`.
     fn explain_placement(
         &self,
         step: &steps::ReadyStep,
@@ -221,6 +204,7 @@
         }
     }
 
+    /// Counts the chosen tasks of each worker.
     fn by_worker(&self, chosen: &[usize]) -> Vec<(ids::WorkerId, u32)> {
         let mut counts: collections::FastMap<usize, u32> = collections::FastMap::default();
         for &worker_index in chosen {
@@ -319,6 +303,36 @@
     }
 }
 
+/// Returns the plan of a step that depends on others, with the numbers of its tasks.
+fn initial_plan(id: spec::StepId, job: &job::Job) -> StepPlan {
+    let tasks = job.tasks(id).map(|tasks| tasks.tasks.as_slice());
+    let phases = tasks.unwrap_or_default().iter().map(|task| &task.phase);
+    let count = |wanted: fn(&job::Phase) -> bool| {
+        u32::try_from(phases.clone().filter(|&phase| wanted(phase)).count()).unwrap_or(u32::MAX)
+    };
+    StepPlan {
+        step: id.step,
+        occurrence: id.occurrence,
+        waiting: count(|phase| matches!(phase, job::Phase::Waiting)),
+        placed: count(|phase| matches!(phase, job::Phase::Placed { .. })),
+        done: count(|phase| matches!(phase, job::Phase::Done)),
+        verdict: Verdict::AfterOtherSteps,
+        position: None,
+        order_length: 0,
+        slack_ms: None,
+        starts: Vec::new(),
+        passed_over: Vec::new(),
+        expected_wait_ms: None,
+    }
+}
+
+/// Returns the time from `now` to `at` in milliseconds, negative if `at` has passed. Differences of
+/// [`time::Monotonic`] are never negative, so that one of the two terms is zero.
+fn signed_millis(now: time::Monotonic, at: time::Monotonic) -> i64 {
+    let millis = |span| i64::try_from(lease::millis(span)).unwrap_or(i64::MAX);
+    millis(at - now) - millis(now - at)
+}
+
 /// Returns the IDs of all steps in the occurrences that have started.
 fn step_ids(id: spec::JobId, job: &job::Job) -> impl Iterator<Item = spec::StepId> {
     let steps = u16::try_from(job.spec.steps.len()).unwrap_or(u16::MAX);
