--- a/crates/daisymast_node/src/forwarding.rs
+++ b/crates/daisymast_node/src/forwarding.rs
@@ -36,6 +36,16 @@
     Unknown,
 }
 
+/// Result of sending a request once.
+struct Attempt {
+    /// Term of the leader that the result says something about, for
+    /// [`submission::Submission::on_failure`].
+    term: u64,
+    /// Whether the request went through another node.
+    is_via_peer: bool,
+    result: Result<Answer, Failure>,
+}
+
 /// The leader's decision on a request.
 enum Answer {
     Served(peers::Served),
@@ -80,8 +90,7 @@
     loop {
         let now = clock::now();
         let paths = paths(context, now);
-        let is_via_peer;
-        let (term, sent) = match pending.next(&paths, now) {
+        let attempt = match pending.next(&paths, now) {
             Step::Wait(pause) => {
                 Timer::after(pause).await;
                 continue;
@@ -89,19 +98,11 @@
             Step::Refuse(cause) => return ForwardOutcome::Refused(cause),
             Step::Unknown => return ForwardOutcome::Unknown,
             Step::Send { term, until } => {
-                is_via_peer = false;
-                let send = |request| send_to_leader(context, request, term, until);
-                (term, with_terms(request, queue, send).await)
-            }
-            Step::SendVia { until } => {
-                is_via_peer = true;
-                let send = |request| send_via_peer(context, request, until);
-                let sent = with_terms(request, queue, send).await;
-                let is_unknown = matches!(sent, Err(Failure::Unknown));
-                (if is_unknown { u64::MAX } else { 0 }, sent)
+                attempt_direct(context, request, queue, term, until).await
             }
+            Step::SendVia { until } => attempt_via_peer(context, request, queue, until).await,
         };
-        match sent {
+        match attempt.result {
             // An earlier call may have been taken by a leader that knew another cap or rate.
             Ok(Answer::OverCap(_) | Answer::OverRate(_)) if pending.is_open() => {
                 return ForwardOutcome::Unknown;
@@ -111,19 +112,53 @@
             Ok(Answer::Served(served)) => {
                 return ForwardOutcome::Served {
                     served,
-                    is_via_peer,
+                    is_via_peer: attempt.is_via_peer,
                 };
             }
             Err(failure) => {
                 if failure == Failure::StoreAway {
                     context.request_reach();
                 }
-                pending.on_failure(term, failure, clock::now());
+                pending.on_failure(attempt.term, failure, clock::now());
             }
         }
     }
 }
 
+/// Sends a request to the leader of a term.
+async fn attempt_direct(
+    context: &Arc<context::Context>,
+    request: &peers::Request,
+    queue: Option<&queue::Queue>,
+    term: u64,
+    until: time::Monotonic,
+) -> Attempt {
+    let send = |request| send_to_leader(context, request, term, until);
+    Attempt {
+        term,
+        is_via_peer: false,
+        result: with_terms(request, queue, send).await,
+    }
+}
+
+/// Sends a request through another node. Its leader is not known here: a call that certainly had no effect
+/// counts for the earliest term, and one whose outcome is unknown for the latest.
+async fn attempt_via_peer(
+    context: &Arc<context::Context>,
+    request: &peers::Request,
+    queue: Option<&queue::Queue>,
+    until: time::Monotonic,
+) -> Attempt {
+    let send = |request| send_via_peer(context, request, until);
+    let result = with_terms(request, queue, send).await;
+    let is_unknown = matches!(result, Err(Failure::Unknown));
+    Attempt {
+        term: if is_unknown { u64::MAX } else { 0 },
+        is_via_peer: true,
+        result,
+    }
+}
+
 /// Time for which no leader has been reached, in milliseconds.
 fn leaderless_ms(context: &context::Context, now: time::Monotonic) -> u64 {
     if context.term().is_some() {
@@ -182,7 +217,7 @@
 ) -> Result<Answer, Failure> {
     let call = async {
         if context.term().is_some() {
-            let answer = async { Some(peers::handle_as_leader(context, request).await) };
+            let answer = async { Some(peers::handler::handle_as_leader(context, request).await) };
             let reply = future::or(answer, async {
                 Timer::after(until - clock::now()).await;
                 None
@@ -233,7 +268,7 @@
     )?)
 }
 
-/// Returns the reply of a call.
+/// Returns the reply of a call, or what the lack of one says about the request.
 fn completed(outcome: outcome::Outcome<peers::Reply>) -> Result<peers::Reply, Failure> {
     match outcome {
         outcome::Outcome::Done(reply) => Ok(reply),
@@ -242,7 +277,7 @@
     }
 }
 
-/// Returns the leader's answer.
+/// Returns the leader's decision, or why the leader has not taken the request.
 fn judge(reply: peers::Reply) -> Result<Answer, Failure> {
     match reply {
         peers::Reply::Served(served) => Ok(Answer::Served(served)),
@@ -270,7 +305,7 @@
         return peers::Reply::NotLeader;
     }
     if context.term().is_some() {
-        return peers::handle_as_leader(context, request).await;
+        return peers::handler::handle_as_leader(context, request).await;
     }
     let elected = {
         let candidate = context.candidate();
