Choose the other nodes in one place

Three functions filtered the member list by the same conditions. The context has other_members and other_followers; probe and explain's arguments are shorter by a function each.

--- a/crates/daisymast_node/src/confirmation.rs
+++ b/crates/daisymast_node/src/confirmation.rs
@@ -85,17 +85,8 @@
 /// Pings another node than the leader, whose pong carries the age of its configuration. A node that
 /// reaches neither the store nor the leader may still serve requests through others.
 async fn ask_peer(context: &context::Context) {
-    let peer = {
-        let candidate = context.candidate();
-        let me = &context.settings.instance;
-        let leader = candidate.elected().map(|elected| &elected.leader.node.id);
-        let others = candidate.members().iter();
-        let others = others.filter(|member| member.id != *me && Some(&member.id) != leader);
-        let others: Vec<_> = others.collect();
-        fastrand::choice(others).map(|member| member.address)
-    };
-    if let Some(address) = peer {
-        follower::ping_address(context, address, None).await;
+    if let Some(peer) = fastrand::choice(context.other_followers()) {
+        follower::ping_address(context, peer.address, None).await;
     }
 }
 
--- a/crates/daisymast_node/src/context.rs
+++ b/crates/daisymast_node/src/context.rs
@@ -198,6 +198,27 @@
         }
     }
 
+    /// Returns the other nodes that the leader last reported as alive.
+    pub fn other_members(&self) -> Vec<record::Member> {
+        let candidate = self.candidate();
+        let members = candidate.members().iter();
+        members
+            .filter(|member| member.id != self.settings.instance)
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the other nodes that the leader last reported as alive, without the leader.
+    pub fn other_followers(&self) -> Vec<record::Member> {
+        let candidate = self.candidate();
+        let leader = candidate.elected().map(|elected| &elected.leader.node.id);
+        let members = candidate.members().iter();
+        members
+            .filter(|member| member.id != self.settings.instance && Some(&member.id) != leader)
+            .cloned()
+            .collect()
+    }
+
     /// Returns the scheduler state of this process while it is the leader.
     pub fn leadership(&self) -> Option<Arc<leadership::Leadership>> {
         lock(&self.leadership).clone()
--- a/crates/daisymast_node/src/explain.rs
+++ b/crates/daisymast_node/src/explain.rs
@@ -1,7 +1,7 @@
 //! The subcommand `explain`: asks a running cell where a request or a job would go now.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use anyhow::Context as _;
@@ -120,15 +120,7 @@
         (Some(job), None) => explanation::Subject::Job(job),
         (None, Some(path)) => {
             let queue = queue.context("--request needs --queue")?;
-            let body = std::fs::read(&path)
-                .with_context(|| format!("read the request {}", path.display()))?;
-            let spec = callers::parse_submission(&body)
-                .map_err(|error| anyhow::anyhow!("request {}: {error}", path.display()))?;
-            explanation::Subject::Request {
-                queue: queue.into(),
-                organisation: organisation.map(Into::into),
-                spec,
-            }
+            read_request(&path, queue, organisation)?
         }
         _ => anyhow::bail!("either --job or --request is required"),
     };
@@ -146,6 +138,23 @@
     }))
 }
 
+/// Reads the file of a request.
+fn read_request(
+    path: &Path,
+    queue: String,
+    organisation: Option<String>,
+) -> anyhow::Result<explanation::Subject> {
+    let body =
+        std::fs::read(path).with_context(|| format!("read the request {}", path.display()))?;
+    let spec = callers::parse_submission(&body)
+        .map_err(|error| anyhow::anyhow!("request {}: {error}", path.display()))?;
+    Ok(explanation::Subject::Request {
+        queue: queue.into(),
+        organisation: organisation.map(Into::into),
+        spec,
+    })
+}
+
 /// Asks a node, and then the scheduler that it knows.
 async fn ask(
     client: &client::Client,
--- a/crates/daisymast_node/src/follower.rs
+++ b/crates/daisymast_node/src/follower.rs
@@ -223,18 +223,7 @@
 
 /// Asks the other nodes whether they can reach the leader.
 async fn probe(context: &Arc<context::Context>) {
-    let others: Vec<record::Member> = {
-        let candidate = context.candidate();
-        let leader = candidate
-            .elected()
-            .map(|elected| elected.leader.node.id.clone());
-        let me = &context.settings.instance;
-        let others = candidate.members().iter();
-        others
-            .filter(|member| member.id != *me && Some(&member.id) != leader.as_ref())
-            .cloned()
-            .collect()
-    };
+    let others = context.other_followers();
     // This node counts itself as one that does not reach the leader.
     let mut poll = candidate::ProbeResult {
         asked: others.len() + 1,
@@ -248,18 +237,7 @@
             let executor = Arc::clone(&context.executor);
             let sender = sender.clone();
             executor.spawn(async move {
-                let request = context.ping();
-                let sent = clock::now();
-                let call = peers::call(&context, member.address, &request, constants::PING_TIMEOUT);
-                let agrees = match call.await {
-                    outcome::Outcome::Done(peers::Reply::Pong(pong)) => {
-                        if let Some(report) = pong.confirmed {
-                            context.freshness().on_report(report, sent);
-                        }
-                        !pong.content
-                    }
-                    _ => false,
-                };
+                let agrees = misses_leader(&context, &member).await;
                 // The vote may be decided.
                 let _ = sender.try_send(agrees);
             })
@@ -276,6 +254,22 @@
     context.candidate().on_probe_result(poll);
 }
 
+/// Returns whether another node answers that it does not reach the leader either.
+async fn misses_leader(context: &context::Context, member: &record::Member) -> bool {
+    let request = context.ping();
+    let sent = clock::now();
+    let call = peers::call(context, member.address, &request, constants::PING_TIMEOUT);
+    match call.await {
+        outcome::Outcome::Done(peers::Reply::Pong(pong)) => {
+            if let Some(report) = pong.confirmed {
+                context.freshness().on_report(report, sent);
+            }
+            !pong.content
+        }
+        _ => false,
+    }
+}
+
 /// Returns the term in which the store names this run of this process as the leader.
 fn own_term(context: &context::Context) -> Option<u64> {
     let candidate = context.candidate();
--- a/crates/daisymast_node/src/probing.rs
+++ b/crates/daisymast_node/src/probing.rs
@@ -41,12 +41,7 @@
 
 /// Remembers the other nodes, as far as the leader lists them.
 fn remember_members(context: &context::Context, now: time::Monotonic) {
-    let others: Vec<record::Member> = {
-        let candidate = context.candidate();
-        let me = &context.settings.instance;
-        let others = candidate.members().iter();
-        others.filter(|member| member.id != *me).cloned().collect()
-    };
+    let others = context.other_members();
     context.reach().on_members(&others, now);
 }
 
@@ -59,6 +54,7 @@
     candidate.is_leader_healthy(now) && candidate.commit_age().is_zero()
 }
 
+/// Reads from the store, and asks other nodes for their paths, at the same time.
 async fn look(context: &Arc<context::Context>) {
     let started = clock::now();
     let chosen = context.reach().choose();
@@ -88,6 +84,7 @@
     context.reach().on_round(answers, started);
 }
 
+/// Asks a node whether it reaches a leader, and takes over the leader that it names.
 async fn ask(context: &context::Context, peer: record::Member) -> reach::PeerAnswer {
     let request = peers::Request::Reach;
     let call = peers::call(context, peer.address, &request, constants::REACH_TIMEOUT);
