Clarify comments of limits, of a pass and of tests

The limit on waiting requests was justified by a measured load, and the limits on jobs beyond a rate, the fallback of caps and the placing of a step were hard to follow. A test named its failure only by the test before it. Comments only.

--- a/crates/daisymast_node/src/constants.rs
+++ b/crates/daisymast_node/src/constants.rs
@@ -74,13 +74,12 @@
 pub const PATH_CONTACT_AGE: Duration = Duration::from_millis(300);
 /// Interval at which a node remembers the list of the other nodes.
 pub const MEMBERS_INTERVAL: Duration = Duration::from_secs(2);
-/// Timeout of a question of such a round.
+/// Timeout of each question of a round; see [`REACH_INTERVAL`].
 pub const REACH_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval at which a request that waits for the leader's answer checks whether there is a later leader.
 pub const TERM_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 /// Maximum number of callers' requests that wait for a commit at the leader; further ones are refused.
-/// Many times what waits at the largest measured load, and less than what a leader stores in the time
-/// for which callers wait.
+/// A leader stores more than that in the time for which callers wait.
 pub const MAX_WAITING_REQUESTS: usize = 600;
 /// Time without a page of the journal, or without a configuration, after which an elected node gives its
 /// role up. It renews its term and answers pings meanwhile, so no other node would replace it, and all
--- a/crates/daisymast_organisations/src/declaration.rs
+++ b/crates/daisymast_organisations/src/declaration.rs
@@ -237,7 +237,8 @@
     keys
 }
 
-/// Reports at most one fault.
+/// Returns the cap, with the parts of `last` in place of those that have a fault, or with zero without one.
+/// Reports one fault at most, however many parts have one.
 fn resolve_cap(
     declared: Declared<CapDeclaration>,
     last: Option<organisation::Cap>,
--- a/crates/daisymast_scheduler/src/constants.rs
+++ b/crates/daisymast_scheduler/src/constants.rs
@@ -140,11 +140,10 @@
 pub const URGENT_RESERVE_PERMILLE: u32 = 250;
 /// Time within which a live worker registers again after an outage of the store.
 pub const REREGISTRATION_TIMEOUT: Duration = Duration::from_millis(2_300);
-/// Jobs beyond the rate of an organisation that may wait, as the time in which as many come within the
-/// rate. Refusing them as soon as others were late lowered the served worth of an overloaded cell, as
-/// callers came back and workers idled.
+/// Limit on the waiting jobs that lie beyond the rate of an organisation, as the time in which the rate
+/// allows as many. With a much lower limit, refused callers come back later and leave workers idle.
 pub const OVER_RATE_BACKLOG: Duration = Duration::from_secs(30);
-/// Jobs beyond the rate that may wait for an organisation with a low one.
+/// Lower bound of that limit, for organisations with a low rate.
 pub const MIN_OVER_RATE_BACKLOG: f64 = 100.0;
 /// An organisation counts as at its cap until the cap has kept none of its steps from starting for this
 /// long. Shorter gaps between the ends and starts of its tasks would fill the log.
--- a/crates/daisymast_scheduler/src/scheduler/dispatch.rs
+++ b/crates/daisymast_scheduler/src/scheduler/dispatch.rs
@@ -72,6 +72,8 @@
         start..end
     }
 
+    /// Places as many tasks of a step as its cap and the workers allow. Then reserves workers for a gang that
+    /// did not start, and asks for advice for the tasks that are left.
     fn place_step(&mut self, id: spec::StepId, pass: &mut Pass) {
         let Some(step) = self.steps.get(&id) else {
             return;
--- a/crates/daisymast_scheduler/tests/shares.rs
+++ b/crates/daisymast_scheduler/tests/shares.rs
@@ -84,7 +84,7 @@
     }
 }
 
-/// Guards against the same where the flood lies within the rate: then the shares hold it back.
+/// Guards against a flood within the rate of its organisation that takes more than its share of the room.
 #[test]
 fn a_flood_within_the_rate_is_held_to_its_share() {
     for queue in [BATCH, QUICK] {
--- a/crates/daisymast_soak/tests/withdrawn_keys.rs
+++ b/crates/daisymast_soak/tests/withdrawn_keys.rs
@@ -82,8 +82,8 @@
 }
 
 /// Guards against withdrawn keys that a node honours beyond the bound, because the node is cut off
-/// or because no node can read the configuration, though the scheduler works; against valid keys that stay refused afterwards; and against
-/// another organisation that learns of a job.
+/// or because no node can read the configuration, though the scheduler works; against valid keys that
+/// stay refused afterwards; and against another organisation that learns of a job.
 #[test]
 fn withdrawn_keys_expire_on_all_nodes() {
     let _turn = programs::turn();
