Encode the request that one node sends through another

Cause: Request::Via contained a request, which could contain a further one. The decoder has no limit on the depth of enums (500 levels were decoded with a limit of 64 set), so a malformed message could exhaust the stack and end the process. Found by a reviewer, by reading.

Change: the inner request is encoded bytes, which only the handler decodes, once.

Result: the tests of messages pass, among them one with 100,000 levels; not run against the former code, where it would end the test process. No node of a release knows Via yet.

--- a/crates/daisymast_node/src/forwarding.rs
+++ b/crates/daisymast_node/src/forwarding.rs
@@ -262,7 +262,10 @@
     let Some(address) = context.reach().path(now).map(|peer| peer.address) else {
         return Err(Failure::NoEffect);
     };
-    let request = peers::Request::Via(Box::new(request));
+    let Some(encoded) = peers::EncodedRequest::new(&request) else {
+        return Err(Failure::NoEffect);
+    };
+    let request = peers::Request::Via(encoded);
     judge(completed(
         peers::call(context, address, &request, until - now).await,
     )?)
@@ -301,9 +304,6 @@
 /// Handles a request that another node sends through this one. It is sent to the leader once, and never
 /// to a third node.
 pub async fn serve_via(context: &Arc<context::Context>, request: peers::Request) -> peers::Reply {
-    if !request.is_of_caller() {
-        return peers::Reply::NotLeader;
-    }
     if context.term().is_some() {
         return peers::handler::handle_as_leader(context, request).await;
     }
--- a/crates/daisymast_node/src/peers.rs
+++ b/crates/daisymast_node/src/peers.rs
@@ -82,7 +82,7 @@
     Relay(wire::Exchange),
     /// A caller's request of a node that does not reach the leader, which the receiver sends to the
     /// leader once.
-    Via(Box<Request>),
+    Via(EncodedRequest),
     /// Asks whether the node reaches a leader that can commit.
     Reach,
     /// Names the leader that was just elected.
@@ -101,6 +101,35 @@
     }
 }
 
+/// A caller's request inside another request. It is encoded, because a request that contains others at
+/// any depth could exhaust the stack of the thread that decodes it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct EncodedRequest(Vec<u8>);
+
+impl EncodedRequest {
+    /// Encodes a request of a caller; `None` for any other.
+    ///
+    /// ```
+    /// use daisymast_node::peers::{EncodedRequest, Request};
+    /// let request = Request::Pending { queue: "quotes".into() };
+    /// let decoded = EncodedRequest::new(&request).unwrap().decode();
+    /// assert!(matches!(decoded, Some(Request::Pending { .. })));
+    /// assert!(EncodedRequest::new(&Request::Reach).is_none());
+    /// ```
+    pub fn new(request: &Request) -> Option<Self> {
+        let is_of_caller = request.is_of_caller();
+        let encoded = rmp_serde::to_vec_named(request).ok();
+        encoded.filter(|_| is_of_caller).map(Self)
+    }
+
+    /// Returns the request, `None` if it cannot be decoded or is not one of a caller.
+    pub fn decode(&self) -> Option<Request> {
+        let request: Request = rmp_serde::from_slice(&self.0).ok()?;
+        request.is_of_caller().then_some(request)
+    }
+}
+
 /// The leader that a node knows of.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct KnownLeader {
--- a/crates/daisymast_node/src/peers/handler.rs
+++ b/crates/daisymast_node/src/peers/handler.rs
@@ -45,7 +45,10 @@
             request_advice(context, step, &workers, Duration::from_millis(timeout_ms)).await,
         ),
         Request::Relay(exchange) => relay::serve(context, exchange).await,
-        Request::Via(request) => forwarding::serve_via(context, *request).await,
+        Request::Via(encoded) => match encoded.decode() {
+            Some(request) => forwarding::serve_via(context, request).await,
+            None => Reply::NotLeader,
+        },
         Request::Reach => Reply::Reach(Box::new(reach_answer(context))),
         Request::Elected(known) => {
             context.candidate().on_elected(known.into(), clock::now());
--- a/crates/daisymast_node/tests/messages.rs
+++ b/crates/daisymast_node/tests/messages.rs
@@ -104,6 +104,28 @@
     ));
 }
 
+/// Guards against a request that contains another at any depth, so that its decoding exhausts the stack
+/// and ends the process.
+#[test]
+fn a_request_sent_through_a_node_contains_no_further_one() {
+    let job = spec::JobId(7);
+    let caller = access::Caller::Unchecked;
+    let request = peers::Request::State { job, caller };
+    let encoded = peers::EncodedRequest::new(&request).expect("a request of a caller");
+    assert!(matches!(
+        encoded.decode(),
+        Some(peers::Request::State { .. })
+    ));
+    let via = peers::Request::Via(encoded);
+    assert!(peers::EncodedRequest::new(&via).is_none());
+    // The encoding of the enum before: each level is a map of one entry.
+    let mut nested = Vec::new();
+    for _ in 0..100_000 {
+        nested.extend_from_slice(b"\x81\xa3Via");
+    }
+    assert!(msgpack::decode_request::<peers::Request>(&nested).is_err());
+}
+
 proptest! {
     /// Guards against a message of another node, cut or changed on its way, that ends the process.
     #[test]
