--- a/crates/daisymast_scheduler/examples/fleet_model/jobs.rs
+++ b/crates/daisymast_scheduler/examples/fleet_model/jobs.rs
@@ -60,9 +60,9 @@
     /// Jobs like those of lsgw-sched-large.
     #[default]
     Surveys,
-    /// Jobs like those of mhfc-daisymast-grown: large gangs, and workers of unlike speed.
+    /// Large gangs, and workers of unlike speed.
     Nesting,
-    /// Jobs like those of ccw-render-grown: declared run times far from the real ones.
+    /// Run times that are declared far from the real ones.
     Render,
 }
 
