--- a/review/lib-3/src/hand_over.rs
+++ b/review/lib-3/src/hand_over.rs
@@ -9,11 +9,11 @@
 /// Time of the first restart after the start of the traffic.
 const FIRST_RESTART_MS: u64 = 6_000;
 /// Time between two restarts.
-const RESTART_INTERVAL_MS: u64 = 18_000;
+const RESTART_INTERVAL_MS: u64 = 14_000;
 /// End of the traffic.
 const TRAFFIC_MS: u64 = 66_000;
 /// Average time between two submissions.
-const INTERVAL_MS: u64 = 14;
+const INTERVAL_MS: u64 = 10;
 /// Time for the last gangs to end.
 const END_MS: u64 = 14_000;
 
